--- /dev/null
+++ b/briarknot/schema/__init__.py
@@ -0,0 +1,31 @@
+"""Messages, settings, and documents as attrs classes, and their encoding.
+
+The classes are generated from ``definitions/*.capnp`` by ``tools/generate.py``.
+"""
+
+from briarknot.schema._codec import DecodeError, decode, encode
+from briarknot.schema._fields import FieldInfo, read_info
+from briarknot.schema._generated import (
+    endpoints,
+    fleet,
+    messages,
+    records,
+    settings,
+)
+from briarknot.schema._plain import from_plain, read_types, to_plain
+
+__all__ = (
+    'DecodeError',
+    'FieldInfo',
+    'decode',
+    'encode',
+    'endpoints',
+    'fleet',
+    'from_plain',
+    'messages',
+    'read_info',
+    'read_types',
+    'records',
+    'settings',
+    'to_plain',
+)
--- /dev/null
+++ b/briarknot/schema/_codec.py
@@ -0,0 +1,110 @@
+"""Cap'n Proto encoding of generated classes."""
+
+import enum
+import functools
+import pathlib
+import typing
+
+import attrs
+import capnp
+
+from briarknot.schema import _plain
+from briarknot.schema._generated import messages
+
+_DEFINITIONS = pathlib.Path(__file__).parent / 'definitions'
+
+capnp.remove_import_hook()
+
+
+@attrs.frozen
+class DecodeError:
+    """Sentinel for bytes that are no valid message.
+
+    :param reason: what is wrong with them.
+    """
+
+    reason: str
+
+    def __bool__(self) -> bool:
+        """Counts as false, so that callers can test for it."""
+        return False
+
+
+@functools.cache
+def _load(module_name: str) -> typing.Any:
+    return capnp.load(str(_DEFINITIONS / f'{module_name}.capnp'))
+
+
+@functools.cache
+def _to_camel(name: str) -> str:
+    first, *rest = name.split('_')
+    return first + ''.join(part.capitalize() for part in rest)
+
+
+def _to_struct(value: typing.Any) -> typing.Any:
+    if isinstance(value, enum.Enum):
+        return value.value
+    if isinstance(value, tuple):
+        return [_to_struct(element) for element in value]
+    if attrs.has(type(value)):
+        return {
+            _to_camel(attribute.name): _to_struct(
+                getattr(value, attribute.name)
+            )
+            for attribute in attrs.fields(type(value))
+        }
+    return value
+
+
+def _from_struct(kind: typing.Any, reader: typing.Any) -> typing.Any:
+    if typing.get_origin(kind) is tuple:
+        element_kind = typing.get_args(kind)[0]
+        return tuple(_from_struct(element_kind, item) for item in reader)
+    if attrs.has(kind):
+        return kind(
+            **{
+                name: _from_struct(field_kind, getattr(reader, _to_camel(name)))
+                for name, field_kind in _plain.read_types(kind).items()
+            }
+        )
+    if issubclass(kind, enum.Enum):
+        return kind(str(reader))
+    return reader
+
+
+def encode(value: typing.Any) -> bytes:
+    """Encodes a peer message.
+
+    :param value: an instance of a member of ``messages.PeerMessage``.
+    :returns: one Cap'n Proto message in stream framing.
+
+    >>> from briarknot import schema
+    >>> beat = schema.messages.Heartbeat(incarnation=1, revision=2)
+    >>> decode(encode(beat)) == beat
+    True
+    """
+    member = messages.PEER_MESSAGE_MEMBERS[type(value)]
+    union = _load('messages').PeerMessage.new_message(
+        **{member: _to_struct(value)}
+    )
+    return union.to_bytes()
+
+
+def decode(frame: bytes) -> typing.Any:
+    """Decodes a peer message.
+
+    :param frame: one Cap'n Proto message in stream framing.
+    :returns: an instance of a member of ``messages.PeerMessage``, or
+        :class:`DecodeError`.
+    """
+    kinds = {
+        member: kind for kind, member in messages.PEER_MESSAGE_MEMBERS.items()
+    }
+    try:
+        with _load('messages').PeerMessage.from_bytes(frame) as reader:
+            member = reader.which()
+            return _from_struct(
+                kinds[str(member)], getattr(reader, str(member))
+            )
+    except (capnp.KjException, KeyError, ValueError) as error:
+        return DecodeError(str(error))
--- /dev/null
+++ b/briarknot/schema/_generated/__init__.py
@@ -0,0 +1,1 @@
+"""Generated classes."""
--- /dev/null
+++ b/briarknot/schema/definitions/records.capnp
@@ -0,0 +1,94 @@
+@0x9f4cb5d1a7e03c15;
+# Rows of the platform's tables and the journal's records. They travel as JSON.
+using A = import "annotations.capnp";
+using E = import "endpoints.capnp";
+
+enum OrderPhase $A.doc("Progress of an order.") {
+  open @0 $A.doc("Written; it may or may not have reached the engine.");
+  done @1 $A.doc("The engine's own state shows it carried out.");
+  void @2 $A.doc("The engine's own state shows that it was never accepted.");
+  draining @3 $A.doc("Entry processes are told to stop dispatch; nothing has been sent to the engine.");
+}
+
+enum ClaimPhase $A.doc("Progress of a claimed call.") {
+  claimed @0 $A.doc("Sent, or about to be sent.");
+  done @1 $A.doc("The answer is stored.");
+  released @2 $A.doc("The call did not run; the key may be used again.");
+  unknown @3 $A.doc("The call may have run; it is never sent again.");
+}
+
+struct DocumentRow $A.doc("Row that names the document in force.") {
+  revision @0 :UInt64 $A.doc("Revision, growing by one.");
+  object @1 :Text $A.doc("Name of the object with the document's text.");
+  attemptId @2 :Text $A.doc("Random id of the commit that wrote the row.");
+  history @3 :List(Commit) $A.doc("Latest commits, newest first, bounded.");
+}
+
+struct Commit $A.doc("An accepted document.") {
+  revision @0 :UInt64 $A.doc("Revision.");
+  attemptId @1 :Text $A.doc("Random id of the attempt.");
+  operator @2 :Text $A.doc("Who committed it.");
+  timeS @3 :Float64 $A.unit("s") $A.doc("Unix time of the commit.");
+  object @4 :Text $A.doc("Name of the object with the text.");
+  note @5 :Text $A.doc("The operator's note.");
+}
+
+struct LeaseRow $A.doc("Lease of a failure domain's controller.") {
+  holder @0 :Text $A.doc("Holder: host and a random id of the process.");
+  epoch @1 :UInt64 $A.doc("Grows with each change of holder; the fencing number.");
+  durationS @2 :Float64 $A.unit("s") $A.doc("Duration since the last renewal.");
+  renewal @3 :UInt64 $A.doc("Number of renewals in this epoch.");
+}
+
+struct OrderRow $A.doc("The latest order to an engine.") {
+  order @0 :E.Order $A.doc("The order.");
+  phase @1 :OrderPhase $A.doc("Progress.");
+  reason @2 :Text $A.doc("Why it was given.");
+}
+
+struct ClaimRow $A.doc("Claim of a call that runs at most once.") {
+  requestId @0 :Text $A.doc("Request that holds the claim.");
+  bodyHash @1 :Text $A.doc("Hash of method, path and body.");
+  phase @2 :ClaimPhase $A.doc("Progress.");
+  status @3 :UInt16 $A.doc("HTTP status of the stored answer.");
+  contentType @4 :Text $A.doc("Content type of the stored answer.");
+  answer @5 :Text $A.doc("Stored answer in base64; empty where it was too large.");
+  timeS @6 :Float64 $A.unit("s") $A.doc("Unix time of the claim.");
+}
+
+struct Attempt $A.doc("One try of a request at an endpoint.") {
+  endpoint @0 :Text $A.doc("Endpoint, or peer host for a hop to another failure domain.");
+  startS @1 :Float64 $A.unit("s") $A.doc("Start, since the request was received.");
+  endS @2 :Float64 $A.unit("s") $A.doc("End, since the request was received.");
+  choice @3 :Text $A.doc("Why the endpoint was chosen.");
+  outcome @4 :Text $A.doc("How the attempt ended.");
+  offset @5 :UInt32 $A.unit("tokens") $A.doc("Token offset at which it started.");
+  tokens @6 :UInt32 $A.unit("tokens") $A.doc("Tokens that it delivered.");
+  cachedTokens @7 :UInt32 $A.unit("tokens") $A.doc("Prompt tokens found in the prefix cache.");
+}
+
+struct RequestRecord $A.doc("Journal record of one request.") {
+  requestId @0 :Text $A.doc("Request id: host, time slot and a random part.");
+  host @1 :Text $A.doc("Entry host that received it.");
+  domain @2 :Text $A.doc("Failure domain of that host.");
+  receivedS @3 :Float64 $A.unit("s") $A.doc("Unix time of receipt.");
+  account @4 :Text $A.doc("Account.");
+  kind @5 :Text $A.doc("completion or service.");
+  target @6 :Text $A.doc("Model, or service with method and path.");
+  rank @7 :Text $A.doc("Rank.");
+  revision @8 :UInt64 $A.doc("Document revision in force.");
+  queuedS @9 :Float64 $A.unit("s") $A.doc("Time in the queue.");
+  queueReason @10 :Text $A.doc("What it waited for.");
+  attempts @11 :List(Attempt) $A.doc("Attempts in order.");
+  firstTokenS @12 :Float64 $A.unit("s") $A.doc("Time to the first token; 0 where there was none.");
+  totalS @13 :Float64 $A.unit("s") $A.doc("Time to the end.");
+  promptTokens @14 :UInt32 $A.unit("tokens") $A.doc("Prompt tokens.");
+  outputTokens @15 :UInt32 $A.unit("tokens") $A.doc("Tokens delivered.");
+  outcome @16 :Text $A.doc("completed, not run or unknown.");
+  cause @17 :Text $A.doc("Cause of a refusal or failure; empty where completed.");
+  detail @18 :Text $A.doc("Figures behind the cause.");
+  late @19 :Bool $A.doc("Whether the rank's target was missed.");
+  idempotencyKeyHash @20 :Text $A.doc("Hash of the caller's idempotency key.");
+  repeatOf @21 :Text $A.doc("Earlier request with the same idempotency key.");
+  peerOf @22 :Text $A.doc("Entry host that forwarded it, for a hop between failure domains.");
+}
--- /dev/null
+++ b/briarknot/schema/definitions/settings.capnp
@@ -0,0 +1,88 @@
+@0x9f4cb5d1a7e03c13;
+# Settings of the programs.
+using A = import "annotations.capnp";
+
+enum TraceExporter $A.doc("Where spans go.") {
+  none @0 $A.doc("Spans are made for context only and dropped.");
+  file @1 $A.doc("One JSON object per line.");
+  otlp @2 $A.doc("OTLP over HTTP.");
+}
+
+struct Node $A.doc("Identity and shared connections of a process.") {
+  host @0 :Text $A.required $A.pattern("[a-z0-9][a-z0-9-]*") $A.doc("Name of the host, unique in the fleet.");
+  domain @1 :Text $A.required $A.doc("Failure domain of the host.");
+  listen @2 :Text = "127.0.0.1" $A.doc("IP number to listen on.");
+  advertise @3 :Text = "127.0.0.1" $A.doc("IP number at which peers reach this host.");
+  adminPort @4 :UInt16 $A.required $A.doc("Port for liveness, readiness and metrics.");
+  platformUrl @5 :Text $A.required $A.pattern("https?://.+") $A.doc("Base URL of the platform.");
+  platformTimeoutS @6 :Float64 = 2 $A.unit("s") $A.minimum(0.05) $A.maximum(60) $A.doc("Time limit of one platform call.");
+  peerSecret @7 :Text $A.required $A.secret $A.doc("Secret that the system's own processes share.");
+  peers @8 :List(Text) $A.pattern("https?://.+") $A.doc("Peer URLs to contact first.");
+  drainGraceS @9 :Float64 = 2 $A.unit("s") $A.minimum(0) $A.maximum(600) $A.doc("Time that listeners stay open after readiness is off.");
+  stopTimeoutS @10 :Float64 = 600 $A.unit("s") $A.minimum(1) $A.maximum(86400) $A.doc("Longest wait for open streams at a planned stop.");
+  tracing @11 :Tracing $A.doc("Export of spans.");
+}
+
+struct Tracing $A.doc("Export of spans.") {
+  exporter @0 :TraceExporter = none $A.doc("Exporter in use.");
+  target @1 :Text $A.doc("File path or OTLP endpoint URL.");
+  sampleShare @2 :Float64 = 1 $A.minimum(0) $A.maximum(1) $A.doc("Share of traces that is exported.");
+}
+
+struct EntrySettings $A.doc("Settings of briarknot-entry.") {
+  node @0 :Node $A.required $A.doc("Identity and shared connections.");
+  callerPort @1 :UInt16 $A.required $A.doc("Port for callers.");
+  peerPort @2 :UInt16 $A.required $A.doc("Port for the system's own processes.");
+  limits @3 :Limits $A.doc("Limits of callers' input.");
+  timing @4 :Timing $A.doc("Periods and time limits.");
+}
+
+struct Limits $A.doc("Limits of callers' input.") {
+  bodyBytes @0 :UInt32 = 16777216 $A.unit("bytes") $A.minimum(1024) $A.doc("Largest request body.");
+  headerBytes @1 :UInt32 = 16384 $A.unit("bytes") $A.minimum(1024) $A.doc("Largest header line.");
+  jsonDepth @2 :UInt32 = 32 $A.minimum(2) $A.maximum(256) $A.doc("Deepest nesting of a JSON body.");
+  storedAnswerBytes @3 :UInt32 = 65536 $A.unit("bytes") $A.doc("Largest answer stored with a claim.");
+  journalBytes @4 :UInt32 = 33554432 $A.unit("bytes") $A.minimum(65536) $A.doc("Largest journal buffer in memory.");
+}
+
+struct Timing $A.doc("Periods and time limits.") {
+  documentPollS @0 :Float64 = 1 $A.unit("s") $A.minimum(0.02) $A.maximum(2) $A.doc("Period of reading the document's row.");
+  loadPollS @1 :Float64 = 0.5 $A.unit("s") $A.minimum(0.02) $A.maximum(30) $A.doc("Period of reading load reports.");
+  heartbeatS @2 :Float64 = 1 $A.unit("s") $A.minimum(0.02) $A.maximum(30) $A.doc("Period of heartbeats between peers.");
+  suspectAfterS @3 :Float64 = 3 $A.unit("s") $A.minimum(0.05) $A.maximum(120) $A.doc("Silence after which a peer is suspected.");
+  connectTimeoutS @4 :Float64 = 1 $A.unit("s") $A.minimum(0.05) $A.maximum(30) $A.doc("Time limit of opening a connection to an endpoint.");
+  prefillSilenceS @5 :Float64 = 30 $A.unit("s") $A.minimum(0.1) $A.maximum(3600) $A.doc("Longest silence before the first token.");
+  decodeSilenceS @6 :Float64 = 3 $A.unit("s") $A.minimum(0.1) $A.maximum(600) $A.doc("Longest silence between tokens.");
+  journalFlushS @7 :Float64 = 10 $A.unit("s") $A.minimum(0.1) $A.maximum(600) $A.doc("Period of writing journal batches.");
+  claimGroupS @8 :Float64 = 0.005 $A.unit("s") $A.minimum(0) $A.maximum(1) $A.doc("Time that claims wait for others of the same write.");
+}
+
+struct ControlSettings $A.doc("Settings of briarknot-control.") {
+  node @0 :Node $A.required $A.doc("Identity and shared connections.");
+  leaseS @1 :Float64 = 6 $A.unit("s") $A.minimum(0.3) $A.maximum(300) $A.doc("Duration of the lease.");
+  renewS @2 :Float64 = 1.5 $A.unit("s") $A.minimum(0.05) $A.maximum(100) $A.doc("Period of renewals.");
+  marginS @3 :Float64 = 1 $A.unit("s") $A.minimum(0.05) $A.maximum(60) $A.doc("Time before the end of the lease at which the process must be dead.");
+  orderTimeoutS @4 :Float64 = 2 $A.unit("s") $A.minimum(0.05) $A.maximum(60) $A.doc("Time limit of one order.");
+  reportLagS @5 :Float64 = 2 $A.unit("s") $A.minimum(0) $A.maximum(120) $A.doc("Largest lag of load reports.");
+  entryPeers @6 :List(Text) $A.pattern("https?://.+") $A.doc("Peer URLs of the failure domain's entry processes, beside those of the host list.");
+}
+
+struct ConsoleSettings $A.doc("Settings of briarknot-console.") {
+  node @0 :Node $A.required $A.doc("Identity and shared connections.");
+  port @1 :UInt16 $A.required $A.doc("Port for operators.");
+  operators @2 :List(Operator) $A.required $A.doc("Operators who may sign in.");
+}
+
+struct Operator $A.doc("An operator.") {
+  name @0 :Text $A.required $A.pattern("[a-z0-9][a-z0-9._-]*") $A.doc("Name shown in the history.");
+  tokenHash @1 :Text $A.required $A.pattern("[0-9a-f]{64}") $A.doc("SHA-256 of the operator's token, in hexadecimal.");
+}
+
+struct CtlSettings $A.doc("Settings of briarknotctl.") {
+  platformUrl @0 :Text $A.required $A.pattern("https?://.+") $A.doc("Base URL of the platform.");
+  consoleUrl @1 :Text $A.pattern("(https?://.+)?") $A.doc("Base URL of a console.");
+  operator @2 :Text $A.doc("Name of the operator.");
+  token @3 :Text $A.secret $A.doc("Token of the operator.");
+  peerUrl @4 :Text $A.pattern("(https?://.+)?") $A.doc("Peer URL of an entry process, for status and drain.");
+  peerSecret @5 :Text $A.secret $A.doc("Secret that the system's own processes share.");
+}
--- /dev/null
+++ b/briarknot_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, services, and the platform."""
