Add outcomes, document reader, platform client, and program base

Cause: all programs share settings, an admin port, the platform and the closed list of causes. Change: JSON with comments is parsed by tree-sitter, which goes on after an error, so that all syntax and field findings come at once with their place; the platform client returns sentinels that say whether a write may have taken effect; programs share command line, readiness and stop signal. Conclusion: other modules can be built on these interfaces.

--- /dev/null
+++ b/briarknot/document/_checks.py
@@ -0,0 +1,60 @@
+"""Checks over a whole value, in a registry."""
+
+import collections.abc
+import typing
+
+import attrs
+
+from briarknot import registry
+
+
+@attrs.frozen
+class Problem:
+    """What a check found.
+
+    :param path: path of the field.
+    :param found: what was found.
+    :param allowed: what is allowed there.
+    """
+
+    path: str
+    found: str
+    allowed: str
+
+
+@attrs.frozen
+class Check:
+    """A check of one kind of value.
+
+    :param kind: generated class that it checks.
+    :param run: function that yields the problems of a value.
+    """
+
+    kind: type
+    run: typing.Callable[[typing.Any], collections.abc.Iterable[Problem]]
+
+
+#: Checks that run after the fields have been read.
+CHECKS: registry.Registry[Check] = registry.Registry('document check')
+
+
+def register_check(
+    name: str, kind: type
+) -> typing.Callable[[typing.Any], typing.Any]:
+    """Returns a decorator that registers a check function for a kind."""
+
+    def decorate(function: typing.Any) -> typing.Any:
+        CHECKS.register(name)(Check(kind, function))
+        return function
+
+    return decorate
+
+
+def run_checks(
+    kind: type, value: typing.Any
+) -> collections.abc.Iterator[Problem]:
+    """Yields the problems that all checks of a kind find in a value."""
+    for name in CHECKS.names:
+        check = CHECKS.get(name)
+        if isinstance(check, Check) and check.kind is kind:
+            yield from check.run(value)
--- /dev/null
+++ b/briarknot/document/_syntax.py
@@ -0,0 +1,127 @@
+"""JSON with comments, parsed with the place of each value."""
+
+import collections.abc
+
+import attrs
+import orjson
+import tree_sitter
+import tree_sitter_json
+
+from briarknot.document import _findings
+
+_LANGUAGE = tree_sitter.Language(tree_sitter_json.language())
+_SHOWN_CHARACTERS = 40
+
+
+@attrs.frozen(eq=False)
+class Member:
+    """A member of an object.
+
+    :param key: decoded key.
+    :param place: place of the key.
+    :param node: the member's value.
+    """
+
+    key: str
+    place: _findings.Place
+    node: tree_sitter.Node
+
+
+@attrs.frozen(eq=False)
+class Syntax:
+    """A parsed text.
+
+    :param text: the text as UTF-8.
+    :param root: outermost value, or None where there is none.
+    :param errors: places of syntax errors with the text found there.
+    """
+
+    text: bytes
+    root: tree_sitter.Node | None
+    errors: tuple[tuple[_findings.Place, str], ...]
+
+    def read_place(self, node: tree_sitter.Node) -> _findings.Place:
+        """Returns the place where a node starts."""
+        row, byte_column = node.start_point
+        line_start = node.start_byte - byte_column
+        before = self.text[line_start : node.start_byte]
+        return _findings.Place(row + 1, len(before.decode()) + 1)
+
+    def read_source(self, node: tree_sitter.Node) -> str:
+        """Returns the start of a node's text, for messages."""
+        source = self.text[node.start_byte : node.end_byte].decode()
+        line = ' '.join(source.split())
+        if len(line) <= _SHOWN_CHARACTERS:
+            return line
+        return f'{line[:_SHOWN_CHARACTERS]}...'
+
+    def read_scalar(self, node: tree_sitter.Node) -> object:
+        """Returns the value of a string, number, boolean, or null."""
+        return orjson.loads(self.text[node.start_byte : node.end_byte])
+
+    def read_members(
+        self, node: tree_sitter.Node
+    ) -> collections.abc.Iterator[Member]:
+        """Yields the members of an object in order."""
+        for pair in _read_values(node):
+            key = pair.child_by_field_name('key')
+            member_node = pair.child_by_field_name('value')
+            if key is not None and member_node is not None:
+                yield Member(
+                    str(self.read_scalar(key)),
+                    self.read_place(key),
+                    member_node,
+                )
+
+    def read_elements(
+        self, node: tree_sitter.Node
+    ) -> tuple[tree_sitter.Node, ...]:
+        """Returns the elements of an array in order."""
+        return tuple(_read_values(node))
+
+
+def _read_values(
+    node: tree_sitter.Node,
+) -> collections.abc.Iterator[tree_sitter.Node]:
+    return (
+        child
+        for child in node.named_children
+        if child.type not in {'comment', 'ERROR'}
+    )
+
+
+def _find_errors(
+    node: tree_sitter.Node,
+) -> collections.abc.Iterator[tree_sitter.Node]:
+    if node.is_missing or node.type == 'ERROR':
+        yield node
+    elif node.has_error:
+        for child in node.children:
+            yield from _find_errors(child)
+
+
+def parse(text: str) -> Syntax:
+    """Parses JSON with ``//`` and ``/* */`` comments.
+
+    :param text: the text.
+    :returns: the tree, with all syntax errors and not only the first.
+    """
+    encoded = text.encode()
+    tree = tree_sitter.Parser(_LANGUAGE).parse(encoded)
+    values = tuple(_read_values(tree.root_node))
+    syntax = Syntax(encoded, values[0] if values else None, ())
+    errors = [
+        (syntax.read_place(node), _describe_error(syntax, node))
+        for node in _find_errors(tree.root_node)
+    ]
+    errors.extend(
+        (syntax.read_place(node), f'another value {syntax.read_source(node)}')
+        for node in values[1:]
+    )
+    return attrs.evolve(syntax, errors=tuple(errors))
+
+
+def _describe_error(syntax: Syntax, node: tree_sitter.Node) -> str:
+    if node.is_missing:
+        return f'no {node.type!r}'
+    return repr(syntax.read_source(node))
--- /dev/null
+++ b/briarknot/platform/_values.py
@@ -0,0 +1,113 @@
+"""Values of the platform client; the falsy ones are sentinels."""
+
+import typing
+
+import attrs
+
+from briarknot import schema
+
+
+@attrs.frozen
+class Row:
+    """A row as it was read.
+
+    :param key: key of the row.
+    :param value: plain tree of the row.
+    :param version: version for a compare-and-set.
+    """
+
+    key: str
+    value: typing.Any
+    version: int
+
+
+@attrs.frozen
+class Operation:
+    """One write of a transaction.
+
+    :param table: table.
+    :param key: key.
+    :param value: plain tree of the new row.
+    :param expected_version: version that must be there; None inserts only.
+    """
+
+    table: str
+    key: str
+    value: typing.Any
+    expected_version: int | None = None
+
+
+@attrs.frozen
+class Host:
+    """A host of the platform's lagging list.
+
+    :param host: name.
+    :param domain: failure domain.
+    :param peer_url: base URL of its peer port.
+    :param leaving: whether it is leaving.
+    """
+
+    host: str
+    domain: str
+    peer_url: str
+    leaving: bool
+
+
+@attrs.frozen
+class Committed:
+    """A transaction that took effect."""
+
+
+@attrs.frozen
+class Missing:
+    """Sentinel for a row or an object that does not exist."""
+
+    def __bool__(self) -> bool:
+        """Counts as false, so that callers can test for it."""
+        return False
+
+
+@attrs.frozen
+class Conflict:
+    """Sentinel for a transaction that was refused as a whole.
+
+    :param indexes: operations whose expected version was not there.
+    """
+
+    indexes: tuple[int, ...]
+
+    def __bool__(self) -> bool:
+        """Counts as false, so that callers can test for it."""
+        return False
+
+
+@attrs.frozen
+class Unavailable:
+    """Sentinel for a call without an answer.
+
+    :param reason: what went wrong.
+    :param may_have_applied: whether a write may have taken effect.
+    """
+
+    reason: str
+    may_have_applied: bool = True
+
+    def __bool__(self) -> bool:
+        """Counts as false, so that callers can test for it."""
+        return False
+
+
+def make_operation(
+    table: str,
+    key: str,
+    value: typing.Any,
+    expected_version: int | None = None,
+) -> Operation:
+    """Makes an operation from a generated record class.
+
+    :param table: table.
+    :param key: key.
+    :param value: instance of a class of ``schema.records``.
+    :param expected_version: version that must be there; None inserts only.
+    """
+    return Operation(table, key, schema.to_plain(value), expected_version)
--- /dev/null
+++ b/briarknot/program/_arguments.py
@@ -0,0 +1,99 @@
+"""Command line and settings of a program."""
+
+import asyncio
+import collections.abc
+import pathlib
+import sys
+import typing
+
+import attrs
+import cappa
+
+import briarknot
+from briarknot import document, schema, telemetry
+from briarknot.program import _process
+
+Settings = typing.TypeVar('Settings')
+
+#: Exit code for bad settings.
+BAD_SETTINGS_EXIT = 2
+
+_Main = typing.Callable[
+    [_process.Process, typing.Any], collections.abc.Awaitable[None]
+]
+
+
+@attrs.frozen
+class Arguments:
+    """Arguments of a server program.
+
+    :param settings: path of the settings, JSON with comments.
+    :param check_settings: whether to check the settings and exit.
+    """
+
+    settings: typing.Annotated[
+        pathlib.Path,
+        cappa.Arg(long=True, help='Path of the settings file.'),
+    ]
+    check_settings: typing.Annotated[
+        bool, cappa.Arg(long=True, help='Check the settings and exit.')
+    ] = False
+
+
+def read_settings(kind: type[Settings], path: pathlib.Path) -> Settings:
+    """Reads a settings file, or exits with all findings.
+
+    :param kind: generated settings class.
+    :param path: path of the file.
+    :raises SystemExit: with code 2 where the file is missing or wrong.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        _exit_with((f'{path}: {error}',))
+    reading = document.read_text(kind, text, str(path))
+    if reading.value is None:
+        _exit_with(str(finding) for finding in reading.findings)
+    return reading.value
+
+
+def _exit_with(lines: collections.abc.Iterable[str]) -> typing.NoReturn:
+    print('\n'.join(lines), file=sys.stderr)
+    sys.exit(BAD_SETTINGS_EXIT)
+
+
+def run_program(name: str, kind: type[typing.Any], main: _Main) -> None:
+    """Runs a server program until it is told to stop.
+
+    :param name: name of the program.
+    :param kind: its generated settings class, with a ``node`` field.
+    :param main: coroutine that serves until ``process.stopping`` is set.
+    """
+    command = cappa.command(name=name, help=main.__doc__)(Arguments)
+    arguments = cappa.parse(
+        command, version=cappa.Arg(briarknot.__version__, long=True)
+    )
+    settings = read_settings(kind, arguments.settings)
+    if arguments.check_settings:
+        print(f'{arguments.settings}: no findings')
+        return
+    node: schema.settings.Node = settings.node
+    telemetry.set_up_logs(name, node.host)
+    telemetry.set_up_traces(name, node.host, node.tracing)
+    asyncio.run(_run(name, node, settings, main))
+
+
+async def _run(
+    name: str,
+    node: schema.settings.Node,
+    settings: typing.Any,
+    main: _Main,
+) -> None:
+    process = _process.make_process(name, node)
+    await process.start()
+    try:
+        await main(process, settings)
+    finally:
+        await process.close()
+        telemetry.shut_down_traces()
+    telemetry.log_change(name, 'stopped', host=node.host)
