Return span exporters as a tuple

Cause: a factory that returned None or an exporter failed the linter. Change: factories return a tuple of exporters, empty for none. Conclusion: no special case for the missing exporter remains.

--- a/briarknot/telemetry/_traces.py
+++ b/briarknot/telemetry/_traces.py
@@ -13,37 +13,38 @@
 from briarknot import registry, schema
 
 _Exporter = schema.settings.TraceExporter
-_ExporterFactory = typing.Callable[[str], export.SpanExporter | None]
+_ExporterFactory = typing.Callable[[str], tuple[export.SpanExporter, ...]]
 
-#: Makes a span exporter from its target, by the name in the settings.
+#: Make span exporters from a target, by the name in the settings.
 EXPORTERS: registry.Registry[_ExporterFactory] = registry.Registry('exporter')
 
 
 @EXPORTERS.register(_Exporter.NONE)
-def make_no_exporter(target: str) -> export.SpanExporter | None:
+def make_no_exporter(target: str) -> tuple[export.SpanExporter, ...]:
     """Makes none; spans then carry only the context."""
-    return None
+    return ()
 
 
 @EXPORTERS.register(_Exporter.FILE)
-def make_file_exporter(target: str) -> export.SpanExporter:
+def make_file_exporter(target: str) -> tuple[export.SpanExporter, ...]:
     """Writes one JSON object per line to a file.
 
     :param target: path of the file.
     """
-    return export.ConsoleSpanExporter(
+    exporter = export.ConsoleSpanExporter(
         out=open(target, 'a', buffering=1, encoding='utf-8'),  # noqa: WPS515
         formatter=_format_span,
     )
+    return (exporter,)
 
 
 @EXPORTERS.register(_Exporter.OTLP)
-def make_otlp_exporter(target: str) -> export.SpanExporter:
+def make_otlp_exporter(target: str) -> tuple[export.SpanExporter, ...]:
     """Sends spans by OTLP over HTTP.
 
     :param target: URL of the collector.
     """
-    return trace_exporter.OTLPSpanExporter(endpoint=target)
+    return (trace_exporter.OTLPSpanExporter(endpoint=target),)
 
 
 def _format_span(span: sdk_trace.ReadableSpan) -> str:
@@ -69,8 +70,7 @@
         ),
         sampler=sampling.ParentBasedTraceIdRatio(settings.sample_share),
     )
-    exporter = EXPORTERS.get(settings.exporter)(settings.target)
-    if exporter is not None:
+    for exporter in EXPORTERS.get(settings.exporter)(settings.target):
         provider.add_span_processor(export.BatchSpanProcessor(exporter))
     trace.set_tracer_provider(provider)
 
