--- /dev/null
+++ b/briarknot/journal/__init__.py
@@ -0,0 +1,32 @@
+"""Journal of requests: written in batches, read back as plain sentences."""
+
+from briarknot.journal._ids import (
+    BadRequestId,
+    RequestId,
+    make_request_id,
+    parse_request_id,
+)
+from briarknot.journal._reader import (
+    Found,
+    find_records,
+    read_hops,
+    read_losses,
+    read_record,
+)
+from briarknot.journal._story import explain
+from briarknot.journal._writer import Journal, make_journal
+
+__all__ = (
+    'BadRequestId',
+    'Found',
+    'Journal',
+    'RequestId',
+    'explain',
+    'find_records',
+    'make_journal',
+    'make_request_id',
+    'parse_request_id',
+    'read_hops',
+    'read_losses',
+    'read_record',
+)
--- a/briarknot/schema/_generated/records.py
+++ b/briarknot/schema/_generated/records.py
@@ -278,3 +278,55 @@
         doc='Entry host that forwarded it, for a hop between failure domains.',
         default='',
     )
+
+
+@attrs.frozen(kw_only=True)
+class LostCount:
+    """Number of lost journal records of one kind."""
+
+    __schema__ = 'records'
+
+    reason: str = _fields.make_field(
+        doc='Why the records were lost.', default=''
+    )
+    outcome: str = _fields.make_field(
+        doc='Outcome of the requests.', default=''
+    )
+    cause: str = _fields.make_field(
+        doc='Cause of a refusal or failure; empty where completed.', default=''
+    )
+    records: int = _fields.make_field(
+        doc='Number of records.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class JournalLoss:
+    """What a journal could not keep of one time slot."""
+
+    __schema__ = 'records'
+
+    host: str = _fields.make_field(doc='Entry host.', default='')
+    slot: str = _fields.make_field(doc='Time slot of the requests.', default='')
+    counts: tuple[LostCount, ...] = _fields.make_field(
+        doc='Numbers of lost records.', default=()
+    )
+
+
+@attrs.frozen(kw_only=True)
+class JournalBatch:
+    """One object of the journal, compressed JSON."""
+
+    __schema__ = 'records'
+
+    host: str = _fields.make_field(doc='Entry host that wrote it.', default='')
+    slot: str = _fields.make_field(doc='Time slot of its requests.', default='')
+    records: tuple[RequestRecord, ...] = _fields.make_field(
+        doc='Records in the order of their end.', default=()
+    )
+    losses: tuple[JournalLoss, ...] = _fields.make_field(
+        doc='Losses that became known since the last batch.', default=()
+    )
--- a/briarknot/schema/definitions/records.capnp
+++ b/briarknot/schema/definitions/records.capnp
@@ -92,3 +92,23 @@
   repeatOf @21 :Text $A.doc("Earlier request with the same idempotency key.");
   peerOf @22 :Text $A.doc("Entry host that forwarded it, for a hop between failure domains.");
 }
+
+struct LostCount $A.doc("Number of lost journal records of one kind.") {
+  reason @0 :Text $A.doc("Why the records were lost.");
+  outcome @1 :Text $A.doc("Outcome of the requests.");
+  cause @2 :Text $A.doc("Cause of a refusal or failure; empty where completed.");
+  records @3 :UInt64 $A.doc("Number of records.");
+}
+
+struct JournalLoss $A.doc("What a journal could not keep of one time slot.") {
+  host @0 :Text $A.doc("Entry host.");
+  slot @1 :Text $A.doc("Time slot of the requests.");
+  counts @2 :List(LostCount) $A.doc("Numbers of lost records.");
+}
+
+struct JournalBatch $A.doc("One object of the journal, compressed JSON.") {
+  host @0 :Text $A.doc("Entry host that wrote it.");
+  slot @1 :Text $A.doc("Time slot of its requests.");
+  records @2 :List(RequestRecord) $A.doc("Records in the order of their end.");
+  losses @3 :List(JournalLoss) $A.doc("Losses that became known since the last batch.");
+}
