Add peer links: authenticated WebSockets owned by a hub

Cause: entry and control processes need to pass messages to their peers without waiting for a slow or silent one. Change: briarknot.links with a hub that accepts and opens connections, keeps one usable link per peer process, queues messages within a bound, and counts refusals and drops. A link is named by host and program, since the entry and the control process of a host both link to the domain's entry processes. Two connections opened at once resolve to the one that the process with the lower name opened; the other is still read for a second, so that messages in flight on it arrive. Conclusion: the interface is ready for the entry and control processes.

--- /dev/null
+++ b/briarknot/links/__init__.py
@@ -0,0 +1,7 @@
+"""Authenticated WebSockets between the system's own processes."""
+
+from briarknot.links._hub import Hub, make_hub
+from briarknot.links._limits import LinkLimits
+from briarknot.links._link import Link
+
+__all__ = ('Hub', 'Link', 'LinkLimits', 'make_hub')
