--- /dev/null
+++ b/briarknot/routing/_engine.py
@@ -0,0 +1,281 @@
+"""What an entry process knows of one engine."""
+
+import enum
+
+import attrs
+
+from briarknot import schema
+from briarknot.routing import _cost, _health, _prefix
+
+#: Reports older than this say nothing of the load any more.
+_REPORT_VALID_S = 10.0
+#: Ended attempts that are kept until the next report.
+_MAX_ENDED = 2000
+#: First-token times below this are not compared, being mostly network time.
+_LEAST_FIRST_TOKEN_S = 0.02
+#: Attempts count as overdue beyond this multiple of the expectation, which
+#: leaves room for outputs that are longer than expected.
+_OVERDUE_RATIO = 3.0
+_OVERDUE_SLACK_S = 0.5
+
+
+class Part(enum.StrEnum):
+    """Part of a request that an attempt runs."""
+
+    WHOLE = 'whole'
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+
+
+@attrs.define(eq=False, kw_only=True)
+class Attempt:
+    """One dispatch to an engine.
+
+    :param engine_name: engine that runs it.
+    :param work: the request's expected work.
+    :param part: part of the request that runs there.
+    :param started_s: time of the dispatch.
+    :param uncached_tokens: prompt tokens that need prefill there.
+    :param expected_first_token_s: expected time to the first token.
+    """
+
+    engine_name: str
+    work: _cost.WorkEstimate
+    part: Part
+    started_s: float
+    uncached_tokens: int
+    expected_first_token_s: float
+
+
+@attrs.define
+class Drain:
+    """Latest drain mark of an engine.
+
+    :param number: number of the mark.
+    :param active: whether the engine must get no work.
+    """
+
+    number: int = -1
+    active: bool = False
+
+    def apply(self, number: int, *, active: bool) -> None:
+        """Takes a mark; an older one than the last has no effect.
+
+        A mark that arrives again after its release must not stop the engine.
+        """
+        is_release = number == self.number and not active
+        if number > self.number or is_release:
+            self.number = number
+            self.active = active
+
+
+@attrs.define(eq=False)
+class EngineView:
+    """Load, role, cache, and health of one engine as this process sees them."""
+
+    _engine: schema.fleet.Engine
+    _model: schema.fleet.Model
+    _report: schema.endpoints.LoadReport | None = None
+    _report_as_of_s: float = float('-inf')
+    _attempts: dict[int, Attempt] = attrs.field(factory=dict)
+    _ended: list[tuple[float, float]] = attrs.field(factory=list)
+    _cache: _prefix.PrefixCache = attrs.field(factory=_prefix.PrefixCache)
+    _drain: Drain = attrs.field(factory=Drain)
+    _condition: _health.Health = attrs.field(factory=_health.Health)
+
+    @property
+    def engine(self) -> schema.fleet.Engine:
+        """The engine as the document declares it."""
+        return self._engine
+
+    @property
+    def health(self) -> _health.Health:
+        """Penalty and exclusion."""
+        return self._condition
+
+    @property
+    def cache(self) -> _prefix.PrefixCache:
+        """Blocks of the prefix cache."""
+        return self._cache
+
+    @property
+    def role(self) -> schema.fleet.Role:
+        """Role in force: the reported one, else the document's."""
+        return self._report.role if self._report else self._engine.role
+
+    @property
+    def model_name(self) -> str:
+        """Model in force, without its version."""
+        if self._report and self._report.model:
+            return self._report.model.partition('@')[0]
+        return self._engine.model
+
+    @property
+    def in_flight(self) -> int:
+        """Attempts of this process that have not ended."""
+        return len(self._attempts)
+
+    @property
+    def drain(self) -> Drain:
+        """Drain mark."""
+        return self._drain
+
+    @property
+    def prefill_speed(self) -> float:
+        """Prefill tokens per second, learned from reports."""
+        reported = self._report.prefill_tokens_per_s if self._report else 0
+        return reported or self._model.prefill_tokens_per_s
+
+    @property
+    def decode_speed(self) -> float:
+        """Decode tokens per second of one stream, learned from reports."""
+        reported = self._report.decode_tokens_per_s if self._report else 0
+        return reported or self._model.decode_tokens_per_s
+
+    @property
+    def max_streams(self) -> int:
+        """Streams that the engine decodes at once."""
+        return self._model.max_streams
+
+    def explain_unfit(self, now: float) -> str:
+        """Says why the engine takes no work; empty where it does."""
+        if self._engine.leaving:
+            return 'leaving'
+        if self._drain.active:
+            return 'draining'
+        phase = self._report.phase if self._report else None
+        if phase not in {None, schema.endpoints.EnginePhase.IDLE}:
+            return phase.value
+        return 'failed' if self._condition.is_excluded(now) else ''
+
+    def penalty(self, now: float) -> float:
+        """Returns the factor by which the engine's score grows, from 1.
+
+        An attempt that runs far longer than expected counts before it ends,
+        so that a silent engine loses traffic ahead of the silence limit.
+        """
+        highest = self._condition.penalty(now)
+        for attempt in self._attempts.values():
+            output_s = attempt.work.expected_tokens / self.decode_speed
+            expected = attempt.expected_first_token_s + output_s
+            overdue = (now - attempt.started_s) / (expected + _OVERDUE_SLACK_S)
+            if overdue > _OVERDUE_RATIO:
+                highest = max(highest, overdue)
+        return highest
+
+    def count_streams(self, now: float) -> int:
+        """Returns the requests that run or wait on the engine."""
+        if self._report is None or not _is_valid(self._report_as_of_s, now):
+            return self.in_flight
+        newer = sum(
+            attempt.started_s > self._report_as_of_s
+            for attempt in self._attempts.values()
+        )
+        gone = sum(
+            started <= self._report_as_of_s < ended
+            for started, ended in self._ended
+        )
+        reported = self._report.running + self._report.queued
+        return max(self.in_flight, reported + newer - gone)
+
+    def prefill_backlog(self, now: float) -> float:
+        """Returns prompt tokens that wait for prefill.
+
+        The reported queue and own later dispatches are drained at the
+        engine's prefill speed, as a fluid, up to now.
+        """
+        tokens, since = 0, now
+        if self._report and _is_valid(self._report_as_of_s, now):
+            tokens = float(self._report.queued_prefill_tokens)
+            since = self._report_as_of_s
+        for attempt in self._attempts.values():
+            if attempt.started_s > self._report_as_of_s:
+                drained = (attempt.started_s - since) * self.prefill_speed
+                # Without a report, the first dispatch starts the account.
+                tokens = max(0, tokens - max(0, drained))
+                tokens += attempt.uncached_tokens
+                since = attempt.started_s
+        return max(0, tokens - (now - since) * self.prefill_speed)
+
+    def count_cached_tokens(self, work: _cost.WorkEstimate) -> int:
+        """Returns leading prompt tokens that the engine has in its cache."""
+        count = self._cache.count_leading(work.blocks)
+        return min(count * _cost.BLOCK_TOKENS, work.prompt_tokens)
+
+    def count_missing_blocks(self, work: _cost.WorkEstimate, now: float) -> int:
+        """Returns KV-cache blocks that the work needs and the engine lacks."""
+        if self._report is None or not self._report.kv_blocks_total:
+            return 0
+        newer = sum(
+            attempt.work.kv_blocks
+            for attempt in self._attempts.values()
+            if attempt.started_s > self._report_as_of_s
+        )
+        cached = self.count_cached_tokens(work) // _cost.BLOCK_TOKENS
+        needed = work.kv_blocks - cached + newer
+        return max(0, needed - self._report.kv_blocks_free)
+
+    def set_document(
+        self, engine: schema.fleet.Engine, model: schema.fleet.Model
+    ) -> None:
+        """Takes the engine's declaration from a new document."""
+        self._engine = engine
+        self._model = model
+
+    def apply_report(
+        self, report: schema.endpoints.LoadReport, now: float
+    ) -> None:
+        """Takes a load report; an older one than the last is dropped."""
+        as_of = now - report.as_of_age_s
+        if as_of < self._report_as_of_s:
+            return
+        self._report = report
+        self._report_as_of_s = as_of
+        self._ended = [pair for pair in self._ended if pair[1] > as_of]
+        self._cache.set_size(report.kv_blocks_total)
+        self._condition.apply_sign_of_life(as_of)
+
+    def start_attempt(
+        self, work: _cost.WorkEstimate, now: float, part: Part
+    ) -> Attempt:
+        """Counts a dispatch against the engine at once."""
+        uncached = work.prompt_tokens - self.count_cached_tokens(work)
+        if part is Part.DECODE:
+            uncached = 0
+        tokens = self.prefill_backlog(now) + uncached
+        attempt = Attempt(
+            engine_name=self._engine.name,
+            work=work,
+            part=part,
+            started_s=now,
+            uncached_tokens=uncached,
+            expected_first_token_s=tokens / self.prefill_speed,
+        )
+        self._attempts[id(attempt)] = attempt
+        # The next request with this prefix should already prefer the engine.
+        self._cache.store(work.blocks)
+        return attempt
+
+    def end_attempt(
+        self,
+        attempt: Attempt,
+        now: float,
+        *,
+        ok: bool,
+        first_token_s: float | None,
+    ) -> None:
+        """Ends an attempt; a second call for it has no effect."""
+        if self._attempts.pop(id(attempt), None) is None:
+            return
+        self._ended.append((attempt.started_s, now))
+        # Reports that never come must not let the list grow without bound.
+        del self._ended[:-_MAX_ENDED]
+        if not ok:
+            self._condition.apply_error(now)
+        elif first_token_s is not None:
+            expected = max(attempt.expected_first_token_s, _LEAST_FIRST_TOKEN_S)
+            self._condition.apply_ratio(first_token_s / expected, now)
+
+
+def _is_valid(as_of: float, now: float) -> bool:
+    return now - as_of <= _REPORT_VALID_S
--- /dev/null
+++ b/briarknot/routing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of endpoint choice."""
