Add stand-ins for engines, services, platform, and TCP faults

Cause: tests, the demo and benchmarks need the outside systems of the design's section 6 as processes on loopback, with faults that can be switched over HTTP. Change: packages engine, service, platform, proxy and launcher, each with an in-process factory; the fault kinds of the proxy are a registry. There are no unit tests yet.

--- /dev/null
+++ b/briarknot_standins/engine/__init__.py
@@ -0,0 +1,33 @@
+"""Stand-in for a language-model engine, with the protocol of section 6.2.
+
+Costs, before division by ``time_compression``:
+
+- prefill: uncached prompt tokens, plus tokens to resume after, divided by
+  ``prefill_tokens_per_s``, one request at a time in pieces of one block;
+- decode: ``1 / decode_tokens_per_s`` for each token of a stream, multiplied
+  by ``prefill_interference`` while a prefill runs on the same engine;
+- import of KV cache: ``kv_import_s_per_block`` for each block.
+"""
+
+from briarknot_standins.engine._app import make_app
+from briarknot_standins.engine._config import EngineConfig, Faults
+from briarknot_standins.engine._text import (
+    BLOCK_TOKENS,
+    checksum,
+    count_tokens,
+    expected_text,
+    hash_blocks,
+    read_answer_tokens,
+)
+
+__all__ = (
+    'BLOCK_TOKENS',
+    'EngineConfig',
+    'Faults',
+    'checksum',
+    'count_tokens',
+    'expected_text',
+    'hash_blocks',
+    'make_app',
+    'read_answer_tokens',
+)
--- /dev/null
+++ b/briarknot_standins/engine/_config.py
@@ -0,0 +1,95 @@
+"""Configuration and faults of the engine stand-in."""
+
+import typing
+
+import attrs
+import cappa
+
+from briarknot.schema import fleet
+
+
+@cappa.command(name='briarknot_standins.engine', default_long=True)
+@attrs.frozen(kw_only=True)
+class EngineConfig:
+    """Configuration of one engine.
+
+    :param port: port on the loopback interface.
+    :param name: name in log lines and in ``GET /runs``.
+    :param model: model and version at the start, as NAME@VERSION.
+    :param role: role at the start.
+    :param prefill_tokens_per_s: prefill speed of the engine.
+    :param decode_tokens_per_s: decode speed of one stream.
+    :param max_streams: streams that run at once; more wait in the queue.
+    :param kv_blocks: blocks of KV cache for running requests.
+    :param cache_blocks: blocks in the prefix cache.
+    :param kv_import_s_per_block: time to import one block of KV cache.
+    :param prefill_interference: factor on decode time during a prefill.
+    :param time_compression: factor by which all costs and changes are
+        shorter; reported speeds are multiplied by it.
+    :param role_change_s: time that a change of role takes.
+    :param model_change_s: time that loading a model takes.
+    :param check_fencing: whether orders with an old epoch are refused.
+    :param report_lag_s: age of load reports.
+    :param cache_event_delay_s: age at which a cache event becomes visible.
+    :param cache_event_loss: share of cache events that are never visible.
+    :param chunks_per_write: chunks sent at once; saves CPU in benchmarks.
+    :param runs_kept: requests that ``GET /runs`` covers, the latest first.
+    :param seed: seed of random losses.
+    """
+
+    port: int = 0
+    name: str = 'engine'
+    model: str = 'standin@1'
+    role: fleet.Role = fleet.Role.MIXED
+    prefill_tokens_per_s: float = 8000.0
+    decode_tokens_per_s: float = 40.0
+    max_streams: int = 16
+    kv_blocks: int = 512
+    cache_blocks: int = 256
+    kv_import_s_per_block: float = 0.02
+    prefill_interference: float = 1.5
+    time_compression: float = 1.0
+    role_change_s: float = 5.0
+    model_change_s: float = 10.0
+    check_fencing: typing.Annotated[
+        bool, cappa.Arg(long='--check-fencing/--no-check-fencing')
+    ] = True
+    report_lag_s: float = 0.5
+    cache_event_delay_s: float = 0.5
+    # cappa takes a default that is false as missing.
+    cache_event_loss: typing.Annotated[
+        float, cappa.Arg(long=True, default=0)
+    ] = 0
+    chunks_per_write: int = 1
+    runs_kept: int = 100_000
+    seed: int = 1
+
+
+@attrs.frozen(kw_only=True)
+class Faults:
+    """Faults in force, as ``POST /faults`` sets them.
+
+    :param crash_at_token: token before which the process exits; -1 for none.
+        With a marker it applies to prompts that contain the marker.
+    :param crash_marker: prompts that contain it crash the process, as their
+        prefill starts or at ``crash_at_token``.
+    :param crash_in_change: whether the process exits halfway through the next
+        change.
+    :param slow_factor: factor on prefill and decode time.
+    :param silence_open: makes the connections that are open now silent for
+        good; takes effect once for each request to ``POST /faults``.
+    :param order_delay_s: time between receipt and handling of an order.
+    :param check_fencing: whether orders with an old epoch are refused.
+    :param cache_event_loss: share of cache events that are lost.
+    :param report_lag_s: age of load reports.
+    """
+
+    crash_at_token: int = -1
+    crash_marker: str = ''
+    crash_in_change: bool = False
+    slow_factor: float = 1.0
+    silence_open: bool = False
+    order_delay_s: float = 0
+    check_fencing: bool = True
+    cache_event_loss: float = 0
+    report_lag_s: float = 0.5
--- /dev/null
+++ b/briarknot_standins/engine/_orders.py
@@ -0,0 +1,149 @@
+"""Orders of an engine: fencing, changes, and their audit log."""
+
+import asyncio
+import time
+import typing
+
+import attrs
+
+from briarknot.schema import endpoints, fleet
+from briarknot_standins.engine._config import EngineConfig, Faults
+
+_LOG_KEPT = 64
+
+
+@attrs.frozen
+class AuditEntry:
+    """An order that arrived, for checks of invariants.
+
+    :param order: the order.
+    :param received_at_s: monotonic time of receipt.
+    :param decided_at_s: monotonic time of the decision.
+    :param answer: ``accepted``, ``repeated``, ``stale_epoch`` or ``busy``.
+    :param cut: running requests that the order cut.
+    :param refused: queued requests that the order refused.
+    """
+
+    order: endpoints.Order
+    received_at_s: float
+    decided_at_s: float
+    answer: str
+    cut: int = 0
+    refused: int = 0
+
+
+@attrs.define(eq=False)
+class Orders:
+    """Role, model and phase of an engine, and the orders that change them.
+
+    :param config: configuration of the engine.
+    :param stop_work: ends all work; returns the numbers of requests that it
+        cut and refused.
+    :param forget_cache: drops the prefix cache.
+    :param crash: ends the process.
+    """
+
+    _config: EngineConfig
+    _stop_work: typing.Callable[[], tuple[int, int]]
+    _forget_cache: typing.Callable[[], None]
+    _crash: typing.Callable[[], None]
+    _state: endpoints.EngineState = attrs.field(init=False)
+    _audit: list[AuditEntry] = attrs.field(factory=list, init=False)
+    _accepted: list[endpoints.Order] = attrs.field(factory=list, init=False)
+    _change: asyncio.Task | None = attrs.field(default=None, init=False)
+
+    @_state.default
+    def _make_state(self) -> endpoints.EngineState:
+        return endpoints.EngineState(
+            role=self._config.role, model=self._config.model
+        )
+
+    @property
+    def state(self) -> endpoints.EngineState:
+        """What the engine says of its orders."""
+        return self._state
+
+    @property
+    def audit(self) -> tuple[AuditEntry, ...]:
+        """All orders that arrived, oldest first."""
+        return tuple(self._audit)
+
+    async def receive(self, order: endpoints.Order, faults: Faults) -> str:
+        """Accepts or refuses an order.
+
+        :returns: the answer, as :class:`AuditEntry` describes it.
+        """
+        received_at_s = time.monotonic()
+        await asyncio.sleep(faults.order_delay_s)
+        answer = self._judge(order, check_fencing=faults.check_fencing)
+        cut, refused = 0, 0
+        if answer == 'accepted':
+            cut, refused = self._accept(order, faults)
+        self._audit.append(
+            AuditEntry(
+                order, received_at_s, time.monotonic(), answer, cut, refused
+            )
+        )
+        return answer
+
+    async def close(self) -> None:
+        """Ends a change that is still running."""
+        if self._change is not None:
+            self._change.cancel()
+            await asyncio.wait([self._change])
+
+    def _judge(self, order: endpoints.Order, *, check_fencing: bool) -> str:
+        if self._accepted and order == self._accepted[-1]:
+            return 'repeated'
+        if check_fencing and self._is_old(order):
+            return 'stale_epoch'
+        if self._state.phase is endpoints.EnginePhase.CHANGING:
+            return 'busy'
+        return 'accepted'
+
+    def _is_old(self, order: endpoints.Order) -> bool:
+        current = (self._state.epoch, self._state.sequence)
+        return (order.epoch, order.sequence) <= current
+
+    def _accept(
+        self, order: endpoints.Order, faults: Faults
+    ) -> tuple[int, int]:
+        self._accepted.append(order)
+        self._state = attrs.evolve(
+            self._state,
+            epoch=order.epoch,
+            sequence=order.sequence,
+            phase=endpoints.EnginePhase.CHANGING,
+            log=tuple(self._accepted[-_LOG_KEPT:]),
+        )
+        stopped = self._stop_work()
+        self._change = asyncio.create_task(self._apply(order, faults))
+        return stopped
+
+    async def _apply(self, order: endpoints.Order, faults: Faults) -> None:
+        half_s = self._read_duration_s(order) / 2
+        await asyncio.sleep(half_s)
+        if faults.crash_in_change:
+            self._crash()
+        await asyncio.sleep(half_s)
+        phase = endpoints.EnginePhase.IDLE
+        if order.kind is endpoints.OrderKind.WITHDRAW:
+            phase = endpoints.EnginePhase.WITHDRAWN
+        self._state = attrs.evolve(
+            self._state, phase=phase, **self._read_changes(order)
+        )
+
+    def _read_duration_s(self, order: endpoints.Order) -> float:
+        durations = {
+            endpoints.OrderKind.ROLE: self._config.role_change_s,
+            endpoints.OrderKind.MODEL: self._config.model_change_s,
+        }
+        return durations.get(order.kind, 0) / self._config.time_compression
+
+    def _read_changes(self, order: endpoints.Order) -> dict[str, typing.Any]:
+        if order.kind is endpoints.OrderKind.ROLE:
+            return {'role': fleet.Role(order.value)}
+        if order.kind is endpoints.OrderKind.MODEL:
+            self._forget_cache()
+            return {'model': order.value}
+        return {}
--- /dev/null
+++ b/briarknot_standins/launcher/_cluster.py
@@ -0,0 +1,186 @@
+"""A set of processes that start and end together."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import sys
+import tempfile
+import typing
+
+import attrs
+import orjson
+
+from briarknot import schema
+from briarknot_standins import serving
+from briarknot_standins.launcher import _ports, _process
+
+_READY_TIMEOUT_S = 20
+_READY_POLL_S = 0.02
+# Time between SIGTERM and SIGKILL at the end of a cluster.
+_STOP_TIMEOUT_S = 5
+
+
+class StartError(RuntimeError):
+    """A process ended, or did not answer on its port in time."""
+
+
+@attrs.define(eq=False)
+class Cluster:
+    """Processes of one test, demo or benchmark.
+
+    :param folder: folder for settings and output.
+    """
+
+    folder: pathlib.Path
+    _processes: list[_process.Process] = attrs.field(factory=list, init=False)
+
+    @property
+    def processes(self) -> tuple[_process.Process, ...]:
+        """All processes that were started, oldest first."""
+        return tuple(self._processes)
+
+    def choose_port(self) -> int:
+        """Chooses a free port on the loopback interface."""
+        return _ports.choose_port()
+
+    def write_settings(self, name: str, settings: typing.Any) -> pathlib.Path:
+        """Writes settings as JSON.
+
+        :param name: name of the file, without suffix.
+        :param settings: attrs value or tree of plain values.
+        :returns: path of the file.
+        """
+        path = self.folder / f'{name}.json'
+        path.write_bytes(orjson.dumps(schema.to_plain(settings)))
+        return path
+
+    async def start(
+        self,
+        module: str,
+        arguments: typing.Sequence[str] = (),
+        *,
+        port: int = 0,
+        name: str = '',
+        environment: typing.Mapping[str, str] | None = None,
+        wait_ready: bool = True,
+    ) -> _process.Process:
+        """Starts ``python -m MODULE`` and waits until it answers on its port.
+
+        :param module: module to run.
+        :param arguments: its arguments.
+        :param port: port that it will answer on, where the arguments or the
+            settings name it; 0 chooses one and adds ``--port``.
+        :param name: name for its output file; by default from the module.
+        :param environment: variables to add to those of this process.
+        :param wait_ready: whether to wait until the port answers.
+        :raises StartError: where the process ends or does not answer in time.
+        """
+        arguments = list(arguments)
+        if not port:
+            port = self.choose_port()
+            arguments.extend(('--port', str(port)))
+        name = name or module.rpartition('.')[2]
+        output_path = self.folder / f'{len(self._processes)}-{name}.log'
+        process = _process.Process(
+            name,
+            port,
+            output_path,
+            await _spawn(module, arguments, output_path, environment or {}),
+        )
+        self._processes.append(process)
+        if wait_ready:
+            await self.wait_ready(process)
+        return process
+
+    async def wait_ready(
+        self, process: _process.Process, timeout_s: float = _READY_TIMEOUT_S
+    ) -> None:
+        """Waits until a process answers on its port.
+
+        :param process: the process.
+        :param timeout_s: longest wait.
+        :raises StartError: where it ends or does not answer in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await _poll_port(process)
+        except TimeoutError as error:
+            raise StartError(_describe(process)) from error
+
+    async def stop(self) -> None:
+        """Ends all processes of the cluster and waits for them."""
+        for asked in self._processes:
+            asked.terminate()
+            asked.resume()
+        endings = [
+            asyncio.create_task(ended.wait()) for ended in self._processes
+        ]
+        if not endings:
+            return
+        _, running = await asyncio.wait(endings, timeout=_STOP_TIMEOUT_S)
+        if running:
+            for late in self._processes:
+                late.kill()
+            await asyncio.wait(running)
+
+
+@contextlib.asynccontextmanager
+async def make_cluster() -> typing.AsyncIterator[Cluster]:
+    """Makes a cluster whose processes end with the context, also on error."""
+    with tempfile.TemporaryDirectory(prefix='briarknot-') as folder:
+        cluster = Cluster(pathlib.Path(folder))
+        try:
+            yield cluster
+        finally:
+            await cluster.stop()
+
+
+async def _spawn(
+    module: str,
+    arguments: list[str],
+    output_path: pathlib.Path,
+    environment: typing.Mapping[str, str],
+) -> asyncio.subprocess.Process:
+    with output_path.open('wb') as output:
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            module,
+            *arguments,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=output,
+            stderr=output,
+            env={**os.environ, **_find_packages(), **environment},
+        )
+
+
+def _find_packages() -> dict[str, str]:
+    # The processes run the same source as this one, from any directory.
+    source = str(pathlib.Path(__file__).parents[2])
+    inherited = os.environ.get('PYTHONPATH', '')
+    paths = [source, inherited] if inherited else [source]
+    return {'PYTHONPATH': os.pathsep.join(paths)}
+
+
+async def _poll_port(process: _process.Process) -> None:
+    while not await _answers(process.port):
+        if process.exit_status is not None:
+            raise StartError(_describe(process))
+        await asyncio.sleep(_READY_POLL_S)
+
+
+async def _answers(port: int) -> bool:
+    try:
+        _, writer = await asyncio.open_connection(serving.HOST, port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
+def _describe(process: _process.Process) -> str:
+    return (
+        f'{process.name}: no answer on port {process.port}, exit status '
+        f'{process.exit_status}\n{process.read_output()}'
+    )
--- /dev/null
+++ b/briarknot_standins/proxy/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package beside this folder."""
--- /dev/null
+++ b/briarknot_standins/service/__init__.py
@@ -0,0 +1,7 @@
+"""Stand-in for a plain service, with the interface of section 6.3."""
+
+from briarknot_standins.service._app import make_app
+from briarknot_standins.service._config import Faults, ServiceConfig
+from briarknot_standins.service._runs import expected_answer
+
+__all__ = ('Faults', 'ServiceConfig', 'expected_answer', 'make_app')
