Add the publishing side of the fleet document

Cause: operators race, and an answer of the platform can be lost after the write took effect. Change: a commit checks the text, writes the object, and then writes the row by compare-and-set. A write without an answer is read back; where the row is unchanged it is repeated with the same expected version, so that a late first write can't apply a second time. Conclusion: 'accepted' and 'race' are only told from what the row shows; the rest is 'unavailable' with a mark whether it may have applied.

--- /dev/null
+++ b/briarknot/config/__init__.py
@@ -0,0 +1,27 @@
+"""The fleet document: committing, reading, and following it."""
+
+from briarknot.config._commit import (
+    Accepted,
+    CommitUnavailable,
+    Invalid,
+    Race,
+    commit_document,
+)
+from briarknot.config._published import (
+    Published,
+    Unreadable,
+    read_published,
+    read_row,
+)
+
+__all__ = (
+    'Accepted',
+    'CommitUnavailable',
+    'Invalid',
+    'Published',
+    'Race',
+    'Unreadable',
+    'commit_document',
+    'read_published',
+    'read_row',
+)
--- /dev/null
+++ b/briarknot/config/_commit.py
@@ -0,0 +1,196 @@
+"""Commits a document: object first, then compare-and-set of the row."""
+
+import secrets
+import time
+
+import attrs
+import prometheus_client
+
+from briarknot import document, platform, schema, telemetry
+from briarknot.config import _published
+
+#: Commits that the row remembers. At 1,400 changes a day these cover an
+#: hour, far longer than any attempt waits for its answer.
+HISTORY_COMMITS = 64
+
+_ATTEMPT_BYTES = 8
+# A write without an answer is repeated this often in all. The repetition
+# cannot apply twice, because it expects the same row version.
+_MAX_WRITES = 3
+
+_COMMITS = prometheus_client.Counter(
+    'briarknot_document_commits', 'Attempts to commit by result.', ('result',)
+)
+
+
+@attrs.frozen
+class Accepted:
+    """A commit that took effect.
+
+    :param revision: its revision.
+    """
+
+    revision: int
+
+
+@attrs.frozen
+class Race:
+    """Sentinel for a commit that another one preceded.
+
+    :param row: the row that is in force instead.
+    """
+
+    row: schema.records.DocumentRow
+
+    def __bool__(self) -> bool:
+        """Counts as false, so that callers can test for it."""
+        return False
+
+
+@attrs.frozen
+class Invalid:
+    """Sentinel for a document with findings.
+
+    :param findings: all of them, in the order of their places.
+    """
+
+    findings: tuple[document.Finding, ...]
+
+    def __bool__(self) -> bool:
+        """Counts as false, so that callers can test for it."""
+        return False
+
+
+@attrs.frozen
+class CommitUnavailable:
+    """Sentinel for a commit without an answer from the platform.
+
+    :param reason: what went wrong.
+    :param may_have_applied: whether the commit may be in force.
+    """
+
+    reason: str
+    may_have_applied: bool = False
+
+    def __bool__(self) -> bool:
+        """Counts as false, so that callers can test for it."""
+        return False
+
+
+@attrs.frozen
+class _Attempt:
+    """One commit with the row version that it expects."""
+
+    client: platform.Client
+    commit: schema.records.Commit
+    current: _published.VersionedRow
+
+    @property
+    def row(self) -> schema.records.DocumentRow:
+        """The row that the attempt writes."""
+        history = (self.commit, *self.current.row.history)
+        return schema.records.DocumentRow(
+            revision=self.commit.revision,
+            object=self.commit.object,
+            attempt_id=self.commit.attempt_id,
+            history=history[:HISTORY_COMMITS],
+        )
+
+    async def write(self) -> Accepted | Race | CommitUnavailable:
+        """Writes the row until it is known whether the write applied."""
+        operation = platform.make_operation(
+            _published.TABLE,
+            _published.KEY,
+            self.row,
+            self.current.version,
+        )
+        may_have_applied = False
+        reason = 'the row changed, but its new version could not be read'
+        for _ in range(_MAX_WRITES):
+            result = await self.client.commit(operation)
+            if isinstance(result, platform.Committed):
+                return Accepted(self.commit.revision)
+            if isinstance(result, platform.Unavailable):
+                may_have_applied = may_have_applied or result.may_have_applied
+                reason = result.reason
+                if not may_have_applied:
+                    return CommitUnavailable(reason)
+            known = await self.read_back()
+            if isinstance(known, (Accepted, Race)):
+                return known
+            if isinstance(known, CommitUnavailable):
+                reason = known.reason
+        return CommitUnavailable(reason, may_have_applied)
+
+    async def read_back(self) -> Accepted | Race | CommitUnavailable | None:
+        """Tells from the row whether the write applied.
+
+        :returns: None where the row is unchanged; the write may then still
+            be on its way.
+        """
+        now = await _published.read_row(self.client)
+        if isinstance(now, platform.Unavailable):
+            return CommitUnavailable(now.reason)
+        if any(
+            commit.attempt_id == self.commit.attempt_id
+            for commit in now.row.history
+        ):
+            return Accepted(self.commit.revision)
+        if now.version == self.current.version:
+            return None
+        return Race(now.row)
+
+
+async def commit_document(
+    client: platform.Client,
+    text: str,
+    operator: str,
+    note: str,
+    expected_revision: int,
+) -> Accepted | Race | Invalid | CommitUnavailable:
+    """Commits a document if the expected revision is still in force.
+
+    :param client: client of the platform.
+    :param text: JSON with comments.
+    :param operator: who commits it.
+    :param note: why.
+    :param expected_revision: revision that the change was made from; 0 for
+        the first document.
+    """
+    result = await _commit(client, text, operator, note, expected_revision)
+    kind = type(result).__name__
+    _COMMITS.labels(kind).inc()
+    telemetry.log_change('commit', kind, operator=operator)
+    return result
+
+
+async def _commit(
+    client: platform.Client,
+    text: str,
+    operator: str,
+    note: str,
+    expected_revision: int,
+) -> Accepted | Race | Invalid | CommitUnavailable:
+    reading = document.read_text(schema.fleet.Fleet, text, 'document')
+    if reading.value is None:
+        return Invalid(reading.findings)
+    current = await _published.read_row(client)
+    if isinstance(current, platform.Unavailable):
+        return CommitUnavailable(current.reason)
+    if current.row.revision != expected_revision:
+        return Race(current.row)
+    revision = expected_revision + 1
+    attempt_id = secrets.token_hex(_ATTEMPT_BYTES)
+    commit = schema.records.Commit(
+        revision=revision,
+        attempt_id=attempt_id,
+        operator=operator,
+        time_s=time.time(),
+        object=f'documents/{revision}-{attempt_id}',
+        note=note,
+    )
+    # The text must be there before any process can read the row.
+    written = await client.write_object(commit.object, text.encode())
+    if isinstance(written, platform.Unavailable):
+        return CommitUnavailable(written.reason)
+    return await _Attempt(client, commit, current).write()
