Add the parts of the entry process that link, forward, and stop

Cause: the entry process needs its peers, its readiness, and a graceful stop. Change: neighbours, forwarder, serve; a stand-in fleet for tests and demo.

--- /dev/null
+++ b/briarknot/entry/__main__.py
@@ -0,0 +1,15 @@
+"""Program ``briarknot-entry``."""
+
+from briarknot import program, schema
+from briarknot.entry import _serve
+
+
+def main() -> None:
+    """Serves callers' requests until SIGTERM."""
+    program.run_program(
+        'briarknot-entry', schema.settings.EntrySettings, _serve.serve
+    )
+
+
+if __name__ == '__main__':
+    main()
--- a/briarknot/entry/_attempts.py
+++ b/briarknot/entry/_attempts.py
@@ -189,12 +189,15 @@
     return tree if isinstance(tree, dict) else {}
 
 
-def make_sender(timing: schema.settings.Timing) -> Sender:
-    """Makes the sender of a process, in a running event loop.
+def make_sender(
+    session: aiohttp.ClientSession, timing: schema.settings.Timing
+) -> Sender:
+    """Makes the sender of a process.
 
+    :param session: session of :func:`make_session`.
     :param timing: time limits.
     """
-    return Sender(session=make_session(timing), timing=timing)
+    return Sender(session=session, timing=timing)
 
 
 def make_session(timing: schema.settings.Timing) -> aiohttp.ClientSession:
--- a/briarknot/entry/_context.py
+++ b/briarknot/entry/_context.py
@@ -4,6 +4,7 @@
 import hashlib
 import time
 
+import aiohttp
 import attrs
 
 from briarknot import (
@@ -17,7 +18,7 @@
     schema,
     telemetry,
 )
-from briarknot.entry import _attempts, _identity, _peers
+from briarknot.entry import _attempts, _drains, _identity, _peers
 
 _RETRY_SHARE = 0.2
 #: Lets a process with little traffic retry at all.
@@ -40,6 +41,8 @@
     :param claims: claims of calls that run at most once.
     :param journal: journal of requests.
     :param sender: sends attempts to engines.
+    :param session: client session for endpoints.
+    :param drains: drain marks.
     :param peers: capacity of other failure domains.
     :param retry_budget: budget of retries.
     :param quarantine: fingerprints of requests seen at crashes.
@@ -59,6 +62,8 @@
     claims: claims.Claims
     journal: journal.Journal
     sender: _attempts.Sender
+    session: aiohttp.ClientSession
+    drains: _drains.Drains
     peers: _peers.Peers
     retry_budget: routing.RetryBudget
     quarantine: routing.Quarantine
@@ -103,6 +108,12 @@
             capacity.work_per_s, capacity.concurrent, now
         )
 
+    async def handle_quarantine(
+        self, link: links.Link, message: schema.messages.Quarantine
+    ) -> None:
+        """Takes a fingerprint that another process saw at a crash."""
+        self.quarantine.apply(message, time.monotonic())
+
     def _choose_policies(self, fleet: schema.fleet.Fleet) -> None:
         name = fleet.policies.router
         if name != self.router.policy_name:
@@ -122,12 +133,14 @@
     settings: schema.settings.EntrySettings,
     client: platform.Client,
     hub: links.Hub,
+    session: aiohttp.ClientSession,
 ) -> Context:
     """Makes the parts of an entry process, in a running event loop.
 
     :param settings: settings of the process.
     :param client: client of the platform.
     :param hub: peer links.
+    :param session: client session for endpoints.
     """
     node, timing = settings.node, settings.timing
     empty = schema.fleet.Fleet()
@@ -155,7 +168,9 @@
             timing.journal_flush_s,
             settings.limits.journal_bytes,
         ),
-        sender=_attempts.make_sender(timing),
+        sender=_attempts.make_sender(session, timing),
+        session=session,
+        drains=_drains.make_drains(client, view, node, hub),
         peers=_peers.make_peers(hub, node.domain),
         retry_budget=routing.make_retry_budget(
             _RETRY_SHARE, _RETRY_FLOOR_PER_S
--- a/briarknot/entry/_drains.py
+++ b/briarknot/entry/_drains.py
@@ -36,6 +36,7 @@
     _client: platform.Client
     _view: routing.View
     _node: schema.settings.Node
+    _hub: links.Hub
     _epoch: int = attrs.field(default=0, init=False)
     #: The marks have never been read, which counts as a gap.
     _last_tick_s: float = attrs.field(default=float('-inf'), init=False)
@@ -62,7 +63,7 @@
                 engine=message.engine,
                 drain_number=message.drain_number,
                 host=self._node.host,
-                incarnation=link.peer.incarnation,
+                incarnation=self._hub.hello.incarnation,
                 in_flight=self._view.in_flight(message.engine),
             )
         )
@@ -112,12 +113,16 @@
 
 
 def make_drains(
-    client: platform.Client, view: routing.View, node: schema.settings.Node
+    client: platform.Client,
+    view: routing.View,
+    node: schema.settings.Node,
+    hub: links.Hub,
 ) -> Drains:
     """Makes the handler of drain marks.
 
     :param client: client of the platform.
     :param view: endpoint view of the own failure domain.
     :param node: identity of the process.
+    :param hub: peer links of the process.
     """
-    return Drains(client, view, node)
+    return Drains(client, view, node, hub)
--- /dev/null
+++ b/briarknot/entry/_neighbours.py
@@ -0,0 +1,114 @@
+"""Which peers a process links with, and what it tells other domains."""
+
+import asyncio
+import collections.abc
+import math
+import time
+
+import attrs
+
+from briarknot import admission, platform, schema
+from briarknot.entry import _context
+
+#: Links to each other failure domain: enough that news gets through when one
+#: host fails, few enough that links don't grow with the whole fleet.
+_LINKS_PER_DOMAIN = 2
+_HOSTS_PERIOD_S = 2.0
+_SUMMARY_PERIOD_S = 1.0
+
+
+def choose_links(
+    hosts: collections.abc.Iterable[platform.Host], own: schema.settings.Node
+) -> tuple[str, ...]:
+    """Returns the peer URLs that a process should connect to.
+
+    :param hosts: the platform's host list.
+    :param own: identity of the process.
+    :returns: all hosts of the own failure domain, and a few of each other.
+    """
+    domains: dict[str, list[platform.Host]] = {}
+    for host in hosts:
+        if host.host != own.host and not host.leaving and host.peer_url:
+            domains.setdefault(host.domain, []).append(host)
+    urls = [host.peer_url for host in domains.pop(own.domain, ())]
+    for members in domains.values():
+        by_name = {member.host: member for member in members}
+        for _ in range(min(_LINKS_PER_DOMAIN, len(by_name))):
+            chosen = admission.choose_owner(own.host, tuple(by_name))
+            urls.append(by_name.pop(chosen).peer_url)
+    return tuple(urls)
+
+
+@attrs.define(eq=False)
+class Neighbours:
+    """Keeps links to peers and tells other failure domains of free capacity."""
+
+    _context: _context.Context
+    _listed: set[str] = attrs.field(factory=set, init=False)
+
+    async def run_links(self) -> None:
+        """Follows the platform's host list, until cancelled.
+
+        Links stay when the list can't be read, so that a failure domain that
+        is cut off from the platform keeps its own links.
+        """
+        context = self._context
+        for url in context.node.peers:
+            context.hub.connect(url)
+        while True:
+            hosts = await context.client.list_hosts()
+            if isinstance(hosts, tuple):
+                self._connect(set(choose_links(hosts, context.node)))
+            await asyncio.sleep(_HOSTS_PERIOD_S)
+
+    async def run_summaries(self) -> None:
+        """Sends the summary of the own failure domain, until cancelled."""
+        context = self._context
+        while True:
+            summary = self._make_summary(time.monotonic())
+            for link in context.hub.links:
+                if link.domain != context.node.domain:
+                    link.send(summary)
+            await asyncio.sleep(_SUMMARY_PERIOD_S)
+
+    def _connect(self, wanted: set[str]) -> None:
+        for url in self._listed - wanted:
+            self._context.hub.disconnect(url)
+        for url in wanted - self._listed:
+            self._context.hub.connect(url)
+        self._listed = wanted
+
+    def _make_summary(self, now: float) -> schema.messages.DomainSummary:
+        context = self._context
+        return schema.messages.DomainSummary(
+            domain=context.node.domain,
+            models=tuple(
+                self._summarize(model.name, now)
+                for model in context.fleet.models
+            ),
+        )
+
+    def _summarize(
+        self, model: str, now: float
+    ) -> schema.messages.ModelCapacity:
+        probe = self._context.estimator.estimate('', '', model, (), 0, 1)
+        fit = [
+            engine
+            for engine in self._context.view.engines
+            if engine.model_name == model and not engine.explain_unfit(now)
+        ]
+        choice = self._context.router.choose_engine(
+            self._context.view, probe, now
+        )
+        delay_s = choice.expected_first_token_s if choice else math.inf
+        return schema.messages.ModelCapacity(
+            model=model, engines=len(fit), queue_delay_s=delay_s
+        )
+
+
+def make_neighbours(context: _context.Context) -> Neighbours:
+    """Makes the links of a process to its peers.
+
+    :param context: parts of the process.
+    """
+    return Neighbours(context)
--- /dev/null
+++ b/briarknot_standins/fleet/_running.py
@@ -0,0 +1,391 @@
+"""A fleet that runs."""
+
+import asyncio
+import collections.abc
+import contextlib
+import itertools
+import typing
+
+import aiohttp
+import attrs
+
+from briarknot import config, document, platform, schema
+from briarknot_standins import launcher
+from briarknot_standins.fleet import _calls, _plan
+
+PEER_SECRET = 'stand-in peer secret'  # noqa: S105
+_READY_TIMEOUT_S = 30
+_POLL_S = 0.05
+_OK = 200
+
+
+@attrs.frozen
+class Entry:
+    """An entry process.
+
+    :param host: name of its host.
+    :param domain: failure domain.
+    :param url: base URL for callers.
+    :param admin_url: base URL of its admin port.
+    :param peer_url: base URL of its peer port.
+    :param process: its process.
+    """
+
+    host: str
+    domain: str
+    url: str
+    admin_url: str
+    peer_url: str
+    process: launcher.Process
+
+
+@attrs.define(eq=False, kw_only=True)
+class RunningFleet:
+    """A fleet of processes.
+
+    :param plan: what it consists of.
+    :param cluster: its processes.
+    :param session: client session.
+    :param platform: process of the platform.
+    :param client: client of the platform.
+    :param engines: processes of the engines by name.
+    :param services: processes of the service's workers by name.
+    :param entries: entry processes.
+    :param controls: control processes by host.
+    :param consoles: console processes.
+    :param document: document that was committed last.
+    :param revision: its revision.
+    """
+
+    plan: _plan.FleetPlan
+    cluster: launcher.Cluster
+    session: aiohttp.ClientSession
+    platform: launcher.Process
+    client: platform.Client
+    engines: dict[str, launcher.Process] = attrs.field(factory=dict)
+    services: dict[str, launcher.Process] = attrs.field(factory=dict)
+    entries: list[Entry] = attrs.field(factory=list)
+    controls: dict[str, launcher.Process] = attrs.field(factory=dict)
+    consoles: list[launcher.Process] = attrs.field(factory=list)
+    document: schema.fleet.Fleet = attrs.field(factory=schema.fleet.Fleet)
+    revision: int = 0
+    _turn: 'itertools.cycle[int] | None' = None
+
+    def choose_entry(self) -> Entry:
+        """Returns the entry processes in turn, as a balancer does."""
+        if self._turn is None:
+            self._turn = itertools.cycle(range(len(self.entries)))
+        return self.entries[next(self._turn)]
+
+    def make_headers(
+        self, rank: str = '', account: str = '', key: str = ''
+    ) -> dict[str, str]:
+        """Makes the headers of a caller's request."""
+        account = account or self.plan.accounts[0]
+        headers = {'Authorization': f'Bearer {_plan.make_key(account)}'}
+        if rank:
+            headers['X-Briarknot-Rank'] = rank
+        if key:
+            headers['Idempotency-Key'] = key
+        return headers
+
+    async def complete(
+        self,
+        rank: str,
+        prompt: str,
+        max_tokens: int,
+        *,
+        entry: Entry | None = None,
+        account: str = '',
+    ) -> _calls.Completion:
+        """Sends a streamed completion and reads it to its end."""
+        entry = entry or self.choose_entry()
+        body = {
+            'model': self.plan.model.name,
+            'prompt': prompt,
+            'max_tokens': max_tokens,
+        }
+        return await _calls.complete(
+            self.session, entry.url, self.make_headers(rank, account), body
+        )
+
+    async def call_service(
+        self,
+        path: str,
+        *,
+        key: str = '',
+        body: bytes = b'{}',
+        entry: Entry | None = None,
+        method: str = 'POST',
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Calls the plain service; returns status, headers, and body."""
+        entry = entry or self.choose_entry()
+        async with self.session.request(
+            method,
+            f'{entry.url}/services/{self.plan.service}{path}',
+            headers=self.make_headers(key=key),
+            data=body,
+        ) as response:
+            return response.status, dict(response.headers), (
+                await response.read()
+            )
+
+    async def read_json(
+        self, process: launcher.Process, path: str
+    ) -> typing.Any:
+        """Reads JSON from a stand-in."""
+        async with self.session.get(f'{process.url}{path}') as response:
+            return await response.json()
+
+    async def set_faults(
+        self, process: launcher.Process, **faults: typing.Any
+    ) -> None:
+        """Sets faults of a stand-in."""
+        async with self.session.post(
+            f'{process.url}/faults', json=faults
+        ) as response:
+            response.raise_for_status()
+
+    async def read_metrics(self, entry: Entry) -> str:
+        """Reads the metrics of an entry process."""
+        async with self.session.get(f'{entry.admin_url}/metrics') as response:
+            return await response.text()
+
+    async def commit(self, fleet: schema.fleet.Fleet) -> int:
+        """Commits a document; returns its revision."""
+        accepted = await config.commit_document(
+            self.client,
+            document.write_text(fleet),
+            'test',
+            'stand-in fleet',
+            self.revision,
+        )
+        if not isinstance(accepted, config.Accepted):
+            raise RuntimeError(f'not accepted: {accepted}')
+        self.document = fleet
+        self.revision = accepted.revision
+        return accepted.revision
+
+    async def wait_ready(self) -> None:
+        """Waits until all entry processes are ready."""
+        async with asyncio.timeout(_READY_TIMEOUT_S):
+            for entry in self.entries:
+                while not await self.is_ready(entry):
+                    await asyncio.sleep(_POLL_S)
+
+    async def is_ready(self, entry: Entry) -> bool:
+        """Tells whether an entry process reports that it is ready."""
+        try:
+            async with self.session.get(f'{entry.admin_url}/readyz') as answer:
+                return answer.status == _OK
+        except aiohttp.ClientError:
+            return False
+
+    async def start_entry(self, domain: str, number: int) -> Entry:
+        """Starts an entry process and registers its host.
+
+        :param domain: failure domain.
+        :param number: number of the host in the domain.
+        """
+        host = f'{domain}-host-{number}'
+        caller_port, peer_port, admin_port = (
+            self.cluster.choose_port() for _ in range(3)
+        )
+        settings = schema.settings.EntrySettings(
+            node=self.make_node(host, domain, admin_port),
+            caller_port=caller_port,
+            peer_port=peer_port,
+            timing=self.plan.timing,
+        )
+        path = self.cluster.write_settings(f'{host}-entry', settings)
+        process = await self.cluster.start(
+            'briarknot.entry',
+            ['--settings', str(path)],
+            port=caller_port,
+            name=f'{host}-entry',
+        )
+        entry = Entry(
+            host=host,
+            domain=domain,
+            url=f'http://127.0.0.1:{caller_port}',
+            admin_url=f'http://127.0.0.1:{admin_port}',
+            peer_url=f'http://127.0.0.1:{peer_port}',
+            process=process,
+        )
+        self.entries.append(entry)
+        await self.register_host(entry, 'live')
+        return entry
+
+    async def register_host(self, entry: Entry, state: str) -> None:
+        """Sets a host in the platform's list."""
+        async with self.session.put(
+            f'{self.platform.url}/hosts/{entry.host}',
+            json={
+                'domain': entry.domain,
+                'peer_url': entry.peer_url,
+                'state': state,
+            },
+        ) as response:
+            response.raise_for_status()
+
+    def make_node(
+        self, host: str, domain: str, admin_port: int
+    ) -> schema.settings.Node:
+        """Makes the node settings of a program."""
+        return schema.settings.Node(
+            host=host,
+            domain=domain,
+            admin_port=admin_port,
+            platform_url=self.platform.url,
+            peer_secret=PEER_SECRET,
+            drain_grace_s=0.3,
+            stop_timeout_s=60,
+        )
+
+    async def start_control(self, domain: str, number: int) -> None:
+        """Starts a control process.
+
+        :param domain: failure domain.
+        :param number: number of the host in the domain.
+        """
+        host = f'{domain}-host-{number}'
+        admin_port = self.cluster.choose_port()
+        settings = schema.settings.ControlSettings(
+            node=self.make_node(host, domain, admin_port),
+            lease_s=self.plan.lease_s,
+            renew_s=self.plan.lease_s / 5,
+            margin_s=self.plan.lease_s / 6,
+            order_timeout_s=1,
+            report_lag_s=0.6,
+        )
+        path = self.cluster.write_settings(f'{host}-control', settings)
+        self.controls[host] = await self.cluster.start(
+            'briarknot.control',
+            ['--settings', str(path)],
+            port=admin_port,
+            name=f'{host}-control',
+        )
+
+
+async def _start_endpoints(
+    running: RunningFleet, domain: _plan.DomainPlan
+) -> tuple[list[schema.fleet.Engine], list[schema.fleet.ServiceEndpoint]]:
+    plan = running.plan
+    engines = []
+    roles = itertools.chain.from_iterable(
+        [part.role] * part.count for part in domain.engines
+    )
+    for number, role in enumerate(roles):
+        name = f'{domain.name}-engine-{number}'
+        process = await running.cluster.start(
+            'briarknot_standins.engine',
+            [
+                '--name',
+                name,
+                '--model',
+                f'{plan.model.name}@{plan.model.version}',
+                '--role',
+                role.value,
+                *plan.engine_arguments,
+            ],
+            name=name,
+        )
+        running.engines[name] = process
+        engines.append(
+            schema.fleet.Engine(
+                name=name,
+                domain=domain.name,
+                url=process.url,
+                group=domain.name,
+                model=plan.model.name,
+                role=role,
+                checks_fencing=plan.checks_fencing,
+            )
+        )
+    workers = []
+    for number in range(domain.services):
+        name = f'{domain.name}-worker-{number}'
+        process = await running.cluster.start(
+            'briarknot_standins.service', ['--name', name], name=name
+        )
+        running.services[name] = process
+        workers.append(
+            schema.fleet.ServiceEndpoint(
+                name=name, domain=domain.name, url=process.url
+            )
+        )
+    return engines, workers
+
+
+def _make_document(
+    plan: _plan.FleetPlan,
+    engines: collections.abc.Iterable[schema.fleet.Engine],
+    workers: collections.abc.Iterable[schema.fleet.ServiceEndpoint],
+) -> schema.fleet.Fleet:
+    return schema.fleet.Fleet(
+        name=plan.name,
+        domains=tuple(
+            schema.fleet.Domain(name=domain.name, region=domain.region)
+            for domain in plan.domains
+        ),
+        ranks=plan.ranks,
+        models=(plan.model,),
+        engines=tuple(engines),
+        services=(
+            schema.fleet.Service(
+                name=plan.service,
+                endpoints=tuple(workers),
+                non_repeatable=plan.non_repeatable,
+                timeout_s=5,
+            ),
+        ),
+        accounts=plan.make_accounts(),
+        policies=plan.policies,
+    )
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(
+    plan: _plan.FleetPlan,
+) -> collections.abc.AsyncIterator[RunningFleet]:
+    """Starts a fleet, yields it when it is ready, and ends all processes.
+
+    :param plan: what it consists of.
+    """
+    async with (
+        launcher.make_cluster() as cluster,
+        aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(total=120),
+        ) as session,
+    ):
+        platform_process = await cluster.start('briarknot_standins.platform')
+        running = RunningFleet(
+            plan=plan,
+            cluster=cluster,
+            session=session,
+            platform=platform_process,
+            client=platform.make_client(session, platform_process.url, 5),
+        )
+        parts = await asyncio.gather(*[
+            _start_endpoints(running, domain) for domain in plan.domains
+        ])
+        await running.commit(
+            _make_document(
+                plan,
+                itertools.chain.from_iterable(part[0] for part in parts),
+                itertools.chain.from_iterable(part[1] for part in parts),
+            )
+        )
+        await asyncio.gather(*[
+            running.start_entry(domain.name, number)
+            for domain in plan.domains
+            for number in range(domain.entries)
+        ])
+        await running.wait_ready()
+        await asyncio.gather(*[
+            running.start_control(domain.name, number)
+            for domain in plan.domains
+            for number in range(domain.controls)
+        ])
+        yield running
