Admit requests by rank, with floors, caps, and early refusal

Cause: floods far beyond capacity must not take the slots of urgent work nor push other ranks below their floor.

Change: tickets that wait for an answer, a ranked policy (floors first, then worth, deficit round robin by account, account caps, bounded queues, refusal where the target is out of reach), and a first-in, first-out baseline. The pace is measured from finished requests once there are enough. Expiry, withdrawal, and changes of capacity or document keep every ticket.

Conclusion: usable by the entry process. The bounds of 0.5 s of prefill and 0.8 of the target are set from reasoning, not from measurements.

--- /dev/null
+++ b/briarknot/admission/__init__.py
@@ -0,0 +1,25 @@
+"""Admission of requests: rank queues, floors, caps, and limits."""
+
+from briarknot.admission import _fifo, _ranked  # noqa: F401 - fill POLICIES
+from briarknot.admission._admission import Admission, make_admission
+from briarknot.admission._policies import POLICIES
+from briarknot.admission._tickets import (
+    CAUSES,
+    AdmissionRequest,
+    Admitted,
+    Refusal,
+    Ticket,
+)
+from briarknot.routing import Capacity
+
+__all__ = (
+    'CAUSES',
+    'POLICIES',
+    'Admission',
+    'AdmissionRequest',
+    'Admitted',
+    'Capacity',
+    'Refusal',
+    'Ticket',
+    'make_admission',
+)
--- /dev/null
+++ b/briarknot/admission/_tickets.py
@@ -0,0 +1,153 @@
+"""Requests for admission, their tickets, and the answers."""
+
+import asyncio
+import enum
+import typing
+
+import attrs
+
+#: Causes of refusals that callers and the journal see.
+CAUSES = (
+    'queue_full',
+    'target_unreachable',
+    'account_cap',
+    'fleet_limit',
+    'queue_timeout',
+    'shutting_down',
+    'no_capacity',
+    'quarantined',
+    'no_endpoint',
+)
+
+
+@attrs.frozen(kw_only=True)
+class AdmissionRequest:
+    """What admission needs to know of a request.
+
+    :param account: account of the caller.
+    :param rank: name of the rank; an unknown one counts as the least urgent.
+    :param work_s: expected engine seconds.
+    :param deadline_s: seconds from the submission within which the first
+        token must be out; None takes the rank's target.
+    :param prefill_s: engine seconds of prefill, part of ``work_s``. Give it
+        only where :meth:`Admission.start_decode` is called at the first
+        token; without it, only the number of requests is bounded.
+    """
+
+    account: str
+    rank: str
+    work_s: float
+    deadline_s: float | None = None
+    prefill_s: float = 0
+
+
+@attrs.frozen(kw_only=True)
+class Admitted:
+    """A request that may run.
+
+    :param queued_s: time in the queue.
+    :param reason: sentence with the figures, for the journal.
+    """
+
+    queued_s: float
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class Refusal:
+    """Sentinel for a request that must not run.
+
+    :param cause: one of :data:`CAUSES`.
+    :param reason: sentence with the figures, for the journal.
+    :param retry_after_s: time after which a new attempt may succeed.
+    """
+
+    cause: str = attrs.field(validator=attrs.validators.in_(CAUSES))
+    reason: str
+    retry_after_s: float
+
+    def __bool__(self) -> bool:
+        """Counts as false, so that callers can test for it."""
+        return False
+
+
+class Phase(enum.Enum):
+    """Progress of a ticket."""
+
+    QUEUED = enum.auto()
+    RUNNING = enum.auto()
+    ENDED = enum.auto()
+
+
+class Gate(typing.Protocol):
+    """What a ticket needs of the admission that issued it."""
+
+    def read_clock(self) -> float:
+        """Returns the monotonic time in seconds."""
+
+    def expire(self, now: float) -> None:
+        """Refuses the tickets whose time in the queue is over."""
+
+    def finish(
+        self, ticket: 'Ticket', now: float, used_work_s: float | None = None
+    ) -> None:
+        """Releases a ticket in any phase."""
+
+
+@attrs.define(eq=False, kw_only=True)
+class Ticket:
+    """A place in the queue, and then the right to run.
+
+    :param request: what was submitted.
+    :param number: grows with each submission.
+    :param submitted_s: time of the submission.
+    :param expires_s: time at which it leaves the queue.
+    :param phase: progress; changed only by the admission.
+    :param admitted_s: time of the admission.
+    :param in_prefill: whether its prefill counts as outstanding.
+    """
+
+    request: AdmissionRequest
+    number: int
+    submitted_s: float
+    expires_s: float
+    phase: Phase = Phase.QUEUED
+    admitted_s: float = 0
+    in_prefill: bool = False
+    _gate: Gate
+    _outcome: Admitted | Refusal | None = attrs.field(default=None, init=False)
+    _future: asyncio.Future | None = attrs.field(default=None, init=False)
+
+    @property
+    def outcome(self) -> Admitted | Refusal | None:
+        """The answer; None while the ticket is in the queue."""
+        return self._outcome
+
+    async def wait(self) -> Admitted | Refusal:
+        """Waits for the answer, at most for the rank's time in the queue.
+
+        A ticket whose waiter is cancelled leaves the queue. A ticket that is
+        admitted must still be released with :meth:`Admission.finish`.
+        """
+        try:
+            return await self._wait()
+        finally:
+            if self._outcome is None:
+                self._gate.finish(self, self._gate.read_clock())
+
+    def settle(self, outcome: Admitted | Refusal) -> None:
+        """Sets the answer once and wakes the waiter."""
+        self._outcome = outcome
+        if self._future and not self._future.done():
+            self._future.set_result(None)
+
+    async def _wait(self) -> Admitted | Refusal:
+        if self._outcome is None:
+            self._future = asyncio.get_running_loop().create_future()
+            remaining = self.expires_s - self._gate.read_clock()
+            await asyncio.wait((self._future,), timeout=max(0, remaining))
+        if self._outcome is None:
+            # The event loop's clock may wake the waiter slightly early.
+            now = max(self._gate.read_clock(), self.expires_s)
+            self._gate.expire(now)
+        return self._outcome
--- /dev/null
+++ b/briarknot/admission/_usage.py
@@ -0,0 +1,139 @@
+"""What is running, and how fast it ends."""
+
+import collections
+import typing
+
+import attrs
+
+from briarknot import routing
+from briarknot.admission import _tickets
+
+#: Outstanding prefill that is admitted, in seconds of the whole capacity. It
+#: keeps engines busy while the queue stays here, where ranks are respected.
+_PREFILL_WINDOW_S = 0.5
+#: Share by which each finished request fades the older ones.
+_FADE = 0.05
+#: Finished requests after which the measured pace replaces the reported one.
+_LEAST_SAMPLES = 8.0
+
+
+@attrs.define(eq=False)
+class Pace:
+    """Measures the work that ends per second while all slots are in use."""
+
+    _weight: float = 0
+    _work_s: float = 0
+    _held_s: float = 0
+
+    @property
+    def held_s(self) -> float:
+        """Mean time for which a slot is held; 0 until enough is measured."""
+        if self._weight < _LEAST_SAMPLES:
+            return 0
+        return self._held_s / self._weight
+
+    def learn(self, work_s: float, held_s: float) -> None:
+        """Takes a finished request's work and the time it held its slot."""
+        self._weight = self._weight * (1 - _FADE) + 1
+        self._work_s = self._work_s * (1 - _FADE) + work_s
+        self._held_s = self._held_s * (1 - _FADE) + held_s
+
+    def compute(self, capacity: routing.Capacity) -> float:
+        """Returns engine seconds that end per second.
+
+        The work of a slot per second, measured, times the number of slots.
+        Reports of speed don't include queues inside the engines, and this
+        figure does.
+
+        :param capacity: reported capacity, used until enough is measured.
+        """
+        if self._weight < _LEAST_SAMPLES or not self._held_s * self._work_s:
+            return capacity.work_per_s
+        return capacity.concurrent * self._work_s / self._held_s
+
+
+@attrs.define(eq=False)
+class Usage:
+    """Counts of running requests.
+
+    :param capacity: what the endpoints can carry.
+    :param pace: measured work per second.
+    """
+
+    capacity: routing.Capacity
+    pace: Pace = attrs.field(factory=Pace)
+    _running: int = 0
+    _by_rank: collections.Counter = attrs.field(factory=collections.Counter)
+    _by_account: collections.Counter = attrs.field(factory=collections.Counter)
+    _prefill: dict[int, _tickets.Ticket] = attrs.field(factory=dict)
+
+    @property
+    def running(self) -> int:
+        """Requests that run."""
+        return self._running
+
+    @property
+    def free(self) -> int:
+        """Free slots; negative after a loss of capacity."""
+        return self.capacity.concurrent - self._running
+
+    @property
+    def work_per_s(self) -> float:
+        """Engine seconds that can be done per second."""
+        return self.pace.compute(self.capacity)
+
+    def count_rank(self, rank: str) -> int:
+        """Returns the running requests of a rank."""
+        return self._by_rank[rank]
+
+    def count_account(self, account: str) -> int:
+        """Returns the running requests of an account."""
+        return self._by_account[account]
+
+    def fits_prefill(
+        self,
+        ticket: _tickets.Ticket,
+        ranks: typing.Container[str],
+        share: float,
+    ) -> bool:
+        """Tells whether a ticket's prefill may be added.
+
+        One prefill always may, however long it is.
+
+        :param ticket: queued ticket.
+        :param ranks: ranks whose outstanding prefill counts.
+        :param share: share of the window that these ranks may use.
+        """
+        needed = ticket.request.prefill_s
+        outstanding = sum(
+            other.request.prefill_s
+            for other in self._prefill.values()
+            if other.request.rank in ranks
+        )
+        window = self.capacity.work_per_s * _PREFILL_WINDOW_S * share
+        return not (needed and outstanding) or outstanding + needed <= window
+
+    def start(self, ticket: _tickets.Ticket) -> None:
+        """Counts a ticket as running."""
+        self._running += 1
+        self._by_rank[ticket.request.rank] += 1
+        self._by_account[ticket.request.account] += 1
+        if ticket.request.prefill_s:
+            self._prefill[ticket.number] = ticket
+
+    def start_decode(self, ticket: _tickets.Ticket) -> None:
+        """Ends the ticket's outstanding prefill."""
+        self._prefill.pop(ticket.number, None)
+
+    def end(self, ticket: _tickets.Ticket, now: float, work_s: float) -> None:
+        """Ends a running ticket."""
+        self.start_decode(ticket)
+        self._running -= 1
+        for counter, key in (
+            (self._by_rank, ticket.request.rank),
+            (self._by_account, ticket.request.account),
+        ):
+            counter[key] -= 1
+            if not counter[key]:
+                counter.pop(key)
+        self.pace.learn(work_s, now - ticket.admitted_s)
