Edit documents in place and keep their comments

Cause: a drain or a form changes a few fields, and a document written anew would lose the operators' comments. Change: 'document.edit_text' edits the fields that differ, by the places of the syntax tree; what it wrote is read back and compared, and a text that does not read as the value is written anew.

--- a/briarknot/document/__init__.py
+++ b/briarknot/document/__init__.py
@@ -3,6 +3,7 @@
 from briarknot.document import _fleet_checks as _registered_checks
 from briarknot.document._checks import CHECKS
 from briarknot.document._diff import Change, compare
+from briarknot.document._edit import edit_text
 from briarknot.document._findings import Finding, Place, sort_findings
 from briarknot.document._reader import Reading, read_text
 from briarknot.document._writer import write_text
@@ -17,6 +18,7 @@
     'Place',
     'Reading',
     'compare',
+    'edit_text',
     'read_text',
     'sort_findings',
     'write_text',
