--- a/briarknot/config/__init__.py
+++ b/briarknot/config/__init__.py
@@ -7,6 +7,7 @@
     Race,
     commit_document,
 )
+from briarknot.config._follower import Follower, InForce, make_follower
 from briarknot.config._published import (
     Published,
     Unreadable,
@@ -17,11 +18,14 @@
 __all__ = (
     'Accepted',
     'CommitUnavailable',
+    'Follower',
+    'InForce',
     'Invalid',
     'Published',
     'Race',
     'Unreadable',
     'commit_document',
+    'make_follower',
     'read_published',
     'read_row',
 )
