--- /dev/null
+++ b/briarknot/admission/_owners.py
@@ -0,0 +1,25 @@
+"""Owner of a name among members, by rendezvous hash."""
+
+import typing
+
+import xxhash
+
+
+def choose_owner(name: str, members: typing.Iterable[str]) -> str:
+    """Returns the member that owns a name.
+
+    Members with the same list agree without messages, and a change of the
+    list moves only the names of the members that left or joined.
+
+    :param name: name of a limit.
+    :param members: names of the live members.
+    :returns: a member's name; empty where there is no member.
+
+    >>> choose_owner('account-a', ['h1', 'h2']) in {'h1', 'h2'}
+    True
+    """
+
+    def weigh(member: str) -> tuple[int, str]:
+        return xxhash.xxh64_intdigest(f'{member}\0{name}'.encode()), member
+
+    return max(members, key=weigh, default='')
