--- a/briarknot/entry/_answers.py
+++ b/briarknot/entry/_answers.py
@@ -123,9 +123,7 @@
             'object': 'chat.completion.chunk' if is_chat else 'text_completion',
             'created': self.created_s,
             'model': self.request.model,
-            'choices': [
-                {'index': 0, 'finish_reason': finish_reason, **choice}
-            ],
+            'choices': [{'index': 0, 'finish_reason': finish_reason, **choice}],
         }
 
 
@@ -148,3 +146,53 @@
         'completion_tokens': output,
         'total_tokens': prompt + output,
     }
+
+
+@attrs.define(eq=False)
+class EventWriter:
+    """Writes server-sent events; the response starts with the first one."""
+
+    _request: web.Request
+    _response: web.StreamResponse
+    _pieces: int = attrs.field(default=0, init=False)
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the status was sent."""
+        return self._response.prepared
+
+    @property
+    def pieces(self) -> int:
+        """Events that were written before the last."""
+        return self._pieces
+
+    async def write(self, event: bytes) -> None:
+        """Writes an event."""
+        if not self._response.prepared:
+            await self._response.prepare(self._request)
+        self._pieces += 1
+        await self._response.write(event)
+
+    async def finish(self, events: bytes) -> web.StreamResponse:
+        """Writes the last events and ends the response.
+
+        :param events: the events; empty for none.
+        """
+        if not self._response.prepared:
+            await self._response.prepare(self._request)
+        await self._response.write_eof(events)
+        return self._response
+
+
+def make_writer(request: web.Request, request_id: str) -> EventWriter:
+    """Makes the writer of a streamed answer.
+
+    :param request: the request that is answered.
+    :param request_id: id of the request.
+    """
+    headers = {
+        REQUEST_ID_HEADER: request_id,
+        'Content-Type': EVENT_STREAM_TYPE,
+        'Cache-Control': 'no-store',
+    }
+    return EventWriter(request, web.StreamResponse(headers=headers))
--- a/briarknot/entry/_attempts.py
+++ b/briarknot/entry/_attempts.py
@@ -1,8 +1,5 @@
 """Attempts at engines, and at entry processes of other failure domains."""
 
-import collections.abc
-import typing
-
 import aiohttp
 import attrs
 import orjson
@@ -34,7 +31,8 @@
         return False
 
 
-Event = _stream.Event | NotRun
+#: How an attempt ends.
+End = _stream.Finish | _stream.Broken | NotRun
 
 
 @attrs.frozen(kw_only=True)
@@ -78,22 +76,25 @@
         request_id: str,
         priority: int,
         offset: int,
-    ) -> collections.abc.AsyncIterator[Event]:
-        """Runs one attempt and yields its events.
+        deliver: _stream.Deliver,
+    ) -> End:
+        """Runs one attempt.
 
         :param target: where it goes.
         :param request: the caller's request.
         :param request_id: id of the request.
         :param priority: index of the rank.
         :param offset: first token that is still missing.
+        :param deliver: called with each piece.
         """
         kv_from = None
         if target.choice is not None and target.choice.prefill_engine:
-            handle = await self._prefill(target, request, request_id, priority)
-            if not isinstance(handle, dict):
-                yield handle
-                return
-            kv_from = handle
+            body = _requests.write_engine_body(
+                request, request_id, priority=priority, resume_from=0
+            )
+            kv_from = await self._prefill(target, body)
+            if not isinstance(kv_from, dict):
+                return kv_from
         body = _requests.write_engine_body(
             request,
             request_id,
@@ -101,62 +102,54 @@
             resume_from=offset,
             kv_from=kv_from,
         )
-        async for event in self._stream(target, body, request_id, offset):
-            yield event
-
-    async def _stream(
-        self, target: Target, body: bytes, request_id: str, offset: int
-    ) -> collections.abc.AsyncIterator[Event]:
         try:
             async with self._session.post(
                 target.url, data=body, headers=_make_headers(target)
             ) as response:
                 if response.status != _OK:
-                    yield await _read_refusal(response)
-                    return
-                async for event in _stream.read_stream(
-                    response.content, request_id, offset, self._timing
-                ):
-                    yield event
+                    return await _read_refusal(response)
+                return await _stream.read_stream(
+                    response.content, request_id, offset, self._timing, deliver
+                )
         except aiohttp.ClientConnectorError as error:
-            yield NotRun(f'cannot connect: {error}')
+            return NotRun(f'cannot connect: {error}')
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            yield _stream.Broken(f'{type(error).__name__}: {error}')
+            return _stream.Broken(f'{type(error).__name__}: {error}')
 
     async def _prefill(
-        self,
-        target: Target,
-        request: _requests.CompletionRequest,
-        request_id: str,
-        priority: int,
-    ) -> dict[str, str] | Event:
+        self, target: Target, body: bytes
+    ) -> dict[str, str] | End:
         """Runs prefill and returns where the KV cache can be imported."""
         engine = target.choice.prefill_engine
-        body = _requests.write_engine_body(
-            request, request_id, priority=priority, resume_from=0
-        )
-        url = f'{engine.url}/v1/prefill'
         try:
             with telemetry.make_span('prefill', engine=engine.name):
-                async with self._session.post(
-                    url,
-                    data=body,
-                    headers=_make_headers(target),
-                    timeout=aiohttp.ClientTimeout(
-                        total=self._timing.prefill_silence_s,
-                        sock_connect=self._timing.connect_timeout_s,
-                    ),
-                ) as response:
-                    if response.status != _OK:
-                        return await _read_refusal(response)
-                    tree = orjson.loads(await response.read())
+                answer = await self._post_prefill(target, engine.url, body)
         except aiohttp.ClientConnectorError as error:
             return NotRun(f'prefill on {engine.name}: cannot connect: {error}')
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return _stream.Broken(
                 f'prefill on {engine.name}: {type(error).__name__}: {error}'
             )
-        return {'url': engine.url, 'kv_handle': tree['kv_handle']}
+        if isinstance(answer, str):
+            return {'url': engine.url, 'kv_handle': answer}
+        return answer
+
+    async def _post_prefill(
+        self, target: Target, engine_url: str, body: bytes
+    ) -> str | End:
+        """Returns the handle of the KV cache, or how prefill ended."""
+        async with self._session.post(
+            f'{engine_url}/v1/prefill',
+            data=body,
+            headers=_make_headers(target),
+            timeout=aiohttp.ClientTimeout(
+                total=self._timing.prefill_silence_s,
+                sock_connect=self._timing.connect_timeout_s,
+            ),
+        ) as response:
+            if response.status != _OK:
+                return await _read_refusal(response)
+            return orjson.loads(await response.read())['kv_handle']
 
 
 def _make_headers(target: Target) -> dict[str, str]:
@@ -164,16 +157,13 @@
     return telemetry.inject_context(headers)
 
 
-async def _read_refusal(response: aiohttp.ClientResponse) -> Event:
+async def _read_refusal(response: aiohttp.ClientResponse) -> End:
     """Reads an answer that is no stream."""
     body = await response.content.read(_PROBLEM_BYTES)
     reason = f'status {response.status}: {body[:200].decode(errors="replace")}'
-    problem = _read_problem(body)
-    if 'outcome' in problem:
-        # An entry process of another failure domain says what it knows.
-        if problem['outcome'] == outcomes.Outcome.NOT_RUN:
-            return NotRun(f'{problem.get("cause")}: {problem.get("detail")}')
-        return _stream.Broken(reason)
+    failure = read_problem_failure(body)
+    if failure is not None:
+        return failure
     if response.status in {_REFUSED_UNRUN, _TOO_MANY}:
         return NotRun(reason)
     if response.status in _CLIENT_ERRORS:
@@ -181,12 +171,22 @@
     return _stream.Broken(reason)
 
 
-def _read_problem(body: bytes) -> dict[str, typing.Any]:
+def read_problem_failure(body: bytes) -> NotRun | _stream.Broken | None:
+    """Reads what an entry process of another failure domain answered.
+
+    :param body: body of the answer.
+    :returns: the failure; None where the answer is no refusal.
+    """
     try:
         tree = orjson.loads(body)
     except orjson.JSONDecodeError:
-        return {}
-    return tree if isinstance(tree, dict) else {}
+        return None
+    if not isinstance(tree, dict) or 'outcome' not in tree:
+        return None
+    reason = f'{tree.get("cause")}: {tree.get("detail")}'
+    if tree['outcome'] == outcomes.Outcome.NOT_RUN:
+        return NotRun(reason)
+    return _stream.Broken(reason)
 
 
 def make_sender(
@@ -217,4 +217,3 @@
         auto_decompress=False,
         read_bufsize=2**18,
     )
-
--- a/briarknot/entry/_callers.py
+++ b/briarknot/entry/_callers.py
@@ -64,9 +64,7 @@
             identity = self._identify(request, story)
             if not isinstance(identity, _identity.Identity):
                 return _refuse(story, identity)
-            with self._counted_stream(identity) as refusal:
-                if refusal:
-                    return _refuse(story, refusal[0])
+            with self._context.open_requests.counted(identity.account.name):
                 return await self._run_completion(
                     request, identity, story, is_chat=is_chat
                 )
@@ -105,13 +103,15 @@
         return await _send_whole(completion, answer, story)
 
     async def _list_models(self, request: web.Request) -> web.Response:
-        return web.json_response({
-            'object': 'list',
-            'data': [
-                {'id': model.name, 'object': 'model', 'owned_by': 'fleet'}
-                for model in self._context.fleet.models
-            ],
-        })
+        return web.json_response(
+            {
+                'object': 'list',
+                'data': [
+                    {'id': model.name, 'object': 'model', 'owned_by': 'fleet'}
+                    for model in self._context.fleet.models
+                ],
+            }
+        )
 
     async def _call_service(self, request: web.Request) -> web.StreamResponse:
         story = self._make_story('service')
@@ -124,9 +124,7 @@
             identity = self._identify(request, story)
             if not isinstance(identity, _identity.Identity):
                 return _refuse(story, identity)
-            with self._counted_stream(identity) as refusal:
-                if refusal:
-                    return _refuse(story, refusal[0])
+            with self._context.open_requests.counted(identity.account.name):
                 body = await read_limited(request)
                 if not isinstance(body, bytes):
                     return _refuse(story, body)
@@ -148,7 +146,8 @@
     ) -> _identity.Identity | outcomes.Refusal:
         if self._is_stopping:
             return outcomes.make_refusal(
-                'shutting_down', 'the entry process is stopping',
+                'shutting_down',
+                'the entry process is stopping',
                 retry_after_s=1,
             )
         if not self._context.follower.revision:
@@ -166,29 +165,23 @@
                 rank=identity.rank.name,
                 revision=self._context.follower.revision,
             )
+            return self._check_streams(identity) or identity
         return identity
 
-    @contextlib.contextmanager
-    def _counted_stream(self, identity: _identity.Identity):
-        """Counts an open request; yields a refusal where there are too many."""
+    def _check_streams(
+        self, identity: _identity.Identity
+    ) -> outcomes.Refusal | None:
+        """Refuses a request beyond the open ones that an account may have."""
         account = identity.account
-        counts = self._context.open_streams
-        counts[account.name] += 1
-        try:
-            if counts[account.name] > account.max_streams:
-                yield [
-                    outcomes.make_refusal(
-                        'too_many_streams',
-                        f'{account.max_streams} streams are open',
-                        retry_after_s=1,
-                    )
-                ]
-            else:
-                yield []
-        finally:
-            counts[account.name] -= 1
-            if not counts[account.name]:
-                counts.pop(account.name)
+        if self._context.open_requests.count(account.name) < (
+            account.max_streams
+        ):
+            return None
+        return outcomes.make_refusal(
+            'too_many_streams',
+            f'{account.max_streams} requests of {account.name} are open',
+            retry_after_s=1,
+        )
 
     @contextlib.contextmanager
     def _recorded(self, story: _story.Story):
@@ -222,9 +215,7 @@
         return outcomes.make_refusal('too_large', f'body: {error.text}')
 
 
-def _refuse(
-    story: _story.Story, refusal: outcomes.Refusal
-) -> web.Response:
+def _refuse(story: _story.Story, refusal: outcomes.Refusal) -> web.Response:
     story.refuse(refusal)
     return _answers.make_refusal_response(refusal, story.request_id)
 
@@ -235,20 +226,20 @@
     story: _story.Story,
 ) -> web.StreamResponse:
     """Sends the answer in one piece, or a refusal and nothing of it."""
-    texts = []
-    async with contextlib.aclosing(completion.run()) as events:
-        async for event in events:
-            if isinstance(event, outcomes.Refusal):
-                return _refuse(story, event)
-            if isinstance(event, _stream.Finish):
-                story.complete(len(texts))
-                return web.Response(
-                    body=answer.write_whole(''.join(texts), event),
-                    content_type='application/json',
-                    headers={_answers.REQUEST_ID_HEADER: story.request_id},
-                )
-            texts.append(event.text)
-    raise RuntimeError('a completion ended without an event')
+    texts: list[str] = []
+
+    async def collect(piece: _stream.Piece) -> None:
+        texts.append(piece.text)
+
+    end = await completion.run(collect)
+    if isinstance(end, outcomes.Refusal):
+        return _refuse(story, end)
+    story.complete(len(texts))
+    return web.Response(
+        body=answer.write_whole(''.join(texts), end),
+        content_type='application/json',
+        headers={_answers.REQUEST_ID_HEADER: story.request_id},
+    )
 
 
 async def _send_stream(
@@ -262,32 +253,20 @@
     The response starts with the first piece, so that a request refused
     before it still gets a status and ``Retry-After``.
     """
-    response = web.StreamResponse(
-        headers={
-            _answers.REQUEST_ID_HEADER: story.request_id,
-            'Content-Type': _answers.EVENT_STREAM_TYPE,
-            'Cache-Control': 'no-store',
-        }
-    )
-    tokens = 0
-    async with contextlib.aclosing(completion.run()) as events:
-        async for event in events:
-            if isinstance(event, outcomes.Refusal) and not response.prepared:
-                return _refuse(story, event)
-            if not response.prepared:
-                await response.prepare(request)
-            if isinstance(event, _stream.Piece):
-                tokens += 1
-                await response.write(answer.write_piece(event.text))
-            elif isinstance(event, _stream.Finish):
-                story.complete(tokens)
-                await response.write(answer.write_finish(event))
-            else:
-                story.note(output_tokens=tokens)
-                story.refuse(event)
-                await response.write(answer.write_failure(event))
-    await response.write_eof()
-    return response
+    writer = _answers.make_writer(request, story.request_id)
+
+    async def send(piece: _stream.Piece) -> None:
+        await writer.write(answer.write_piece(piece.text))
+
+    end = await completion.run(send)
+    if isinstance(end, outcomes.Refusal):
+        if not writer.is_started:
+            return _refuse(story, end)
+        story.note(output_tokens=writer.pieces)
+        story.refuse(end)
+        return await writer.finish(answer.write_failure(end))
+    story.complete(writer.pieces)
+    return await writer.finish(answer.write_finish(end))
 
 
 def make_callers(context: _context.Context) -> Callers:
--- a/briarknot/entry/_completion.py
+++ b/briarknot/entry/_completion.py
@@ -1,7 +1,5 @@
 """Runs one completion, from admission to the end of its stream."""
 
-import collections.abc
-import contextlib
 import time
 
 import attrs
@@ -21,7 +19,8 @@
 _MAX_ATTEMPTS = 6
 _COMPLETIONS_PATH = '/v1/completions'
 
-Event = _stream.Piece | _stream.Finish | outcomes.Refusal
+#: How a completion ends.
+End = _stream.Finish | outcomes.Refusal
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -46,36 +45,42 @@
     _may_have_run: bool = attrs.field(default=False, init=False)
     _failed: set[str] = attrs.field(factory=set, init=False)
     _last_failure: str = attrs.field(default='', init=False)
-    _output_tokens: int = attrs.field(default=0, init=False)
 
-    async def run(self) -> collections.abc.AsyncIterator[Event]:
-        """Yields the pieces of the answer, then how it ended."""
+    async def run(self, deliver: _stream.Deliver) -> End:
+        """Runs the completion and delivers its pieces.
+
+        :param deliver: called with each piece.
+        :returns: how it ended.
+        """
         known = self._context.quarantine.check(
             self._fingerprint, time.monotonic()
         )
         if isinstance(known, routing.Quarantined):
-            yield outcomes.make_refusal('quarantined', known.reason)
-            return
+            return outcomes.make_refusal('quarantined', known.reason)
         ticket = self._submit()
         if not isinstance(ticket, admission.Ticket):
-            async for event in self._run_elsewhere(ticket):
-                yield event
-            return
+            return await self._run_elsewhere(ticket, deliver)
         try:
-            with telemetry.make_span('queue', rank=self._identity.rank.name):
-                admitted = await ticket.wait()
-            if not admitted:
-                yield self._refuse_queued(admitted)
-                return
-            self._story.note(
-                queued_s=admitted.queued_s, queue_reason=admitted.reason
-            )
-            async with contextlib.aclosing(self._run_admitted()) as events:
-                async for event in events:
-                    yield event
+            return await self._run_queued(ticket, deliver)
         finally:
             self._context.gate.finish(ticket, time.monotonic())
 
+    async def _run_queued(
+        self, ticket: admission.Ticket, deliver: _stream.Deliver
+    ) -> End:
+        rank = self._identity.rank.name
+        with telemetry.make_span('queue', rank=rank):
+            admitted = await ticket.wait()
+        if not admitted:
+            self._story.note(
+                queued_s=self._story.elapsed_s, queue_reason=admitted.reason
+            )
+            return _from_admission(admitted)
+        self._story.note(
+            queued_s=admitted.queued_s, queue_reason=admitted.reason
+        )
+        return await self._run_attempts(deliver)
+
     def _submit(self) -> admission.Ticket | admission.Refusal:
         return self._context.gate.submit(
             admission.AdmissionRequest(
@@ -86,117 +91,95 @@
             time.monotonic(),
         )
 
-    def _refuse_queued(self, refusal: admission.Refusal) -> outcomes.Refusal:
-        self._story.note(
-            queued_s=self._story.elapsed_s, queue_reason=refusal.reason
-        )
-        return _from_admission(refusal)
-
     async def _run_elsewhere(
-        self, refusal: admission.Refusal
-    ) -> collections.abc.AsyncIterator[Event]:
+        self, refusal: admission.Refusal, deliver: _stream.Deliver
+    ) -> End:
         """Tries another failure domain where the own one refuses."""
-        hop = self._choose_hop()
-        if hop is None or refusal.cause in {'account_cap', 'fleet_limit'}:
-            yield _from_admission(refusal)
-            return
-        async with contextlib.aclosing(self._run_admitted()) as events:
-            async for event in events:
-                yield event
-
-    async def _run_admitted(self) -> collections.abc.AsyncIterator[Event]:
+        is_limit = refusal.cause in {'account_cap', 'fleet_limit'}
+        if is_limit or self._choose_hop() is None:
+            return _from_admission(refusal)
+        return await self._run_attempts(deliver)
+
+    async def _run_attempts(self, deliver: _stream.Deliver) -> End:
+        """Tries endpoints until the whole answer was delivered."""
         for number in range(_MAX_ATTEMPTS):
             if number and not self._context.retry_budget.take(time.monotonic()):
-                yield self._fail('retry_budget', 'the retry budget is used up')
-                return
+                return self._fail('retry_budget', 'the retry budget is used up')
+            await self._context.drains.wait_current()
             target = self._choose_target()
             if not isinstance(target, _attempts.Target):
-                yield self._refuse_target(target)
-                return
-            async with contextlib.aclosing(self._attempt(target)) as events:
-                async for event in events:
-                    if isinstance(event, _stream.Broken | _attempts.NotRun):
-                        break
-                    yield event
-                    if not isinstance(event, _stream.Piece):
-                        return
-        yield self._fail('endpoint_failed', f'{_MAX_ATTEMPTS} attempts failed')
+                return self._refuse_target(target)
+            end = await self._attempt(target, deliver)
+            if isinstance(end, _stream.Finish):
+                return end
+            if isinstance(end, _attempts.NotRun) and end.is_final:
+                return self._fail('bad_request', end.reason)
+        return self._fail('endpoint_failed', f'{_MAX_ATTEMPTS} attempts failed')
 
     async def _attempt(
-        self, target: _attempts.Target
-    ) -> collections.abc.AsyncIterator[_attempts.Event]:
+        self, target: _attempts.Target, deliver: _stream.Deliver
+    ) -> _attempts.End:
         """Runs one attempt and keeps the books of endpoint and journal."""
-        context = self._context
-        entry = schema.records.Attempt(
+        meter = _Meter(self._story, deliver)
+        record = schema.records.Attempt(
             endpoint=target.name,
             start_s=self._story.elapsed_s,
             choice=target.reason,
             offset=self._offset,
         )
-        started = time.monotonic()
-        booking = self._book(target, started)
-        events = context.sender.send(
-            target,
-            self._request,
-            self._story.request_id,
-            self._identity.priority,
-            self._offset,
-        )
-        first_token_s: float | None = None
-        tokens = 0
-        event: _attempts.Event = _stream.Broken('cancelled')
+        booking = self._book(target, meter.started_s)
+        end: _attempts.End | None = None
         try:
             with telemetry.make_span(
                 'attempt', endpoint=target.name, offset=self._offset
             ):
-                async with contextlib.aclosing(events):
-                    async for event in events:
-                        if isinstance(event, _stream.Piece):
-                            if first_token_s is None:
-                                first_token_s = time.monotonic() - started
-                                self._story.note_first_token()
-                            tokens += 1
-                            self._offset += 1
-                        yield event
+                end = await self._context.sender.send(
+                    target,
+                    self._request,
+                    self._story.request_id,
+                    self._identity.priority,
+                    self._offset,
+                    meter.deliver,
+                )
         finally:
-            booking.close(
-                ok=isinstance(event, _stream.Finish | _stream.Piece),
-                first_token_s=first_token_s,
-                tokens=tokens,
-            )
-            self._note_end(target, attrs.evolve(entry, tokens=tokens), event)
+            self._offset += meter.tokens
+            booking.close(meter, ok=end is None or bool(end))
+            record = attrs.evolve(record, tokens=meter.tokens)
+            self._note_end(target, record, end)
+        return end
 
     def _note_end(
         self,
         target: _attempts.Target,
-        entry: schema.records.Attempt,
-        event: _attempts.Event,
+        record: schema.records.Attempt,
+        end: _attempts.End | None,
     ) -> None:
-        context = self._context
-        self._may_have_run |= not isinstance(event, _attempts.NotRun)
-        if isinstance(event, _stream.Finish):
-            self._output_tokens = self._offset
-            context.estimator.learn(
-                self._identity.account.name, self._request.kind, self._offset
-            )
-            context.retry_budget.add_success(time.monotonic())
-            entry = attrs.evolve(
-                entry, cached_tokens=event.usage.get('cached_tokens', 0)
-            )
-            self._story.add_attempt(entry, 'completed')
-            return
-        if isinstance(event, _stream.Piece):
+        self._may_have_run |= not isinstance(end, _attempts.NotRun)
+        if end is None:
             # The caller left, or the process is stopping.
-            self._story.add_attempt(entry, 'cancelled')
-            return
-        self._last_failure = f'{target.name}: {event.reason}'
-        self._failed.add(target.name)
-        kind = 'not run' if isinstance(event, _attempts.NotRun) else 'failed'
-        self._story.add_attempt(entry, f'{kind}: {event.reason}')
-
-    def _book(
-        self, target: _attempts.Target, now: float
-    ) -> '_Booking':
+            self._story.add_attempt(record, 'cancelled')
+        elif isinstance(end, _stream.Finish):
+            self._note_success(record, end)
+        else:
+            self._last_failure = f'{target.name}: {end.reason}'
+            self._failed.add(target.name)
+            is_unrun = isinstance(end, _attempts.NotRun)
+            kind = 'not run' if is_unrun else 'failed'
+            self._story.add_attempt(record, f'{kind}: {end.reason}')
+
+    def _note_success(
+        self, record: schema.records.Attempt, finish: _stream.Finish
+    ) -> None:
+        self._context.estimator.learn(
+            self._identity.account.name, self._request.kind, self._offset
+        )
+        self._context.retry_budget.add_success(time.monotonic())
+        cached_tokens = finish.usage.get('cached_tokens', 0)
+        self._story.add_attempt(
+            attrs.evolve(record, cached_tokens=cached_tokens), 'completed'
+        )
+
+    def _book(self, target: _attempts.Target, now: float) -> '_Booking':
         parts = {}
         if target.choice is not None:
             prefill = target.choice.prefill_engine
@@ -222,9 +205,7 @@
         )
         if not choice and self._failed:
             # With all engines tried, the same one may still recover.
-            choice = context.router.choose_engine(
-                context.view, self._work, now
-            )
+            choice = context.router.choose_engine(context.view, self._work, now)
         hop = self._choose_hop()
         if choice and not self._is_better(hop, choice):
             return _attempts.Target(
@@ -247,14 +228,12 @@
             return False
         target_s = self._identity.rank.first_token_s
         elsewhere_s = hop.queue_delay_s + _peers.HOP_S + self._work.prefill_s
-        return choice.expected_first_token_s > target_s >= elsewhere_s
+        return elsewhere_s <= target_s < choice.expected_first_token_s
 
     def _choose_hop(self) -> _peers.Hop | None:
         if not self._may_hop:
             return None
-        return self._context.peers.choose_hop(
-            self._request.model, self._failed
-        )
+        return self._context.peers.choose_hop(self._request.model, self._failed)
 
     def _make_hop_target(self, hop: _peers.Hop) -> _attempts.Target:
         node = self._context.node
@@ -289,6 +268,40 @@
         )
 
 
+@attrs.define(eq=False)
+class _Meter:
+    """Counts the pieces of one attempt on their way to the caller."""
+
+    _story: _story.Story
+    _deliver: _stream.Deliver
+    _started_s: float = attrs.field(factory=time.monotonic, init=False)
+    _first_token_s: float | None = attrs.field(default=None, init=False)
+    _tokens: int = attrs.field(default=0, init=False)
+
+    @property
+    def started_s(self) -> float:
+        """Monotonic time of the start, in seconds."""
+        return self._started_s
+
+    @property
+    def first_token_s(self) -> float | None:
+        """Time to the first token; None where there was none."""
+        return self._first_token_s
+
+    @property
+    def tokens(self) -> int:
+        """Tokens so far."""
+        return self._tokens
+
+    async def deliver(self, piece: _stream.Piece) -> None:
+        """Counts a piece and passes it on."""
+        if self._first_token_s is None:
+            self._first_token_s = time.monotonic() - self._started_s
+            self._story.note_first_token()
+        self._tokens += 1
+        await self._deliver(piece)
+
+
 @attrs.define(eq=False)
 class _Booking:
     """Attempts that the endpoint view counts for one dispatch."""
@@ -296,9 +309,7 @@
     _view: routing.View
     _attempts: list[routing.Attempt]
 
-    def close(
-        self, *, ok: bool, first_token_s: float | None, tokens: int
-    ) -> None:
+    def close(self, meter: _Meter, *, ok: bool) -> None:
         """Ends the attempts."""
         now = time.monotonic()
         for attempt in self._attempts:
@@ -307,8 +318,8 @@
                 attempt,
                 now,
                 ok=ok,
-                first_token_s=None if is_prefill else first_token_s,
-                tokens=0 if is_prefill else tokens,
+                first_token_s=None if is_prefill else meter.first_token_s,
+                tokens=0 if is_prefill else meter.tokens,
             )
 
 
--- a/briarknot/entry/_context.py
+++ b/briarknot/entry/_context.py
@@ -1,6 +1,5 @@
 """What the tasks of an entry process share."""
 
-import collections
 import hashlib
 import time
 
@@ -18,7 +17,14 @@
     schema,
     telemetry,
 )
-from briarknot.entry import _attempts, _drains, _identity, _peers
+from briarknot.entry import (
+    _attempts,
+    _drains,
+    _identity,
+    _open_requests,
+    _peers,
+    _workers,
+)
 
 _RETRY_SHARE = 0.2
 #: Lets a process with little traffic retry at all.
@@ -43,12 +49,12 @@
     :param sender: sends attempts to engines.
     :param session: client session for endpoints.
     :param drains: drain marks.
+    :param workers: workers of plain services.
     :param peers: capacity of other failure domains.
     :param retry_budget: budget of retries.
     :param quarantine: fingerprints of requests seen at crashes.
     :param directory: accounts and ranks of the document in force.
-    :param open_streams: open requests by account.
-    :param forwarded: open requests that other entry processes forwarded.
+    :param open_requests: counts of the requests that are being answered.
     """
 
     settings: schema.settings.EntrySettings
@@ -64,27 +70,22 @@
     sender: _attempts.Sender
     session: aiohttp.ClientSession
     drains: _drains.Drains
+    workers: _workers.Workers
     peers: _peers.Peers
     retry_budget: routing.RetryBudget
     quarantine: routing.Quarantine
     directory: _identity.Directory = attrs.field(
         factory=lambda: _identity.make_directory(schema.fleet.Fleet())
     )
-    open_streams: collections.Counter[str] = attrs.field(
-        factory=collections.Counter
+    open_requests: _open_requests.OpenRequests = attrs.field(
+        factory=_open_requests.OpenRequests
     )
-    forwarded: int = 0
 
     @property
     def node(self) -> schema.settings.Node:
         """Identity of the process."""
         return self.settings.node
 
-    @property
-    def open_requests(self) -> int:
-        """Requests that are being answered."""
-        return self.open_streams.total() + self.forwarded
-
     @property
     def fleet(self) -> schema.fleet.Fleet:
         """The document in force."""
@@ -104,9 +105,7 @@
         """Tells admission what the engines can carry now."""
         now = time.monotonic()
         capacity = self.view.compute_capacity(now)
-        self.gate.apply_capacity(
-            capacity.work_per_s, capacity.concurrent, now
-        )
+        self.gate.apply_capacity(capacity.work_per_s, capacity.concurrent, now)
 
     async def handle_quarantine(
         self, link: links.Link, message: schema.messages.Quarantine
@@ -171,6 +170,7 @@
         sender=_attempts.make_sender(session, timing),
         session=session,
         drains=_drains.make_drains(client, view, node, hub),
+        workers=_workers.make_workers(node.domain, make_seed(node.host)),
         peers=_peers.make_peers(hub, node.domain),
         retry_budget=routing.make_retry_budget(
             _RETRY_SHARE, _RETRY_FLOOR_PER_S
--- a/briarknot/entry/_drains.py
+++ b/briarknot/entry/_drains.py
@@ -19,10 +19,12 @@
 #: Without the platform no controller holds its lease for longer.
 _LONGEST_LEASE_S = 10.0
 _RETRY_S = 0.25
-_ACTIVE = frozenset({
-    schema.records.OrderPhase.DRAINING,
-    schema.records.OrderPhase.OPEN,
-})
+_ACTIVE = frozenset(
+    {
+        schema.records.OrderPhase.DRAINING,
+        schema.records.OrderPhase.OPEN,
+    }
+)
 
 
 @attrs.define(eq=False)
@@ -101,7 +103,9 @@
                     self._apply_row(row)
                 return
             await asyncio.sleep(_RETRY_S)
-        telemetry.log_change('drain', 'marks not read', domain=self._node.domain)
+        telemetry.log_change(
+            'drain', 'marks not read', domain=self._node.domain
+        )
 
     def _apply_row(self, row: platform.Row) -> None:
         record = schema.from_plain(schema.records.OrderRow, row.value)
--- a/briarknot/entry/_feeds.py
+++ b/briarknot/entry/_feeds.py
@@ -140,7 +140,8 @@
                 if response.status == _OK:
                     _POLLS.labels('ok').inc()
                     return orjson.loads(body)
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+        # A time-out is an OSError too.
+        except (aiohttp.ClientError, OSError, ValueError):
             self._context.view.mark_failed(name, time.monotonic())
         _POLLS.labels('failed').inc()
         return None
--- a/briarknot/entry/_forward.py
+++ b/briarknot/entry/_forward.py
@@ -43,7 +43,10 @@
         )
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
-        with self._recorded(request, 'completion') as story:
+        with (
+            self._context.open_requests.counted(),
+            self._recorded(request, 'completion') as story,
+        ):
             identity = self._identify(request)
             if not isinstance(identity, _identity.Identity):
                 return _refuse(story, identity)
@@ -59,7 +62,10 @@
             return await _send_chunks(request, completion, parsed, story)
 
     async def _call_service(self, request: web.Request) -> web.Response:
-        with self._recorded(request, 'service') as story:
+        with (
+            self._context.open_requests.counted(),
+            self._recorded(request, 'service') as story,
+        ):
             identity = self._identify(request)
             if not isinstance(identity, _identity.Identity):
                 return _refuse(story, identity)
@@ -98,23 +104,24 @@
         request_id = request.headers.get(_answers.REQUEST_ID_HEADER, '')
         story = _story.make_story(request_id, self._context.node, kind)
         story.note(peer_of=request.headers.get(_HOST_HEADER, ''))
-        self._context.forwarded += 1
         try:
             with telemetry.make_span(
                 'peer hop', request.headers, request_id=request_id
             ):
                 yield story
         finally:
-            self._context.forwarded -= 1
-            if not story.record.outcome:
-                story.refuse(
-                    outcomes.make_refusal(
-                        'caller_left',
-                        'the forwarding process closed the connection',
-                        outcome=outcomes.Outcome.UNKNOWN,
-                    )
+            self._close(story)
+
+    def _close(self, story: _story.Story) -> None:
+        if not story.record.outcome:
+            story.refuse(
+                outcomes.make_refusal(
+                    'caller_left',
+                    'the forwarding process closed the connection',
+                    outcome=outcomes.Outcome.UNKNOWN,
                 )
-            self._context.journal.add(story.close())
+            )
+        self._context.journal.add(story.close())
 
 
 def _read_completion(
@@ -147,35 +154,30 @@
     A stream that is not whole ends without ``[DONE]``; the forwarding process
     then resumes it elsewhere.
     """
-    response = web.StreamResponse(
-        headers={'Content-Type': _answers.EVENT_STREAM_TYPE}
-    )
-    offset = parsed.resume_from
-    async with contextlib.aclosing(completion.run()) as events:
-        async for event in events:
-            if isinstance(event, outcomes.Refusal) and not response.prepared:
-                return _refuse(story, event)
-            if not response.prepared:
-                await response.prepare(request)
-            if isinstance(event, _stream.Piece):
-                chunk = {'text': event.text, 'offset': event.offset}
-                offset = event.offset + 1
-            elif isinstance(event, _stream.Finish):
-                chunk = {
-                    'offset': offset,
-                    'finish_reason': event.reason,
-                    'usage': event.usage,
-                }
-                story.complete(offset - parsed.resume_from)
-            else:
-                story.refuse(event)
-                break
-            chunk['request_id'] = story.request_id
-            await response.write(_answers.write_event(chunk))
-        else:
-            await response.write(_answers.DONE)
-    await response.write_eof()
-    return response
+    writer = _answers.make_writer(request, story.request_id)
+
+    async def send(piece: _stream.Piece) -> None:
+        chunk = {
+            'request_id': story.request_id,
+            'offset': piece.offset,
+            'text': piece.text,
+        }
+        await writer.write(_answers.write_event(chunk))
+
+    end = await completion.run(send)
+    if isinstance(end, outcomes.Refusal):
+        if not writer.is_started:
+            return _refuse(story, end)
+        story.refuse(end)
+        return await writer.finish(b'')
+    story.complete(writer.pieces)
+    chunk = {
+        'request_id': story.request_id,
+        'offset': parsed.resume_from + writer.pieces,
+        'finish_reason': end.reason,
+        'usage': end.usage,
+    }
+    return await writer.finish(_answers.write_event(chunk) + _answers.DONE)
 
 
 def make_forwarder(context: _context.Context) -> Forwarder:
--- a/briarknot/entry/_neighbours.py
+++ b/briarknot/entry/_neighbours.py
@@ -30,7 +30,7 @@
     for host in hosts:
         if host.host != own.host and not host.leaving and host.peer_url:
             domains.setdefault(host.domain, []).append(host)
-    urls = [host.peer_url for host in domains.pop(own.domain, ())]
+    urls = [neighbour.peer_url for neighbour in domains.pop(own.domain, ())]
     for members in domains.values():
         by_name = {member.host: member for member in members}
         for _ in range(min(_LINKS_PER_DOMAIN, len(by_name))):
--- a/briarknot/entry/_requests.py
+++ b/briarknot/entry/_requests.py
@@ -1,5 +1,6 @@
 """Callers' requests: parsing and limits."""
 
+import collections.abc
 import json
 import typing
 
@@ -73,7 +74,13 @@
             self._found.append(finding)
 
 
-def _measure_depth(tree: typing.Any, limit: int) -> bool:
+def _read_children(
+    parent: dict[str, typing.Any] | list[typing.Any],
+) -> collections.abc.Iterable[typing.Any]:
+    return parent.values() if isinstance(parent, dict) else parent
+
+
+def _is_deeper(tree: typing.Any, limit: int) -> bool:
     """Returns whether a tree is nested more deeply than the limit."""
     level = [tree]
     for _ in range(limit + 1):
@@ -81,9 +88,7 @@
             child
             for parent in level
             if isinstance(parent, (dict, list))
-            for child in (
-                parent.values() if isinstance(parent, dict) else parent
-            )
+            for child in _read_children(parent)
         ]
         if not level:
             return False
@@ -104,7 +109,7 @@
         return outcomes.make_refusal('bad_request', f'body: {error}')
     if not isinstance(tree, dict):
         return outcomes.make_refusal('bad_request', 'body: expected an object')
-    if _measure_depth(tree, limits.json_depth):
+    if _is_deeper(tree, limits.json_depth):
         return outcomes.make_refusal(
             'too_large', f'body: more than {limits.json_depth} levels'
         )
@@ -178,8 +183,7 @@
     if not isinstance(content, list):
         return None
     parts = [
-        part.get('text') if isinstance(part, dict) else None
-        for part in content
+        part.get('text') if isinstance(part, dict) else None for part in content
     ]
     if all(isinstance(part, str) for part in parts):
         return ''.join(parts)
--- a/briarknot/entry/_serve.py
+++ b/briarknot/entry/_serve.py
@@ -12,7 +12,6 @@
     _attempts,
     _callers,
     _context,
-    _drains,
     _feeds,
     _forward,
     _neighbours,
@@ -37,9 +36,7 @@
         client = platform.make_client(
             session, node.platform_url, node.platform_timeout_s
         )
-        context = _context.make_context(
-            settings, client, hub, endpoint_session
-        )
+        context = _context.make_context(settings, client, hub, endpoint_session)
         feeds = _feeds.make_feeds(context, endpoint_session)
         stack.push_async_callback(feeds.close)
         _register_handlers(context, feeds)
@@ -75,9 +72,7 @@
     context.hub.register(messages.Hello, context.follower.greet)
     context.hub.register(messages.EngineLoad, feeds.handle_load)
     context.hub.register(messages.EngineCache, feeds.handle_cache)
-    context.hub.register(
-        messages.DomainSummary, context.peers.handle_summary
-    )
+    context.hub.register(messages.DomainSummary, context.peers.handle_summary)
     context.hub.register(messages.DrainMark, context.drains.handle_mark)
     context.hub.register(messages.Quarantine, context.handle_quarantine)
 
@@ -112,9 +107,7 @@
         'drain marks': context.drains.run(),
         'journal': context.journal.run(asyncio.Event()),
     }
-    return [
-        group.create_task(duty, name=name) for name, duty in duties.items()
-    ]
+    return [group.create_task(duty, name=name) for name, duty in duties.items()]
 
 
 async def _report_ready(
@@ -145,10 +138,9 @@
     process.set_ready('stopping')
     await asyncio.sleep(node.drain_grace_s)
     callers.refuse_new()
-    telemetry.log_change('entry', 'draining', open=context.open_requests)
+    telemetry.log_change('entry', 'draining', open=context.open_requests.total)
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(node.stop_timeout_s):
-            while context.open_requests:
-                await asyncio.sleep(_STOP_POLL_S)
+            await context.open_requests.wait_none()
     await context.claims.close(node.platform_timeout_s)
     await context.journal.flush()
--- a/briarknot/entry/_service_calls.py
+++ b/briarknot/entry/_service_calls.py
@@ -9,9 +9,10 @@
 import aiohttp
 import attrs
 import multidict
+import yarl
 from aiohttp import web
 
-from briarknot import claims, outcomes, routing, schema, telemetry
+from briarknot import claims, outcomes, schema, telemetry
 from briarknot.entry import (
     _answers,
     _attempts,
@@ -19,31 +20,34 @@
     _identity,
     _peers,
     _story,
+    _stream,
+    _workers,
 )
 
 SERVICE_PATH = '/services/'
 _REQUEST_ID = _answers.REQUEST_ID_HEADER
 _KEY_HEADER = 'Idempotency-Key'
 _MAX_ATTEMPTS = 4
-_REFUSED_UNRUN = 503
 #: Headers that belong to one connection, or that name the system's own
 #: callers and secrets, and are not passed on.
-_OWN_HEADERS = frozenset({
-    'authorization',
-    'connection',
-    'content-length',
-    'host',
-    'keep-alive',
-    'proxy-authenticate',
-    'proxy-authorization',
-    'te',
-    'trailer',
-    'transfer-encoding',
-    'upgrade',
-    'x-request-id',
-    'traceparent',
-    'tracestate',
-})
+_OWN_HEADERS = frozenset(
+    {
+        'authorization',
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-request-id',
+        'traceparent',
+        'tracestate',
+    }
+)
 _OWN_PREFIX = 'x-briarknot-'
 
 
@@ -102,9 +106,7 @@
         """Makes the response to the caller."""
         headers = self.headers.copy()
         headers[_REQUEST_ID] = request_id
-        return web.Response(
-            status=self.status, headers=headers, body=self.body
-        )
+        return web.Response(status=self.status, headers=headers, body=self.body)
 
 
 def read_call(
@@ -239,12 +241,39 @@
     )
 
 
-def _read_stored(claim: claims.Stored) -> Answer:
-    headers = multidict.CIMultiDict({
-        'Content-Type': claim.row.content_type,
-        'Idempotent-Replayed': 'true',
-    })
-    return Answer(status=claim.row.status, headers=headers, body=claim.body)
+def _read_stored(claim: claims.Stored) -> Answer | outcomes.Refusal:
+    headers = multidict.CIMultiDict(
+        {
+            'Content-Type': claim.row.content_type,
+            'Idempotent-Replayed': 'true',
+        }
+    )
+    body = claims.read_answer(claim.row)
+    if body is None:
+        return outcomes.make_refusal(
+            'key_unknown',
+            f'request {claim.row.request_id} ran; its answer was not stored',
+            outcome=outcomes.Outcome.UNKNOWN,
+        )
+    return Answer(status=claim.row.status, headers=headers, body=body)
+
+
+@attrs.frozen(kw_only=True)
+class _Target:
+    """Where an attempt goes.
+
+    :param name: name of the worker, or of the peer host.
+    :param url: URL of the call.
+    :param choice: why it was chosen.
+    :param booking: attempt that the view counts; None for a hop.
+    :param headers: headers that a hop needs.
+    """
+
+    name: str
+    url: str
+    choice: str
+    booking: _workers.Attempt | None = None
+    headers: dict[str, str] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -291,9 +320,9 @@
                 budget.add_success(time.monotonic())
                 return answer
             if isinstance(answer, outcomes.Refusal):
-                if not failure:
-                    return answer
-                break
+                if failure:
+                    break
+                return answer
             failure = answer.reason
             may_have_run |= not isinstance(answer, _attempts.NotRun)
             if may_have_run and not self.is_repeatable:
@@ -308,7 +337,7 @@
 
     async def _attempt(
         self,
-    ) -> Answer | outcomes.Refusal | _attempts.NotRun | _attempts.Failed:
+    ) -> Answer | outcomes.Refusal | _attempts.NotRun | _stream.Broken:
         target = self._choose_target()
         if isinstance(target, outcomes.Refusal):
             return target
@@ -323,8 +352,123 @@
                 answer = await self._send_to(target)
             outcome = _describe(answer)
         finally:
-            target.close(ok=outcome == 'completed')
+            if target.booking is not None:
+                self._context.workers.end_attempt(
+                    target.booking,
+                    time.monotonic(),
+                    ok=outcome == 'completed',
+                )
             self._story.add_attempt(entry, outcome)
         if not isinstance(answer, Answer):
             self._failed.add(target.name)
         return answer
+
+    def _choose_target(self) -> _Target | outcomes.Refusal:
+        now = time.monotonic()
+        workers = self._context.workers
+        chosen = workers.choose(self._service, now, self._failed)
+        if isinstance(chosen, _workers.Choice):
+            endpoint = chosen.endpoint
+            return _Target(
+                name=endpoint.name,
+                url=f'{endpoint.url.rstrip("/")}{self._call.path}',
+                choice=chosen.reason,
+                booking=workers.start_attempt(endpoint.name),
+            )
+        domains = {
+            endpoint.domain
+            for endpoint in self._service.endpoints
+            if not endpoint.leaving
+        }
+        hop = self._context.peers.choose_service_hop(
+            domains - {self._context.node.domain}
+        )
+        if hop is None or not self._may_hop:
+            return outcomes.make_refusal(
+                chosen.cause, chosen.reason, retry_after_s=1
+            )
+        return self._make_hop_target(hop)
+
+    def _make_hop_target(self, hop: _peers.Hop) -> _Target:
+        node = self._context.node
+        identity = self._call.identity
+        headers = {
+            'Authorization': f'Bearer {node.peer_secret}',
+            'X-Briarknot-Account': identity.account.name,
+            'X-Briarknot-Rank': identity.rank.name,
+            'X-Briarknot-Host': node.host,
+            'X-Briarknot-Claimed': '1',
+        }
+        base = f'{hop.peer_url}{_peers.FORWARD_PATH}{SERVICE_PATH}'
+        return _Target(
+            name=hop.host,
+            url=f'{base}{self._service.name}{self._call.path}',
+            choice=f'no worker in the own domain; forwarded to {hop.domain}',
+            headers=headers,
+        )
+
+    async def _send_to(
+        self, target: _Target
+    ) -> Answer | _attempts.NotRun | _stream.Broken:
+        """Sends the call once and reads the whole answer."""
+        call = self._call
+        headers = call.headers.copy()
+        headers.update(target.headers)
+        headers[_REQUEST_ID] = self._story.request_id
+        telemetry.inject_context(headers)
+        try:
+            async with self._context.session.request(
+                call.method,
+                yarl.URL(target.url, encoded=True),
+                data=call.body,
+                headers=headers,
+                timeout=self._make_timeout(),
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+                return self._check(response, body)
+        except aiohttp.ClientConnectorError as error:
+            return _attempts.NotRun(f'cannot connect: {error}')
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return _stream.Broken(f'{type(error).__name__}: {error}')
+
+    def _make_timeout(self) -> aiohttp.ClientTimeout:
+        timing = self._context.settings.timing
+        return aiohttp.ClientTimeout(
+            total=self._service.timeout_s,
+            sock_connect=timing.connect_timeout_s,
+        )
+
+    def _check(
+        self, response: aiohttp.ClientResponse, body: bytes
+    ) -> Answer | _attempts.NotRun | _stream.Broken:
+        """Checks that an answer belongs to this call."""
+        answered_id = response.headers.get(_REQUEST_ID)
+        if answered_id not in {None, self._story.request_id}:
+            return _stream.Broken(f'answer to request {answered_id}')
+        if response.content_type == _answers.PROBLEM_TYPE:
+            failure = _attempts.read_problem_failure(body)
+            if failure is not None:
+                return failure
+        headers = _filter_headers(response.headers)
+        return Answer(status=response.status, headers=headers, body=body)
+
+
+def _describe(answer: object) -> str:
+    if isinstance(answer, Answer):
+        return 'completed'
+    if isinstance(answer, _attempts.NotRun):
+        return f'not run: {answer.reason}'
+    return f'failed: {getattr(answer, "reason", answer)}'
+
+
+def _filter_headers(
+    headers: collections.abc.Mapping[str, str],
+) -> multidict.CIMultiDict[str]:
+    """Returns the headers that are passed on."""
+    return multidict.CIMultiDict(
+        (name, text)
+        for name, text in headers.items()
+        if name.lower() not in _OWN_HEADERS
+        and not name.lower().startswith(_OWN_PREFIX)
+    )
--- a/briarknot/entry/_story.py
+++ b/briarknot/entry/_story.py
@@ -113,9 +113,7 @@
         _TOKENS.labels(rank.name).inc(self.record.output_tokens)
 
 
-def make_story(
-    request_id: str, node: schema.settings.Node, kind: str
-) -> Story:
+def make_story(request_id: str, node: schema.settings.Node, kind: str) -> Story:
     """Makes the story of a request that was just received.
 
     :param request_id: id of the request.
--- a/briarknot/entry/_stream.py
+++ b/briarknot/entry/_stream.py
@@ -60,7 +60,8 @@
         return False
 
 
-Event = Piece | Finish | Broken
+#: Takes the pieces of an answer in order.
+Deliver = collections.abc.Callable[[Piece], collections.abc.Awaitable[None]]
 
 
 async def read_stream(
@@ -68,8 +69,9 @@
     request_id: str,
     start: int,
     timing: schema.settings.Timing,
-) -> collections.abc.AsyncIterator[Event]:
-    """Yields the pieces of a stream, then how it ended.
+    deliver: Deliver,
+) -> Finish | Broken:
+    """Reads a stream to its end and delivers its pieces.
 
     Chunks of another request and tokens that were already seen are dropped.
     A gap ends the stream as broken, so that no caller gets a text with a hole.
@@ -78,6 +80,7 @@
     :param request_id: request that the chunks must belong to.
     :param start: offset of the first wanted token.
     :param timing: limits of silence before and after the first token.
+    :param deliver: called with each piece.
     """
     expected = start
     finish: Finish | None = None
@@ -85,23 +88,17 @@
     while True:
         line = await _read_line(body, silence_s)
         if isinstance(line, Broken):
-            yield line
-            return
+            return line
         if line == _DONE:
-            yield finish or Broken('[DONE] came without a last chunk')
-            return
+            return finish or Broken('[DONE] came without a last chunk')
         chunk = _read_chunk(line, request_id)
-        if chunk is None:
-            continue
         offset = chunk.get('offset', expected)
         if offset > expected:
-            yield Broken(f'gap from token {expected} to {offset}')
-            return
-        if chunk.get('text'):
-            if offset < expected:
-                _DROPPED.labels('repeated').inc()
-                continue
-            yield Piece(expected, chunk['text'])
+            return Broken(f'gap from token {expected} to {offset}')
+        if offset < expected:
+            _DROPPED.labels('repeated').inc()
+        elif chunk.get('text'):
+            await deliver(Piece(expected, chunk['text']))
             expected += 1
             silence_s = timing.decode_silence_s
         if chunk.get('finish_reason'):
@@ -114,27 +111,30 @@
     """Returns the data of the next event."""
     try:
         async with asyncio.timeout(silence_s):
-            while True:
-                line = await body.readline()
-                if not line:
-                    return Broken('the connection was closed')
-                if line.startswith(_DATA):
-                    return line[len(_DATA) :].strip()
+            return await _read_data(body)
     except TimeoutError:
         return Broken(f'silent for {silence_s:g} s', is_silent=True)
     except (aiohttp.ClientError, OSError, ValueError) as error:
         return Broken(f'{type(error).__name__}: {error}')
 
 
-def _read_chunk(
-    line: bytes, request_id: str
-) -> dict[str, typing.Any] | None:
+async def _read_data(body: aiohttp.StreamReader) -> bytes | Broken:
+    while True:
+        line = await body.readline()
+        if line.startswith(_DATA):
+            return line[len(_DATA) :].strip()
+        if not line:
+            return Broken('the connection was closed')
+
+
+def _read_chunk(line: bytes, request_id: str) -> dict[str, typing.Any]:
+    """Returns a chunk, or an empty one where it belongs elsewhere."""
     try:
         chunk = orjson.loads(line)
     except orjson.JSONDecodeError:
         _DROPPED.labels('undecodable').inc()
-        return None
+        return {}
     if not isinstance(chunk, dict) or chunk.get('request_id') != request_id:
         _DROPPED.labels('other_request').inc()
-        return None
+        return {}
     return chunk
--- a/briarknot_standins/fleet/_calls.py
+++ b/briarknot_standins/fleet/_calls.py
@@ -39,6 +39,40 @@
         return ''.join(self.pieces)
 
 
+@attrs.define
+class _Reader:
+    """Reads server-sent events of a completion."""
+
+    _started_s: float
+    pieces: list[str] = attrs.field(factory=list)
+    problem: dict[str, typing.Any] = attrs.field(factory=dict)
+    is_whole: bool = False
+    first_token_s: float = 0
+
+    async def read(self, body: aiohttp.StreamReader) -> None:
+        """Reads to the end of the stream."""
+        try:
+            async for line in body:
+                if line.startswith(_DATA):
+                    self._take(line.removeprefix(_DATA).strip())
+        except aiohttp.ClientError as error:
+            self.problem = {'detail': repr(error)}
+
+    def _take(self, event: bytes) -> None:
+        if event == _DONE:
+            self.is_whole = True
+            return
+        chunk = orjson.loads(event)
+        if 'error' in chunk:
+            self.problem = chunk['error']
+            return
+        text = chunk['choices'][0]['text']
+        if text and not self.pieces:
+            self.first_token_s = time.monotonic() - self._started_s
+        if text:
+            self.pieces.append(text)
+
+
 async def complete(
     session: aiohttp.ClientSession,
     url: str,
@@ -52,43 +86,21 @@
     :param headers: headers with the API key.
     :param body: body without ``stream``.
     """
-    started = time.monotonic()
-    first_token_s = 0.0
-    pieces: list[str] = []
-    problem: dict[str, typing.Any] = {}
-    is_whole = False
+    started_s = time.monotonic()
+    reader = _Reader(started_s)
     async with session.post(
         f'{url}/v1/completions', json={**body, 'stream': True}, headers=headers
     ) as response:
-        if response.status != _OK:
-            problem = orjson.loads(await response.read())
+        if response.status == _OK:
+            await reader.read(response.content)
         else:
-            try:
-                async for line in response.content:
-                    if not line.startswith(_DATA):
-                        continue
-                    data = line[len(_DATA) :].strip()
-                    if data == _DONE:
-                        is_whole = True
-                        break
-                    chunk = orjson.loads(data)
-                    if 'error' in chunk:
-                        problem = chunk['error']
-                        break
-                    text = chunk['choices'][0]['text']
-                    if text:
-                        first_token_s = first_token_s or (
-                            time.monotonic() - started
-                        )
-                        pieces.append(text)
-            except aiohttp.ClientError as error:
-                problem = {'detail': repr(error)}
+            reader.problem = orjson.loads(await response.read())
         return Completion(
             status=response.status,
             request_id=response.headers.get('X-Request-Id', ''),
-            pieces=tuple(pieces),
-            is_whole=is_whole,
-            problem=problem,
-            first_token_s=first_token_s,
-            total_s=time.monotonic() - started,
+            pieces=tuple(reader.pieces),
+            is_whole=reader.is_whole,
+            problem=reader.problem,
+            first_token_s=reader.first_token_s,
+            total_s=time.monotonic() - started_s,
         )
--- a/briarknot_standins/fleet/_running.py
+++ b/briarknot_standins/fleet/_running.py
@@ -13,7 +13,7 @@
 from briarknot_standins import launcher
 from briarknot_standins.fleet import _calls, _plan
 
-PEER_SECRET = 'stand-in peer secret'  # noqa: S105
+PEER_SECRET = 'stand-in peer secret'
 _READY_TIMEOUT_S = 30
 _POLL_S = 0.05
 _OK = 200
@@ -126,8 +126,10 @@
             headers=self.make_headers(key=key),
             data=body,
         ) as response:
-            return response.status, dict(response.headers), (
-                await response.read()
+            return (
+                response.status,
+                dict(response.headers),
+                (await response.read()),
             )
 
     async def read_json(
@@ -170,8 +172,13 @@
         """Waits until all entry processes are ready."""
         async with asyncio.timeout(_READY_TIMEOUT_S):
             for entry in self.entries:
-                while not await self.is_ready(entry):
-                    await asyncio.sleep(_POLL_S)
+                await self._poll_ready(entry)
+
+    async def _poll_ready(self, entry: Entry) -> None:
+        is_ready = False
+        while not is_ready:
+            await asyncio.sleep(_POLL_S)
+            is_ready = await self.is_ready(entry)
 
     async def is_ready(self, entry: Entry) -> bool:
         """Tells whether an entry process reports that it is ready."""
@@ -273,7 +280,7 @@
     plan = running.plan
     engines = []
     roles = itertools.chain.from_iterable(
-        [part.role] * part.count for part in domain.engines
+        itertools.repeat(part.role, part.count) for part in domain.engines
     )
     for number, role in enumerate(roles):
         name = f'{domain.name}-engine-{number}'
@@ -367,9 +374,9 @@
             platform=platform_process,
             client=platform.make_client(session, platform_process.url, 5),
         )
-        parts = await asyncio.gather(*[
-            _start_endpoints(running, domain) for domain in plan.domains
-        ])
+        parts = await asyncio.gather(
+            *[_start_endpoints(running, domain) for domain in plan.domains]
+        )
         await running.commit(
             _make_document(
                 plan,
@@ -377,15 +384,19 @@
                 itertools.chain.from_iterable(part[1] for part in parts),
             )
         )
-        await asyncio.gather(*[
-            running.start_entry(domain.name, number)
-            for domain in plan.domains
-            for number in range(domain.entries)
-        ])
+        await asyncio.gather(
+            *[
+                running.start_entry(domain.name, number)
+                for domain in plan.domains
+                for number in range(domain.entries)
+            ]
+        )
         await running.wait_ready()
-        await asyncio.gather(*[
-            running.start_control(domain.name, number)
-            for domain in plan.domains
-            for number in range(domain.controls)
-        ])
+        await asyncio.gather(
+            *[
+                running.start_control(domain.name, number)
+                for domain in plan.domains
+                for number in range(domain.controls)
+            ]
+        )
         yield running
