--- a/briarknot/schema/_generated/records.py
+++ b/briarknot/schema/_generated/records.py
@@ -150,6 +150,20 @@
     time_s: float = _fields.make_field(
         doc='Unix time of the claim.', unit='s', default=0.0
     )
+    attempt_id: str = _fields.make_field(
+        doc="Random id of the attempt that wrote the claim; tells a lost write of one's own from another's.",
+        default='',
+    )
+    answer_bytes: int = _fields.make_field(
+        doc='Size of the answer, also where it was too large to be stored.',
+        maximum=4294967295,
+        minimum=0,
+        unit='bytes',
+        default=0,
+    )
+    reason: str = _fields.make_field(
+        doc='Why the phase is unknown.', default=''
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/schema/definitions/records.capnp
+++ b/briarknot/schema/definitions/records.capnp
@@ -54,6 +54,9 @@
   contentType @4 :Text $A.doc("Content type of the stored answer.");
   answer @5 :Text $A.doc("Stored answer in base64; empty where it was too large.");
   timeS @6 :Float64 $A.unit("s") $A.doc("Unix time of the claim.");
+  attemptId @7 :Text $A.doc("Random id of the attempt that wrote the claim; tells a lost write of one's own from another's.");
+  answerBytes @8 :UInt32 $A.unit("bytes") $A.doc("Size of the answer, also where it was too large to be stored.");
+  reason @9 :Text $A.doc("Why the phase is unknown.");
 }
 
 struct Attempt $A.doc("One try of a request at an endpoint.") {
