Test the stand-ins, and apply platform writes whose sender has left

Cause: the stand-ins had no tests. Writing them showed that a transaction with two writes of one row was accepted and lost the first. A platform write or an order that had arrived was dropped when its sender timed out, which hides late effects.

--- a/briarknot_standins/engine/__init__.py
+++ b/briarknot_standins/engine/__init__.py
@@ -11,6 +11,7 @@
 
 from briarknot_standins.engine._app import make_app
 from briarknot_standins.engine._config import EngineConfig, Faults
+from briarknot_standins.engine._engine import exit_process
 from briarknot_standins.engine._text import (
     BLOCK_TOKENS,
     checksum,
@@ -26,6 +27,7 @@
     'Faults',
     'checksum',
     'count_tokens',
+    'exit_process',
     'expected_text',
     'hash_blocks',
     'make_app',
--- a/briarknot_standins/engine/_app.py
+++ b/briarknot_standins/engine/_app.py
@@ -20,6 +20,9 @@
 )
 
 _ENGINE = web.AppKey('engine', _engine.Engine)
+_SESSION = web.AppKey('session', aiohttp.ClientSession)
+# An engine that can't export answers nothing; the decode engine then refuses.
+_IMPORT_TIMEOUT = aiohttp.ClientTimeout(total=5)
 # Prompts of a million words are far above what tests and benchmarks send.
 _MAX_BODY_BYTES = 64 * 1024 * 1024
 
@@ -40,8 +43,8 @@
     :param config: configuration; its port is not used here.
     :param crash: called where a fault crashes the process.
 
-    >>> make_app(EngineConfig(name='obb-1')).frozen
-    False
+    >>> from briarknot_standins import engine
+    >>> app = engine.make_app(engine.EngineConfig(name='obb-1'))
     """
     engine = _engine.Engine(config, crash)
     app = web.Application(
@@ -61,10 +64,10 @@
     work = await serving.read_json(request, _scheduler.WorkRequest)
     refusal = engine.find_refusal(work, 'completion')
     if not refusal and work.kv_from.url:
-        refusal = await _check_import(work)
-    if refusal:
-        return _refuse(refusal)
+        refusal = await _check_import(request.app[_SESSION], work)
     job = engine.make_job(work, request.transport.abort)
+    if refusal or job is None:
+        return _refuse(refusal or 'too_long')
     async with _work.hold_slot(engine, job):
         if not await job.granted:
             return _refuse(job.end.value)
@@ -79,9 +82,9 @@
     engine = request.app[_ENGINE]
     work = await serving.read_json(request, _scheduler.WorkRequest)
     refusal = engine.find_refusal(work, 'prefill')
-    if refusal:
-        return _refuse(refusal)
     job = engine.make_job(work, request.transport.abort)
+    if refusal or job is None:
+        return _refuse(refusal or 'too_long')
     async with _work.hold_slot(engine, job):
         if not await job.granted:
             return _refuse(job.end.value)
@@ -158,13 +161,8 @@
 async def set_faults(request: web.Request) -> web.Response:
     """Changes the faults that the body names and returns all faults."""
     engine = request.app[_ENGINE]
-    faults = await serving.read_changes(request, engine.faults)
-    response = serving.respond(faults)
-    # The sender's connection may be one that the fault makes silent.
-    await response.prepare(request)
-    await response.write_eof()
-    engine.apply_faults(faults)
-    return response
+    engine.apply_faults(await serving.read_changes(request, engine.faults))
+    return serving.respond(engine.faults)
 
 
 async def _run_tasks(app: web.Application) -> typing.AsyncIterator[None]:
@@ -173,7 +171,9 @@
         asyncio.create_task(engine.scheduler.run()),
         asyncio.create_task(engine.run_samples()),
     ]
-    yield
+    async with aiohttp.ClientSession(timeout=_IMPORT_TIMEOUT) as session:
+        app[_SESSION] = session
+        yield
     for task in tasks:
         task.cancel()
     await asyncio.wait(tasks)
@@ -192,12 +192,13 @@
         raise web.HTTPBadRequest(text=f'known roles: {sorted(roles)}')
 
 
-async def _check_import(work: _scheduler.WorkRequest) -> str:
+async def _check_import(
+    session: aiohttp.ClientSession, work: _scheduler.WorkRequest
+) -> str:
     url = f'{work.kv_from.url}/kv/{work.kv_from.kv_handle}'
     try:
-        async with aiohttp.ClientSession() as session:
-            async with session.get(url, raise_for_status=True) as response:
-                export = orjson.loads(await response.read())
+        async with session.get(url, raise_for_status=True) as response:
+            export = orjson.loads(await response.read())
     except (aiohttp.ClientError, TimeoutError):
         return 'kv_missing'
     if export['prompt_hash'] != _engine.hash_prompt(work.prompt):
--- a/briarknot_standins/engine/_engine.py
+++ b/briarknot_standins/engine/_engine.py
@@ -142,39 +142,38 @@
         self.costs.slow_factor = faults.slow_factor
         self.faults = attrs.evolve(faults, silence_open=False)
 
-    def find_refusal(self, work: _scheduler.WorkRequest, path: str) -> str:
+    def find_refusal(self, work: _scheduler.WorkRequest, kind: str) -> str:
         """Returns why the engine refuses a request, or an empty text.
 
         :param work: the request.
-        :param path: ``completion`` or ``prefill``.
+        :param kind: ``completion`` or ``prefill``.
         """
         state = self.orders.state
         if state.phase is not endpoints.EnginePhase.IDLE:
             return state.phase.value
         if work.model not in {state.model, state.model.split('@')[0]}:
             return 'model'
-        if not _takes(state.role, path, with_kv=bool(work.kv_from.url)):
+        if not _takes(state.role, kind, with_kv=bool(work.kv_from.url)):
             return 'role'
-        if self._count_blocks(work) > self.config.kv_blocks:
-            return 'too_long'
         return ''
 
     def make_job(
         self,
         work: _scheduler.WorkRequest,
         abort: typing.Callable[[], None],
-    ) -> _scheduler.Job:
+    ) -> _scheduler.Job | None:
         """Makes the job of a request.
 
         :param work: the request.
         :param abort: closes the request's connection.
+        :returns: the job, or None where the engine's KV cache is too small
+            for it.
         """
-        return _scheduler.Job(
-            work,
-            _text.count_tokens(work.prompt),
-            self._count_blocks(work),
-            abort,
-        )
+        facts = _text.read_facts(work.prompt)
+        kv_blocks = count_kv_blocks(facts.tokens + work.max_tokens)
+        if kv_blocks > self.config.kv_blocks:
+            return None
+        return _scheduler.Job(work, facts, kv_blocks, abort)
 
     def check_crash(self, prompt: str, token: int) -> None:
         """Crashes where the faults say so.
@@ -193,7 +192,7 @@
         export = KvExport(
             kv_handle=f'{self.config.name}-{os.urandom(6).hex()}',
             prompt_hash=hash_prompt(job.work.prompt),
-            prompt_tokens=job.prompt_tokens,
+            prompt_tokens=job.facts.tokens,
             cached_tokens=job.cached_tokens,
             kv_blocks=job.kv_blocks,
         )
@@ -237,10 +236,6 @@
             self._samples.append(_Sample(time.monotonic(), self._measure()))
             await asyncio.sleep(_SAMPLE_PERIOD_S)
 
-    def _count_blocks(self, work: _scheduler.WorkRequest) -> int:
-        tokens = _text.count_tokens(work.prompt) + work.max_tokens
-        return count_kv_blocks(tokens)
-
     def _stop_work(self) -> tuple[int, int]:
         waiting = self.scheduler.waiting
         running = [job for job in self.scheduler.jobs if job not in waiting]
@@ -248,7 +243,7 @@
             job.stop(_runs.RunEnd.CUT)
             job.abort()
         for refused in waiting:
-            refused.stop(_runs.RunEnd.CUT)
+            refused.stop(_runs.RunEnd.REFUSED)
         return len(running), len(waiting)
 
     def _measure(self) -> endpoints.LoadReport:
@@ -271,9 +266,9 @@
         )
 
 
-def _takes(role: fleet.Role, path: str, *, with_kv: bool) -> bool:
+def _takes(role: fleet.Role, kind: str, *, with_kv: bool) -> bool:
     if role is fleet.Role.PREFILL:
-        return path == 'prefill'
+        return kind == 'prefill'
     if role is fleet.Role.DECODE:
-        return path == 'completion' and with_kv
+        return kind == 'completion' and with_kv
     return True
--- a/briarknot_standins/engine/_runs.py
+++ b/briarknot_standins/engine/_runs.py
@@ -19,6 +19,8 @@
     CANCELLED = 'cancelled'
     #: A change of the engine cut it.
     CUT = 'cut'
+    #: A change of the engine refused it before it ran.
+    REFUSED = 'refused'
     #: The client disconnected.
     DISCONNECTED = 'disconnected'
 
--- a/briarknot_standins/engine/_scheduler.py
+++ b/briarknot_standins/engine/_scheduler.py
@@ -36,13 +36,13 @@
     """A request inside the engine.
 
     :param work: the request.
-    :param prompt_tokens: length of the prompt.
+    :param facts: what the prompt says.
     :param kv_blocks: blocks of KV cache that it needs while it runs.
     :param abort: closes the request's connection.
     """
 
     work: WorkRequest
-    prompt_tokens: int
+    facts: _text.PromptFacts
     kv_blocks: int
     abort: typing.Callable[[], None]
     #: Tokens that prefill has yet to process.
@@ -58,7 +58,7 @@
 
     @prefill_tokens.default
     def _count_prefill(self) -> int:
-        return self.prompt_tokens + self.work.resume_from
+        return self.facts.tokens + self.work.resume_from
 
     @property
     def running(self) -> bool:
@@ -175,14 +175,14 @@
         if job.prefill_tokens and job in self._active:
             heapq.heappush(self._prefilling, key)
         elif job.running:
-            self._cache.store(_text.hash_blocks(job.work.prompt))
+            self._cache.store(job.facts.blocks)
             resolve(job.prefilled, None)
 
     def _plan(self, job: Job) -> None:
-        blocks = self._cache.count_prefix(_text.hash_blocks(job.work.prompt))
+        blocks = self._cache.count_prefix(job.facts.blocks)
         job.cached_tokens = blocks * _text.BLOCK_TOKENS
         if job.work.kv_from.url:
-            job.cached_tokens = job.prompt_tokens
+            job.cached_tokens = job.facts.tokens
         job.prefill_tokens -= job.cached_tokens
         job.planned = True
 
--- a/briarknot_standins/engine/_text.py
+++ b/briarknot_standins/engine/_text.py
@@ -2,6 +2,7 @@
 
 import re
 
+import attrs
 import xxhash
 
 #: Tokens in one block of KV cache.
@@ -12,6 +13,26 @@
 _ANSWER_TOKENS = re.compile(r'(?:^|\s)answer_tokens=(\d+)(?:\s|$)')
 
 
+@attrs.frozen
+class PromptFacts:
+    """What the engine derives from a prompt, read once for each request.
+
+    :param tokens: number of tokens.
+    :param blocks: chained hashes of its full blocks.
+    :param seed: seed of its answer.
+    """
+
+    tokens: int
+    blocks: tuple[str, ...]
+    seed: int
+
+
+def read_facts(prompt: str) -> PromptFacts:
+    """Reads what the engine needs to know of a prompt."""
+    words = prompt.split()
+    return PromptFacts(len(words), _chain(words), make_seed(prompt))
+
+
 def count_tokens(prompt: str) -> int:
     """Counts the tokens of a prompt: its whitespace-separated words."""
     return len(prompt.split())
@@ -79,7 +100,10 @@
     :param prompt: the prompt.
     :returns: one hexadecimal hash for each full block of 2,000 tokens.
     """
-    words = prompt.split()
+    return _chain(prompt.split())
+
+
+def _chain(words: list[str]) -> tuple[str, ...]:
     hashes = []
     previous = ''
     for end in range(BLOCK_TOKENS, len(words) + 1, BLOCK_TOKENS):
--- a/briarknot_standins/engine/_work.py
+++ b/briarknot_standins/engine/_work.py
@@ -91,7 +91,7 @@
         if not job.running:
             break
         chunks = [
-            _make_unit_chunk(engine, work, run, index)
+            _make_unit_chunk(engine, job, run, index)
             for index in range(token, until)
         ]
         await response.write(b''.join(chunks))
@@ -111,7 +111,7 @@
         'text': '',
         'finish_reason': reason,
         'usage': {
-            'prompt_tokens': job.prompt_tokens,
+            'prompt_tokens': job.facts.tokens,
             'cached_tokens': job.cached_tokens,
             'completion_tokens': tokens,
         },
@@ -123,15 +123,15 @@
 
 def _make_unit_chunk(
     engine: _engine.Engine,
-    work: _scheduler.WorkRequest,
+    job: _scheduler.Job,
     run: _runs.Run,
     index: int,
 ) -> bytes:
-    engine.check_crash(work.prompt, index)
-    unit = _text.make_unit(_text.make_seed(work.prompt), index)
+    engine.check_crash(job.work.prompt, index)
+    unit = _text.make_unit(job.facts.seed, index)
     run.add_unit(unit)
     return _make_event(
-        {'request_id': work.request_id, 'offset': index, 'text': unit}
+        {'request_id': job.work.request_id, 'offset': index, 'text': unit}
     )
 
 
--- a/briarknot_standins/launcher/_cluster.py
+++ b/briarknot_standins/launcher/_cluster.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import pathlib
 import sys
 import tempfile
 import typing
 
+import aiohttp
 import attrs
 import orjson
+from aiohttp import web
 
 from briarknot import schema
 from briarknot_standins import serving
@@ -34,6 +37,9 @@
 
     folder: pathlib.Path
     _processes: list[_process.Process] = attrs.field(factory=list, init=False)
+    _numbers: typing.Iterator[int] = attrs.field(
+        factory=itertools.count, init=False
+    )
 
     @property
     def processes(self) -> tuple[_process.Process, ...]:
@@ -63,7 +69,7 @@
         port: int = 0,
         name: str = '',
         environment: typing.Mapping[str, str] | None = None,
-        wait_ready: bool = True,
+        ready_path: str = '',
     ) -> _process.Process:
         """Starts ``python -m MODULE`` and waits until it answers on its port.
 
@@ -73,7 +79,8 @@
             settings name it; 0 chooses one and adds ``--port``.
         :param name: name for its output file; by default from the module.
         :param environment: variables to add to those of this process.
-        :param wait_ready: whether to wait until the port answers.
+        :param ready_path: path that must answer 200 before the process counts
+            as ready; empty where an open port is enough.
         :raises StartError: where the process ends or does not answer in time.
         """
         arguments = list(arguments)
@@ -81,7 +88,7 @@
             port = self.choose_port()
             arguments.extend(('--port', str(port)))
         name = name or module.rpartition('.')[2]
-        output_path = self.folder / f'{len(self._processes)}-{name}.log'
+        output_path = self.folder / f'{next(self._numbers)}-{name}.log'
         process = _process.Process(
             name,
             port,
@@ -89,22 +96,26 @@
             await _spawn(module, arguments, output_path, environment or {}),
         )
         self._processes.append(process)
-        if wait_ready:
-            await self.wait_ready(process)
+        await self.wait_ready(process, ready_path)
         return process
 
     async def wait_ready(
-        self, process: _process.Process, timeout_s: float = _READY_TIMEOUT_S
+        self,
+        process: _process.Process,
+        ready_path: str = '',
+        timeout_s: float = _READY_TIMEOUT_S,
     ) -> None:
         """Waits until a process answers on its port.
 
         :param process: the process.
+        :param ready_path: path that must answer 200; empty where an open
+            port is enough.
         :param timeout_s: longest wait.
         :raises StartError: where it ends or does not answer in time.
         """
         try:
             async with asyncio.timeout(timeout_s):
-                await _poll_port(process)
+                await _poll(process, ready_path)
         except TimeoutError as error:
             raise StartError(_describe(process)) from error
 
@@ -124,6 +135,14 @@
                 late.kill()
             await asyncio.wait(running)
 
+    async def close(self) -> None:
+        """Ends all processes, even where the wait for them is cancelled."""
+        try:
+            await self.stop()
+        finally:
+            for process in self._processes:
+                process.kill()
+
 
 @contextlib.asynccontextmanager
 async def make_cluster() -> typing.AsyncIterator[Cluster]:
@@ -133,7 +152,7 @@
         try:
             yield cluster
         finally:
-            await cluster.stop()
+            await cluster.close()
 
 
 async def _spawn(
@@ -163,22 +182,32 @@
     return {'PYTHONPATH': os.pathsep.join(paths)}
 
 
-async def _poll_port(process: _process.Process) -> None:
-    while not await _answers(process.port):
+async def _poll(process: _process.Process, ready_path: str) -> None:
+    while not await _answers(process, ready_path):
         if process.exit_status is not None:
             raise StartError(_describe(process))
         await asyncio.sleep(_READY_POLL_S)
 
 
-async def _answers(port: int) -> bool:
+async def _answers(process: _process.Process, ready_path: str) -> bool:
+    if ready_path:
+        return await _is_ready(f'{process.url}{ready_path}')
     try:
-        _, writer = await asyncio.open_connection(serving.HOST, port)
+        _, writer = await asyncio.open_connection(serving.HOST, process.port)
     except OSError:
         return False
     writer.close()
     return True
 
 
+async def _is_ready(url: str) -> bool:
+    try:
+        async with aiohttp.request('GET', url) as response:
+            return response.status == web.HTTPOk.status_code
+    except aiohttp.ClientError:
+        return False
+
+
 def _describe(process: _process.Process) -> str:
     return (
         f'{process.name}: no answer on port {process.port}, exit status '
--- a/briarknot_standins/platform/_app.py
+++ b/briarknot_standins/platform/_app.py
@@ -9,66 +9,14 @@
 
 from briarknot import schema
 from briarknot_standins import serving
-from briarknot_standins.platform import _config, _stats, _store
+from briarknot_standins.platform import _config, _state, _store
 
 _MAX_BODY_BYTES = 64 * 1024 * 1024
 _WEIGHTS_CHUNK_BYTES = 64 * 1024
 _WRITE_METHODS = frozenset(('POST', 'PUT', 'DELETE'))
-_HEADERS_OUT_OF_LIMITS = frozenset(('/faults', '/stats'))
 
 
-@attrs.define(eq=False)
-class Platform:
-    """The platform's data, counts and faults.
-
-    :param config: configuration.
-    """
-
-    config: _config.PlatformConfig
-    tables: _store.Tables = attrs.field(factory=_store.Tables, init=False)
-    hosts: _store.Hosts = attrs.field(factory=_store.Hosts, init=False)
-    objects: dict[str, bytes] = attrs.field(factory=dict, init=False)
-    stats: _stats.Stats = attrs.field(factory=_stats.Stats, init=False)
-    faults: _config.Faults = attrs.field(init=False)
-    reads: _stats.RateLimit = attrs.field(init=False)
-    writes: _stats.RateLimit = attrs.field(init=False)
-    #: Readers of weights take turns, which shares the rate among them.
-    weights_turn: asyncio.Lock = attrs.field(factory=asyncio.Lock, init=False)
-
-    @faults.default
-    def _make_faults(self) -> _config.Faults:
-        return _config.Faults(host_lag_s=self.config.host_lag_s)
-
-    @reads.default
-    def _make_reads(self) -> _stats.RateLimit:
-        return _stats.RateLimit(self.config.reads_per_s)
-
-    @writes.default
-    def _make_writes(self) -> _stats.RateLimit:
-        return _stats.RateLimit(self.config.writes_per_s)
-
-    def admit(self, *, is_write: bool) -> bool:
-        """Counts a request and returns whether it is within the limits."""
-        if is_write:
-            admitted = self.writes.take()
-            self.stats.writes_refused += not admitted
-        else:
-            admitted = self.reads.take()
-            self.stats.reads_refused += not admitted
-            self.stats.reads += admitted
-        return admitted
-
-    def take_lost_answer(self) -> bool:
-        """Returns whether the answer to this write is lost."""
-        if not self.faults.lose_answers:
-            return False
-        left = self.faults.lose_answers - 1
-        self.faults = attrs.evolve(self.faults, lose_answers=left)
-        self.stats.answers_lost += 1
-        return True
-
-
-_PLATFORM = web.AppKey('platform', Platform)
+_PLATFORM = web.AppKey('platform', _state.Platform)
 
 routes = web.RouteTableDef()
 
@@ -81,7 +29,7 @@
     app = web.Application(
         middlewares=[_apply_faults], client_max_size=_MAX_BODY_BYTES
     )
-    app[_PLATFORM] = Platform(config)
+    app[_PLATFORM] = _state.Platform(config)
     app.add_routes(routes)
     return app
 
@@ -90,29 +38,57 @@
 async def _apply_faults(
     request: web.Request, handler: typing.Callable
 ) -> web.StreamResponse:
-    platform = request.app[_PLATFORM]
-    if request.path in _HEADERS_OUT_OF_LIMITS:
+    if request.path in serving.CONTROL_PATHS:
         return await handler(request)
+    if request.app[_PLATFORM].faults.down:
+        return serving.abort(request)
+    await request.read()
+    if request.method in _WRITE_METHODS:
+        # A write that has arrived takes effect even if its sender leaves.
+        return await asyncio.shield(_write(request, handler))
+    return await _read(request, handler)
+
+
+async def _read(
+    request: web.Request, handler: typing.Callable
+) -> web.StreamResponse:
+    platform = request.app[_PLATFORM]
+    await asyncio.sleep(platform.faults.slow_s)
     if platform.faults.down:
         return serving.abort(request)
+    if not platform.admit_read():
+        return _refuse_rate()
+    response = await handler(request)
+    platform.count_answer(response)
+    return response
+
+
+async def _write(
+    request: web.Request, handler: typing.Callable
+) -> web.StreamResponse:
+    platform = request.app[_PLATFORM]
     await asyncio.sleep(platform.faults.slow_s)
-    # The platform may have gone down while the request waited.
     if platform.faults.down:
         return serving.abort(request)
-    is_write = request.method in _WRITE_METHODS
-    if not platform.admit(is_write=is_write):
-        raise web.HTTPTooManyRequests(headers={'Retry-After': '1'})
+    if not platform.admit_write():
+        return _refuse_rate()
     platform.stats.bytes_in += len(await request.read())
     response = await handler(request)
-    if isinstance(response, web.Response) and response.body:
-        platform.stats.bytes_out += len(response.body)
-    if is_write and response.status == web.HTTPOk.status_code:
+    if response.status == web.HTTPOk.status_code:
         platform.stats.writes += 1
         if platform.take_lost_answer():
             return serving.abort(request)
+    platform.count_answer(response)
     return response
 
 
+def _refuse_rate() -> web.Response:
+    return web.Response(
+        status=web.HTTPTooManyRequests.status_code,
+        headers={'Retry-After': '1'},
+    )
+
+
 @routes.get('/tables/{table}/{key:.+}')
 async def read_row(request: web.Request) -> web.Response:
     """Returns one row."""
--- /dev/null
+++ b/briarknot_standins/platform/_state.py
@@ -0,0 +1,66 @@
+"""Data, counts and faults of the platform stand-in."""
+
+import asyncio
+
+import attrs
+from aiohttp import web
+
+from briarknot_standins.platform import _config, _stats, _store
+
+
+@attrs.define(eq=False)
+class Platform:
+    """The platform's data, counts and faults.
+
+    :param config: configuration.
+    """
+
+    config: _config.PlatformConfig
+    tables: _store.Tables = attrs.field(factory=_store.Tables, init=False)
+    hosts: _store.Hosts = attrs.field(factory=_store.Hosts, init=False)
+    objects: dict[str, bytes] = attrs.field(factory=dict, init=False)
+    stats: _stats.Stats = attrs.field(factory=_stats.Stats, init=False)
+    faults: _config.Faults = attrs.field(init=False)
+    reads: _stats.RateLimit = attrs.field(init=False)
+    writes: _stats.RateLimit = attrs.field(init=False)
+    #: Readers of weights take turns, which shares the rate among them.
+    weights_turn: asyncio.Lock = attrs.field(factory=asyncio.Lock, init=False)
+
+    @faults.default
+    def _make_faults(self) -> _config.Faults:
+        return _config.Faults(host_lag_s=self.config.host_lag_s)
+
+    @reads.default
+    def _make_reads(self) -> _stats.RateLimit:
+        return _stats.RateLimit(self.config.reads_per_s)
+
+    @writes.default
+    def _make_writes(self) -> _stats.RateLimit:
+        return _stats.RateLimit(self.config.writes_per_s)
+
+    def admit_read(self) -> bool:
+        """Counts a read and returns whether it is within the limit."""
+        admitted = self.reads.take()
+        self.stats.reads += admitted
+        self.stats.reads_refused += not admitted
+        return admitted
+
+    def admit_write(self) -> bool:
+        """Returns whether a write is within the limit."""
+        admitted = self.writes.take()
+        self.stats.writes_refused += not admitted
+        return admitted
+
+    def count_answer(self, response: web.StreamResponse) -> None:
+        """Counts the bytes of an answer; weights are not counted."""
+        if isinstance(response, web.Response) and response.body:
+            self.stats.bytes_out += len(response.body)
+
+    def take_lost_answer(self) -> bool:
+        """Returns whether the answer to this write is lost."""
+        if not self.faults.lose_answers:
+            return False
+        left = self.faults.lose_answers - 1
+        self.faults = attrs.evolve(self.faults, lose_answers=left)
+        self.stats.answers_lost += 1
+        return True
--- a/briarknot_standins/platform/_store.py
+++ b/briarknot_standins/platform/_store.py
@@ -72,6 +72,11 @@
     value: typing.Any
     expected_version: int | None
 
+    @property
+    def place(self) -> tuple[str, str]:
+        """Table and key."""
+        return self.table, self.key
+
 
 @attrs.define(eq=False)
 class Tables:
@@ -98,12 +103,19 @@
         return {key: row for key, row in rows.items() if row is not None}
 
     def find_conflicts(self, operations: list[Operation]) -> list[int]:
-        """Returns the indices of operations whose version does not fit."""
-        return [
-            index
-            for index, operation in enumerate(operations)
-            if self._read_version(operation) != operation.expected_version
-        ]
+        """Returns the indices of operations that must not be written.
+
+        These are operations whose version does not fit, and any operation
+        after the first on the same row.
+        """
+        written = set()
+        conflicts = []
+        for index, operation in enumerate(operations):
+            fits = self._read_version(operation) == operation.expected_version
+            if not fits or operation.place in written:
+                conflicts.append(index)
+            written.add(operation.place)
+        return conflicts
 
     def apply(self, operations: list[Operation]) -> list[int]:
         """Writes operations without conflicts; returns the new versions."""
@@ -111,8 +123,7 @@
 
     def _write(self, operation: Operation) -> int:
         version = (self._read_version(operation) or 0) + 1
-        place = (operation.table, operation.key)
-        self._rows.setdefault(place, History()).set(
+        self._rows.setdefault(operation.place, History()).set(
             Row(operation.value, version)
         )
         return version
--- a/briarknot_standins/service/_app.py
+++ b/briarknot_standins/service/_app.py
@@ -135,13 +135,8 @@
 async def set_faults(request: web.Request) -> web.Response:
     """Changes the faults that the body names and returns all faults."""
     service = request.app[_SERVICE]
-    faults = await serving.read_changes(request, service.faults)
-    response = serving.respond(faults)
-    # The sender's connection may be one that the fault makes silent.
-    await response.prepare(request)
-    await response.write_eof()
-    service.apply_faults(faults)
-    return response
+    service.apply_faults(await serving.read_changes(request, service.faults))
+    return serving.respond(service.faults)
 
 
 @routes.route('*', '/{path:.*}')
--- /dev/null
+++ b/briarknot_standins/service/tests/test_service.py
@@ -0,0 +1,106 @@
+"""Guards the counts from which tests conclude that nothing ran twice."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import pytest
+
+from briarknot_standins import service, serving
+
+_CONFIG = service.ServiceConfig(name='fieldapp', run_s=0)
+_HEADERS = {'X-Request-Id': 'r', 'Idempotency-Key': 'k'}
+
+
+@contextlib.asynccontextmanager
+async def open_service(crash=service.exit_process):
+    """Serves one worker and opens a client."""
+    async with serving.serve(service.make_app(_CONFIG, crash)) as url:
+        async with aiohttp.ClientSession(url, headers=_HEADERS) as client:
+            yield client
+
+
+async def send(client, path, **members):
+    """Posts JSON and returns the status and the body."""
+    async with client.post(path, json=members) as response:
+        return response.status, await response.json()
+
+
+async def get_runs(client):
+    """Reads the counts."""
+    async with client.get('/runs') as response:
+        return await response.json()
+
+
+async def wait_runs(client, total):
+    """Waits until a number of calls have run."""
+    while True:
+        runs = await get_runs(client)
+        if runs['total'] == total:
+            return
+        await asyncio.sleep(0.01)
+
+
+async def test_runs_are_counted_and_answers_name_their_call():
+    """A second run or a mixed-up answer has to be visible."""
+    async with open_service() as client:
+        for _ in range(2):
+            async with client.put('/parts/7?n=2', data=b'order') as response:
+                body = await response.json()
+        runs = await get_runs(client)
+    expected = service.expected_answer('PUT', '/parts/7?n=2', b'order')
+    assert body['answer'] == expected
+    assert (body['run'], body['request_id']) == (2, 'r')
+    assert runs['by_request_id'] == {'r': 2}
+    assert runs['by_idempotency_key'] == {'k': 2}
+    assert runs['by_answer'] == {expected: 2}
+
+
+async def test_call_runs_although_its_caller_leaves():
+    """A call that stopped with its caller would hide unknown outcomes."""
+    async with open_service() as client:
+        await send(client, '/faults', delay_s=0.1)
+        timeout = aiohttp.ClientTimeout(total=0.05)
+        with pytest.raises(TimeoutError):
+            await client.post('/bookings', timeout=timeout)
+        await wait_runs(client, 1)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'ran'), [('crash_before_run', 0), ('crash_after_run', 1)]
+)
+async def test_crash_is_before_or_after_the_run(fault, ran):
+    """The two cases differ in whether the call may be sent again."""
+    seen = []
+    async with open_service(lambda: seen.append('crash')) as client:
+        await send(client, '/faults', crash_marker='bad', **{fault: True})
+        await send(client, '/bookings', kind='good')
+        assert not seen
+        runs_before = (await get_runs(client))['total']
+        await send(client, '/bookings', kind='bad')
+        assert seen == ['crash']
+    assert runs_before == 1
+
+
+@pytest.mark.parametrize('after_run', [False, True])
+async def test_error_status_may_follow_a_run(after_run):
+    """An error alone must not tell whether the call ran."""
+    async with open_service() as client:
+        await send(
+            client, '/faults', error_status=502, error_after_run=after_run
+        )
+        status, _ = await send(client, '/bookings')
+        runs = await get_runs(client)
+    assert (status, runs['total']) == (502, int(after_run))
+
+
+async def test_open_connections_go_silent_and_new_ones_work():
+    """Silence that spreads to new connections would look like a pause."""
+    async with open_service() as client:
+        await send(client, '/bookings')
+        await send(client, '/faults', silence_open=True)
+        timeout = aiohttp.ClientTimeout(total=0.1)
+        with pytest.raises(TimeoutError):
+            await client.post('/bookings', timeout=timeout)
+        async with aiohttp.ClientSession(client._base_url) as other:
+            assert (await send(other, '/bookings'))[0] == 200
--- a/briarknot_standins/serving.py
+++ b/briarknot_standins/serving.py
@@ -13,6 +13,7 @@
 from briarknot import schema
 
 HOST = '127.0.0.1'
+CONTROL_PATHS = frozenset(('/faults', '/runs', '/stats'))
 
 # Open connections are not part of a stand-in's result; a long wait for them
 # would only delay the tests.
@@ -119,8 +120,13 @@
     """Connections of an application, and which of them are silent.
 
     A silent connection stays open, and nothing is sent on it any more.
+
+    :param control_paths: paths that are answered on silent connections too,
+        so that tests can read counts and change faults.
     """
 
+    control_paths: frozenset[str] = CONTROL_PATHS
+
     _open: weakref.WeakSet = attrs.field(factory=weakref.WeakSet, init=False)
     _silent: weakref.WeakSet = attrs.field(factory=weakref.WeakSet, init=False)
 
@@ -130,6 +136,8 @@
 
     async def hold(self, request: web.Request) -> None:
         """Waits until the client disconnects if the connection is silent."""
+        if request.path in self.control_paths:
+            return
         if request.transport in self._silent:
             await asyncio.Event().wait()
 
@@ -140,7 +148,8 @@
         async def follow(
             request: web.Request, handler: typing.Callable
         ) -> web.StreamResponse:
-            self._open.add(request.transport)
+            if request.path not in self.control_paths:
+                self._open.add(request.transport)
             await self.hold(request)
             response = await handler(request)
             await self.hold(request)
