--- a/briarknot_standins/__init__.py
+++ b/briarknot_standins/__init__.py
@@ -1,1 +1,17 @@
-"""Stand-ins for engines, services, and the platform."""
+"""Stand-ins for the outside systems of briarknot, on the loopback interface.
+
+Each stand-in is a program with a port and a factory for use in one process:
+
+- ``engine``: a language-model engine;
+- ``service``: a worker of a plain service;
+- ``platform``: tables, objects, host list and weights;
+- ``proxy``: a TCP proxy that injects faults between two programs.
+
+``launcher`` starts them, and the programs of briarknot, as processes.
+
+.. code-block:: python
+
+    app = engine.make_app(engine.EngineConfig(time_compression=100))
+    async with serving.serve(app) as url:
+        ...
+"""
--- a/briarknot_standins/engine/_config.py
+++ b/briarknot_standins/engine/_config.py
@@ -25,14 +25,16 @@
     :param kv_import_s_per_block: time to import one block of KV cache.
     :param prefill_interference: factor on decode time during a prefill.
     :param time_compression: factor by which all costs and changes are
-        shorter; reported speeds are multiplied by it.
+        shorter; reported speeds are multiplied by it. Lags are not shorter.
     :param role_change_s: time that a change of role takes.
     :param model_change_s: time that loading a model takes.
     :param check_fencing: whether orders with an old epoch are refused.
-    :param report_lag_s: age of load reports.
+    :param report_lag_s: age of load reports, at most 50 s.
     :param cache_event_delay_s: age at which a cache event becomes visible.
     :param cache_event_loss: share of cache events that are never visible.
     :param chunks_per_write: chunks sent at once; saves CPU in benchmarks.
+    :param weights_url: base URL of the platform, from which an order to
+        change the model loads weights; empty to load nothing.
     :param runs_kept: requests that ``GET /runs`` covers, the latest first.
     :param seed: seed of random losses.
     """
@@ -61,6 +63,7 @@
         float, cappa.Arg(long=True, default=0)
     ] = 0
     chunks_per_write: int = 1
+    weights_url: typing.Annotated[str, cappa.Arg(long=True, default='')] = ''
     runs_kept: int = 100_000
     seed: int = 1
 
@@ -73,6 +76,12 @@
         With a marker it applies to prompts that contain the marker.
     :param crash_marker: prompts that contain it crash the process, as their
         prefill starts or at ``crash_at_token``.
+    :param break_at_token: token before which a stream breaks; -1 for none. A
+        stream that is resumed there goes on.
+    :param break_cleanly: whether a broken stream ends like a complete one,
+        without its last chunk; otherwise its connection is reset.
+    :param stray_share: share of chunks that follow a copy of an earlier
+        chunk, of the same stream or of another one.
     :param crash_in_change: whether the process exits halfway through the next
         change.
     :param slow_factor: factor on prefill and decode time.
@@ -86,6 +95,9 @@
 
     crash_at_token: int = -1
     crash_marker: str = ''
+    break_at_token: int = -1
+    break_cleanly: bool = False
+    stray_share: float = 0
     crash_in_change: bool = False
     slow_factor: float = 1.0
     silence_open: bool = False
@@ -93,3 +105,15 @@
     check_fencing: bool = True
     cache_event_loss: float = 0
     report_lag_s: float = 0.5
+
+    def get_break(self, start: int, token: int, end: int) -> int:
+        """Returns the token before which a stream has to break.
+
+        :param start: first token of the stream.
+        :param token: next token of the stream.
+        :param end: number of tokens of the whole answer.
+        :returns: the token, or ``end`` where the stream does not break.
+        """
+        breaking = self.break_at_token
+        ahead = breaking > start and breaking >= token
+        return min(end, breaking) if ahead else end
--- a/briarknot_standins/engine/_engine.py
+++ b/briarknot_standins/engine/_engine.py
@@ -19,6 +19,7 @@
     _orders,
     _runs,
     _scheduler,
+    _strays,
     _text,
 )
 
@@ -83,6 +84,7 @@
     )
     cache: _cache.PrefixCache = attrs.field(init=False)
     costs: _costs.Costs = attrs.field(init=False)
+    strays: _strays.Strays = attrs.field(init=False)
     runs: _runs.RunLog = attrs.field(init=False)
     scheduler: _scheduler.Scheduler = attrs.field(init=False)
     orders: _orders.Orders = attrs.field(init=False)
@@ -109,6 +111,10 @@
     def _make_costs(self) -> _costs.Costs:
         return _costs.Costs(self.config)
 
+    @strays.default
+    def _make_strays(self) -> _strays.Strays:
+        return _strays.Strays(self.config.seed)
+
     @runs.default
     def _make_runs(self) -> _runs.RunLog:
         return _runs.RunLog(self.config.runs_kept)
@@ -123,7 +129,7 @@
     @orders.default
     def _make_orders(self) -> _orders.Orders:
         return _orders.Orders(
-            self.config, self._stop_work, self.cache.clear, self.crash
+            self.config, self._stop_work, self._forget, self.crash
         )
 
     @faults.default
@@ -139,6 +145,7 @@
         if faults.silence_open:
             self.connections.silence()
         self.cache.loss = faults.cache_event_loss
+        self.strays.share = faults.stray_share
         self.costs.slow_factor = faults.slow_factor
         self.faults = attrs.evolve(faults, silence_open=False)
 
@@ -236,6 +243,10 @@
             self._samples.append(_Sample(time.monotonic(), self._measure()))
             await asyncio.sleep(_SAMPLE_PERIOD_S)
 
+    def _forget(self) -> None:
+        self.cache.clear()
+        self._exports.clear()
+
     def _stop_work(self) -> tuple[int, int]:
         waiting = self.scheduler.waiting
         running = [job for job in self.scheduler.jobs if job not in waiting]
--- a/briarknot_standins/engine/_orders.py
+++ b/briarknot_standins/engine/_orders.py
@@ -7,6 +7,7 @@
 import attrs
 
 from briarknot.schema import endpoints, fleet
+from briarknot_standins.engine import _weights
 from briarknot_standins.engine._config import EngineConfig, Faults
 
 _LOG_KEPT = 64
@@ -39,13 +40,13 @@
     :param config: configuration of the engine.
     :param stop_work: ends all work; returns the numbers of requests that it
         cut and refused.
-    :param forget_cache: drops the prefix cache.
+    :param forget: drops prefix cache and exports; a change loses them.
     :param crash: ends the process.
     """
 
     _config: EngineConfig
     _stop_work: typing.Callable[[], tuple[int, int]]
-    _forget_cache: typing.Callable[[], None]
+    _forget: typing.Callable[[], None]
     _crash: typing.Callable[[], None]
     _state: endpoints.EngineState = attrs.field(init=False)
     _audit: list[AuditEntry] = attrs.field(factory=list, init=False)
@@ -126,6 +127,10 @@
         if faults.crash_in_change:
             self._crash()
         await asyncio.sleep(half_s)
+        weights_url = self._config.weights_url
+        if order.kind is endpoints.OrderKind.MODEL and weights_url:
+            await _weights.fetch(weights_url, order.value)
+        self._forget()
         phase = endpoints.EnginePhase.IDLE
         if order.kind is endpoints.OrderKind.WITHDRAW:
             phase = endpoints.EnginePhase.WITHDRAWN
@@ -144,6 +149,5 @@
         if order.kind is endpoints.OrderKind.ROLE:
             return {'role': fleet.Role(order.value)}
         if order.kind is endpoints.OrderKind.MODEL:
-            self._forget_cache()
             return {'model': order.value}
         return {}
--- a/briarknot_standins/engine/_runs.py
+++ b/briarknot_standins/engine/_runs.py
@@ -21,6 +21,8 @@
     CUT = 'cut'
     #: A change of the engine refused it before it ran.
     REFUSED = 'refused'
+    #: The fault ``break_at_token`` ended it.
+    BROKEN = 'broken'
     #: The client disconnected.
     DISCONNECTED = 'disconnected'
 
--- a/briarknot_standins/engine/_work.py
+++ b/briarknot_standins/engine/_work.py
@@ -62,11 +62,24 @@
     if job.work.kv_from.url:
         await engine.costs.sleep_import(job.kv_blocks)
     tokens = await _decode(request, response, engine, job, run)
+    if job.end is _runs.RunEnd.BROKEN:
+        return _break(request, response, engine)
     if job.end is not _runs.RunEnd.CUT:
         await _finish(response, job, tokens)
     return response
 
 
+def _break(
+    request: web.Request,
+    response: web.StreamResponse,
+    engine: _engine.Engine,
+) -> web.StreamResponse:
+    # aiohttp ends the response when the handler returns it.
+    if not engine.faults.break_cleanly and request.transport is not None:
+        request.transport.abort()
+    return response
+
+
 async def _decode(
     request: web.Request,
     response: web.StreamResponse,
@@ -81,7 +94,11 @@
     token = work.resume_from
     step = engine.config.chunks_per_write
     while token < end:
-        until = min(end, token + step)
+        limit = engine.faults.get_break(work.resume_from, token, end)
+        if token == limit:
+            job.stop(_runs.RunEnd.BROKEN)
+            break
+        until = min(limit, token + step)
         interval_s = engine.costs.get_interval_s(
             in_prefill=engine.scheduler.in_prefill
         )
@@ -130,8 +147,10 @@
     engine.check_crash(job.work.prompt, index)
     unit = _text.make_unit(job.facts.seed, index)
     run.add_unit(unit)
-    return _make_event(
-        {'request_id': job.work.request_id, 'offset': index, 'text': unit}
+    return engine.strays.mix(
+        _make_event(
+            {'request_id': job.work.request_id, 'offset': index, 'text': unit}
+        )
     )
 
 
--- a/briarknot_standins/engine/tests/test_engine.py
+++ b/briarknot_standins/engine/tests/test_engine.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies
 
 from briarknot.schema import fleet
-from briarknot_standins import engine, serving
+from briarknot_standins import engine, platform, serving
 
 _FAST = engine.EngineConfig(time_compression=1000, report_lag_s=0)
 # A stream at this speed doesn't end before the test does.
@@ -258,6 +258,62 @@
     assert len(crashes) == 2
 
 
+async def test_broken_stream_goes_on_where_it_is_resumed():
+    """A fault that breaks each resume at its first token blocks a test."""
+    async with open_engine() as client:
+        await send(client, '/faults', break_at_token=3, break_cleanly=True)
+        first = await complete(client)
+        rest = await complete(client, resume_from=3)
+        await send(client, '/faults', break_cleanly=False)
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await complete(client)
+        runs = await get_json(client, '/runs')
+    assert not first.done and rest.done
+    assert first.text + rest.text == engine.expected_text('a b c', 8)
+    ends = [run['end'] for run in runs['runs']['r']['runs']]
+    assert ends == ['broken', 'completed', 'broken']
+
+
+async def test_stray_chunks_come_beside_the_answer():
+    """A caller's answer must be complete without its strays."""
+    async with open_engine() as client:
+        await complete(client, 'first', request_id='other')
+        await send(client, '/faults', stray_share=1)
+        answer = await complete(client, max_tokens=1)
+    expected = engine.expected_text('a b c', 1)
+    assert answer.text.endswith(expected)
+    stray = answer.text.removesuffix(expected)
+    assert stray and stray in engine.expected_text('first', 8)
+
+
+async def test_crash_in_the_middle_of_a_change():
+    """Recovery from half a change has to be testable."""
+    crashed = asyncio.Event()
+    config = attrs.evolve(_FAST, role_change_s=0)
+    async with open_engine(config, crashed.set) as client:
+        await send(client, '/faults', crash_in_change=True)
+        await send_order(client, 1, 1)
+        await crashed.wait()
+
+
+async def test_model_change_loads_weights_and_loses_the_cache():
+    """Cached blocks of another model would be counted as hits."""
+    prompt = 'word ' * 2000
+    weights = platform.PlatformConfig(weights_bytes=100)
+    async with serving.serve(platform.make_app(weights)) as url:
+        config = attrs.evolve(_FAST, weights_url=url)
+        async with open_engine(config) as client:
+            await complete(client, prompt)
+            await send_order(client, 1, 1, kind='model', value='standin@2')
+            await wait_load(client, phase='idle', model='standin@2')
+            again = await complete(client, prompt, model='standin@2')
+            old = await complete(client, prompt, model='standin@1')
+        async with aiohttp.ClientSession(url) as client:
+            stats = await get_json(client, '/stats')
+    assert again.last['usage']['cached_tokens'] == 0
+    assert (old.status, stats['reads']) == (503, 1)
+
+
 async def test_open_connections_go_silent_and_new_ones_work():
     """Silence that spreads to new connections would look like a pause."""
     async with open_engine(_SLOW) as client:
--- a/briarknot_standins/launcher/tests/test_launcher.py
+++ b/briarknot_standins/launcher/tests/test_launcher.py
@@ -43,6 +43,15 @@
         assert await stopped.wait() == 0
 
 
+@pytest.mark.parametrize('name', ['engine', 'platform', 'proxy', 'service'])
+async def test_programs_need_their_port_only(name):
+    """Each option with a default must be optional on the command line."""
+    async with launcher.make_cluster() as cluster:
+        process = await cluster.start(f'briarknot_standins.{name}')
+        process.terminate()
+        assert await process.wait() == 0
+
+
 async def test_crash_fault_ends_the_process():
     """The crash faults are replaced in all other tests."""
     async with launcher.make_cluster() as cluster:
--- a/briarknot_standins/platform/_store.py
+++ b/briarknot_standins/platform/_store.py
@@ -1,6 +1,7 @@
 """Tables, objects and hosts, with the past values that stale reads need."""
 
 import bisect
+import enum
 import time
 import typing
 
@@ -133,6 +134,15 @@
         return row.version if row else None
 
 
+class HostState(enum.StrEnum):
+    """States of a host."""
+
+    #: It takes part.
+    LIVE = 'live'
+    #: It is about to be stopped or replaced.
+    LEAVING = 'leaving'
+
+
 @attrs.frozen(kw_only=True)
 class Host:
     """An entry of the host list.
@@ -140,13 +150,13 @@
     :param host: name.
     :param domain: failure domain.
     :param peer_url: peer URL of its entry process.
-    :param state: ``live`` or ``leaving``.
+    :param state: whether it is live or leaving.
     """
 
     host: str = ''
     domain: str = ''
     peer_url: str = ''
-    state: str = 'live'
+    state: HostState = HostState.LIVE
 
 
 @attrs.define(eq=False)
--- a/briarknot_standins/proxy/tests/test_proxy.py
+++ b/briarknot_standins/proxy/tests/test_proxy.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 import attrs
 import pytest
@@ -65,6 +67,14 @@
         server.close()
 
 
+def reset(writer):
+    """Closes a connection with a reset, as a killed process may."""
+    sender = writer.get_extra_info('socket')
+    no_linger = struct.pack('ii', 1, 0)
+    sender.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+    writer.transport.abort()
+
+
 async def is_quiet(reader):
     """Returns whether nothing arrives for a while."""
     try:
@@ -150,7 +160,7 @@
         await bench.send(writer, b'GET /orders')
         writer.write(b'POST /orders')
         await asyncio.sleep(_QUIET_S)
-        writer.transport.abort()
+        reset(writer)
         await asyncio.sleep(_QUIET_S)
         assert b'POST' not in bench.received
         bench.proxy.remove_faults()
