--- a/briarknot_standins/engine/_engine.py
+++ b/briarknot_standins/engine/_engine.py
@@ -19,6 +19,7 @@
     _orders,
     _runs,
     _scheduler,
+    _strays,
     _text,
 )
 
@@ -83,6 +84,7 @@
     )
     cache: _cache.PrefixCache = attrs.field(init=False)
     costs: _costs.Costs = attrs.field(init=False)
+    strays: _strays.Strays = attrs.field(init=False)
     runs: _runs.RunLog = attrs.field(init=False)
     scheduler: _scheduler.Scheduler = attrs.field(init=False)
     orders: _orders.Orders = attrs.field(init=False)
@@ -109,6 +111,10 @@
     def _make_costs(self) -> _costs.Costs:
         return _costs.Costs(self.config)
 
+    @strays.default
+    def _make_strays(self) -> _strays.Strays:
+        return _strays.Strays(self.config.seed)
+
     @runs.default
     def _make_runs(self) -> _runs.RunLog:
         return _runs.RunLog(self.config.runs_kept)
@@ -123,7 +129,7 @@
     @orders.default
     def _make_orders(self) -> _orders.Orders:
         return _orders.Orders(
-            self.config, self._stop_work, self.cache.clear, self.crash
+            self.config, self._stop_work, self._forget, self.crash
         )
 
     @faults.default
@@ -139,42 +145,42 @@
         if faults.silence_open:
             self.connections.silence()
         self.cache.loss = faults.cache_event_loss
+        self.strays.share = faults.stray_share
         self.costs.slow_factor = faults.slow_factor
         self.faults = attrs.evolve(faults, silence_open=False)
 
-    def find_refusal(self, work: _scheduler.WorkRequest, path: str) -> str:
+    def find_refusal(self, work: _scheduler.WorkRequest, kind: str) -> str:
         """Returns why the engine refuses a request, or an empty text.
 
         :param work: the request.
-        :param path: ``completion`` or ``prefill``.
+        :param kind: ``completion`` or ``prefill``.
         """
         state = self.orders.state
         if state.phase is not endpoints.EnginePhase.IDLE:
             return state.phase.value
         if work.model not in {state.model, state.model.split('@')[0]}:
             return 'model'
-        if not _takes(state.role, path, with_kv=bool(work.kv_from.url)):
+        if not _takes(state.role, kind, with_kv=bool(work.kv_from.url)):
             return 'role'
-        if self._count_blocks(work) > self.config.kv_blocks:
-            return 'too_long'
         return ''
 
     def make_job(
         self,
         work: _scheduler.WorkRequest,
         abort: typing.Callable[[], None],
-    ) -> _scheduler.Job:
+    ) -> _scheduler.Job | None:
         """Makes the job of a request.
 
         :param work: the request.
         :param abort: closes the request's connection.
+        :returns: the job, or None where the engine's KV cache is too small
+            for it.
         """
-        return _scheduler.Job(
-            work,
-            _text.count_tokens(work.prompt),
-            self._count_blocks(work),
-            abort,
-        )
+        facts = _text.read_facts(work.prompt)
+        kv_blocks = count_kv_blocks(facts.tokens + work.max_tokens)
+        if kv_blocks > self.config.kv_blocks:
+            return None
+        return _scheduler.Job(work, facts, kv_blocks, abort)
 
     def check_crash(self, prompt: str, token: int) -> None:
         """Crashes where the faults say so.
@@ -193,7 +199,7 @@
         export = KvExport(
             kv_handle=f'{self.config.name}-{os.urandom(6).hex()}',
             prompt_hash=hash_prompt(job.work.prompt),
-            prompt_tokens=job.prompt_tokens,
+            prompt_tokens=job.facts.tokens,
             cached_tokens=job.cached_tokens,
             kv_blocks=job.kv_blocks,
         )
@@ -237,9 +243,9 @@
             self._samples.append(_Sample(time.monotonic(), self._measure()))
             await asyncio.sleep(_SAMPLE_PERIOD_S)
 
-    def _count_blocks(self, work: _scheduler.WorkRequest) -> int:
-        tokens = _text.count_tokens(work.prompt) + work.max_tokens
-        return count_kv_blocks(tokens)
+    def _forget(self) -> None:
+        self.cache.clear()
+        self._exports.clear()
 
     def _stop_work(self) -> tuple[int, int]:
         waiting = self.scheduler.waiting
@@ -248,7 +254,7 @@
             job.stop(_runs.RunEnd.CUT)
             job.abort()
         for refused in waiting:
-            refused.stop(_runs.RunEnd.CUT)
+            refused.stop(_runs.RunEnd.REFUSED)
         return len(running), len(waiting)
 
     def _measure(self) -> endpoints.LoadReport:
@@ -271,9 +277,9 @@
         )
 
 
-def _takes(role: fleet.Role, path: str, *, with_kv: bool) -> bool:
+def _takes(role: fleet.Role, kind: str, *, with_kv: bool) -> bool:
     if role is fleet.Role.PREFILL:
-        return path == 'prefill'
+        return kind == 'prefill'
     if role is fleet.Role.DECODE:
-        return path == 'completion' and with_kv
+        return kind == 'completion' and with_kv
     return True
--- a/briarknot_standins/engine/_runs.py
+++ b/briarknot_standins/engine/_runs.py
@@ -19,6 +19,10 @@
     CANCELLED = 'cancelled'
     #: A change of the engine cut it.
     CUT = 'cut'
+    #: A change of the engine refused it before it ran.
+    REFUSED = 'refused'
+    #: The fault ``break_at_token`` ended it.
+    BROKEN = 'broken'
     #: The client disconnected.
     DISCONNECTED = 'disconnected'
 
--- a/briarknot_standins/platform/_store.py
+++ b/briarknot_standins/platform/_store.py
@@ -1,6 +1,7 @@
 """Tables, objects and hosts, with the past values that stale reads need."""
 
 import bisect
+import enum
 import time
 import typing
 
@@ -72,6 +73,11 @@
     value: typing.Any
     expected_version: int | None
 
+    @property
+    def place(self) -> tuple[str, str]:
+        """Table and key."""
+        return self.table, self.key
+
 
 @attrs.define(eq=False)
 class Tables:
@@ -98,12 +104,19 @@
         return {key: row for key, row in rows.items() if row is not None}
 
     def find_conflicts(self, operations: list[Operation]) -> list[int]:
-        """Returns the indices of operations whose version does not fit."""
-        return [
-            index
-            for index, operation in enumerate(operations)
-            if self._read_version(operation) != operation.expected_version
-        ]
+        """Returns the indices of operations that must not be written.
+
+        These are operations whose version does not fit, and any operation
+        after the first on the same row.
+        """
+        written = set()
+        conflicts = []
+        for index, operation in enumerate(operations):
+            fits = self._read_version(operation) == operation.expected_version
+            if not fits or operation.place in written:
+                conflicts.append(index)
+            written.add(operation.place)
+        return conflicts
 
     def apply(self, operations: list[Operation]) -> list[int]:
         """Writes operations without conflicts; returns the new versions."""
@@ -111,8 +124,7 @@
 
     def _write(self, operation: Operation) -> int:
         version = (self._read_version(operation) or 0) + 1
-        place = (operation.table, operation.key)
-        self._rows.setdefault(place, History()).set(
+        self._rows.setdefault(operation.place, History()).set(
             Row(operation.value, version)
         )
         return version
@@ -122,6 +134,15 @@
         return row.version if row else None
 
 
+class HostState(enum.StrEnum):
+    """States of a host."""
+
+    #: It takes part.
+    LIVE = 'live'
+    #: It is about to be stopped or replaced.
+    LEAVING = 'leaving'
+
+
 @attrs.frozen(kw_only=True)
 class Host:
     """An entry of the host list.
@@ -129,13 +150,13 @@
     :param host: name.
     :param domain: failure domain.
     :param peer_url: peer URL of its entry process.
-    :param state: ``live`` or ``leaving``.
+    :param state: whether it is live or leaving.
     """
 
     host: str = ''
     domain: str = ''
     peer_url: str = ''
-    state: str = 'live'
+    state: HostState = HostState.LIVE
 
 
 @attrs.define(eq=False)
