Add service endpoints, the retry budget, and the quarantine

Cause: plain services need a choice of endpoint, retries must not become a storm, and a request that crashes endpoints must stop after two of them.

Change: the less busy of two random service endpoints, a token bucket filled by successes, and records of crashes by fingerprint that peers merge by endpoint, so that one crash seen by several processes counts once.

Conclusion: within one process, suspects can be run one at a time; over a domain's processes, the caller has to send suspects to one of them.

--- a/briarknot/routing/__init__.py
+++ b/briarknot/routing/__init__.py
@@ -8,6 +8,20 @@
     make_estimator,
 )
 from briarknot.routing._engine import Attempt, EngineView, Part
+from briarknot.routing._quarantine import (
+    Clear,
+    Flight,
+    Quarantine,
+    Quarantined,
+    Suspect,
+    make_quarantine,
+)
+from briarknot.routing._retries import (
+    RetryBudget,
+    RetryGranted,
+    RetryRefused,
+    make_retry_budget,
+)
 from briarknot.routing._router import (
     ROUTERS,
     Choice,
@@ -15,6 +29,13 @@
     Router,
     make_router,
 )
+from briarknot.routing._services import (
+    ServiceAttempt,
+    ServiceChoice,
+    ServiceView,
+    choose_service_endpoint,
+    make_service_view,
+)
 from briarknot.routing._view import Capacity, View, make_view
 
 __all__ = (
@@ -23,15 +44,30 @@
     'Attempt',
     'Capacity',
     'Choice',
+    'Clear',
     'EngineView',
     'Estimator',
+    'Flight',
     'NoEndpoint',
     'Part',
+    'Quarantine',
+    'Quarantined',
+    'RetryBudget',
+    'RetryGranted',
+    'RetryRefused',
     'Router',
+    'ServiceAttempt',
+    'ServiceChoice',
+    'ServiceView',
+    'Suspect',
     'View',
     'WorkEstimate',
+    'choose_service_endpoint',
     'hash_blocks',
     'make_estimator',
+    'make_quarantine',
+    'make_retry_budget',
     'make_router',
+    'make_service_view',
     'make_view',
 )
--- /dev/null
+++ b/briarknot/routing/_quarantine.py
@@ -0,0 +1,275 @@
+"""Quarantine of requests that were in flight when endpoints crashed."""
+
+import hashlib
+
+import attrs
+
+from briarknot import schema
+
+#: Crashes after which a fingerprint is refused.
+_LIMIT = 2
+#: Crashes of one endpoint within this time are one crash, seen by several
+#: streams and entry processes.
+_SAME_CRASH_S = 5.0
+#: Attempts that broke this long before a crash was noticed count as in
+#: flight, because their streams may notice first.
+_BROKEN_S = 2.0
+_MAX_FINGERPRINTS = 20000
+_KEY_BYTES = 64
+
+
+@attrs.frozen
+class Clear:
+    """A fingerprint that may run like any other."""
+
+
+@attrs.frozen(kw_only=True)
+class Suspect:
+    """A fingerprint that must run alone, one at a time in the domain.
+
+    :param reason: sentence with the figures, for the journal.
+    """
+
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class Quarantined:
+    """Sentinel for a fingerprint that must not run.
+
+    :param cause: always ``quarantined``.
+    :param reason: sentence with the figures, for the journal.
+    :param retry_after_s: time until it is forgotten.
+    """
+
+    cause: str = 'quarantined'
+    reason: str
+    retry_after_s: float
+
+    def __bool__(self) -> bool:
+        """Counts as false, so that callers can test for it."""
+        return False
+
+
+@attrs.define(eq=False)
+class Flight:
+    """One attempt in flight.
+
+    :param fingerprint: the request's fingerprint.
+    :param engine: endpoint that runs it.
+    """
+
+    fingerprint: str
+    engine: str
+    _broken_s: float | None = None
+
+    @property
+    def broken_s(self) -> float | None:
+        """Time at which it ended without completing."""
+        return self._broken_s
+
+    def set_broken(self, now: float) -> None:
+        """Marks the attempt as ended without completing."""
+        self._broken_s = now
+
+
+@attrs.define(eq=False)
+class _Record:
+    """Crashes of one fingerprint.
+
+    ``crashed_s`` holds the latest crash of each endpoint.
+    """
+
+    crashes: int = 0
+    expires_s: float = 0
+    crashed_s: dict[str, float] = attrs.field(factory=dict)
+
+    def add(self, endpoint: str, now: float) -> bool:
+        latest = self.crashed_s.get(endpoint)
+        if latest is not None and now - latest < _SAME_CRASH_S:
+            return False
+        self.crashed_s[endpoint] = now
+        self.crashes += 1
+        return True
+
+
+@attrs.define(eq=False)
+class Quarantine:
+    """Counts the endpoint crashes at which fingerprints were in flight."""
+
+    _ttl_s: float
+    _records: dict[str, _Record] = attrs.field(factory=dict)
+    _flights: dict[str, list[Flight]] = attrs.field(factory=dict)
+    _alone: Flight | None = None
+
+    @property
+    def suspect_in_flight(self) -> bool:
+        """Whether a suspect runs now in this process."""
+        return self._alone is not None
+
+    def fingerprint(self, secret: str, account: str, body: bytes) -> str:
+        """Returns the keyed hash of a request, in hexadecimal.
+
+        :param secret: secret that the fleet's processes share.
+        :param account: account of the caller.
+        :param body: the request's body.
+        """
+        key = hashlib.sha256(secret.encode()).digest()[:_KEY_BYTES]
+        digest = hashlib.blake2b(body, key=key, digest_size=16)
+        digest.update(b'\0')
+        digest.update(account.encode())
+        return digest.hexdigest()
+
+    def check(
+        self, fingerprint: str, now: float
+    ) -> Clear | Suspect | Quarantined:
+        """Says whether and how a request may run.
+
+        :param fingerprint: result of :meth:`fingerprint`.
+        :param now: monotonic time in seconds.
+        """
+        record = self._records.get(fingerprint)
+        if record is None or record.expires_s <= now:
+            return Clear()
+        endpoints = ', '.join(sorted(record.crashed_s))
+        reason = (
+            f'fingerprint {fingerprint} was in flight at {record.crashes} '
+            f'endpoint crashes ({endpoints}); {_LIMIT} lead to quarantine'
+        )
+        if record.crashes < _LIMIT:
+            return Suspect(reason=reason)
+        return Quarantined(reason=reason, retry_after_s=record.expires_s - now)
+
+    def start(
+        self, fingerprint: str, engine: str, *, alone: bool = False
+    ) -> Flight:
+        """Counts an attempt as in flight.
+
+        :param fingerprint: result of :meth:`fingerprint`.
+        :param engine: endpoint that runs it.
+        :param alone: whether it is a suspect; the caller has seen
+            :attr:`suspect_in_flight` to be false.
+        """
+        flight = Flight(fingerprint, engine)
+        self._flights.setdefault(engine, []).append(flight)
+        if alone:
+            self._alone = flight
+        return flight
+
+    def end(
+        self, flight: Flight, now: float, *, completed: bool
+    ) -> tuple[schema.messages.Quarantine, ...]:
+        """Ends an attempt.
+
+        :param flight: result of :meth:`start`.
+        :param now: monotonic time in seconds.
+        :param completed: whether the complete answer was received.
+        :returns: messages to peers that clear the fingerprint.
+        """
+        if self._alone is flight:
+            self._alone = None
+        self._drop_old(flight.engine, now)
+        if not completed:
+            flight.set_broken(now)
+            return ()
+        flights = self._flights.get(flight.engine, [])
+        if flight in flights:
+            flights.remove(flight)
+        record = self._records.get(flight.fingerprint)
+        if record is None or record.crashes >= _LIMIT:
+            return ()
+        self._records.pop(flight.fingerprint)
+        return (
+            schema.messages.Quarantine(
+                fingerprint=flight.fingerprint, endpoint=flight.engine
+            ),
+        )
+
+    def record_crash(
+        self, engine: str, now: float
+    ) -> tuple[schema.messages.Quarantine, ...]:
+        """Counts a crash against all that was in flight at an endpoint.
+
+        Each attempt is counted once, however many streams report the crash.
+
+        :param engine: endpoint that crashed.
+        :param now: monotonic time in seconds.
+        :returns: messages to send to all peers at once.
+        """
+        self._drop_old(engine, now)
+        flights = self._flights.pop(engine, [])
+        changed = []
+        fingerprints = dict.fromkeys(one.fingerprint for one in flights)
+        for fingerprint in fingerprints:
+            record = self._renew_record(fingerprint, now, self._ttl_s)
+            if record.add(engine, now):
+                changed.append(fingerprint)
+        return tuple(self._make_message(one, engine) for one in changed)
+
+    def apply(self, message: schema.messages.Quarantine, now: float) -> None:
+        """Takes a peer's message; a repeated one changes nothing.
+
+        :param message: crashes of a fingerprint; none clears a suspect.
+        :param now: monotonic time in seconds.
+        """
+        record = self._records.get(message.fingerprint)
+        if not message.crashes:
+            if record is not None and record.crashes < _LIMIT:
+                self._records.pop(message.fingerprint)
+            return
+        record = self._renew_record(
+            message.fingerprint, now, message.expires_in_s
+        )
+        # A peer's news of a crash at the same endpoint may be late; only its
+        # count tells whether it is another crash.
+        if message.endpoint not in record.crashed_s:
+            record.add(message.endpoint, now)
+        record.crashes = max(record.crashes, message.crashes)
+
+    def _make_message(
+        self, fingerprint: str, engine: str
+    ) -> schema.messages.Quarantine:
+        return schema.messages.Quarantine(
+            fingerprint=fingerprint,
+            crashes=self._records[fingerprint].crashes,
+            expires_in_s=self._ttl_s,
+            endpoint=engine,
+        )
+
+    def _renew_record(
+        self, fingerprint: str, now: float, ttl_s: float
+    ) -> _Record:
+        record = self._records.pop(fingerprint, None)
+        if record is None or record.expires_s <= now:
+            record = _Record()
+        record.expires_s = max(record.expires_s, now + min(ttl_s, self._ttl_s))
+        # The latest is last, so that the first one is the first to go.
+        self._records[fingerprint] = record
+        if len(self._records) > _MAX_FINGERPRINTS:
+            self._records.pop(next(iter(self._records)))
+        return record
+
+    def _drop_old(self, engine: str, now: float) -> None:
+        kept = [
+            flight
+            for flight in self._flights.get(engine, [])
+            if flight.broken_s is None or now - flight.broken_s <= _BROKEN_S
+        ]
+        self._flights[engine] = kept
+        if not kept:
+            self._flights.pop(engine)
+
+
+def make_quarantine(ttl_s: float) -> Quarantine:
+    """Makes an empty quarantine.
+
+    :param ttl_s: time for which a crash is held against a fingerprint.
+
+    >>> quarantine = make_quarantine(ttl_s=600)
+    >>> for engine in ('e1', 'e2'):
+    ...     flight = quarantine.start('f', engine)
+    ...     messages = quarantine.record_crash(engine, now=0)
+    >>> bool(quarantine.check('f', now=1)), messages[0].crashes
+    (False, 2)
+    """
+    return Quarantine(ttl_s)
--- /dev/null
+++ b/briarknot/routing/_retries.py
@@ -0,0 +1,89 @@
+"""Retry budget: retries as a share of recent successes."""
+
+import attrs
+
+#: Time over which unused retries are kept, so that a long quiet success does
+#: not pay for a storm.
+_WINDOW_S = 10.0
+
+
+@attrs.frozen
+class RetryGranted:
+    """A retry that may be sent."""
+
+
+@attrs.frozen(kw_only=True)
+class RetryRefused:
+    """Sentinel for a retry beyond the budget.
+
+    :param reason: sentence with the figures, for the journal.
+    """
+
+    reason: str
+
+    def __bool__(self) -> bool:
+        """Counts as false, so that callers can test for it."""
+        return False
+
+
+@attrs.define(eq=False)
+class RetryBudget:
+    """Token bucket that successes fill and retries empty."""
+
+    _share: float
+    _floor_per_s: float
+    _tokens: float
+    _recent: float = 0
+    _at_s: float | None = None
+
+    def note_success(self, now: float) -> None:
+        """Adds the share of one completed request."""
+        self._advance(now)
+        self._recent += 1
+        self._tokens = min(self._tokens + self._share, self._bound)
+
+    def take(self, now: float) -> RetryGranted | RetryRefused:
+        """Takes one retry.
+
+        :param now: monotonic time in seconds.
+        """
+        self._advance(now)
+        if self._tokens >= 1:
+            self._tokens -= 1
+            return RetryGranted()
+        return RetryRefused(
+            reason=(
+                f'retry budget spent: {self._tokens:.2f} retries left, filled '
+                f'by {self._share:.2f} for each success and '
+                f'{self._floor_per_s:.2f} a second'
+            )
+        )
+
+    @property
+    def _bound(self) -> float:
+        return max(1, self._share * self._recent + self._floor_bound)
+
+    @property
+    def _floor_bound(self) -> float:
+        return self._floor_per_s * _WINDOW_S
+
+    def _advance(self, now: float) -> None:
+        before = now if self._at_s is None else self._at_s
+        elapsed = max(0, now - before)
+        self._recent *= max(0, 1 - elapsed / _WINDOW_S)
+        self._tokens += self._floor_per_s * elapsed
+        self._tokens = min(self._tokens, self._bound)
+        self._at_s = max(now, before)
+
+
+def make_retry_budget(share: float, floor_per_s: float) -> RetryBudget:
+    """Makes a retry budget.
+
+    :param share: retries for each success, such as 0.1.
+    :param floor_per_s: retries a second that are allowed without successes.
+
+    >>> budget = make_retry_budget(share=0.1, floor_per_s=0.1)
+    >>> [bool(budget.take(now=0)) for _ in range(2)]
+    [True, False]
+    """
+    return RetryBudget(share, floor_per_s, max(1, floor_per_s * _WINDOW_S))
--- /dev/null
+++ b/briarknot/routing/_services.py
@@ -0,0 +1,178 @@
+"""Choice of a plain service's endpoint."""
+
+import random
+
+import attrs
+
+from briarknot import schema
+from briarknot.routing import _health, _router
+
+_NO_NAMES: frozenset[str] = frozenset()
+#: Endpoints that are compared; two random ones avoid herds at little cost.
+_SAMPLE = 2
+
+
+@attrs.define(eq=False)
+class ServiceAttempt:
+    """One call to an endpoint of a plain service.
+
+    :param endpoint_name: endpoint that runs it.
+    """
+
+    endpoint_name: str
+
+
+@attrs.define(eq=False)
+class _Worker:
+    in_flight: int = 0
+    health: _health.Health = attrs.field(factory=_health.Health)
+
+    def weigh(self, now: float) -> float:
+        return (self.in_flight + 1) * self.health.penalty(now)
+
+
+@attrs.define(eq=False)
+class ServiceView:
+    """Calls in flight and failures of the services of one domain."""
+
+    _domain: str
+    _services: dict[str, schema.fleet.Service] = attrs.field(factory=dict)
+    _workers: dict[str, _Worker] = attrs.field(factory=dict)
+
+    @property
+    def domain(self) -> str:
+        """Failure domain of the endpoints."""
+        return self._domain
+
+    def list_endpoints(
+        self, service_name: str
+    ) -> tuple[schema.fleet.ServiceEndpoint, ...]:
+        """Returns a service's endpoints in the domain that stay."""
+        service = self._services.get(service_name, schema.fleet.Service())
+        return tuple(
+            endpoint
+            for endpoint in service.endpoints
+            if endpoint.domain == self._domain and not endpoint.leaving
+        )
+
+    def apply_document(self, document: schema.fleet.Fleet) -> None:
+        """Takes a new document; what was learned of endpoints is kept."""
+        self._services = {one.name: one for one in document.services}
+        names = {
+            endpoint.name
+            for service in document.services
+            for endpoint in service.endpoints
+        }
+        self._workers = {
+            name: worker
+            for name, worker in self._workers.items()
+            if name in names or worker.in_flight
+        }
+
+    def start_attempt(self, endpoint_name: str) -> ServiceAttempt:
+        """Counts a call against an endpoint."""
+        self._find_worker(endpoint_name).in_flight += 1
+        return ServiceAttempt(endpoint_name)
+
+    def end_attempt(
+        self, attempt: ServiceAttempt, now: float, *, ok: bool
+    ) -> None:
+        """Ends a call; to be called once.
+
+        :param attempt: result of :meth:`start_attempt`.
+        :param now: monotonic time in seconds.
+        :param ok: whether the endpoint did its part.
+        """
+        worker = self._find_worker(attempt.endpoint_name)
+        worker.in_flight -= 1
+        if not ok:
+            worker.health.apply_error(now)
+
+    def in_flight(self, endpoint_name: str) -> int:
+        """Returns the calls that have not ended."""
+        worker = self._workers.get(endpoint_name)
+        return worker.in_flight if worker else 0
+
+    def mark_failed(self, endpoint_name: str, now: float) -> None:
+        """Avoids an endpoint for a while, longer with each failure."""
+        self._find_worker(endpoint_name).health.apply_failure(now)
+
+    def weigh(self, endpoint_name: str, now: float) -> float:
+        """Returns the figure by which endpoints are compared."""
+        return self._find_worker(endpoint_name).weigh(now)
+
+    def is_excluded(self, endpoint_name: str, now: float) -> bool:
+        """Tells whether an endpoint failed a short time ago."""
+        return self._find_worker(endpoint_name).health.is_excluded(now)
+
+    def _find_worker(self, endpoint_name: str) -> _Worker:
+        return self._workers.setdefault(endpoint_name, _Worker())
+
+
+@attrs.frozen(kw_only=True)
+class ServiceChoice:
+    """An endpoint for a call.
+
+    :param endpoint: the endpoint.
+    :param reason: sentence with the figures, for the journal.
+    """
+
+    endpoint: schema.fleet.ServiceEndpoint
+    reason: str
+
+
+def make_service_view(document: schema.fleet.Fleet, domain: str) -> ServiceView:
+    """Makes the view of one failure domain's services.
+
+    :param document: document in force.
+    :param domain: name of the failure domain.
+
+    >>> make_service_view(schema.fleet.Fleet(), 'd').in_flight('worker-1')
+    0
+    """
+    view = ServiceView(domain)
+    view.apply_document(document)
+    return view
+
+
+def choose_service_endpoint(
+    view: ServiceView,
+    service_name: str,
+    now: float,
+    generator: random.Random,
+    exclude: frozenset[str] = _NO_NAMES,
+) -> ServiceChoice | _router.NoEndpoint:
+    """Chooses the less busy of two random endpoints of a service.
+
+    Endpoints that failed a short time ago are avoided while others remain.
+    Services send no reports that would show them alive, so that one call must
+    try the last ones.
+
+    :param view: view of the failure domain's services.
+    :param service_name: name of the service.
+    :param now: monotonic time in seconds.
+    :param generator: seeded source of the random choice.
+    :param exclude: names of endpoints that must not be chosen.
+    """
+    listed = view.list_endpoints(service_name)
+    allowed = [one for one in listed if one.name not in exclude]
+    healthy = [one for one in allowed if not view.is_excluded(one.name, now)]
+    fit = healthy or allowed
+    if not fit:
+        return _router.NoEndpoint(
+            reason=(
+                f'service {service_name} has no endpoint left in '
+                f'{view.domain}: {len(listed)} declared, '
+                f'{len(listed) - len(allowed)} excluded'
+            )
+        )
+    sample = generator.sample(fit, min(_SAMPLE, len(fit)))
+    chosen = min(sample, key=lambda one: view.weigh(one.name, now))
+    return ServiceChoice(
+        endpoint=chosen,
+        reason=(
+            f'{chosen.name} of {len(fit)} endpoints has '
+            f'{view.in_flight(chosen.name)} calls in flight; '
+            f'{len(allowed) - len(healthy)} failed a short time ago'
+        ),
+    )
--- /dev/null
+++ b/briarknot/routing/tests/test_faults.py
@@ -0,0 +1,180 @@
+"""Guards against retry storms and against requests that crash endpoints."""
+
+import collections
+import itertools
+import random
+
+import pytest
+from hypothesis import stateful, strategies
+
+from briarknot import routing, schema
+
+_SHARE = 0.25
+_FLOOR = 0.5
+_TTL_S = 100
+_ENGINES = strategies.sampled_from(('e1', 'e2', 'e3'))
+_PRINTS = strategies.sampled_from(('f1', 'f2'))
+
+
+class BudgetMachine(stateful.RuleBasedStateMachine):
+    """Takes retries, successes, and time in any order."""
+
+    def __init__(self):
+        """Starts with a full floor."""
+        super().__init__()
+        self._budget = routing.make_retry_budget(_SHARE, _FLOOR)
+        self._now = 0
+        self._successes = 0
+        self._retries = 0
+
+    @stateful.rule(count=strategies.integers(1, 50))
+    def succeed(self, count):
+        """Completes requests."""
+        self._successes += count
+        for _ in range(count):
+            self._budget.note_success(self._now)
+
+    @stateful.rule(count=strategies.integers(1, 50))
+    def retry(self, count):
+        """Asks for retries."""
+        for _ in range(count):
+            answer = self._budget.take(self._now)
+            assert answer or answer.reason
+            self._retries += bool(answer)
+
+    @stateful.rule(step=strategies.sampled_from((0.01, 1, 30)))
+    def advance(self, step):
+        """Lets time pass."""
+        self._now += step
+
+    @stateful.invariant()
+    def retries_stay_within_the_budget(self):
+        """Retries never exceed share, floor, and the first burst."""
+        earned = _SHARE * self._successes + _FLOOR * self._now
+        assert self._retries <= earned + 10 * _FLOOR + 1e-6
+
+
+class QuarantineMachine(stateful.RuleBasedStateMachine):
+    """Two entry processes of a domain that pass on what they see."""
+
+    flights = stateful.Bundle('flights')
+
+    def __init__(self):
+        """Starts without any crash."""
+        super().__init__()
+        self._now = 0
+        self._sides = [routing.make_quarantine(_TTL_S) for _ in range(2)]
+        self._crashes = collections.Counter()
+        self._expires_s = {}
+
+    @stateful.rule(
+        target=flights,
+        side=strategies.integers(0, 1),
+        fingerprint=_PRINTS,
+        engine=_ENGINES,
+    )
+    def start(self, side, fingerprint, engine):
+        """Starts an attempt unless it is quarantined."""
+        if not self._sides[side].check(fingerprint, self._now):
+            return stateful.multiple()
+        return side, self._sides[side].start(fingerprint, engine)
+
+    @stateful.rule(
+        flight=stateful.consumes(flights), completed=strategies.booleans()
+    )
+    def end(self, flight, completed):
+        """Ends an attempt and passes on that it is cleared."""
+        side, attempt = flight
+        self._now += 3 * completed
+        for message in self._sides[side].end(
+            attempt, self._now, completed=completed
+        ):
+            self._sides[1 - side].apply(message, self._now)
+            self._crashes[attempt.fingerprint] = 0
+
+    @stateful.rule(engine=_ENGINES)
+    def crash(self, engine):
+        """Crashes an endpoint; each side notices, twice, and passes it on."""
+        self._now += 6
+        self._forget_expired()
+        hit = set()
+        for side in (0, 1, 0, 1):
+            messages = self._sides[side].record_crash(engine, self._now)
+            for message in messages + messages:
+                hit.add(message.fingerprint)
+                self._sides[1 - side].apply(message, self._now)
+        self._crashes.update(hit)
+        self._expires_s |= dict.fromkeys(hit, self._now + _TTL_S)
+
+    @stateful.rule()
+    def forget(self):
+        """Lets all crashes expire."""
+        self._now += _TTL_S
+
+    @stateful.invariant()
+    def both_sides_refuse_after_two_crashes(self):
+        """A fingerprint is refused after two crashes, and not before."""
+        self._forget_expired()
+        for fingerprint in ('f1', 'f2'):
+            expected = self._crashes[fingerprint] < 2
+            for side in self._sides:
+                assert bool(side.check(fingerprint, self._now)) is expected
+
+    def _forget_expired(self):
+        for fingerprint, expires_s in self._expires_s.items():
+            if expires_s <= self._now:
+                self._crashes[fingerprint] = 0
+
+
+TestBudgetMachine = BudgetMachine.TestCase
+TestQuarantineMachine = QuarantineMachine.TestCase
+
+
+def test_attempt_that_broke_before_the_crash_was_noticed_counts():
+    """Streams may notice a crash before the process counts it."""
+    quarantine = routing.make_quarantine(_TTL_S)
+    flight = quarantine.start('f', 'e1', alone=True)
+    quarantine.end(flight, 1, completed=False)
+    assert quarantine.record_crash('e1', 2)
+    assert not quarantine.suspect_in_flight
+    assert isinstance(quarantine.check('f', 2), routing.Suspect)
+
+
+def test_fingerprint_tells_accounts_and_bodies_apart():
+    """A shared fingerprint would refuse another caller's request."""
+    quarantine = routing.make_quarantine(_TTL_S)
+    prints = {
+        quarantine.fingerprint(*parts)
+        for parts in itertools.product('st', 'ab', (b'x', b'xa'))
+    }
+    assert len(prints) == 8
+
+
+def _make_services(count):
+    endpoints = tuple(
+        schema.fleet.ServiceEndpoint(name=f'w{index}', domain='d')
+        for index in range(count)
+    )
+    service = schema.fleet.Service(name='s', endpoints=endpoints)
+    document = schema.fleet.Fleet(services=(service,))
+    return routing.make_service_view(document, 'd')
+
+
+def test_service_calls_spread_and_avoid_failed_endpoints():
+    """A failed or busy worker must not get the next call."""
+    view = _make_services(3)
+    generator = random.Random(1)
+    view.mark_failed('w0', 0)
+    for _ in range(40):
+        choice = routing.choose_service_endpoint(view, 's', 0, generator)
+        view.start_attempt(choice.endpoint.name)
+    assert [view.in_flight(f'w{index}') for index in range(3)] == [0, 20, 20]
+
+
+@pytest.mark.parametrize('count', [0, 1])
+def test_last_endpoint_is_tried_and_none_is_a_sentinel(count):
+    """A service without healthy endpoints must not raise."""
+    view = _make_services(count)
+    view.mark_failed('w0', 0)
+    choice = routing.choose_service_endpoint(view, 's', 0, random.Random(1))
+    assert bool(choice) is bool(count) and choice.reason
