--- a/briarknot/links/_hub.py
+++ b/briarknot/links/_hub.py
@@ -1,6 +1,7 @@
 """All peer links of a process."""
 
 import asyncio
+import collections
 import collections.abc
 import hmac
 import random
@@ -33,7 +34,9 @@
     _hello: schema.messages.Hello
     _secret: str
     _limits: _limits.LinkLimits
-    _handlers: dict[type, Handler] = attrs.field(factory=dict, init=False)
+    _handlers: collections.defaultdict[type, list[Handler]] = attrs.field(
+        factory=lambda: collections.defaultdict(list), init=False
+    )
     _links: dict[_link.PeerKey, _link.Link] = attrs.field(
         factory=dict, init=False
     )
@@ -72,19 +75,16 @@
         app.on_shutdown.append(self.close)
 
     def register(self, kind: type, handler: Handler) -> None:
-        """Sets the handler of a message class.
+        """Adds a handler of a message class.
 
-        The link's reader awaits the handler, so a slow one delays only its
-        link. The handler of ``Hello`` runs when a link opens and when the
+        The link's reader awaits the handlers in order, so a slow one delays
+        only its link. Those of ``Hello`` run when a link opens and when the
         peer's incarnation changes.
 
         :param kind: a member of ``PeerMessage``.
         :param handler: called with the link and the message.
-        :raises ValueError: where the class has a handler already.
         """
-        if kind in self._handlers:
-            raise ValueError(f'{kind.__name__} has a handler already')
-        self._handlers[kind] = handler
+        self._handlers[kind].append(handler)
 
     def connect(self, url: str) -> None:
         """Keeps a link to a peer URL until :meth:`disconnect`.
@@ -299,17 +299,16 @@
     async def _handle(
         self, link: _link.Link, message: schema.messages.PeerMessage
     ) -> None:
-        handler = self._handlers.get(type(message))
-        if handler is None:
-            if not isinstance(message, schema.messages.Hello):
-                _metrics.DROPPED.labels('unhandled').inc()
-            return
-        try:
-            await handler(link, message)
-        except Exception:
-            # One bad message must not cost the link.
-            _metrics.DROPPED.labels('handler_failed').inc()
-            logging.exception('Handler of %s failed', type(message).__name__)
+        handlers = self._handlers[type(message)]
+        if not handlers and not isinstance(message, schema.messages.Hello):
+            _metrics.DROPPED.labels('unhandled').inc()
+        for handler in handlers:
+            try:
+                await handler(link, message)
+            except Exception:
+                # One bad message must not cost the link.
+                _metrics.DROPPED.labels('handler_failed').inc()
+                logging.exception('Handler of %s failed', type(message))
 
 
 def make_hub(
