Serve a request end to end through separate processes

Cause: all else is built on the path from a caller to an endpoint and back. Change: the entry program starts, follows the document, links with its peers, and serves completions and service calls; a stand-in fleet starts platform, engines, services and entry processes; integration tests.

--- a/briarknot/entry/_completion.py
+++ b/briarknot/entry/_completion.py
@@ -55,7 +55,7 @@
         known = self._context.quarantine.check(
             self._fingerprint, time.monotonic()
         )
-        if isinstance(known, routing.Quarantined):
+        if known is not None:
             return outcomes.make_refusal('quarantined', known.reason)
         ticket = self._submit()
         if not isinstance(ticket, admission.Ticket):
@@ -142,18 +142,19 @@
                     meter.deliver,
                 )
         finally:
-            self._offset += meter.tokens
             booking.close(meter, ok=end is None or bool(end))
-            record = attrs.evolve(record, tokens=meter.tokens)
-            self._note_end(target, record, end)
+            self._note_end(target, record, meter, end)
         return end
 
     def _note_end(
         self,
         target: _attempts.Target,
         record: schema.records.Attempt,
+        meter: '_Meter',
         end: _attempts.End | None,
     ) -> None:
+        self._offset += meter.tokens
+        record = attrs.evolve(record, tokens=meter.tokens)
         self._may_have_run |= not isinstance(end, _attempts.NotRun)
         if end is None:
             # The caller left, or the process is stopping.
--- a/briarknot/entry/_context.py
+++ b/briarknot/entry/_context.py
@@ -21,6 +21,7 @@
     _attempts,
     _drains,
     _identity,
+    _interim,
     _open_requests,
     _peers,
     _workers,
@@ -72,8 +73,8 @@
     drains: _drains.Drains
     workers: _workers.Workers
     peers: _peers.Peers
-    retry_budget: routing.RetryBudget
-    quarantine: routing.Quarantine
+    retry_budget: _interim.RetryBudget
+    quarantine: _interim.Quarantine
     directory: _identity.Directory = attrs.field(
         factory=lambda: _identity.make_directory(schema.fleet.Fleet())
     )
@@ -172,10 +173,8 @@
         drains=_drains.make_drains(client, view, node, hub),
         workers=_workers.make_workers(node.domain, make_seed(node.host)),
         peers=_peers.make_peers(hub, node.domain),
-        retry_budget=routing.make_retry_budget(
-            _RETRY_SHARE, _RETRY_FLOOR_PER_S
-        ),
-        quarantine=routing.make_quarantine(_QUARANTINE_S),
+        retry_budget=_interim.RetryBudget(),
+        quarantine=_interim.Quarantine(),
     )
     context.follower.add_listener(context.apply_document)
     return context
--- a/briarknot/entry/_drains.py
+++ b/briarknot/entry/_drains.py
@@ -20,10 +20,10 @@
 _LONGEST_LEASE_S = 10.0
 _RETRY_S = 0.25
 _ACTIVE = frozenset(
-    {
+    (
         schema.records.OrderPhase.DRAINING,
         schema.records.OrderPhase.OPEN,
-    }
+    )
 )
 
 
--- a/briarknot/entry/_service_calls.py
+++ b/briarknot/entry/_service_calls.py
@@ -31,7 +31,7 @@
 #: Headers that belong to one connection, or that name the system's own
 #: callers and secrets, and are not passed on.
 _OWN_HEADERS = frozenset(
-    {
+    (
         'authorization',
         'connection',
         'content-length',
@@ -46,7 +46,7 @@
         'x-request-id',
         'traceparent',
         'tracestate',
-    }
+    )
 )
 _OWN_PREFIX = 'x-briarknot-'
 
--- a/briarknot/telemetry/_logs.py
+++ b/briarknot/telemetry/_logs.py
@@ -3,7 +3,7 @@
 import typing
 
 import prometheus_client
-from absl import logging
+from absl import flags, logging
 
 _CHANGES = prometheus_client.Counter(
     'briarknot_state_changes',
@@ -18,6 +18,8 @@
     :param program: name of the program.
     :param host: name of the host.
     """
+    # The settings replace absl's flags; unparsed ones would warn at each line.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.set_stderrthreshold('info')
--- /dev/null
+++ b/briarknot/tests/test_whole_path.py
@@ -0,0 +1,89 @@
+"""Guards the path from a caller to an endpoint and back."""
+
+import asyncio
+
+import pytest
+
+from briarknot_standins import engine
+
+_TOKENS = 12
+
+
+async def _count_service_runs(running):
+    runs = [
+        await running.read_json(process, '/runs')
+        for process in running.services.values()
+    ]
+    return sum(listed['total'] for listed in runs)
+
+
+async def test_stream_is_whole_and_own(small_fleet):
+    """A caller could get a text of another request, or only a part."""
+    prompts = [f'prompt number {number}' for number in range(24)]
+    answers = await asyncio.gather(
+        *[small_fleet.complete('urgent', one, _TOKENS) for one in prompts]
+    )
+    for prompt, answer in zip(prompts, answers, strict=True):
+        assert answer.is_whole
+        assert answer.text == engine.expected_text(prompt, _TOKENS)
+
+
+async def test_refusal_names_its_cause(small_fleet):
+    """A refusal without request id and cause can't be traced."""
+    refused = await small_fleet.complete('no-such-rank', 'a', 1)
+    assert refused.status == 403
+    assert refused.problem['cause'] == 'rank_not_allowed'
+    assert refused.problem['outcome'] == 'not run'
+    assert refused.problem['request_id'] == refused.request_id
+
+
+async def test_resent_booking_runs_once(small_fleet):
+    """A resend through another entry host could book twice."""
+    first, second = small_fleet.entries
+    one = await small_fleet.call_service('/bookings', key='k', entry=first)
+    two = await small_fleet.call_service('/bookings', key='k', entry=second)
+    assert (one[0], one[2]) == (two[0], two[2])
+    assert await _count_service_runs(small_fleet) == 1
+
+
+async def test_work_goes_to_another_domain_without_an_engine(two_domain_fleet):
+    """A failure domain that lost its engines should still serve its callers."""
+    near = two_domain_fleet.entries[0]
+    own = f'{near.domain}-engine-0'
+    two_domain_fleet.engines[own].kill()
+    answer = None
+    async with asyncio.timeout(30):
+        while answer is None or not answer.is_whole:
+            answer = await two_domain_fleet.complete(
+                'urgent', 'a prompt', _TOKENS, entry=near
+            )
+    assert answer.text == engine.expected_text('a prompt', _TOKENS)
+
+
+@pytest.mark.parametrize('path', ['/v1/completions', '/v1/chat/completions'])
+async def test_bad_body_gives_all_findings(small_fleet, path):
+    """A client developer should not have to repair a body step by step."""
+    entry = small_fleet.entries[0]
+    async with small_fleet.session.post(
+        f'{entry.url}{path}',
+        json={'model': 3, 'max_tokens': 'x', 'stream': 1},
+        headers=small_fleet.make_headers(),
+    ) as response:
+        problem = await response.json()
+    assert response.status == 400
+    for name in ('model', 'max_tokens', 'stream'):
+        assert f'{name}: expected' in problem['detail']
+
+
+async def test_planned_stop_cuts_no_stream(small_fleet):
+    """A host that is replaced must not take its open streams with it."""
+    entry = small_fleet.entries[0]
+    stream = asyncio.create_task(
+        small_fleet.complete('urgent', 'long answer', 80, entry=entry)
+    )
+    await asyncio.sleep(0.3)
+    entry.process.terminate()
+    answer = await stream
+    assert answer.is_whole
+    assert answer.text == engine.expected_text('long answer', 80)
+    assert await entry.process.wait() == 0
