Add the operators' command line

Cause: operators validate, commit, drain and explain from scripts and terminals, and a script must tell a race from an outage. The platform client reads the list of objects under the key 'objects', as the platform's stand-in writes it.

--- a/briarknot/config/_follower.py
+++ b/briarknot/config/_follower.py
@@ -159,16 +159,12 @@
         self._take('peer', message)
         self._peer_answered.set()
 
-    def _take(
-        self, source: str, body: schema.messages.DocumentBody
-    ) -> None:
+    def _take(self, source: str, body: schema.messages.DocumentBody) -> None:
         # Checked again here: another task may have taken a newer document
         # while this one waited for the text.
         if body.revision <= self.revision:
             return
-        reading = document.read_text(
-            schema.fleet.Fleet, body.text, body.object
-        )
+        reading = document.read_text(schema.fleet.Fleet, body.text, body.object)
         if reading.value is None:
             _READS.labels(source, 'invalid').inc()
             telemetry.log_change(
--- /dev/null
+++ b/briarknot/ctl/_program.py
@@ -0,0 +1,103 @@
+"""Parses the command line and runs a command."""
+
+import asyncio
+import pathlib
+import sys
+import typing
+
+import aiohttp
+import attrs
+import cappa
+
+import briarknot
+from briarknot import platform, program, schema
+from briarknot.ctl import _commands, _report
+from briarknot.ctl import _document_commands as _registered_documents
+from briarknot.ctl import _fleet_commands as _registered_fleet
+from briarknot.ctl import _journal_commands as _registered_journal
+from briarknot.ctl import _key_commands as _registered_keys
+
+#: Modules that fill the registry when they are imported.
+COMMAND_MODULES = (
+    _registered_documents,
+    _registered_fleet,
+    _registered_journal,
+    _registered_keys,
+)
+_SETTINGS_VARIABLE = 'BRIARKNOTCTL_SETTINGS'
+_TIMEOUT_S = 30
+_AnyCommand = typing.Union[  # noqa: UP007
+    tuple(_commands.COMMANDS.get(name) for name in _commands.COMMANDS.names)
+]
+
+
+@cappa.command(
+    name='briarknotctl',
+    help='Reads and changes the fleet document, and explains requests.',
+    description=(
+        'Exit codes: 0 done; 2 bad settings or arguments; 3 findings; '
+        '4 another operator was faster; 5 platform unavailable, nothing '
+        'changed; 6 platform unavailable, may be in force; 7 not found; '
+        '8 the wait ended first.'
+    ),
+)
+@attrs.frozen
+class Arguments:
+    """Arguments of the program.
+
+    :param command: the command.
+    :param settings: path of the settings, JSON with comments.
+    :param json: whether to print JSON.
+    """
+
+    command: cappa.Subcommands[_AnyCommand]
+    settings: typing.Annotated[
+        pathlib.Path | None,
+        cappa.Arg(
+            long=True,
+            propagate=True,
+            default=cappa.Env(_SETTINGS_VARIABLE),
+            help='Path of the settings file.',
+        ),
+    ] = None
+    json: typing.Annotated[
+        bool, cappa.Arg(long=True, propagate=True, help='Print JSON.')
+    ] = False
+
+
+def run(argv: list[str]) -> int:
+    """Runs one command.
+
+    :param argv: arguments without the program's name.
+    :returns: exit code.
+    """
+    arguments = cappa.parse(
+        Arguments,
+        argv=argv,
+        version=cappa.Arg(briarknot.__version__, long=True),
+    )
+    command = arguments.command
+    if hasattr(command, 'run_local'):
+        report = command.run_local()
+    elif arguments.settings is None:
+        print(
+            f'--settings or {_SETTINGS_VARIABLE} is required', file=sys.stderr
+        )
+        return program.BAD_SETTINGS_EXIT
+    else:
+        settings = program.read_settings(
+            schema.settings.CtlSettings, arguments.settings
+        )
+        report = asyncio.run(_run_on_fleet(command, settings))
+    _report.print_report(report, as_json=arguments.json)
+    return report.code
+
+
+async def _run_on_fleet(
+    command: _commands.FleetCommand, settings: schema.settings.CtlSettings
+) -> _report.Report:
+    async with aiohttp.ClientSession() as session:
+        client = platform.make_client(
+            session, settings.platform_url, _TIMEOUT_S
+        )
+        return await command.run(_commands.Context(settings, client, session))
--- a/briarknot/platform/_client.py
+++ b/briarknot/platform/_client.py
@@ -143,7 +143,7 @@
         answer = await self._call('list_objects', 'GET', f'/objects?{query}')
         if isinstance(answer, _values.Unavailable):
             return answer
-        return tuple(orjson.loads(answer.body)['names'])
+        return tuple(orjson.loads(answer.body)['objects'])
 
     async def list_hosts(
         self,
