Add the console: forms, text view, history, and document API

Cause: operators change the fleet through a browser or the API, and must see all findings at once and who won a race. Change: forms made from the schema's field metadata, one member of the document each, so that a commit carries only that member's entries; a text view; preview of the difference; refusal after a race that keeps the entries; signed sessions that every host's console accepts and CSRF tokens on each form. A commit repeats an object write without an answer, and does not call an old answer of the platform a race. Result: 7 tests over two console processes and the platform pass, with races, a lost answer, and an outage. Conclusion: the console keeps no state.

--- a/briarknot/config/_commit.py
+++ b/briarknot/config/_commit.py
@@ -177,7 +177,11 @@
     current = await _published.read_row(client)
     if isinstance(current, platform.Unavailable):
         return CommitUnavailable(current.reason)
-    if current.row.revision != expected_revision:
+    if current.row.revision < expected_revision:
+        return CommitUnavailable(
+            f'the platform still shows revision {current.row.revision}'
+        )
+    if current.row.revision > expected_revision:
         return Race(current.row)
     revision = expected_revision + 1
     attempt_id = secrets.token_hex(_ATTEMPT_BYTES)
@@ -190,7 +194,19 @@
         note=note,
     )
     # The text must be there before any process can read the row.
-    written = await client.write_object(commit.object, text.encode())
+    written = await _write_text(client, commit.object, text)
     if isinstance(written, platform.Unavailable):
         return CommitUnavailable(written.reason)
     return await _Attempt(client, commit, current).write()
+
+
+async def _write_text(
+    client: platform.Client, name: str, text: str
+) -> platform.Committed | platform.Unavailable:
+    """Writes an object; a repetition writes the same bytes."""
+    written = await client.write_object(name, text.encode())
+    for _ in range(_MAX_WRITES - 1):
+        if written or not written.may_have_applied:
+            break
+        written = await client.write_object(name, text.encode())
+    return written
--- /dev/null
+++ b/briarknot/console/__main__.py
@@ -0,0 +1,35 @@
+"""Program ``briarknot-console``."""
+
+import asyncio
+
+import aiohttp
+
+from briarknot import platform, program, schema
+from briarknot.console import _app
+
+
+async def run_console(
+    process: program.Process, settings: schema.settings.ConsoleSettings
+) -> None:
+    """Serves the operators' forms and the document API."""
+    node = settings.node
+    async with aiohttp.ClientSession() as session:
+        client = platform.make_client(
+            session, node.platform_url, node.platform_timeout_s
+        )
+        await process.listen(_app.make_app(settings, client), settings.port)
+        process.set_ready()
+        await process.stopping.wait()
+        process.set_ready('stopping')
+        await asyncio.sleep(node.drain_grace_s)
+
+
+def main() -> None:
+    """Runs the program."""
+    program.run_program(
+        'briarknot-console', schema.settings.ConsoleSettings, run_console
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/briarknot/console/_app.py
@@ -0,0 +1,168 @@
+"""Application of the console: routes, sessions, and headers."""
+
+import importlib.resources
+import typing
+
+import attrs
+import prometheus_client
+from aiohttp import web
+
+from briarknot import platform, schema, telemetry
+from briarknot.console import (
+    _api,
+    _context,
+    _form_view,
+    _sessions,
+    _status_view,
+    _text_view,
+)
+
+# A document with 16,000 accounts has about 4 MB; form encoding adds half.
+_MAX_BODY_BYTES = 32 << 20
+_OPEN_PATHS = frozenset(('/sign-in', '/style.css'))
+_HEADERS = (
+    (
+        'Content-Security-Policy',
+        "default-src 'none'; style-src 'self'; form-action 'self'; "
+        "base-uri 'none'; frame-ancestors 'none'",
+    ),
+    ('X-Content-Type-Options', 'nosniff'),
+    ('Referrer-Policy', 'no-referrer'),
+    ('Cache-Control', 'no-store'),
+)
+_SIGN_INS = prometheus_client.Counter(
+    'briarknot_console_sign_ins', 'Sign-ins by result.', ('result',)
+)
+
+_Handler = typing.Callable[[web.Request], typing.Awaitable[web.StreamResponse]]
+
+
+@attrs.frozen(eq=False)
+class _SignIn:
+    """Sign-in, sign-out, and the check of each request."""
+
+    _context: _context.Context
+    _style: bytes
+
+    def add_routes(self, app: web.Application) -> None:
+        """Adds the routes."""
+        app.router.add_get('/sign-in', self._show)
+        app.router.add_post('/sign-in', self._sign_in)
+        app.router.add_post('/sign-out', self._sign_out)
+        app.router.add_get('/style.css', self._show_style)
+
+    async def check(
+        self, request: web.Request, handler: _Handler
+    ) -> web.StreamResponse:
+        """Lets a request pass that has a session and, in forms, its token.
+
+        :param request: request; the API checks bearer tokens by itself.
+        :param handler: handler of the request.
+        """
+        if request.path.startswith(_api.PREFIX):
+            return await handler(request)
+        sessions = self._context.sessions
+        cookie = request.cookies.get(_context.COOKIE, '')
+        session = sessions.read_cookie(cookie) or sessions.make_session()
+        _context.set_session(request, session)
+        if not session.operator and request.path not in _OPEN_PATHS:
+            raise web.HTTPSeeOther('/sign-in')
+        if request.method == 'POST':
+            form = await request.post()
+            token = str(form.get('csrf_token', ''))
+            if not sessions.check_csrf_token(session, token):
+                raise web.HTTPForbidden(text='The form is not valid any more.')
+        return await handler(request)
+
+    async def _show(self, request: web.Request) -> web.Response:
+        return self._render(request, '')
+
+    def _render(
+        self, request: web.Request, problem: str, status: int = 200
+    ) -> web.Response:
+        response = self._context.render(
+            request, 'sign_in', status, problem=problem
+        )
+        self._set_cookie(request, response, _context.read_session(request))
+        return response
+
+    async def _sign_in(self, request: web.Request) -> web.Response:
+        form = await request.post()
+        sessions = self._context.sessions
+        operator = sessions.find_operator(str(form.get('token', '')))
+        _SIGN_INS.labels('accepted' if operator else 'refused').inc()
+        if not operator:
+            status = web.HTTPForbidden.status_code
+            return self._render(request, 'This token is not known.', status)
+        telemetry.log_change('operator', 'signed in', operator=operator)
+        response = _redirect('/')
+        self._set_cookie(request, response, sessions.make_session(operator))
+        return response
+
+    async def _sign_out(self, request: web.Request) -> web.Response:
+        response = _redirect('/sign-in')
+        response.del_cookie(_context.COOKIE)
+        return response
+
+    async def _show_style(self, request: web.Request) -> web.Response:
+        return web.Response(body=self._style, content_type='text/css')
+
+    def _set_cookie(
+        self,
+        request: web.Request,
+        response: web.Response,
+        session: _sessions.Session,
+    ) -> None:
+        response.set_cookie(
+            _context.COOKIE,
+            self._context.sessions.write_cookie(session),
+            httponly=True,
+            samesite='Strict',
+            secure=request.secure,
+            max_age=_sessions.SESSION_S,
+        )
+
+
+def _redirect(path: str) -> web.Response:
+    return web.Response(
+        status=web.HTTPSeeOther.status_code, headers={'Location': path}
+    )
+
+
+async def _add_headers(
+    request: web.Request, response: web.StreamResponse
+) -> None:
+    response.headers.update(_HEADERS)
+
+
+def make_app(
+    settings: schema.settings.ConsoleSettings, client: platform.Client
+) -> web.Application:
+    """Makes the application.
+
+    :param settings: settings of the console.
+    :param client: client of the platform.
+    """
+    context = _context.make_context(settings, client)
+    package = importlib.resources.files(__package__)
+    style = (package / 'templates' / 'style.css').read_bytes()
+    sign_in = _SignIn(context, style)
+
+    @web.middleware
+    async def check(
+        request: web.Request, handler: _Handler
+    ) -> web.StreamResponse:
+        return await sign_in.check(request, handler)
+
+    app = web.Application(middlewares=(check,), client_max_size=_MAX_BODY_BYTES)
+    app.on_response_prepare.append(_add_headers)
+    views = (
+        sign_in,
+        _api.Api(context),
+        _status_view.StatusView(context),
+        _text_view.TextView(context),
+        _form_view.FormView(context),
+    )
+    for view in views:
+        view.add_routes(app)
+    return app
--- /dev/null
+++ b/briarknot/console/_commits.py
@@ -0,0 +1,111 @@
+"""Commits an operator's entries and tells how that ended."""
+
+import typing
+
+import attrs
+from aiohttp import web
+
+from briarknot import config, document, platform, schema
+from briarknot.console import _context
+
+
+@attrs.frozen
+class Notice:
+    """What is shown above an operator's entries.
+
+    :param status: HTTP status of the page.
+    :param revision: revision that the entries now apply to.
+    :param race: the other operator's commit, where that one won.
+    :param problem: why nothing is known of the commit, where the platform
+        did not answer.
+    """
+
+    status: int = 200
+    revision: int = 0
+    race: _context.RaceNotice | None = None
+    problem: str = ''
+
+
+async def commit(
+    context: _context.Context,
+    request: web.Request,
+    text: str,
+    expected_revision: int,
+) -> Notice:
+    """Commits a text, or tells why not.
+
+    :param context: clients.
+    :param request: request with a session and a ``note`` in its form.
+    :param text: JSON with comments, without findings.
+    :param expected_revision: revision that the entries were made from.
+    :raises aiohttp.web.HTTPSeeOther: to the new revision, where accepted.
+    """
+    form = await request.post()
+    result = await config.commit_document(
+        context.client,
+        text,
+        _context.read_session(request).operator,
+        str(form.get('note', '')),
+        expected_revision,
+    )
+    if isinstance(result, config.Accepted):
+        raise web.HTTPSeeOther(f'/history/{result.revision}')
+    if isinstance(result, config.Race):
+        return await make_race_notice(
+            context.client, result.row, expected_revision
+        )
+    return Notice(
+        status=web.HTTPServiceUnavailable.status_code,
+        revision=expected_revision,
+        problem=_describe(result),
+    )
+
+
+def _describe(result: typing.Any) -> str:
+    if isinstance(result, config.Invalid):
+        return '; '.join(str(finding) for finding in result.findings)
+    if result.may_have_applied:
+        return (
+            f'The platform did not answer ({result.reason}). The commit may '
+            'be in force; look at the history before you repeat it.'
+        )
+    return (
+        f'The platform did not answer ({result.reason}). Nothing was changed.'
+    )
+
+
+async def make_race_notice(
+    client: platform.Client,
+    row: schema.records.DocumentRow,
+    expected_revision: int,
+) -> Notice:
+    """Tells who won and what differs since the operator's revision.
+
+    :param client: client of the platform.
+    :param row: row in force.
+    :param expected_revision: revision that the entries were made from.
+    """
+    winner = row.history[0] if row.history else schema.records.Commit()
+    before = await config.read_published(client, expected_revision)
+    now = await config.read_published(client, row.revision)
+    changes = None
+    if isinstance(before, config.Published) and isinstance(
+        now, config.Published
+    ):
+        changes = document.compare(before.fleet, now.fleet)
+    return Notice(
+        status=web.HTTPConflict.status_code,
+        revision=row.revision,
+        race=_context.RaceNotice(winner, changes),
+    )
+
+
+def read_revision(form: typing.Mapping[str, typing.Any]) -> int:
+    """Returns the revision that a form was made from.
+
+    :param form: entries of the form.
+    """
+    revision = str(form.get('expected_revision', ''))
+    if not revision.isdecimal():
+        raise web.HTTPBadRequest(text='expected_revision: found no number')
+    return int(revision)
--- /dev/null
+++ b/briarknot/console/_form_view.py
@@ -0,0 +1,248 @@
+"""Forms for the members of the document's lists, and for the policies."""
+
+import typing
+
+import attrs
+import orjson
+from aiohttp import web
+
+from briarknot import config, document, platform, schema
+from briarknot.console import _commits, _context, _forms, _text_view
+
+_Fleet = schema.fleet.Fleet
+_POLICIES = 'policies'
+_REMOVE = 'remove'
+_UNPROCESSABLE = web.HTTPUnprocessableEntity.status_code
+
+
+@attrs.frozen(kw_only=True)
+class _Target:
+    """What a form edits.
+
+    :param section: name of the list, or ``policies``.
+    :param name: name of the member; empty for a new one.
+    """
+
+    section: str
+    name: str
+
+    @property
+    def kind(self) -> type:
+        """Generated class of the member."""
+        kind = schema.read_types(_Fleet)[self.section]
+        return kind if self.section == _POLICIES else typing.get_args(kind)[0]
+
+    def find_index(self, fleet: schema.fleet.Fleet) -> int | None:
+        """Returns the member's place in its list, or None."""
+        if self.section == _POLICIES:
+            return None
+        members = getattr(fleet, self.section)
+        for index, member in enumerate(members):
+            if self.name and member.name == self.name:
+                return index
+        return None
+
+    def find_path(self, fleet: schema.fleet.Fleet) -> str:
+        """Returns the path that the member has in an edited document."""
+        if self.section == _POLICIES:
+            return self.section
+        index = self.find_index(fleet)
+        if index is None:
+            index = len(getattr(fleet, self.section))
+        return f'{self.section}[{index}]'
+
+    def read_tree(self, fleet: schema.fleet.Fleet) -> dict[str, typing.Any]:
+        """Returns the member's plain values, or none for a new one."""
+        if self.section == _POLICIES:
+            return schema.to_plain(fleet.policies)
+        index = self.find_index(fleet)
+        if index is None:
+            return {}
+        return schema.to_plain(getattr(fleet, self.section)[index])
+
+    def change(
+        self, fleet: schema.fleet.Fleet, tree: dict[str, typing.Any] | None
+    ) -> document.Reading[schema.fleet.Fleet]:
+        """Reads the document with the member changed.
+
+        :param fleet: document in force.
+        :param tree: the member's new plain values; None removes it.
+        """
+        plain = schema.to_plain(fleet)
+        index = self.find_index(fleet)
+        if self.section == _POLICIES:
+            plain[self.section] = tree
+        elif tree is None:
+            plain[self.section].pop(index)
+        elif index is None:
+            plain[self.section].append(tree)
+        else:
+            plain[self.section][index] = tree
+        text = orjson.dumps(plain).decode()
+        return document.read_text(_Fleet, text, self.section)
+
+
+@attrs.frozen(eq=False)
+class FormView:
+    """``/fleet/SECTION`` and ``/fleet/SECTION/member?name=NAME``."""
+
+    _context: _context.Context
+
+    def add_routes(self, app: web.Application) -> None:
+        """Adds the routes."""
+        app.router.add_get('/fleet/{section}', self._list)
+        app.router.add_get('/fleet/{section}/member', self._show)
+        app.router.add_post('/fleet/{section}/member', self._take)
+
+    async def _read_published(
+        self, request: web.Request
+    ) -> config.Published | web.Response:
+        published = await config.read_published(self._context.client)
+        if isinstance(published, config.Published):
+            return published
+        if isinstance(published, platform.Unavailable):
+            return self._context.render_unavailable(request, published.reason)
+        # The first document, or a repair, is written as text.
+        raise web.HTTPSeeOther('/document')
+
+    async def _list(self, request: web.Request) -> web.Response:
+        section = _read_section(request)
+        published = await self._read_published(request)
+        if isinstance(published, web.Response):
+            return published
+        if section == _POLICIES:
+            raise web.HTTPSeeOther(f'/fleet/{_POLICIES}/member')
+        members = getattr(published.fleet, section)
+        return self._context.render(
+            request,
+            'list',
+            section=section,
+            published=published,
+            members=[schema.to_plain(member) for member in members],
+        )
+
+    async def _show(self, request: web.Request) -> web.Response:
+        target = _read_target(request)
+        published = await self._read_published(request)
+        if isinstance(published, web.Response):
+            return published
+        fleet = published.fleet
+        if target.name and target.find_index(fleet) is None:
+            raise web.HTTPNotFound(text=f'{target.name} is not there.')
+        tree = target.read_tree(fleet)
+        if request.query.get('leaving'):
+            tree['leaving'] = True
+        form = _forms.make_form(target.kind, tree, fleet)
+        notice = _commits.Notice(revision=published.commit.revision)
+        return self._render(request, target, form, notice)
+
+    async def _take(self, request: web.Request) -> web.Response:
+        target = _read_target(request)
+        published = await self._read_published(request)
+        if isinstance(published, web.Response):
+            return published
+        entries = await request.post()
+        tree = _forms.read_entries(target.kind, entries)
+        revision = _commits.read_revision(entries)
+        notice = _commits.Notice(revision=revision)
+        action = entries.get('action', '')
+        is_removal = _REMOVE in {action, entries.get('removal')}
+        if is_removal and target.find_index(published.fleet) is None:
+            raise web.HTTPNotFound(text=f'{target.name} is not there.')
+        reading = target.change(published.fleet, None if is_removal else tree)
+        if action == 'edit' or reading.value is None:
+            findings = () if action == 'edit' else reading.findings
+            if findings:
+                notice = attrs.evolve(notice, status=_UNPROCESSABLE)
+            form = _make_form(target, tree, published, findings)
+            return self._render(request, target, form, notice)
+        if action != 'commit':
+            return await self._preview(
+                request, published, reading.value, notice
+            )
+        notice = await self._commit(request, published, reading.value, notice)
+        form = _make_form(target, tree, published, ())
+        return self._render(request, target, form, notice)
+
+    async def _commit(
+        self,
+        request: web.Request,
+        published: config.Published,
+        fleet: schema.fleet.Fleet,
+        notice: _commits.Notice,
+    ) -> _commits.Notice:
+        if published.commit.revision != notice.revision:
+            row = schema.records.DocumentRow(
+                revision=published.commit.revision,
+                history=(published.commit,),
+            )
+            return await _commits.make_race_notice(
+                self._context.client, row, notice.revision
+            )
+        text = document.edit_text(published.text, fleet)
+        return await _commits.commit(
+            self._context, request, text, notice.revision
+        )
+
+    async def _preview(
+        self,
+        request: web.Request,
+        published: config.Published,
+        fleet: schema.fleet.Fleet,
+        notice: _commits.Notice,
+    ) -> web.Response:
+        form = await request.post()
+        entries = await _text_view.read_entries(request)
+        if form.get('action') == _REMOVE:
+            entries.append(('removal', _REMOVE))
+        return self._context.render(
+            request,
+            'preview',
+            path=request.path_qs,
+            entries=entries,
+            changes=document.compare(published.fleet, fleet),
+            notice=notice,
+            in_force=published.commit.revision,
+        )
+
+    def _render(
+        self,
+        request: web.Request,
+        target: _Target,
+        form: _forms.Form,
+        notice: _commits.Notice,
+    ) -> web.Response:
+        return self._context.render(
+            request,
+            'member',
+            notice.status,
+            target=target,
+            form=form,
+            notice=notice,
+            path=request.path_qs,
+        )
+
+
+def _make_form(
+    target: _Target,
+    tree: dict[str, typing.Any],
+    published: config.Published,
+    findings: tuple[document.Finding, ...],
+) -> _forms.Form:
+    fleet = published.fleet
+    return _forms.make_form(
+        target.kind, tree, fleet, findings, target.find_path(fleet)
+    )
+
+
+def _read_section(request: web.Request) -> str:
+    section = request.match_info['section']
+    if section not in {*_forms.list_sections(), _POLICIES}:
+        raise web.HTTPNotFound(text=f'The document has no {section}.')
+    return section
+
+
+def _read_target(request: web.Request) -> _Target:
+    return _Target(
+        section=_read_section(request), name=request.query.get('name', '')
+    )
--- /dev/null
+++ b/briarknot/tests/test_console.py
@@ -0,0 +1,280 @@
+"""Guards against commits that are lost, doubled, or told wrongly.
+
+The consoles and the platform are processes; a relay in the test drops the
+answers of transactions.
+"""
+
+import html
+import re
+
+import aiohttp
+import attrs
+import pytest
+from aiohttp import web
+
+from briarknot.ctl import _key_commands
+from briarknot_standins import launcher, serving
+
+_TOKENS = {'eva': 'token-of-eva', 'noe': 'token-of-noe'}
+_TEXT = """{
+  "name": "f",
+  "domains": [{"name": "d", "region": "r"}],
+  "ranks": [{"name": "urgent"}],
+  "models": [{"name": "m"}],
+  // Rack 3.
+  "engines": [{"name": "e1", "domain": "d", "url": "http://127.0.0.1:9",
+    "model": "m"}]
+}
+"""
+
+
+@attrs.define
+class _Relay:
+    """Passes calls to the platform; drops answers of transactions."""
+
+    url: str
+    session: aiohttp.ClientSession
+    drops: int = 0
+
+    async def handle(self, request):
+        async with self.session.request(
+            request.method,
+            self.url + request.raw_path,
+            data=await request.read(),
+        ) as response:
+            answer = web.Response(
+                status=response.status, body=await response.read()
+            )
+        if request.path == '/transactions' and self.drops:
+            self.drops -= 1
+            return serving.abort(request)
+        return answer
+
+
+@attrs.define
+class _Browser:
+    """A browser without JavaScript, at one page."""
+
+    session: aiohttp.ClientSession
+    url: str
+    page: str = ''
+
+    async def get(self, path):
+        async with self.session.get(self.url + path) as response:
+            self.page = await response.text()
+            return response.status
+
+    async def post(self, path, action='', **entries):
+        form = {'action': action, **entries}
+        for name in ('csrf_token', 'expected_revision'):
+            match = re.search(f'name="{name}" value="([^"]*)"', self.page)
+            form.setdefault(name, match.group(1) if match else '')
+        async with self.session.post(self.url + path, data=form) as response:
+            self.page = await response.text()
+            return response.status
+
+    async def sign_in(self, token):
+        await self.get('/sign-in')
+        return await self.post('/sign-in', token=token)
+
+    def has(self, text):
+        return text in html.unescape(self.page)
+
+
+@attrs.define
+class _Desk:
+    """Two consoles, each with an operator's browser."""
+
+    platform: launcher.Process
+    relay: _Relay
+    consoles: list
+    eva: _Browser
+    noe: _Browser
+
+    async def call(self, method, path, token='token-of-eva', **options):
+        headers = {'Authorization': f'Bearer {token}'}
+        async with self.relay.session.request(
+            method, self.consoles[0].url + path, headers=headers, **options
+        ) as response:
+            return response.status, await response.text()
+
+    async def commit(self, text, revision):
+        path = f'/api/document?expected_revision={revision}'
+        return await self.call('PUT', path, data=text)
+
+
+async def _start_console(cluster, number, platform_url):
+    port = cluster.choose_port()
+    node = {
+        'host': f'h{number}',
+        'domain': 'd',
+        'admin_port': cluster.choose_port(),
+        'platform_url': platform_url,
+        'peer_secret': 'secret',
+        'drain_grace_s': 0,
+    }
+    operators = [
+        {'name': name, 'token_hash': _key_commands.hash_key(token)}
+        for name, token in _TOKENS.items()
+    ]
+    settings = cluster.write_settings(
+        f'console{number}', {'node': node, 'port': port, 'operators': operators}
+    )
+    return await cluster.start(
+        'briarknot.console', ('--settings', str(settings)), port=port
+    )
+
+
+def _make_session():
+    # Cookies of IP addresses are refused by default.
+    return aiohttp.ClientSession(cookie_jar=aiohttp.CookieJar(unsafe=True))
+
+
+@pytest.fixture
+async def desk():
+    """Yields two consoles with a first document and signed-in browsers."""
+    async with (
+        launcher.make_cluster() as cluster,
+        _make_session() as plain,
+        _make_session() as first,
+        _make_session() as second,
+    ):
+        platform = await cluster.start('briarknot_standins.platform')
+        relay = _Relay(platform.url, plain)
+        app = web.Application()
+        app.router.add_route('*', '/{path:.*}', relay.handle)
+        async with serving.serve(app) as url:
+            consoles = [
+                await _start_console(cluster, number, url)
+                for number in range(2)
+            ]
+            browsers = (
+                _Browser(first, consoles[0].url),
+                _Browser(second, consoles[1].url),
+            )
+            desk = _Desk(platform, relay, consoles, *browsers)
+            status, _ = await desk.commit(_TEXT, 0)
+            assert status == 200
+            for browser, token in zip(browsers, _TOKENS.values(), strict=True):
+                assert await browser.sign_in(token) == 200
+            yield desk
+
+
+async def test_text_race(desk):
+    """The loser must see who won and what differs, and keep the text."""
+    hers = _TEXT.replace('"urgent"', '"urgent", "worth": 3')
+    his = _TEXT.replace('Rack 3', 'Rack 4, kept')
+    for browser in (desk.eva, desk.noe):
+        await browser.get('/document')
+    assert await desk.eva.post('/document', 'preview', text=hers) == 200
+    assert desk.eva.has('ranks[urgent].worth')
+    status = await desk.eva.post('/document', 'commit', text=hers, note='why')
+    assert status == 200
+    assert desk.eva.has('Revision 2')
+    assert await desk.noe.post('/document', 'commit', text=his) == 409
+    for shown in ('eva', 'why', 'ranks[urgent].worth', 'Rack 4, kept'):
+        assert desk.noe.has(shown)
+    assert await desk.noe.post('/document', 'commit', text=his) == 200
+    assert desk.noe.has('Revision 3')
+
+
+async def test_form_race_keeps_both_changes(desk):
+    """A form changes one member, so the winner's change must survive."""
+    path = '/fleet/ranks/member?name=urgent'
+    await desk.noe.get(path)
+    await desk.eva.get('/fleet/engines/member?name=e1&leaving=1')
+    assert desk.eva.has('name="leaving" value="on" checked')
+    engine = {'name': 'e1', 'domain': 'd', 'model': 'm', 'leaving': 'on'}
+    engine['url'] = 'http://127.0.0.1:9'
+    engine_path = '/fleet/engines/member?name=e1'
+    assert await desk.eva.post(engine_path, 'preview', **engine) == 200
+    assert desk.eva.has('engines[e1].leaving')
+    assert await desk.eva.post(engine_path, 'commit', **engine) == 200
+    rank = {'name': 'urgent', 'worth': '5'}
+    assert await desk.noe.post(path, 'commit', **rank) == 409
+    assert desk.noe.has('engines[e1].leaving')
+    assert desk.noe.has('name="worth" value="5"')
+    assert await desk.noe.post(path, 'commit', **rank) == 200
+    _, text = await desk.call('GET', '/api/document')
+    assert '"leaving": true' in text
+    assert '"worth": 5' in text
+    assert '// Rack 3.' in text
+
+
+async def test_findings_are_beside_their_fields(desk):
+    """A form that shows one finding at a time costs one round for each."""
+    path = '/fleet/services/member'
+    await desk.eva.get(path)
+    entries = {'name': 'A B', 'timeout_s': 'soon', 'rank': 'gone'}
+    entries.update({'endpoints.0.name': 'w1', 'endpoints.0.domain': 'd'})
+    entries.update({'non_repeatable.0.path': 'bookings'})
+    assert await desk.eva.post(path, 'commit', **entries) == 422
+    fields = desk.eva.page.split('class="field')[1:]
+    wrong = [
+        re.search('for="([^"]+)"', field).group(1)
+        for field in fields
+        if 'class="finding"' in field
+    ]
+    assert wrong == [
+        'name',
+        'endpoints.0.url',
+        'non_repeatable.0.path',
+        'rank',
+        'timeout_s',
+    ]
+
+
+async def test_lost_answer_is_accepted_once(desk):
+    """A write whose answer was lost must be neither failed nor repeated."""
+    desk.relay.drops = 1
+    status, _ = await desk.commit(_TEXT, 1)
+    assert status == 200
+    _, history = await desk.call('GET', '/api/history')
+    assert re.findall(r'"revision":(\d+)', history) == ['2', '1']
+
+
+async def test_platform_down(desk):
+    """An outage must be told apart from a refusal and keep the entries."""
+    await desk.eva.get('/document')
+    desk.platform.kill()
+    await desk.platform.wait()
+    text = f'{_TEXT}// kept'
+    assert await desk.eva.post('/document', 'commit', text=text) == 503
+    assert desk.eva.has('Nothing was changed')
+    assert desk.eva.has('// kept')
+    status, body = await desk.commit(_TEXT, 1)
+    assert (status, '"may_have_applied":false' in body) == (503, True)
+
+
+async def test_access_is_refused(desk):
+    """Only signed-in operators may read, and forms must be their own."""
+    async with _make_session() as session:
+        stranger = _Browser(session, desk.consoles[0].url)
+        await stranger.get('/document')
+        assert stranger.has('Operator token')
+        assert await stranger.sign_in('wrong-token') == 403
+        forged = {'briarknot_session': f'eva.99999999999.00.{"0" * 64}'}
+        session.cookie_jar.update_cookies(forged)
+        await stranger.get('/document')
+        assert stranger.has('Operator token')
+    await desk.eva.get('/document')
+    form = {'text': _TEXT, 'csrf_token': 'x'}
+    assert await desk.eva.post('/document', 'commit', **form) == 403
+    status, _ = await desk.call('GET', '/api/document', token='wrong')
+    assert status == 401
+    status, body = await desk.commit('{"name": 3}', 1)
+    assert (status, '"line":1' in body) == (422, True)
+    assert (await desk.commit(_TEXT, 0))[0] == 409
+
+
+async def test_pages_and_logs_hold_no_secret(desk):
+    """Tokens and the shared secret must not reach pages or logs."""
+    for path in ('/', '/history', '/history/1', '/fleet/engines', '/document'):
+        assert await desk.eva.get(path) == 200
+        assert 'token-of' not in desk.eva.page
+    for console in desk.consoles:
+        console.terminate()
+        assert await console.wait() == 0
+        output = console.read_output()
+        assert 'token-of' not in output
+        assert 'secret' not in output
