Use retry budget, quarantine, limits, and the failure detector

Cause: the interim parts allowed every retry and every request. Change: a suspect request runs alone; a broken stream leads to a probe of the engine, and a crash is told to the peers; fleet-wide limits ask their owner for credits; engine feeds are owned by live members.

--- a/briarknot/entry/_completion.py
+++ b/briarknot/entry/_completion.py
@@ -1,5 +1,6 @@
 """Runs one completion, from admission to the end of its stream."""
 
+import contextlib
 import time
 
 import attrs
@@ -55,8 +56,13 @@
         known = self._context.quarantine.check(
             self._fingerprint, time.monotonic()
         )
-        if known is not None:
+        if isinstance(known, routing.Quarantined):
             return outcomes.make_refusal('quarantined', known.reason)
+        limited = self._context.limits.take(
+            self._identity.account, self._work.work_s
+        )
+        if limited:
+            return _from_admission(limited)
         ticket = self._submit()
         if not isinstance(ticket, admission.Ticket):
             return await self._run_elsewhere(ticket, deliver)
@@ -103,19 +109,62 @@
     async def _run_attempts(self, deliver: _stream.Deliver) -> End:
         """Tries endpoints until the whole answer was delivered."""
         for number in range(_MAX_ATTEMPTS):
-            if number and not self._context.retry_budget.take(time.monotonic()):
-                return self._fail('retry_budget', 'the retry budget is used up')
+            if number:
+                retry = self._context.retry_budget.take(time.monotonic())
+                if not retry:
+                    return self._fail('retry_budget', retry.reason)
             await self._context.drains.wait_current()
-            target = self._choose_target()
-            if not isinstance(target, _attempts.Target):
-                return self._refuse_target(target)
-            end = await self._attempt(target, deliver)
-            if isinstance(end, _stream.Finish):
+            end = await self._run_attempt(deliver)
+            if isinstance(end, _stream.Finish | outcomes.Refusal):
                 return end
             if isinstance(end, _attempts.NotRun) and end.is_final:
                 return self._fail('bad_request', end.reason)
         return self._fail('endpoint_failed', f'{_MAX_ATTEMPTS} attempts failed')
 
+    async def _run_attempt(
+        self, deliver: _stream.Deliver
+    ) -> _attempts.End | outcomes.Refusal:
+        """Chooses a target and tries it, alone where the request is suspect.
+
+        A request that was in flight at an endpoint's crash may be the cause;
+        while it runs alone, a second crash endangers one endpoint only.
+        """
+        known = self._context.quarantine.check(
+            self._fingerprint, time.monotonic()
+        )
+        if isinstance(known, routing.Quarantined):
+            return self._fail('quarantined', known.reason)
+        async with contextlib.AsyncExitStack() as stack:
+            is_suspect = isinstance(known, routing.Suspect)
+            if is_suspect:
+                await stack.enter_async_context(self._context.suspect_turn)
+            target = self._choose_target()
+            if not isinstance(target, _attempts.Target):
+                return self._refuse_target(target)
+            flight = self._context.quarantine.start(
+                self._fingerprint, target.name, alone=is_suspect
+            )
+            end = None
+            try:
+                end = await self._attempt(target, deliver)
+            finally:
+                self._end_flight(flight, end)
+            if isinstance(end, _stream.Broken) and not end.is_silent:
+                await self._context.probe.check_crash(target)
+            return end
+
+    def _end_flight(
+        self, flight: routing.Flight, end: _attempts.End | None
+    ) -> None:
+        messages = self._context.quarantine.end(
+            flight,
+            time.monotonic(),
+            # An attempt that the caller ended says nothing of its engine.
+            completed=end is None or isinstance(end, _stream.Finish),
+        )
+        for message in messages:
+            self._context.hub.broadcast(message)
+
     async def _attempt(
         self, target: _attempts.Target, deliver: _stream.Deliver
     ) -> _attempts.End:
@@ -174,7 +223,7 @@
         self._context.estimator.learn(
             self._identity.account.name, self._request.kind, self._offset
         )
-        self._context.retry_budget.add_success(time.monotonic())
+        self._context.retry_budget.note_success(time.monotonic())
         cached_tokens = finish.usage.get('cached_tokens', 0)
         self._story.add_attempt(
             attrs.evolve(record, cached_tokens=cached_tokens), 'completed'
--- a/briarknot/entry/_context.py
+++ b/briarknot/entry/_context.py
@@ -1,6 +1,8 @@
 """What the tasks of an entry process share."""
 
+import asyncio
 import hashlib
+import random
 import time
 
 import aiohttp
@@ -12,6 +14,7 @@
     config,
     journal,
     links,
+    membership,
     platform,
     routing,
     schema,
@@ -21,10 +24,10 @@
     _attempts,
     _drains,
     _identity,
-    _interim,
+    _limits,
     _open_requests,
     _peers,
-    _workers,
+    _probe,
 )
 
 _RETRY_SHARE = 0.2
@@ -50,11 +53,17 @@
     :param sender: sends attempts to engines.
     :param session: client session for endpoints.
     :param drains: drain marks.
-    :param workers: workers of plain services.
+    :param services: plain services of the own failure domain.
+    :param random: seeded source of random choices.
+    :param members: live view of the entry hosts.
+    :param detector: failure detector that keeps the view.
+    :param limits: fleet-wide limits of accounts.
     :param peers: capacity of other failure domains.
     :param retry_budget: budget of retries.
     :param quarantine: fingerprints of requests seen at crashes.
     :param directory: accounts and ranks of the document in force.
+    :param probe: tells crashes of engines from broken connections.
+    :param suspect_turn: held while a suspect request runs.
     :param open_requests: counts of the requests that are being answered.
     """
 
@@ -71,13 +80,19 @@
     sender: _attempts.Sender
     session: aiohttp.ClientSession
     drains: _drains.Drains
-    workers: _workers.Workers
+    services: routing.ServiceView
+    random: random.Random
+    members: membership.Members
+    detector: membership.Detector
+    limits: _limits.Limits
     peers: _peers.Peers
-    retry_budget: _interim.RetryBudget
-    quarantine: _interim.Quarantine
+    retry_budget: routing.RetryBudget
+    quarantine: routing.Quarantine
     directory: _identity.Directory = attrs.field(
         factory=lambda: _identity.make_directory(schema.fleet.Fleet())
     )
+    probe: _probe.Probe
+    suspect_turn: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     open_requests: _open_requests.OpenRequests = attrs.field(
         factory=_open_requests.OpenRequests
     )
@@ -97,6 +112,8 @@
         fleet = in_force.fleet
         self.directory = _identity.make_directory(fleet)
         self.view.apply_document(fleet)
+        self.services.apply_document(fleet)
+        self.limits.apply_document(fleet)
         self.estimator.apply_document(fleet)
         self._choose_policies(fleet)
         self.gate.apply_document(fleet)
@@ -145,6 +162,13 @@
     node, timing = settings.node, settings.timing
     empty = schema.fleet.Fleet()
     view = routing.make_view(empty, node.domain)
+    members = membership.make_members(
+        node.host, node.domain, hub.hello.incarnation
+    )
+    times = membership.DetectorTimes(
+        heartbeat_s=timing.heartbeat_s, suspect_after_s=timing.suspect_after_s
+    )
+    quarantine = routing.make_quarantine(_QUARANTINE_S)
     context = Context(
         settings=settings,
         client=client,
@@ -171,10 +195,17 @@
         sender=_attempts.make_sender(session, timing),
         session=session,
         drains=_drains.make_drains(client, view, node, hub),
-        workers=_workers.make_workers(node.domain, make_seed(node.host)),
+        services=routing.make_service_view(empty, node.domain),
+        random=random.Random(make_seed(node.host)),
+        members=members,
+        detector=membership.make_detector(members, times),
+        limits=_limits.make_limits(hub, members),
         peers=_peers.make_peers(hub, node.domain),
-        retry_budget=_interim.RetryBudget(),
-        quarantine=_interim.Quarantine(),
+        retry_budget=routing.make_retry_budget(
+            _RETRY_SHARE, _RETRY_FLOOR_PER_S
+        ),
+        quarantine=quarantine,
+        probe=_probe.make_probe(session, view, quarantine, hub),
     )
     context.follower.add_listener(context.apply_document)
     return context
--- a/briarknot/entry/_feeds.py
+++ b/briarknot/entry/_feeds.py
@@ -91,13 +91,8 @@
         return silence_s > _OWNER_GRACE * period_s
 
     def _read_members(self) -> tuple[str, ...]:
-        node = self._context.node
-        others = {
-            link.host
-            for link in self._context.hub.links
-            if link.program == 'entry' and link.domain == node.domain
-        }
-        return tuple(sorted({node.host, *others}))
+        live = self._context.members.live(self._context.node.domain)
+        return tuple(member.host for member in live)
 
     async def _poll_load(self, name: str) -> None:
         tree = await self._get(name, '/load')
--- /dev/null
+++ b/briarknot/entry/_limits.py
@@ -0,0 +1,129 @@
+"""Fleet-wide limits of accounts, divided among the entry processes."""
+
+import asyncio
+import time
+
+import attrs
+
+from briarknot import admission, links, membership, schema
+
+_PERIOD_S = 1.0
+
+
+@attrs.define(eq=False)
+class Limits:
+    """Both sides of the limits: the own share, and what this process owns.
+
+    The owner of a limit is chosen by rendezvous hash over the live members.
+    """
+
+    _hub: links.Hub
+    _members: membership.Members
+    _rates: dict[str, float] = attrs.field(factory=dict, init=False)
+    _shares: dict[str, admission.LimitMember] = attrs.field(
+        factory=dict, init=False
+    )
+    _owned: dict[str, admission.LimitOwner] = attrs.field(
+        factory=dict, init=False
+    )
+
+    def apply_document(self, fleet: schema.fleet.Fleet) -> None:
+        """Takes the limits of a new document."""
+        self._rates = {
+            account.name: account.limit_work_per_s
+            for account in fleet.accounts
+            if account.limit_work_per_s
+        }
+        for held in (self._shares, self._owned):
+            for name in set(held) - set(self._rates):
+                held.pop(name)
+            for name, limit in held.items():
+                limit.apply_rate(self._rates[name])
+
+    def take(
+        self, account: schema.fleet.Account, work_s: float
+    ) -> admission.Refusal | None:
+        """Takes credits for a request.
+
+        :param account: account of the caller.
+        :param work_s: expected engine seconds.
+        :returns: None where the account is within its limit.
+        """
+        if account.name not in self._rates:
+            return None
+        now = time.monotonic()
+        return self._find_share(account.name, now).take(work_s, now)
+
+    async def run(self) -> None:
+        """Asks the owners for credits once a period, until cancelled."""
+        while True:
+            now = time.monotonic()
+            known = self._list_known()
+            for name, share in self._shares.items():
+                share.apply_members(len(known), now)
+                request = share.make_request(now)
+                if request is not None:
+                    self._send(name, request, now)
+            for owned in self._owned.values():
+                owned.apply_members(known, now)
+            await asyncio.sleep(_PERIOD_S)
+
+    async def handle_request(
+        self, link: links.Link, message: schema.messages.CreditRequest
+    ) -> None:
+        """Answers a member's request for credits."""
+        grant = self._answer(link.host, message, time.monotonic())
+        if grant is not None:
+            link.send(grant)
+
+    async def handle_grant(
+        self, link: links.Link, message: schema.messages.CreditGrant
+    ) -> None:
+        """Takes the owner's answer."""
+        share = self._shares.get(message.limit)
+        if share is not None:
+            share.apply_grant(message, time.monotonic())
+
+    def _send(
+        self, name: str, request: schema.messages.CreditRequest, now: float
+    ) -> None:
+        live = tuple(member.host for member in self._members.live())
+        owner = admission.choose_owner(name, live)
+        own = self._members.own.host
+        if owner != own:
+            self._hub.send(owner, request)
+            return
+        grant = self._answer(own, request, now)
+        if grant is not None:
+            self._shares[name].apply_grant(grant, now)
+
+    def _answer(
+        self, host: str, request: schema.messages.CreditRequest, now: float
+    ) -> schema.messages.CreditGrant | None:
+        rate = self._rates.get(request.limit)
+        if rate is None:
+            return None
+        if request.limit not in self._owned:
+            self._owned[request.limit] = admission.make_limit_owner(
+                request.limit, rate, self._list_known(), now
+            )
+        return self._owned[request.limit].apply_request(host, request, now)
+
+    def _find_share(self, name: str, now: float) -> admission.LimitMember:
+        if name not in self._shares:
+            self._shares[name] = admission.make_limit_member(
+                name, self._rates[name], len(self._list_known()), now
+            )
+        return self._shares[name]
+
+    def _list_known(self) -> tuple[str, ...]:
+        return tuple(member.host for member in self._members.all_known())
+
+
+def make_limits(hub: links.Hub, members: membership.Members) -> Limits:
+    """Makes the limits of a process.
+
+    :param hub: peer links of the process.
+    :param members: live view of the entry hosts.
+    """
+    return Limits(hub, members)
--- a/briarknot/entry/_neighbours.py
+++ b/briarknot/entry/_neighbours.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from briarknot import admission, platform, schema
+from briarknot import admission, membership, platform, schema
 from briarknot.entry import _context
 
 #: Links to each other failure domain: enough that news gets through when one
@@ -58,6 +58,10 @@
         while True:
             hosts = await context.client.list_hosts()
             if isinstance(hosts, tuple):
+                listed = _list_hosts(hosts)
+                now = time.monotonic()
+                context.members.apply_hosts(listed, now)
+                context.detector.read_hosts(listed, now)
                 self._connect(set(choose_links(hosts, context.node)))
             await asyncio.sleep(_HOSTS_PERIOD_S)
 
@@ -106,6 +110,20 @@
         )
 
 
+def _list_hosts(
+    hosts: collections.abc.Iterable[platform.Host],
+) -> list[membership.ListedHost]:
+    return [
+        membership.ListedHost(
+            host=host.host,
+            domain=host.domain,
+            peer_url=host.peer_url,
+            state='leaving' if host.leaving else 'live',
+        )
+        for host in hosts
+    ]
+
+
 def make_neighbours(context: _context.Context) -> Neighbours:
     """Makes the links of a process to its peers.
 
--- a/briarknot/entry/_serve.py
+++ b/briarknot/entry/_serve.py
@@ -2,12 +2,18 @@
 
 import asyncio
 import contextlib
-import time
 
 import aiohttp
 from aiohttp import web
 
-from briarknot import links, platform, program, schema, telemetry
+from briarknot import (
+    links,
+    membership,
+    platform,
+    program,
+    schema,
+    telemetry,
+)
 from briarknot.entry import (
     _attempts,
     _callers,
@@ -59,8 +65,7 @@
         host=node.host,
         domain=node.domain,
         program='entry',
-        # Hosts keep no state; the clock makes a later start the higher one.
-        incarnation=time.time_ns() // 1_000_000,
+        incarnation=membership.make_incarnation(),
         peer_url=f'http://{node.advertise}:{settings.peer_port}',
     )
 
@@ -73,6 +78,8 @@
     context.hub.register(messages.EngineLoad, feeds.handle_load)
     context.hub.register(messages.EngineCache, feeds.handle_cache)
     context.hub.register(messages.DomainSummary, context.peers.handle_summary)
+    context.hub.register(messages.CreditRequest, context.limits.handle_request)
+    context.hub.register(messages.CreditGrant, context.limits.handle_grant)
     context.hub.register(messages.DrainMark, context.drains.handle_mark)
     context.hub.register(messages.Quarantine, context.handle_quarantine)
 
@@ -105,6 +112,13 @@
         'summaries': neighbours.run_summaries(),
         'document': context.follower.run(),
         'drain marks': context.drains.run(),
+        'limits': context.limits.run(),
+        'members': links.run_detector(
+            context.hub,
+            context.members,
+            context.detector,
+            context.settings.timing.heartbeat_s,
+        ),
         'journal': context.journal.run(asyncio.Event()),
     }
     return [group.create_task(duty, name=name) for name, duty in duties.items()]
--- a/briarknot/entry/_service_calls.py
+++ b/briarknot/entry/_service_calls.py
@@ -12,7 +12,7 @@
 import yarl
 from aiohttp import web
 
-from briarknot import claims, outcomes, schema, telemetry
+from briarknot import claims, outcomes, routing, schema, telemetry
 from briarknot.entry import (
     _answers,
     _attempts,
@@ -21,7 +21,6 @@
     _peers,
     _story,
     _stream,
-    _workers,
 )
 
 SERVICE_PATH = '/services/'
@@ -272,7 +271,7 @@
     name: str
     url: str
     choice: str
-    booking: _workers.Attempt | None = None
+    booking: routing.ServiceAttempt | None = None
     headers: dict[str, str] = attrs.field(factory=dict)
 
 
@@ -317,7 +316,7 @@
                 break
             answer = await self._attempt()
             if isinstance(answer, Answer):
-                budget.add_success(time.monotonic())
+                budget.note_success(time.monotonic())
                 return answer
             if isinstance(answer, outcomes.Refusal):
                 if failure:
@@ -353,7 +352,7 @@
             outcome = _describe(answer)
         finally:
             if target.booking is not None:
-                self._context.workers.end_attempt(
+                self._context.services.end_attempt(
                     target.booking,
                     time.monotonic(),
                     ok=outcome == 'completed',
@@ -365,15 +364,21 @@
 
     def _choose_target(self) -> _Target | outcomes.Refusal:
         now = time.monotonic()
-        workers = self._context.workers
-        chosen = workers.choose(self._service, now, self._failed)
-        if isinstance(chosen, _workers.Choice):
+        services = self._context.services
+        chosen = routing.choose_service_endpoint(
+            services,
+            self._service.name,
+            now,
+            self._context.random,
+            frozenset(self._failed),
+        )
+        if isinstance(chosen, routing.ServiceChoice):
             endpoint = chosen.endpoint
             return _Target(
                 name=endpoint.name,
                 url=f'{endpoint.url.rstrip("/")}{self._call.path}',
                 choice=chosen.reason,
-                booking=workers.start_attempt(endpoint.name),
+                booking=services.start_attempt(endpoint.name),
             )
         domains = {
             endpoint.domain
--- a/briarknot/routing/_engine.py
+++ b/briarknot/routing/_engine.py
@@ -110,6 +110,11 @@
             return self._report.model.partition('@')[0]
         return self._engine.model
 
+    @property
+    def instance(self) -> str:
+        """Reported id of the engine's process; empty where unknown."""
+        return self._report.instance if self._report else ''
+
     @property
     def in_flight(self) -> int:
         """Attempts of this process that have not ended."""
--- /dev/null
+++ b/briarknot_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Shows a fleet at work on built-in stand-ins."""
--- a/briarknot_standins/engine/_engine.py
+++ b/briarknot_standins/engine/_engine.py
@@ -6,6 +6,7 @@
 import os
 import time
 import typing
+import uuid
 
 import attrs
 import xxhash
@@ -28,6 +29,8 @@
 _SAMPLES_KEPT = 3000
 _EXPORTS_KEPT = 1000
 _CRASH_STATUS = 70
+# Tells this process from the one before a restart.
+_INSTANCE = uuid.uuid4().hex
 
 
 @attrs.frozen(kw_only=True)
@@ -274,6 +277,7 @@
             decode_tokens_per_s=self.costs.decode_speed,
             epoch=state.epoch,
             sequence=state.sequence,
+            instance=_INSTANCE,
         )
 
 
