Accept requests whose client has already disconnected

Cause: a request's transport is None once its client has left; adding it to the followed connections, or reading its abort method, raised. Found by reading; no test run had shown it. Change: such a connection is not followed, and jobs abort through serving.abort, which allows for it. Conclusion: a disconnect in this moment no longer logs an error.

--- a/briarknot_standins/engine/_app.py
+++ b/briarknot_standins/engine/_app.py
@@ -1,6 +1,7 @@
 """HTTP interface of the engine stand-in; a handler is its connection's task."""
 
 import asyncio
+import functools
 import typing
 
 import aiohttp
@@ -65,7 +66,7 @@
     refusal = engine.find_refusal(work, 'completion')
     if not refusal and work.kv_from.url:
         refusal = await _check_import(request.app[_SESSION], work)
-    job = engine.make_job(work, request.transport.abort)
+    job = engine.make_job(work, functools.partial(serving.abort, request))
     if refusal or job is None:
         return _refuse(refusal or 'too_long')
     async with _work.hold_slot(engine, job):
@@ -82,7 +83,7 @@
     engine = request.app[_ENGINE]
     work = await serving.read_json(request, _scheduler.WorkRequest)
     refusal = engine.find_refusal(work, 'prefill')
-    job = engine.make_job(work, request.transport.abort)
+    job = engine.make_job(work, functools.partial(serving.abort, request))
     if refusal or job is None:
         return _refuse(refusal or 'too_long')
     async with _work.hold_slot(engine, job):
--- a/briarknot_standins/engine/_engine.py
+++ b/briarknot_standins/engine/_engine.py
@@ -167,7 +167,7 @@
     def make_job(
         self,
         work: _scheduler.WorkRequest,
-        abort: typing.Callable[[], None],
+        abort: typing.Callable[[], object],
     ) -> _scheduler.Job | None:
         """Makes the job of a request.
 
--- a/briarknot_standins/engine/_scheduler.py
+++ b/briarknot_standins/engine/_scheduler.py
@@ -44,7 +44,7 @@
     work: WorkRequest
     facts: _text.PromptFacts
     kv_blocks: int
-    abort: typing.Callable[[], None]
+    abort: typing.Callable[[], object]
     #: Tokens that prefill has yet to process.
     prefill_tokens: int = attrs.field(init=False)
     #: Prompt tokens that need no prefill; known once prefill has started.
--- a/briarknot_standins/serving.py
+++ b/briarknot_standins/serving.py
@@ -148,7 +148,8 @@
         async def follow(
             request: web.Request, handler: typing.Callable
         ) -> web.StreamResponse:
-            if request.path not in self.control_paths:
+            followed = request.path not in self.control_paths
+            if followed and request.transport is not None:
                 self._open.add(request.transport)
             await self.hold(request)
             response = await handler(request)
