--- a/briarknot_standins/fleet/_plan.py
+++ b/briarknot_standins/fleet/_plan.py
@@ -109,21 +109,18 @@
                 region='obb',
                 engines=(EnginePlan(count=4),),
                 entries=3,
-                controls=1,
             ),
             DomainPlan(
                 name='frk-a',
                 region='frk',
                 engines=(EnginePlan(count=3),),
                 entries=2,
-                controls=1,
             ),
             DomainPlan(
                 name='swb-a',
                 region='swb',
                 engines=(EnginePlan(count=3),),
                 entries=2,
-                controls=1,
             ),
         ),
         ranks=(
@@ -172,7 +169,6 @@
                 region=region,
                 engines=(EnginePlan(count=2),),
                 entries=2,
-                controls=1,
             )
             for name, region in places
         ),
