--- /dev/null
+++ b/briarknot/authority/_transports.py
@@ -0,0 +1,222 @@
+"""Ways of sending orders to engines, in a registry."""
+
+import asyncio
+import collections.abc
+import socket
+import struct
+import typing
+
+import aiohttp
+import attrs
+import orjson
+import prometheus_client
+
+from briarknot import registry, schema
+
+_SENT = prometheus_client.Counter(
+    'briarknot_orders_sent',
+    'Orders sent by transport and result.',
+    ('transport', 'result'),
+)
+_OK = 200
+_ACCEPTED = 202
+_CONFLICT = 409
+_MS_PER_S = 1000
+#: On, with a time of 0: bytes that were not sent are dropped at the close.
+_LINGER_NONE = struct.pack('ii', 1, 0)
+
+#: Tells whether the sender has authority at this moment.
+MaySend = collections.abc.Callable[[], bool]
+
+
+@attrs.frozen
+class Accepted:
+    """The engine took the order."""
+
+
+@attrs.frozen
+class Refused:
+    """Sentinel for an order that the engine did not take.
+
+    :param reason: the engine's reason.
+    """
+
+    reason: str
+
+    def __bool__(self) -> bool:
+        """Counts as false, so that callers can test for it."""
+        return False
+
+
+@attrs.frozen
+class NoAnswer:
+    """Sentinel for a call without an answer.
+
+    :param reason: what went wrong.
+    :param may_arrive: whether the order may still reach the engine.
+    """
+
+    reason: str
+    may_arrive: bool = True
+
+    def __bool__(self) -> bool:
+        """Counts as false, so that callers can test for it."""
+        return False
+
+
+Answer = Accepted | Refused | NoAnswer
+
+
+class Transport(typing.Protocol):
+    """Sends one order to an engine."""
+
+    async def send_order(
+        self, url: str, order: schema.endpoints.Order, may_send: MaySend
+    ) -> Answer:
+        """Sends an order once.
+
+        :param url: base URL of the engine.
+        :param order: the order.
+        :param may_send: asked directly before the order is sent.
+        """
+
+
+#: Make a transport from the time limit of an order in seconds.
+TRANSPORTS: registry.Registry[collections.abc.Callable[[float], Transport]] = (
+    registry.Registry('order transport')
+)
+
+
+@TRANSPORTS.register('fencing')
+@attrs.frozen
+class FencingTransport:
+    """For engines that refuse orders with an old fencing number.
+
+    :param timeout_s: time limit of an order, in seconds.
+    """
+
+    timeout_s: float
+
+    async def send_order(
+        self, url: str, order: schema.endpoints.Order, may_send: MaySend
+    ) -> Answer:
+        """Sends an order once."""
+        async with aiohttp.ClientSession() as session:
+            answer = await _send(session, url, order, may_send, self.timeout_s)
+        _SENT.labels('fencing', type(answer).__name__.lower()).inc()
+        return answer
+
+
+@TRANSPORTS.register('unfenced')
+@attrs.frozen
+class UnfencedTransport:
+    """For engines that ignore the fencing number.
+
+    Bytes of an order must not arrive after the time that a successor waits:
+    the kernel gives up unacknowledged bytes after the time limit, a round
+    trip on the connection directly before the order shows that it is not
+    held up, and the connection is reset when it ends.
+
+    :param timeout_s: time limit of the round trip and of the order together,
+        in seconds.
+    """
+
+    timeout_s: float
+
+    async def send_order(
+        self, url: str, order: schema.endpoints.Order, may_send: MaySend
+    ) -> Answer:
+        """Sends an order once."""
+        connector = aiohttp.TCPConnector(
+            limit=1, socket_factory=self._make_socket
+        )
+        half_s = self.timeout_s / 2
+        async with aiohttp.ClientSession(connector=connector) as session:
+            state = await read_state(session, url, half_s)
+            answer: Answer = NoAnswer(str(state), may_arrive=False)
+            if isinstance(state, schema.endpoints.EngineState):
+                answer = await _send(session, url, order, may_send, half_s)
+        _SENT.labels('unfenced', type(answer).__name__.lower()).inc()
+        return answer
+
+    def _make_socket(self, address: tuple[typing.Any, ...]) -> socket.socket:
+        family, kind, protocol, *_ = address
+        made = socket.socket(family, kind, protocol)
+        made.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int(self.timeout_s * _MS_PER_S),
+        )
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+        return made
+
+
+def make_transport(checks_fencing: bool, timeout_s: float) -> Transport:
+    """Makes the transport for an engine.
+
+    :param checks_fencing: whether the engine refuses old fencing numbers.
+    :param timeout_s: time limit of an order, in seconds.
+
+    >>> make_transport(True, 2)
+    FencingTransport(timeout_s=2)
+    """
+    name = 'fencing' if checks_fencing else 'unfenced'
+    return TRANSPORTS.get(name)(timeout_s)
+
+
+async def read_state(
+    session: aiohttp.ClientSession, url: str, timeout_s: float
+) -> schema.endpoints.EngineState | NoAnswer:
+    """Reads what an engine says of its orders.
+
+    :param session: session whose connections are used.
+    :param url: base URL of the engine.
+    :param timeout_s: time limit, in seconds.
+    """
+    try:
+        async with (
+            asyncio.timeout(timeout_s),
+            session.get(f'{url}/orders') as response,
+        ):
+            body = await response.read()
+            if response.status != _OK:
+                return NoAnswer(f'status {response.status}')
+    # A time-out is an OSError too.
+    except (aiohttp.ClientError, OSError) as error:
+        return NoAnswer(repr(error))
+    try:
+        return schema.from_plain(
+            schema.endpoints.EngineState, orjson.loads(body)
+        )
+    except (TypeError, ValueError) as bad_state:
+        return NoAnswer(repr(bad_state))
+
+
+async def _send(
+    session: aiohttp.ClientSession,
+    url: str,
+    order: schema.endpoints.Order,
+    may_send: MaySend,
+    timeout_s: float,
+) -> Answer:
+    if not may_send():
+        return NoAnswer('no authority', may_arrive=False)
+    try:
+        async with (
+            # The library rounds its own limits up to whole seconds.
+            asyncio.timeout(timeout_s),
+            session.post(
+                f'{url}/orders', json=schema.to_plain(order)
+            ) as response,
+        ):
+            body = await response.read()
+            status = response.status
+    except aiohttp.ClientConnectorError as error:
+        return NoAnswer(repr(error), may_arrive=False)
+    except (aiohttp.ClientError, OSError) as error:
+        return NoAnswer(repr(error))
+    if status == _ACCEPTED:
+        return Accepted()
+    if status == _CONFLICT:
+        return Refused(str(orjson.loads(body).get('reason')))
+    return NoAnswer(f'status {status}')
--- a/briarknot/schema/_generated/records.py
+++ b/briarknot/schema/_generated/records.py
@@ -5,6 +5,7 @@
 import attrs
 
 from briarknot.schema import _fields
+from briarknot.schema._generated import fleet
 from briarknot.schema._generated import endpoints
 
 
@@ -98,7 +99,7 @@
         doc='Duration since the last renewal.', unit='s', default=0.0
     )
     renewal: int = _fields.make_field(
-        doc='Number of renewals in this epoch.',
+        doc='Number of the write, unique for the holder.',
         maximum=18446744073709551615,
         minimum=0,
         default=0,
@@ -118,6 +119,14 @@
         doc='Progress.', default=OrderPhase.OPEN
     )
     reason: str = _fields.make_field(doc='Why it was given.', default='')
+    role: fleet.Role = _fields.make_field(
+        doc="The engine's role when the phase became done or void.",
+        default=fleet.Role.MIXED,
+    )
+    model: str = _fields.make_field(
+        doc="The engine's model and version when the phase became done or void.",
+        default='',
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/schema/definitions/records.capnp
+++ b/briarknot/schema/definitions/records.capnp
@@ -2,6 +2,7 @@
 # Rows of the platform's tables and the journal's records. They travel as JSON.
 using A = import "annotations.capnp";
 using E = import "endpoints.capnp";
+using F = import "fleet.capnp";
 
 enum OrderPhase $A.doc("Progress of an order.") {
   open @0 $A.doc("Written; it may or may not have reached the engine.");
@@ -37,13 +38,15 @@
   holder @0 :Text $A.doc("Holder: host and a random id of the process.");
   epoch @1 :UInt64 $A.doc("Grows with each change of holder; the fencing number.");
   durationS @2 :Float64 $A.unit("s") $A.doc("Duration since the last renewal.");
-  renewal @3 :UInt64 $A.doc("Number of renewals in this epoch.");
+  renewal @3 :UInt64 $A.doc("Number of the write, unique for the holder.");
 }
 
 struct OrderRow $A.doc("The latest order to an engine.") {
   order @0 :E.Order $A.doc("The order.");
   phase @1 :OrderPhase $A.doc("Progress.");
   reason @2 :Text $A.doc("Why it was given.");
+  role @3 :F.Role $A.doc("The engine's role when the phase became done or void.");
+  model @4 :Text $A.doc("The engine's model and version when the phase became done or void.");
 }
 
 struct ClaimRow $A.doc("Claim of a call that runs at most once.") {
