--- /dev/null
+++ b/briarknot/control/__init__.py
@@ -0,0 +1,1 @@
+"""Controller of a failure domain: drains, orders, and role plans."""
--- /dev/null
+++ b/briarknot/control/__main__.py
@@ -0,0 +1,15 @@
+"""Program ``briarknot-control``."""
+
+from briarknot import program, schema
+from briarknot.control import _serve
+
+
+def main() -> None:
+    """Competes for the lease and controls engines until SIGTERM."""
+    program.run_program(
+        'briarknot-control', schema.settings.ControlSettings, _serve.serve
+    )
+
+
+if __name__ == '__main__':
+    main()
