Prove that a keyed booking runs at most once

Fleets of stand-ins can now have a fault proxy between the entry processes and the engines, workers and platform; the document's URLs lead to it, and endpoints can be restarted on their port. A fault of the proxy that is set while bytes wait for another one now applies to them too.

The tests kill the first entry process before, during and after the send, lose answers of the platform, take it down or slow it, and let workers answer late, crash or go silent.

Crashing workers are still covered by "unknown" only, as a crashed stand-in loses its counts.

--- /dev/null
+++ b/briarknot/tests/test_at_most_once.py
@@ -0,0 +1,214 @@
+"""Guards I5 and I6: a keyed booking runs at most once, as it is told."""
+
+import asyncio
+import functools
+
+import attrs
+import pytest
+import pytest_asyncio
+
+from briarknot import schema
+from briarknot.tests import _support, conftest
+from briarknot_standins import engine, fleet
+
+pytestmark = pytest.mark.asyncio(loop_scope='module')
+
+_PLAN = attrs.evolve(
+    conftest.SMALL_PLAN,
+    domains=(attrs.evolve(conftest.SMALL_PLAN.domains[0], entries=3),),
+    # Journal batches would take the answers that the platform loses.
+    timing=schema.settings.Timing(document_poll_s=0.2, journal_flush_s=600),
+    has_proxy=True,
+    service_timeout_s=1,
+    platform_timeout_s=0.5,
+)
+
+
+@pytest_asyncio.fixture(scope='module', loop_scope='module')
+async def shared():
+    """A fleet that all tests of the module use."""
+    async with fleet.run_fleet(_PLAN) as running:
+        yield running
+
+
+@pytest_asyncio.fixture(loop_scope='module')
+async def running(shared):
+    """The fleet, without faults before and after each test."""
+    yield shared
+    await shared.faults.clear()
+    await shared.set_faults(
+        shared.platform, down=False, slow_s=0, lose_answers=0
+    )
+    for name, process in tuple(shared.services.items()):
+        if process.exit_status is not None:
+            await shared.restart_endpoint(name)
+        await shared.set_faults(
+            shared.services[name],
+            delay_s=0,
+            crash_before_run=False,
+            crash_after_run=False,
+            silent_after_run=False,
+        )
+
+
+async def _set_service_faults(running, **faults):
+    for process in running.services.values():
+        await running.set_faults(process, **faults)
+
+
+async def _check_answers(running, key, answers):
+    """Compares what callers were told with the runs at the workers."""
+    assert await _support.count_runs(running, 'by_idempotency_key', key) <= 1
+    for answer in answers:
+        if answer.outcome == 'not run':
+            told = answer.request_id
+            runs = await _support.count_runs(running, 'by_request_id', told)
+            assert runs == 0, f'{told} was told "not run"'
+
+
+async def _resend(running, key):
+    """Resends through both other entry hosts at once."""
+    return await asyncio.gather(
+        *[
+            _support.call(running, entry, key)
+            for entry in running.entries[1:3] * 2
+        ]
+    )
+
+
+async def _has_reached_worker(running, key):
+    runs = await _support.count_runs(running, 'by_idempotency_key', key)
+    loads = [
+        (await running.read_json(process, '/load'))['running']
+        for process in running.services.values()
+    ]
+    return runs or sum(loads)
+
+
+async def _has_claim(running):
+    rows = await running.client.scan_rows('claims')
+    return any(row.value['phase'] == 'claimed' for row in rows)
+
+
+@pytest.mark.parametrize('stage', ['before', 'during', 'after'])
+async def test_entry_killed_around_the_send(running, stage):
+    """The claim of a killed host must hold, however far its call had come."""
+    key = f'killed-{stage}'
+    spare = await running.start_entry('obb-a', 10 + len(running.entries))
+    running.entries.remove(spare)
+    await _support.wait_until(functools.partial(running.is_ready, spare))
+    if stage == 'before':
+        link = f'{spare.host}.platform'
+        await running.faults.add('hold', link, direction='backward')
+        reached = functools.partial(_has_claim, running)
+    else:
+        await _set_service_faults(
+            running, delay_s=0.4 * (stage == 'during'), silent_after_run=True
+        )
+        reached = functools.partial(_has_reached_worker, running, key)
+    first = asyncio.create_task(_support.call(running, spare, key))
+    await _support.wait_until(reached)
+    spare.process.kill()
+    broken = await first
+    answers = await _resend(running, key)
+    assert broken.status == 0
+    assert {answer.cause for answer in answers} == {'key_in_progress'}
+    await asyncio.sleep(0.5)
+    await _check_answers(running, key, answers)
+    runs = await _support.count_runs(running, 'by_idempotency_key', key)
+    assert runs == (stage != 'before')
+
+
+async def test_lost_answers_of_the_platform(running):
+    """A claim whose write got no answer must be read back, not repeated."""
+    await running.set_faults(running.platform, lose_answers=2)
+    one = await _support.call(running, running.entries[0], 'lost')
+    again = await _resend(running, 'lost')
+    assert {answer.body for answer in again} == {one.body}
+    await _check_answers(running, 'lost', [one, *again])
+
+
+@pytest.mark.parametrize('fault', ['slow', 'no answer'])
+async def test_claim_that_takes_effect_late(running, fault):
+    """A call told "not run" must not run, and its key must become free."""
+    key = f'late claim, {fault}'
+    first = running.entries[0]
+    if fault == 'slow':
+        await running.set_faults(running.platform, slow_s=0.8)
+    else:
+        link = f'{first.host}.platform'
+        await running.faults.add('hold', link, direction='backward')
+    refused = await _support.call(running, first, key)
+    assert (refused.outcome, refused.cause) == (
+        'not run',
+        'platform_unavailable',
+    )
+    await _check_answers(running, key, [refused])
+    await running.faults.clear()
+    await running.set_faults(running.platform, slow_s=0)
+
+    async def resend():
+        answers = await _resend(running, key)
+        await _check_answers(running, key, answers)
+        return [answer for answer in answers if answer.outcome == 'completed']
+
+    await _support.wait_until(resend)
+    await _check_answers(running, key, [refused])
+
+
+async def test_platform_down(running):
+    """Only keyed calls that may not be repeated depend on the platform."""
+    entry = running.entries[0]
+    await running.set_faults(running.platform, down=True)
+    refused = await _support.call(running, entry, 'down')
+    assert (refused.status, refused.outcome) == (503, 'not run')
+    assert int(refused.headers['Retry-After']) > 0
+    await _check_answers(running, 'down', [refused])
+    others = [
+        await _support.call(running, entry, ''),
+        await _support.call(running, entry, 'k', path='/stock', method='GET'),
+    ]
+    assert [answer.status for answer in others] == [200, 200]
+    answer = await running.complete('urgent', 'while down', 5, entry=entry)
+    assert answer.text == engine.expected_text('while down', 5)
+
+
+@pytest.mark.parametrize(
+    'fault', ['delay_s', 'crash_before_run', 'crash_after_run', 'silence']
+)
+async def test_service_fails_after_the_send(running, fault):
+    """A call that a worker may have run must never be sent again."""
+    silent = fault == 'silence'
+    value = 1.5 if fault == 'delay_s' else True
+    await _set_service_faults(
+        running, **({'delay_s': 0.3} if silent else {fault: value})
+    )
+    first = asyncio.create_task(
+        _support.call(running, running.entries[0], fault)
+    )
+    if silent:
+        await _support.wait_until(
+            functools.partial(_has_reached_worker, running, fault)
+        )
+        for name in running.services:
+            await running.faults.add('silence', name)
+    answer = await first
+    assert (answer.status, answer.outcome) == (502, 'unknown')
+    await _set_service_faults_on_survivors(running)
+    again = await _resend(running, fault)
+    assert {one.cause for one in again} == {'key_unknown'}
+    await asyncio.sleep(1.0 if fault == 'delay_s' else 0)
+    await _check_answers(running, fault, [answer, *again])
+    if fault.startswith('crash'):
+        survivors = await _support.count_runs(
+            running, 'by_idempotency_key', fault
+        )
+        assert survivors == 0
+
+
+async def _set_service_faults_on_survivors(running):
+    for process in running.services.values():
+        if process.exit_status is None:
+            await running.set_faults(
+                process, crash_before_run=False, crash_after_run=False
+            )
--- a/briarknot_standins/fleet/_plan.py
+++ b/briarknot_standins/fleet/_plan.py
@@ -64,6 +64,10 @@
     :param timing: time limits of the entry processes.
     :param lease_s: duration of the controllers' lease.
     :param consoles: console processes.
+    :param has_proxy: whether a fault proxy stands between the entry processes
+        and the engines, the services' workers and the platform.
+    :param service_timeout_s: time limit of a call to the plain service.
+    :param platform_timeout_s: time limit of a call to the platform.
     """
 
     name: str
@@ -84,6 +88,9 @@
     )
     lease_s: float = 3
     consoles: int = 0
+    has_proxy: bool = False
+    service_timeout_s: float = 5
+    platform_timeout_s: float = 2
 
     def make_accounts(self) -> tuple[schema.fleet.Account, ...]:
         """Makes the accounts of the document."""
--- /dev/null
+++ b/briarknot_standins/fleet/_proxied.py
@@ -0,0 +1,83 @@
+"""The fault proxy between a fleet's entry processes and what they call."""
+
+import urllib.parse
+
+import aiohttp
+import attrs
+
+from briarknot_standins import launcher, serving
+
+
+def name_platform_link(host: str) -> str:
+    """Returns the name of the link from an entry host to the platform."""
+    return f'{host}.platform'
+
+
+@attrs.define(eq=False)
+class FaultProxy:
+    """Opens links and sets faults through the proxy's control port.
+
+    A link to an endpoint bears the endpoint's name; that of an entry host to
+    the platform is named by :func:`name_platform_link`.
+    """
+
+    _process: launcher.Process
+    _session: aiohttp.ClientSession
+
+    async def open_link(self, name: str, target: launcher.Process) -> str:
+        """Opens a link; returns the base URL that leads through it."""
+        parts = urllib.parse.urlsplit(target.url)
+        async with self._session.post(
+            f'{self._process.url}/links',
+            json={
+                'name': name,
+                'target_host': parts.hostname,
+                'target_port': parts.port,
+            },
+            raise_for_status=True,
+        ) as response:
+            opened = await response.json()
+        return f'http://{serving.HOST}:{opened["port"]}'
+
+    async def add(self, kind: str, link: str = '', **options: object) -> None:
+        """Puts a fault in force.
+
+        :param kind: registered fault kind of the proxy.
+        :param link: name of a link; empty for all links.
+        :param options: further fields of the proxy's ``FaultRequest``.
+        """
+        async with self._session.post(
+            f'{self._process.url}/faults',
+            json={'kind': kind, 'link': link, **options},
+            raise_for_status=True,
+        ) as response:
+            await response.read()
+
+    async def clear(self, link: str = '') -> None:
+        """Removes the faults of a link, or all."""
+        async with self._session.delete(
+            f'{self._process.url}/faults',
+            params={'link': link},
+            raise_for_status=True,
+        ) as response:
+            await response.read()
+
+    async def count_bytes(self, link: str) -> int:
+        """Returns the bytes that a link has passed on to its target."""
+        async with self._session.get(f'{self._process.url}/links') as response:
+            listed = (await response.json())['links']
+        return sum(
+            one['forward_bytes'] for one in listed if one['name'] == link
+        )
+
+
+async def start_fault_proxy(
+    cluster: launcher.Cluster, session: aiohttp.ClientSession
+) -> FaultProxy:
+    """Starts a fault proxy without links.
+
+    :param cluster: processes that it belongs to.
+    :param session: client session.
+    """
+    process = await cluster.start('briarknot_standins.proxy')
+    return FaultProxy(process, session)
--- a/briarknot_standins/fleet/_running.py
+++ b/briarknot_standins/fleet/_running.py
@@ -11,7 +11,7 @@
 
 from briarknot import config, document, platform, schema
 from briarknot_standins import launcher
-from briarknot_standins.fleet import _calls, _plan
+from briarknot_standins.fleet import _calls, _plan, _proxied
 
 PEER_SECRET = 'stand-in peer secret'
 _READY_TIMEOUT_S = 30
@@ -55,6 +55,7 @@
     :param consoles: console processes.
     :param document: document that was committed last.
     :param revision: its revision.
+    :param faults: fault proxy; None where the plan has none.
     """
 
     plan: _plan.FleetPlan
@@ -69,7 +70,11 @@
     consoles: list[launcher.Process] = attrs.field(factory=list)
     document: schema.fleet.Fleet = attrs.field(factory=schema.fleet.Fleet)
     revision: int = 0
+    faults: '_proxied.FaultProxy | None' = None
     _turn: 'itertools.cycle[int] | None' = None
+    _starts: dict[str, tuple[str, tuple[str, ...]]] = attrs.field(
+        factory=dict, init=False
+    )
 
     def choose_entry(self) -> Entry:
         """Returns the entry processes in turn, as a balancer does."""
@@ -204,6 +209,7 @@
             peer_port=peer_port,
             timing=self.plan.timing,
         )
+        settings = await self._lead_through_proxy(settings)
         path = self.cluster.write_settings(f'{host}-entry', settings)
         process = await self.cluster.start(
             'briarknot.entry',
@@ -223,6 +229,47 @@
         await self.register_host(entry, 'live')
         return entry
 
+    async def _lead_through_proxy(
+        self, settings: schema.settings.EntrySettings
+    ) -> schema.settings.EntrySettings:
+        """Puts the proxy between an entry process and the platform."""
+        if self.faults is None:
+            return settings
+        link = _proxied.name_platform_link(settings.node.host)
+        url = await self.faults.open_link(link, self.platform)
+        return attrs.evolve(
+            settings, node=attrs.evolve(settings.node, platform_url=url)
+        )
+
+    async def start_endpoint(
+        self, name: str, module: str, arguments: collections.abc.Sequence[str]
+    ) -> tuple[launcher.Process, str]:
+        """Starts an engine or a worker.
+
+        :param name: name of the endpoint.
+        :param module: module of the stand-in.
+        :param arguments: arguments of the stand-in.
+        :returns: the process, and the URL for the document.
+        """
+        process = await self.cluster.start(module, arguments, name=name)
+        self._starts[name] = (module, tuple(arguments))
+        if self.faults is None:
+            return process, process.url
+        return process, await self.faults.open_link(name, process)
+
+    async def restart_endpoint(self, name: str) -> None:
+        """Starts an endpoint that has ended again, on the same port.
+
+        :param name: name of an engine or worker.
+        """
+        kind = self.engines if name in self.engines else self.services
+        module, arguments = self._starts[name]
+        port = kind[name].port
+        await kind[name].wait()
+        kind[name] = await self.cluster.start(
+            module, [*arguments, '--port', str(port)], port=port, name=name
+        )
+
     async def register_host(self, entry: Entry, state: str) -> None:
         """Sets a host in the platform's list."""
         async with self.session.put(
@@ -244,6 +291,7 @@
             domain=domain,
             admin_port=admin_port,
             platform_url=self.platform.url,
+            platform_timeout_s=self.plan.platform_timeout_s,
             peer_secret=PEER_SECRET,
             drain_grace_s=0.3,
             stop_timeout_s=60,
@@ -284,16 +332,16 @@
     name = f'{domain.name}-engine-{number}'
     arguments = ['--name', name, '--role', role.value]
     arguments += ['--model', f'{plan.model.name}@{plan.model.version}']
-    process = await running.cluster.start(
+    process, url = await running.start_endpoint(
+        name,
         'briarknot_standins.engine',
         [*arguments, *plan.engine_arguments],
-        name=name,
     )
     running.engines[name] = process
     return schema.fleet.Engine(
         name=name,
         domain=domain.name,
-        url=process.url,
+        url=url,
         group=domain.name,
         model=plan.model.name,
         role=role,
@@ -305,13 +353,11 @@
     running: RunningFleet, domain: _plan.DomainPlan, number: int
 ) -> schema.fleet.ServiceEndpoint:
     name = f'{domain.name}-worker-{number}'
-    process = await running.cluster.start(
-        'briarknot_standins.service', ['--name', name], name=name
+    process, url = await running.start_endpoint(
+        name, 'briarknot_standins.service', ['--name', name]
     )
     running.services[name] = process
-    return schema.fleet.ServiceEndpoint(
-        name=name, domain=domain.name, url=process.url
-    )
+    return schema.fleet.ServiceEndpoint(name=name, domain=domain.name, url=url)
 
 
 async def _start_endpoints(
@@ -356,7 +402,7 @@
                 name=plan.service,
                 endpoints=tuple(workers),
                 non_repeatable=plan.non_repeatable,
-                timeout_s=5,
+                timeout_s=plan.service_timeout_s,
             ),
         ),
         accounts=plan.make_accounts(),
@@ -387,6 +433,8 @@
             platform=platform_process,
             client=platform.make_client(session, platform_process.url, 5),
         )
+        if plan.has_proxy:
+            running.faults = await _proxied.start_fault_proxy(cluster, session)
         engines, workers = await _start_endpoints(running)
         await running.commit(_make_document(plan, engines, workers))
         await asyncio.gather(
--- a/briarknot_standins/proxy/_forward.py
+++ b/briarknot_standins/proxy/_forward.py
@@ -224,9 +224,14 @@
                 await _end(path, writer, passed=passed)
 
     async def _passes(self, path: _Path, chunk: _faults.Chunk) -> bool:
-        for fault in self._find(path):
-            if not await fault.deliver(path.connection, chunk):
+        """Passes a chunk through the faults, also those set meanwhile."""
+        passed: set[_faults.Fault] = set()
+        pending = self._find(path)
+        while pending:
+            if not await pending[0].deliver(path.connection, chunk):
                 return False
+            passed.add(pending[0])
+            pending = [one for one in self._find(path) if one not in passed]
         return True
 
     def _find(self, path: _Path) -> tuple[_faults.Fault, ...]:
--- a/briarknot_standins/service/_app.py
+++ b/briarknot_standins/service/_app.py
@@ -154,7 +154,10 @@
     status = await asyncio.shield(service.run(call))
     if service.faults.silent_after_run:
         await asyncio.Event().wait()
-    return serving.respond(_make_answer(service, call), status)
+    response = serving.respond(_make_answer(service, call), status)
+    if service.faults.problem_outcome:
+        response.content_type = 'application/problem+json'
+    return response
 
 
 def _make_answer(service: Service, call: _runs.Call) -> dict[str, typing.Any]:
@@ -166,4 +169,5 @@
         'idempotency_key': call.idempotency_key,
         'run': service.runs.by_request_id[call.request_id],
         'answer': _runs.expected_answer(call.method, call.path, call.body),
+        'outcome': service.faults.problem_outcome or 'ok',
     }
--- a/briarknot_standins/service/_config.py
+++ b/briarknot_standins/service/_config.py
@@ -37,6 +37,8 @@
     :param error_status: status that calls are answered with; 0 for none.
     :param error_after_run: whether calls run before they are answered with
         ``error_status``.
+    :param problem_outcome: member ``outcome`` of the service's own problem
+        format, in which calls are answered; empty for plain JSON.
     """
 
     delay_s: float = 0
@@ -47,3 +49,4 @@
     silent_after_run: bool = False
     error_status: int = 0
     error_after_run: bool = False
+    problem_outcome: str = ''
