Pass a service's own problem format to the caller

Cause: an answer of type application/problem+json with a member "outcome" was read as a refusal of a peer, also where a worker of the own domain had sent it. A worker that ran a booking and answered in such a format, with "not run" in it, was taken for one that had not run it.

Ruled out: a second claim (one row, one holder) and a retry by the client session (connections are not reused).

Change: only the answer to a hop is read so, and only where it bears the header X-Briarknot-Outcome, which refusals now have. Headers of this prefix are never passed on from a service.

--- a/briarknot/entry/_answers.py
+++ b/briarknot/entry/_answers.py
@@ -14,6 +14,9 @@
 PROBLEM_TYPE = 'application/problem+json'
 EVENT_STREAM_TYPE = 'text/event-stream'
 REQUEST_ID_HEADER = 'X-Request-Id'
+#: Marks a refusal of the system. A plain service's own answers never bear it,
+#: because headers of this prefix are not passed on.
+OUTCOME_HEADER = 'X-Briarknot-Outcome'
 DONE = b'data: [DONE]\n\n'
 
 
@@ -45,7 +48,10 @@
     :param refusal: the refusal.
     :param request_id: id of the request.
     """
-    headers = {REQUEST_ID_HEADER: request_id}
+    headers = {
+        REQUEST_ID_HEADER: request_id,
+        OUTCOME_HEADER: refusal.outcome.value,
+    }
     if refusal.retry_after_s:
         headers['Retry-After'] = str(math.ceil(refusal.retry_after_s))
     problem = make_problem(refusal, request_id)
--- a/briarknot/entry/_service_calls.py
+++ b/briarknot/entry/_service_calls.py
@@ -431,7 +431,8 @@
                 allow_redirects=False,
             ) as response:
                 body = await response.read()
-                return self._check(response, body)
+                is_hop = target.booking is None
+                return self._check(response, body, is_hop=is_hop)
         except aiohttp.ClientConnectorError as error:
             return _attempts.NotRun(f'cannot connect: {error}')
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -445,13 +446,17 @@
         )
 
     def _check(
-        self, response: aiohttp.ClientResponse, body: bytes
+        self, response: aiohttp.ClientResponse, body: bytes, *, is_hop: bool
     ) -> Answer | _attempts.NotRun | _stream.Broken:
-        """Checks that an answer belongs to this call."""
+        """Checks that an answer belongs to this call.
+
+        Only a peer's own refusal says whether the call ran. The same words in
+        a service's answer belong to the caller.
+        """
         answered_id = response.headers.get(_REQUEST_ID)
         if answered_id not in {None, self._story.request_id}:
             return _stream.Broken(f'answer to request {answered_id}')
-        if response.content_type == _answers.PROBLEM_TYPE:
+        if is_hop and _answers.OUTCOME_HEADER in response.headers:
             failure = _attempts.read_problem_failure(body)
             if failure is not None:
                 return failure
--- a/briarknot/tests/test_at_most_once.py
+++ b/briarknot/tests/test_at_most_once.py
@@ -48,6 +48,7 @@
             crash_before_run=False,
             crash_after_run=False,
             silent_after_run=False,
+            problem_outcome='',
         )
 
 
@@ -212,3 +213,15 @@
             await running.set_faults(
                 process, crash_before_run=False, crash_after_run=False
             )
+
+
+async def test_problem_format_of_a_service(running):
+    """A service's own member "outcome" must not cause a second run."""
+    await _set_service_faults(running, problem_outcome='not run')
+    answer = await _support.call(running, running.entries[0], 'own problem')
+    again = await _resend(running, 'own problem')
+    runs = await _support.count_runs(
+        running, 'by_idempotency_key', 'own problem'
+    )
+    assert runs == 1
+    assert {one.status for one in (answer, *again)} == {200}
