Report a connection that was never opened as not run

Cause: the time limit of opening a connection raises a time-out error, not a connector error, and was handled like the time-out of a call that was sent. Callers were told "unknown" and the key stayed taken for good, though no byte had left the process.

Ruled out: the total time limit of the call, which was 5 s against 1 s for the connection.

Change: both errors of the connection phase count as not run, for services, engines and prefill.

After: "not run", and the key books once when workers are back.

--- a/briarknot/entry/_attempts.py
+++ b/briarknot/entry/_attempts.py
@@ -13,6 +13,8 @@
 _TOO_MANY = 429
 #: An answer that is no stream is short; more of it is not read.
 _PROBLEM_BYTES = 65536
+#: Failures before the connection is open, when no byte can have arrived.
+CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
 @attrs.frozen
@@ -111,7 +113,7 @@
                 return await _stream.read_stream(
                     response.content, request_id, offset, self._timing, deliver
                 )
-        except aiohttp.ClientConnectorError as error:
+        except CONNECT_ERRORS as error:
             return NotRun(f'cannot connect: {error}')
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return _stream.Broken(f'{type(error).__name__}: {error}')
@@ -124,7 +126,7 @@
         try:
             with telemetry.make_span('prefill', engine=engine.name):
                 answer = await self._post_prefill(target, engine.url, body)
-        except aiohttp.ClientConnectorError as error:
+        except CONNECT_ERRORS as error:
             return NotRun(f'prefill on {engine.name}: cannot connect: {error}')
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return _stream.Broken(
--- a/briarknot/entry/_service_calls.py
+++ b/briarknot/entry/_service_calls.py
@@ -433,7 +433,7 @@
                 body = await response.read()
                 is_hop = target.booking is None
                 return self._check(response, body, is_hop=is_hop)
-        except aiohttp.ClientConnectorError as error:
+        except _attempts.CONNECT_ERRORS as error:
             return _attempts.NotRun(f'cannot connect: {error}')
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return _stream.Broken(f'{type(error).__name__}: {error}')
--- a/briarknot/tests/test_at_most_once.py
+++ b/briarknot/tests/test_at_most_once.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import socket
 
 import attrs
 import pytest
@@ -225,3 +226,37 @@
     )
     assert runs == 1
     assert {one.status for one in (answer, *again)} == {200}
+
+
+async def test_no_byte_sent_is_not_run(running):
+    """A worker that can't be connected to has not received the call."""
+    document = running.document
+    with socket.create_server(('127.0.0.1', 0), backlog=0) as full:
+        port = full.getsockname()[1]
+        # The kernel drops further connections while this queue is full.
+        queued = [socket.socket() for _ in range(4)]
+        for one in queued:
+            one.setblocking(False)
+            one.connect_ex(('127.0.0.1', port))
+        ports = (port, running.cluster.choose_port())
+        service = document.services[0]
+        endpoints = tuple(
+            attrs.evolve(worker, url=f'http://127.0.0.1:{number}')
+            for worker, number in zip(service.endpoints, ports, strict=True)
+        )
+        changed = attrs.evolve(service, endpoints=endpoints, timeout_s=5)
+        revision = await running.commit(
+            attrs.evolve(document, services=(changed,))
+        )
+        await _support.wait_in_force(running, revision)
+        answers = [
+            await _support.call(running, entry, 'unreachable')
+            for entry in running.entries
+        ]
+        for one in queued:
+            one.close()
+    await _support.wait_in_force(running, await running.commit(document))
+    assert {answer.outcome for answer in answers} == {'not run'}
+    booked = await _support.call(running, running.entries[0], 'unreachable')
+    assert booked.status == 200
+    await _check_answers(running, 'unreachable', [*answers, booked])
