Bound the wait for the status line of an engine's answer

Cause: the limits of silence started with the body of the answer. On a connection that went silent before the status line came, a request waited for ever; nothing else ended it.

Ruled out: the limits in the body (test with silence in decode passed) and the limit of opening a connection, which was open.

Change: the limit before the first token also holds for the status line; for a hop to another failure domain, the longest wait in its queue is added.

The new tests of whole answers let engines die at tokens chosen by 4 seeds, break streams cleanly and by reset, mix in late and foreign chunks, silence connections, and kill entry processes and all engines.

--- a/briarknot/entry/_attempts.py
+++ b/briarknot/entry/_attempts.py
@@ -45,12 +45,14 @@
     :param url: URL of the request.
     :param headers: headers of the request.
     :param choice: the router's choice; None for a hop to another domain.
+    :param queue_s: longest wait in the target's own queue, in seconds.
     """
 
     name: str
     url: str
     headers: dict[str, str]
     choice: routing.Choice | None = None
+    queue_s: float = 0
 
     @property
     def reason(self) -> str:
@@ -104,9 +106,17 @@
             resume_from=offset,
             kv_from=kv_from,
         )
+        silence_s = self._timing.prefill_silence_s + target.queue_s
         try:
             async with self._session.post(
-                target.url, data=body, headers=_make_headers(target)
+                target.url,
+                data=body,
+                headers=_make_headers(target),
+                # The status line may never come on a silent connection.
+                timeout=aiohttp.ClientTimeout(
+                    sock_connect=self._timing.connect_timeout_s,
+                    sock_read=silence_s,
+                ),
             ) as response:
                 if response.status != _OK:
                     return await _read_refusal(response)
@@ -115,6 +125,8 @@
                 )
         except CONNECT_ERRORS as error:
             return NotRun(f'cannot connect: {error}')
+        except aiohttp.SocketTimeoutError:
+            return _stream.Broken(f'silent for {silence_s:g} s', is_silent=True)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return _stream.Broken(f'{type(error).__name__}: {error}')
 
--- a/briarknot/entry/_completion.py
+++ b/briarknot/entry/_completion.py
@@ -297,6 +297,7 @@
                 'X-Briarknot-Rank': self._identity.rank.name,
                 'X-Briarknot-Host': node.host,
             },
+            queue_s=self._identity.rank.max_queue_s,
         )
 
     def _refuse_target(self, missing: routing.NoEndpoint) -> outcomes.Refusal:
--- /dev/null
+++ b/briarknot/tests/test_whole_answers.py
@@ -0,0 +1,220 @@
+"""Guards I4: an answer is whole and the caller's own, or visibly failed."""
+
+import asyncio
+import functools
+import itertools
+import random
+
+import attrs
+import pytest
+import pytest_asyncio
+
+from briarknot import schema
+from briarknot.tests import _support, conftest
+from briarknot_standins import engine, fleet
+
+pytestmark = pytest.mark.asyncio(loop_scope='module')
+
+_TOKENS = 24
+_DECODE_SILENCE_S = 0.8
+_PREFILL_SILENCE_S = 2.0
+_FAR = 'frk-a-engine-0'
+_PLAN = attrs.evolve(
+    conftest.SMALL_PLAN,
+    domains=(
+        fleet.DomainPlan(
+            name='obb-a',
+            region='obb',
+            engines=(fleet.EnginePlan(count=3),),
+            entries=2,
+        ),
+        fleet.DomainPlan(name='frk-a', region='frk'),
+    ),
+    timing=schema.settings.Timing(
+        document_poll_s=0.2,
+        load_poll_s=0.25,
+        decode_silence_s=_DECODE_SILENCE_S,
+        prefill_silence_s=_PREFILL_SILENCE_S,
+    ),
+    has_proxy=True,
+)
+
+
+@pytest_asyncio.fixture(scope='module', loop_scope='module')
+async def shared():
+    """A fleet that all tests of the module use."""
+    async with fleet.run_fleet(_PLAN) as running:
+        yield running
+
+
+@pytest_asyncio.fixture(loop_scope='module')
+async def running(shared):
+    """The fleet, without faults before and after each test."""
+    yield shared
+    await shared.faults.clear()
+    for name, process in tuple(shared.engines.items()):
+        if process.exit_status is not None:
+            await shared.restart_endpoint(name)
+        await shared.set_faults(
+            shared.engines[name],
+            crash_at_token=-1,
+            break_at_token=-1,
+            stray_share=0,
+        )
+
+
+async def _start(running, name, count, tokens=_TOKENS):
+    """Starts completions in the first failure domain."""
+    prompts = [f'{name} number {number}' for number in range(count)]
+    near = itertools.cycle(
+        entry for entry in running.entries if entry.domain == 'obb-a'
+    )
+    return [
+        asyncio.create_task(
+            running.complete('urgent', prompt, tokens, entry=next(near)),
+            name=prompt,
+        )
+        for prompt in prompts
+    ]
+
+
+async def _check(streams, tokens=_TOKENS):
+    """Checks that no answer is wrong; returns how many are whole."""
+    answers = await asyncio.gather(*streams)
+    for stream, answer in zip(streams, answers, strict=True):
+        expected = engine.expected_text(stream.get_name(), tokens)
+        if answer.is_whole:
+            assert answer.text == expected
+        else:
+            assert expected.startswith(answer.text)
+            assert answer.problem['outcome'] in {'unknown', 'not run'}
+    return sum(one.is_whole for one in answers)
+
+
+async def _list_runs(running, name):
+    """Returns the runs of an engine, oldest first."""
+    listed = await running.read_json(running.engines[name], '/runs')
+    return [run for one in listed['runs'].values() for run in one['runs']]
+
+
+async def _read_decoding(running, names):
+    """Returns the tokens of each stream that the engines now decode."""
+    return [
+        run['tokens']
+        for name in names
+        for run in await _list_runs(running, name)
+        if run['end'] == 'running' and run['tokens']
+    ]
+
+
+async def _has_streams(running, names, least=1):
+    """Tells whether the engines have sent tokens of enough streams."""
+    return len(await _read_decoding(running, names)) >= least
+
+
+def _list_near(running):
+    return [name for name in running.engines if name != _FAR]
+
+
+async def _find_decoding(running, names):
+    """Returns the name and token of an engine that decodes a stream."""
+    for name in names:
+        tokens = await _read_decoding(running, [name])
+        if tokens:
+            return name, max(tokens)
+    return None
+
+
+@pytest.mark.parametrize('seed', range(4))
+async def test_engine_dies_at_a_token(running, seed):
+    """A stream must go on at the exact token at which its engine died."""
+    streams = await _start(running, f'dies {seed}', 6, tokens=60)
+    name, token = await _support.wait_until(
+        functools.partial(_find_decoding, running, _list_near(running))
+    )
+    # Far enough ahead that the stream can't have passed it.
+    ahead = 12 + random.Random(seed).randrange(36)
+    await running.set_faults(
+        running.engines[name], crash_at_token=token + ahead
+    )
+    assert await _check(streams, tokens=60) > 3
+    assert running.engines[name].exit_status is not None
+
+
+@pytest.mark.parametrize('cleanly', [True, False])
+@pytest.mark.parametrize('token', [1, 23])
+async def test_stream_breaks(running, token, cleanly):
+    """A response that ends early must not be taken for a whole one."""
+    for process in running.engines.values():
+        await running.set_faults(
+            process, break_at_token=token, break_cleanly=cleanly
+        )
+    streams = await _start(running, f'breaks {token} {cleanly}', 3)
+    assert await _check(streams) > 0
+
+
+async def test_stray_chunks(running):
+    """Late chunks and those of other streams must not reach a caller."""
+    for process in running.engines.values():
+        await running.set_faults(process, stray_share=0.5)
+    streams = await _start(running, 'strays', 12)
+    assert await _check(streams) == len(streams)
+    metrics = [await running.read_metrics(one) for one in running.entries]
+    for reason in ('repeated', 'other_request'):
+        counted = f'briarknot_dropped_chunks_total{{reason="{reason}"}}'
+        assert any(counted in text for text in metrics)
+
+
+@pytest.mark.parametrize('phase', ['headers', 'decode'])
+async def test_connections_go_silent(running, phase):
+    """A connection that is silent for good must not hold its request."""
+    near = _list_near(running)
+    if phase == 'headers':
+        for name in near:
+            await running.faults.add(
+                'hold', name, direction='backward', seconds=30
+            )
+    streams = await _start(running, f'silent {phase}', 3)
+    await _support.wait_until(
+        functools.partial(_has_streams, running, near, len(streams))
+    )
+    for name in near:
+        await running.faults.add('silence', name)
+        await running.faults.clear(name)
+    bound_s = _PREFILL_SILENCE_S + _DECODE_SILENCE_S
+    async with asyncio.timeout(4 * bound_s):
+        assert await _check(streams) == len(streams)
+
+
+async def test_entry_killed_with_open_streams(running):
+    """The streams of a killed entry process must not look complete."""
+    spare = await running.start_entry('obb-a', 10)
+    running.entries.remove(spare)
+    await _support.wait_until(functools.partial(running.is_ready, spare))
+    streams = [
+        asyncio.create_task(
+            running.complete('urgent', f'killed {number}', 80, entry=spare)
+        )
+        for number in range(4)
+    ]
+    await _support.wait_until(
+        functools.partial(_has_streams, running, running.engines, 4)
+    )
+    spare.process.kill()
+    for number, answer in enumerate(await asyncio.gather(*streams)):
+        assert answer.problem and not answer.is_whole
+        whole = engine.expected_text(f'killed {number}', 80)
+        assert whole.startswith(answer.text) and whole != answer.text
+
+
+async def test_no_engine_left(running):
+    """A stream that can't go on must end with an error, not with [DONE]."""
+    await _support.bypass_proxy(running, running.engines)
+    streams = await _start(running, 'none left', 3, tokens=80)
+    await _support.wait_until(
+        functools.partial(_has_streams, running, running.engines, 3)
+    )
+    for process in running.engines.values():
+        process.kill()
+    assert await _check(streams, tokens=80) == 0
+    assert all(one.result().problem['outcome'] == 'unknown' for one in streams)
