Count a crash in prefill against the prefill engine

Cause: an attempt at a pair of engines was in flight at the decode engine only. When the prefill engine died, the decode engine was probed, found alive, and excluded; no crash was counted, so that a request that crashes engines went from one prefill engine to the next. A decode engine that refused the import also left "not run" standing after the prefill had run.

Ruled out: the window in which crashes of one endpoint count once (each was another engine), and late messages to peers (one entry process did it alone).

Change: both engines of a pair are in flight, a failure names its engine, the probe asks that one, a refused import excludes both engines of the pair, and an attempt whose prefill ran may have run.

--- a/briarknot/entry/_attempts.py
+++ b/briarknot/entry/_attempts.py
@@ -23,10 +23,14 @@
 
     :param reason: what happened.
     :param is_final: whether no other endpoint would take it either.
+    :param engine: engine that failed, where it is not the target itself.
+    :param has_prefilled: whether another engine ran the prefill before.
     """
 
     reason: str
     is_final: bool = False
+    engine: str = ''
+    has_prefilled: bool = False
 
     def __bool__(self) -> bool:
         """Counts as false, so that callers can test for it."""
@@ -54,6 +58,13 @@
     choice: routing.Choice | None = None
     queue_s: float = 0
 
+    @property
+    def engine_names(self) -> tuple[str, ...]:
+        """Names of the engines that may run the request; the target's last."""
+        if self.choice is None or self.choice.prefill_engine is None:
+            return (self.name,)
+        return self.choice.prefill_engine.name, self.name
+
     @property
     def reason(self) -> str:
         """Why the target was chosen."""
@@ -98,7 +109,9 @@
             )
             kv_from = await self._prefill(target, body)
             if not isinstance(kv_from, dict):
-                return kv_from
+                return attrs.evolve(
+                    kv_from, engine=target.choice.prefill_engine.name
+                )
         body = _requests.write_engine_body(
             request,
             request_id,
@@ -106,6 +119,20 @@
             resume_from=offset,
             kv_from=kv_from,
         )
+        end = await self._stream(target, body, request_id, offset, deliver)
+        if isinstance(end, NotRun) and kv_from is not None:
+            return attrs.evolve(end, has_prefilled=True)
+        return end
+
+    async def _stream(
+        self,
+        target: Target,
+        body: bytes,
+        request_id: str,
+        offset: int,
+        deliver: _stream.Deliver,
+    ) -> End:
+        """Sends the completion and reads its stream."""
         silence_s = self._timing.prefill_silence_s + target.queue_s
         try:
             async with self._session.post(
--- a/briarknot/entry/_completion.py
+++ b/briarknot/entry/_completion.py
@@ -141,29 +141,33 @@
             target = self._choose_target()
             if not isinstance(target, _attempts.Target):
                 return self._refuse_target(target)
-            flight = self._context.quarantine.start(
-                self._fingerprint, target.name, alone=is_suspect
-            )
+            flights = [
+                self._context.quarantine.start(
+                    self._fingerprint, name, alone=is_suspect
+                )
+                for name in target.engine_names
+            ]
             end = None
             try:
                 end = await self._attempt(target, deliver)
             finally:
-                self._end_flight(flight, end)
+                self._end_flights(flights, end)
             if isinstance(end, _stream.Broken) and not end.is_silent:
-                await self._context.probe.check_crash(target)
+                await self._context.probe.check_crash(target, end)
             return end
 
-    def _end_flight(
-        self, flight: routing.Flight, end: _attempts.End | None
+    def _end_flights(
+        self, flights: list[routing.Flight], end: _attempts.End | None
     ) -> None:
-        messages = self._context.quarantine.end(
-            flight,
-            time.monotonic(),
-            # An attempt that the caller ended says nothing of its engine.
-            completed=end is None or isinstance(end, _stream.Finish),
-        )
-        for message in messages:
-            self._context.hub.broadcast(message)
+        for flight in flights:
+            messages = self._context.quarantine.end(
+                flight,
+                time.monotonic(),
+                # An attempt that the caller ended says nothing of its engine.
+                completed=end is None or isinstance(end, _stream.Finish),
+            )
+            for message in messages:
+                self._context.hub.broadcast(message)
 
     async def _attempt(
         self, target: _attempts.Target, deliver: _stream.Deliver
@@ -204,16 +208,22 @@
     ) -> None:
         self._offset += meter.tokens
         record = attrs.evolve(record, tokens=meter.tokens)
-        self._may_have_run |= not isinstance(end, _attempts.NotRun)
+        is_unrun = isinstance(end, _attempts.NotRun)
+        self._may_have_run |= not is_unrun or end.has_prefilled
         if end is None:
             # The caller left, or the process is stopping.
             self._story.add_attempt(record, 'cancelled')
         elif isinstance(end, _stream.Finish):
             self._note_success(record, end)
         else:
-            self._last_failure = f'{target.name}: {end.reason}'
-            self._failed.add(target.name)
-            is_unrun = isinstance(end, _attempts.NotRun)
+            self._last_failure = f'{end.engine or target.name}: {end.reason}'
+            # A refused import says nothing of which engine of a pair failed.
+            is_import = is_unrun and end.has_prefilled
+            self._failed.update(
+                target.engine_names
+                if is_import
+                else [end.engine or target.name]
+            )
             kind = 'not run' if is_unrun else 'failed'
             self._story.add_attempt(record, f'{kind}: {end.reason}')
 
--- a/briarknot/entry/_probe.py
+++ b/briarknot/entry/_probe.py
@@ -8,7 +8,7 @@
 import prometheus_client
 
 from briarknot import links, routing, telemetry
-from briarknot.entry import _attempts
+from briarknot.entry import _attempts, _stream
 
 _CRASHES = prometheus_client.Counter(
     'briarknot_engine_crashes', 'Crashes of engines that were noticed.'
@@ -31,26 +31,33 @@
     _quarantine: routing.Quarantine
     _hub: links.Hub
 
-    async def check_crash(self, target: _attempts.Target) -> None:
-        """Records a crash where the target's engine has crashed.
+    async def check_crash(
+        self, target: _attempts.Target, end: _stream.Broken
+    ) -> None:
+        """Records a crash where the engine that failed has crashed.
 
         :param target: target of the attempt that broke.
+        :param end: how it broke; of a pair, it names the prefill engine where
+            that one failed.
         """
         if target.choice is None:
             # The entry process of the other failure domain does it.
             return
-        known = self._view.find_engine(target.name)
+        failed = target.choice.engine
+        if end.engine:
+            failed = target.choice.prefill_engine
+        known = self._view.find_engine(failed.name)
         before = known.instance if known else ''
-        found = await self._read_instance(target.choice.engine.url)
+        found = await self._read_instance(failed.url)
         if found is not None and before in {'', found}:
             return
         now = time.monotonic()
-        self._view.mark_failed(target.name, now)
-        messages = self._quarantine.record_crash(target.name, now)
+        self._view.mark_failed(failed.name, now)
+        messages = self._quarantine.record_crash(failed.name, now)
         if messages:
             _CRASHES.inc()
             telemetry.log_change(
-                'engine', 'crashed', name=target.name, suspects=len(messages)
+                'engine', 'crashed', name=failed.name, suspects=len(messages)
             )
         for message in messages:
             self._hub.broadcast(message)
--- a/briarknot/entry/_stream.py
+++ b/briarknot/entry/_stream.py
@@ -50,10 +50,12 @@
 
     :param reason: what happened.
     :param is_silent: whether the connection stayed open without data.
+    :param engine: engine that failed, where it is not the target itself.
     """
 
     reason: str
     is_silent: bool = False
+    engine: str = ''
 
     def __bool__(self) -> bool:
         """Counts as false, so that callers can test for it."""
