Run suspects one at a time in the failure domain

Cause: the turn of suspects was kept in each entry process. After a crash, copies of the crashing request and innocent ones were retried by several processes at once, so that a second crash took more engines, or met an innocent request on the same engine and quarantined it. A copy that had waited for its turn was also sent without a further look at the quarantine.

Ruled out: late messages about crashes alone; all processes knew of the first crash when they started the second round.

Change: a suspect is forwarded, over the peer port, to the one entry process of the domain that rendezvous hashing over the open links gives. It names the crashed endpoints in X-Briarknot-Suspect, because the message about the crash may arrive later. That process holds the turn, looks again when it has it, and does not admit the request a second time.

--- a/briarknot/entry/_completion.py
+++ b/briarknot/entry/_completion.py
@@ -19,6 +19,8 @@
 #: Attempts of one request; the retry budget is the limit under load.
 _MAX_ATTEMPTS = 6
 _COMPLETIONS_PATH = '/v1/completions'
+#: Names the endpoints at whose crashes a forwarded suspect was in flight.
+SUSPECT_HEADER = 'X-Briarknot-Suspect'
 
 #: How a completion ends.
 End = _stream.Finish | outcomes.Refusal
@@ -43,6 +45,7 @@
     _work: routing.WorkEstimate
     _fingerprint: str
     _offset: int
+    _has_suspect_turn: bool
     _may_have_run: bool = attrs.field(default=False, init=False)
     _failed: set[str] = attrs.field(factory=set, init=False)
     _last_failure: str = attrs.field(default='', init=False)
@@ -58,6 +61,9 @@
         )
         if isinstance(known, routing.Quarantined):
             return outcomes.make_refusal('quarantined', known.reason)
+        if self._has_suspect_turn:
+            # The process that forwarded it has admitted it.
+            return await self._run_attempts(deliver)
         limited = self._context.limits.take(
             self._identity.account, self._work.work_s
         )
@@ -129,32 +135,56 @@
         A request that was in flight at an endpoint's crash may be the cause;
         while it runs alone, a second crash endangers one endpoint only.
         """
-        known = self._context.quarantine.check(
-            self._fingerprint, time.monotonic()
-        )
-        if isinstance(known, routing.Quarantined):
-            return self._fail('quarantined', known.reason)
+        known = self._check_quarantine()
+        if isinstance(known, routing.Suspect) and not self._has_suspect_turn:
+            owner = self._context.peers.choose_suspect_owner(
+                self._context.node.host
+            )
+            if owner is not None:
+                target = self._make_owner_target(owner, known)
+                return await self._attempt_in_flight(target, deliver)
         async with contextlib.AsyncExitStack() as stack:
             is_suspect = isinstance(known, routing.Suspect)
             if is_suspect:
                 await stack.enter_async_context(self._context.suspect_turn)
+                # Another copy may have crashed an endpoint meanwhile.
+                known = self._check_quarantine()
+            if isinstance(known, routing.Quarantined):
+                return self._fail('quarantined', known.reason)
             target = self._choose_target()
             if not isinstance(target, _attempts.Target):
                 return self._refuse_target(target)
-            flights = [
-                self._context.quarantine.start(
-                    self._fingerprint, name, alone=is_suspect
-                )
-                for name in target.engine_names
-            ]
-            end = None
-            try:
-                end = await self._attempt(target, deliver)
-            finally:
-                self._end_flights(flights, end)
-            if isinstance(end, _stream.Broken) and not end.is_silent:
-                await self._context.probe.check_crash(target, end)
-            return end
+            return await self._attempt_in_flight(
+                target, deliver, alone=is_suspect
+            )
+
+    def _check_quarantine(
+        self,
+    ) -> routing.Clear | routing.Suspect | routing.Quarantined:
+        return self._context.quarantine.check(
+            self._fingerprint, time.monotonic()
+        )
+
+    async def _attempt_in_flight(
+        self,
+        target: _attempts.Target,
+        deliver: _stream.Deliver,
+        *,
+        alone: bool = False,
+    ) -> _attempts.End:
+        """Runs one attempt and finds out whether its engine crashed."""
+        flights = [
+            self._context.quarantine.start(self._fingerprint, name, alone=alone)
+            for name in target.engine_names
+        ]
+        end = None
+        try:
+            end = await self._attempt(target, deliver)
+        finally:
+            self._end_flights(flights, end)
+        if isinstance(end, _stream.Broken) and not end.is_silent:
+            await self._context.probe.check_crash(target, end)
+        return end
 
     def _end_flights(
         self, flights: list[routing.Flight], end: _attempts.End | None
@@ -295,6 +325,14 @@
             return None
         return self._context.peers.choose_hop(self._request.model, self._failed)
 
+    def _make_owner_target(
+        self, hop: _peers.Hop, known: routing.Suspect
+    ) -> _attempts.Target:
+        """Makes the target of a suspect that the owner runs in its turn."""
+        target = self._make_hop_target(hop)
+        headers = {**target.headers, SUSPECT_HEADER: ','.join(known.endpoints)}
+        return attrs.evolve(target, headers=headers)
+
     def _make_hop_target(self, hop: _peers.Hop) -> _attempts.Target:
         node = self._context.node
         return _attempts.Target(
@@ -397,6 +435,7 @@
     story: _story.Story,
     *,
     may_hop: bool = True,
+    crashed: tuple[str, ...] = (),
 ) -> Completion:
     """Makes the run of one completion.
 
@@ -405,6 +444,8 @@
     :param identity: account and rank.
     :param story: journal record in the making.
     :param may_hop: whether it may go to another failure domain.
+    :param crashed: endpoints at whose crashes it was in flight, where the
+        own process runs it for another one, in the turn of suspects.
     """
     prompt_tokens = len(request.prompt.split())
     work = context.estimator.estimate(
@@ -426,6 +467,8 @@
     fingerprint = context.quarantine.fingerprint(
         context.node.peer_secret, identity.account.name, request.prompt.encode()
     )
+    if crashed:
+        context.quarantine.apply_crashes(fingerprint, crashed, time.monotonic())
     return Completion(
         context=context,
         request=request,
@@ -435,4 +478,5 @@
         work=work,
         fingerprint=fingerprint,
         offset=request.resume_from,
+        has_suspect_turn=bool(crashed),
     )
--- a/briarknot/entry/_forward.py
+++ b/briarknot/entry/_forward.py
@@ -56,8 +56,15 @@
             parsed = _read_completion(self._context, body)
             if not isinstance(parsed, _requests.CompletionRequest):
                 return _refuse(story, parsed)
+            crashed = _read_crashed(request)
             completion = _completion.make_completion(
-                self._context, parsed, identity, story, may_hop=False
+                self._context,
+                parsed,
+                identity,
+                story,
+                # A suspect comes from the own domain and has not hopped yet.
+                may_hop=bool(crashed),
+                crashed=crashed,
             )
             return await _send_chunks(request, completion, parsed, story)
 
@@ -124,6 +131,12 @@
         self._context.journal.add(story.close())
 
 
+def _read_crashed(request: web.Request) -> tuple[str, ...]:
+    """Returns the crashed endpoints that come with a suspect."""
+    listed = request.headers.get(_completion.SUSPECT_HEADER, '')
+    return tuple(listed.split(',')) if listed else ()
+
+
 def _read_completion(
     context: _context.Context, body: bytes
 ) -> _requests.CompletionRequest | outcomes.Refusal:
--- a/briarknot/entry/_peers.py
+++ b/briarknot/entry/_peers.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from briarknot import links, schema
+from briarknot import admission, links, schema
 
 #: Summaries older than this say nothing of the free capacity any more.
 _VALID_S = 5.0
@@ -81,6 +81,30 @@
             [hop for hop in hops if hop.queue_delay_s == least]
         )
 
+    def choose_suspect_owner(self, own_host: str) -> Hop | None:
+        """Returns the way to the process that runs the domain's suspects.
+
+        All entry processes that can reach each other choose the same one, so
+        that suspects run one at a time in the failure domain.
+
+        :param own_host: name of the own host.
+        :returns: the hop; None where the own process is the owner.
+        """
+        linked = {
+            link.host: link
+            for link in self._hub.links
+            if link.program == 'entry' and link.domain == self._domain
+        }
+        owner = admission.choose_owner('suspects', (own_host, *linked))
+        if owner == own_host:
+            return None
+        return Hop(
+            host=owner,
+            domain=self._domain,
+            peer_url=linked[owner].peer.peer_url,
+            queue_delay_s=0,
+        )
+
     def choose_service_hop(
         self, domains: collections.abc.Container[str]
     ) -> Hop | None:
--- a/briarknot/routing/_quarantine.py
+++ b/briarknot/routing/_quarantine.py
@@ -28,9 +28,11 @@
     """A fingerprint that must run alone, one at a time in the domain.
 
     :param reason: sentence with the figures, for the journal.
+    :param endpoints: endpoints at whose crashes it was in flight.
     """
 
     reason: str
+    endpoints: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -137,7 +139,7 @@
             f'endpoint crashes ({endpoints}); {_LIMIT} lead to quarantine'
         )
         if record.crashes < _LIMIT:
-            return Suspect(reason=reason)
+            return Suspect(reason=reason, endpoints=tuple(record.crashed_s))
         return Quarantined(reason=reason, retry_after_s=record.expires_s - now)
 
     def start(
@@ -206,6 +208,21 @@
                 changed.append(fingerprint)
         return tuple(self._make_message(one, engine) for one in changed)
 
+    def apply_crashes(
+        self, fingerprint: str, endpoints: tuple[str, ...], now: float
+    ) -> None:
+        """Takes the crashes that the sender of a forwarded suspect knows.
+
+        The request may arrive before the message that names its crash.
+
+        :param fingerprint: result of :meth:`fingerprint`.
+        :param endpoints: endpoints that crashed.
+        :param now: monotonic time in seconds.
+        """
+        record = self._renew_record(fingerprint, now, self._ttl_s)
+        for endpoint in endpoints:
+            record.add(endpoint, now)
+
     def apply(self, message: schema.messages.Quarantine, now: float) -> None:
         """Takes a peer's message; a repeated one changes nothing.
 
--- a/briarknot/tests/test_crashing_requests.py
+++ b/briarknot/tests/test_crashing_requests.py
@@ -92,3 +92,24 @@
             assert answer.text == expected
             again = await running.complete('urgent', f'innocent {number}', 4)
             assert again.is_whole, again.problem
+
+
+async def test_copies_at_all_entries():
+    """A copy that waits for its turn must not crash a third engine."""
+    async with fleet.run_fleet(_make_plan(_MIXED)) as running:
+        await _wait_links(running)
+        for process in running.engines.values():
+            await running.set_faults(
+                process, crash_marker=_MARKER, crash_at_token=2
+            )
+        prompt = f'{_MARKER} at once'
+        copies = 3
+        await asyncio.gather(
+            *[
+                _resend(running, entry, 4, prompt)
+                for entry in running.entries[:copies]
+            ]
+        )
+        down = _list_down(running)
+        # Each copy may have been in flight when the first crash was noticed.
+        assert 0 < len(down) <= _BOUND + copies - 1, down
