Wait at a planned stop for claimed calls whose caller has left

Cause: a claimed call goes on when its caller hangs up, but was no longer counted as open. A planned stop ended the process in the middle of it, and the claim stayed in phase "claimed" though the call had run.

Ruled out: the background writing of results, which the stop waits for; the result was not there yet.

Change: a call that outlives its request counts as open until it is settled, and is referenced until then.

Before: test_planned_stop_under_load[leaves], a resend through the other host got 409 key_in_progress. After: it gets the stored answer, exit status 0, one run, and no stream is cut.

--- a/briarknot/entry/_open_requests.py
+++ b/briarknot/entry/_open_requests.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 import contextlib
+import typing
 
 import attrs
 import prometheus_client
@@ -20,6 +21,7 @@
     _accounts: collections.Counter[str] = attrs.field(
         factory=collections.Counter, init=False
     )
+    _held: set[asyncio.Task[typing.Any]] = attrs.field(factory=set, init=False)
     _none: asyncio.Event = attrs.field(factory=asyncio.Event, init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -54,6 +56,25 @@
         finally:
             self._end(account)
 
+    @contextlib.contextmanager
+    def held_by(
+        self, task: asyncio.Task[typing.Any]
+    ) -> collections.abc.Iterator[None]:
+        """Counts a task that outlives its request as a request of its own.
+
+        :param task: task that must end before the process stops.
+        """
+        try:
+            yield
+        finally:
+            if not task.done():
+                held = contextlib.ExitStack()
+                held.enter_context(self.counted())
+                # The reference also keeps the task from being collected.
+                self._held.add(task)
+                task.add_done_callback(self._held.discard)
+                task.add_done_callback(lambda _: held.close())
+
     def _end(self, account: str) -> None:
         _OPEN.dec()
         self._accounts[account] -= 1
--- a/briarknot/entry/_service_calls.py
+++ b/briarknot/entry/_service_calls.py
@@ -187,9 +187,11 @@
         )
     if not isinstance(claim, claims.Acquired):
         return _answer_claim(claim, story)
-    # The claim must be settled even where the caller hangs up meanwhile.
+    # The claim must be settled even where the caller hangs up meanwhile, so
+    # that a planned stop has to wait for it as for an open request.
     settled = asyncio.ensure_future(_send_claimed(context, run, claim))
-    return await asyncio.shield(settled)
+    with context.open_requests.held_by(settled):
+        return await asyncio.shield(settled)
 
 
 async def _send_claimed(
