--- /dev/null
+++ b/briarknot/tests/test_pairs.py
@@ -0,0 +1,78 @@
+"""Guards I4 and I5 where prefill and decode run on different engines."""
+
+import asyncio
+import functools
+
+import attrs
+import pytest
+
+from briarknot import schema
+from briarknot.tests import _support, conftest
+from briarknot_standins import engine, fleet
+
+_TOKENS = 12
+_COUNT = 4
+_PREFILL = ('obb-a-engine-0', 'obb-a-engine-1')
+_DECODE = ('obb-a-engine-2', 'obb-a-engine-3')
+_PLAN = attrs.evolve(
+    conftest.SMALL_PLAN,
+    domains=(
+        attrs.evolve(
+            conftest.SMALL_PLAN.domains[0],
+            engines=(
+                fleet.EnginePlan(role=schema.fleet.Role.PREFILL, count=2),
+                fleet.EnginePlan(role=schema.fleet.Role.DECODE, count=2),
+            ),
+        ),
+    ),
+    has_proxy=True,
+)
+
+
+async def _count_prefills(running):
+    listed = [
+        (await running.read_json(running.engines[name], '/runs'))['runs']
+        for name in _PREFILL
+    ]
+    return sum(one['prefills'] for runs in listed for one in runs.values())
+
+
+async def _has_prefilled(running):
+    """Tells whether all requests stand between prefill and decode."""
+    return await _count_prefills(running) >= _COUNT
+
+
+def _check(answer, expected):
+    if answer.is_whole:
+        assert answer.text == expected
+    else:
+        assert expected.startswith(answer.text)
+        # Its prefill has run.
+        assert answer.problem['outcome'] == 'unknown'
+
+
+@pytest.mark.parametrize(
+    'dying', [_PREFILL[:1], _DECODE[:1], _PREFILL], ids=['p', 'd', 'all p']
+)
+async def test_engine_of_a_pair_dies(dying):
+    """A hand-over that fails must not give a wrong text or a false "not run"."""
+    async with fleet.run_fleet(_PLAN) as running:
+        await _support.bypass_proxy(running, _PREFILL)
+        for name in _DECODE:
+            await running.faults.add('hold', name, direction='forward')
+        streams = [
+            asyncio.create_task(
+                running.complete('urgent', f'pair {number}', _TOKENS)
+            )
+            for number in range(_COUNT)
+        ]
+        await _support.wait_until(functools.partial(_has_prefilled, running))
+        for name in dying:
+            running.engines[name].kill()
+            await running.engines[name].wait()
+        await running.faults.clear()
+        answers = await asyncio.gather(*streams)
+        for number, answer in enumerate(answers):
+            _check(answer, engine.expected_text(f'pair {number}', _TOKENS))
+        whole = sum(one.is_whole for one in answers)
+        assert bool(whole) == (dying != _PREFILL)
