Treat a connection that timed out as not run

Cause: under a burst of 256 requests a profiled entry process took longer than the 1 s of a connection's time limit; the attempt counted as one that may have run, although no byte had left. Change: connection time-outs are 'not run'; a measurement of the entry hop.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Load scenarios and measurements over real processes."""
--- /dev/null
+++ b/benchmarks/forwarding.py
@@ -0,0 +1,244 @@
+"""Measures what the entry hop costs: ``python -m benchmarks.forwarding``.
+
+Streams go directly to an engine stand-in, then through one entry process, at
+several numbers of open streams. Printed are the times to the first token and
+to the end, their ratio, and the tokens that the entry process forwards per
+second of processor time.
+"""
+
+import asyncio
+import itertools
+import pathlib
+import statistics
+import time
+import typing
+
+import aiohttp
+import attrs
+import cappa
+import orjson
+import psutil
+import rich.console
+import rich.table
+
+from briarknot import schema
+from briarknot_standins import fleet, launcher
+
+_DATA = b'data: '
+_DONE = b'[DONE]'
+_TOKENS = 100
+_STREAMS = (1, 64, 512)
+#: Engines are fast and many enough not to be the limit.
+_ENGINES = 4
+_ENGINE_ARGUMENTS = (
+    '--decode-tokens-per-s',
+    '50',
+    '--max-streams',
+    '256',
+    '--kv-blocks',
+    '4096',
+    '--prefill-tokens-per-s',
+    '1000000',
+)
+
+
+@cappa.command(name='benchmarks.forwarding')
+@attrs.frozen(kw_only=True)
+class Arguments:
+    """Arguments of the measurement.
+
+    :param output: path of a JSON file for the figures.
+    :param rounds: rounds of each number of streams.
+    """
+
+    output: typing.Annotated[pathlib.Path | None, cappa.Arg(long=True)] = None
+    rounds: typing.Annotated[int, cappa.Arg(long=True)] = 2
+
+
+@attrs.frozen(kw_only=True)
+class Figures:
+    """Figures of one way and one number of streams.
+
+    :param way: direct or entry.
+    :param streams: open streams.
+    :param first_token_s: median time to the first token.
+    :param total_s: median time to the end.
+    :param tokens_per_s: tokens received per second, all streams.
+    :param tokens_per_cpu_s: tokens per second of the entry's processor time.
+    """
+
+    way: str
+    streams: int
+    first_token_s: float
+    total_s: float
+    tokens_per_s: float
+    tokens_per_cpu_s: float = 0
+
+
+@attrs.frozen
+class _Stream:
+    first_token_s: float
+    total_s: float
+    tokens: int
+
+
+@attrs.frozen
+class _Way:
+    """How the streams go.
+
+    :param name: direct or entry.
+    :param urls: base URLs, used in turn.
+    :param headers: headers of each request.
+    :param process: entry process, whose processor time is read.
+    """
+
+    name: str
+    urls: tuple[str, ...]
+    headers: dict[str, str]
+    process: psutil.Process | None = None
+
+    def read_cpu_s(self) -> float:
+        """Returns the processor time of the entry process so far."""
+        if self.process is None:
+            return 0
+        times = self.process.cpu_times()
+        return times.user + times.system
+
+
+async def _send(
+    session: aiohttp.ClientSession, way: _Way, url: str, number: int
+) -> _Stream:
+    started = time.monotonic()
+    first_s = float('nan')
+    tokens = 0
+    body = {
+        'request_id': f'{way.name}-{number}-{started}',
+        'model': 'assist-lm',
+        'prompt': f'measurement {number}',
+        'max_tokens': _TOKENS,
+        'priority': 0,
+        'resume_from': 0,
+        'stream': True,
+    }
+    async with session.post(
+        f'{url}/v1/completions', json=body, headers=way.headers
+    ) as response:
+        response.raise_for_status()
+        async for line in response.content:
+            if line.startswith(_DATA) and _DONE not in line:
+                if not tokens:
+                    first_s = time.monotonic() - started
+                tokens += 1
+    return _Stream(first_s, time.monotonic() - started, tokens)
+
+
+async def _measure(
+    session: aiohttp.ClientSession, way: _Way, streams: int, rounds: int
+) -> Figures:
+    urls = itertools.cycle(way.urls)
+    cpu_s = way.read_cpu_s()
+    started = time.monotonic()
+    results: list[_Stream] = []
+    for _ in range(rounds):
+        results += await asyncio.gather(
+            *[
+                _send(session, way, next(urls), number)
+                for number in range(streams)
+            ]
+        )
+    elapsed_s = time.monotonic() - started
+    tokens = sum(result.tokens for result in results)
+    used_s = way.read_cpu_s() - cpu_s
+    return Figures(
+        way=way.name,
+        streams=streams,
+        first_token_s=statistics.median(one.first_token_s for one in results),
+        total_s=statistics.median(one.total_s for one in results),
+        tokens_per_s=tokens / elapsed_s,
+        tokens_per_cpu_s=tokens / used_s if used_s else 0,
+    )
+
+
+def _make_plan() -> fleet.FleetPlan:
+    return attrs.evolve(
+        fleet.make_sprossenwerk_plan(),
+        domains=(
+            fleet.DomainPlan(
+                name='obb-a',
+                region='obb',
+                engines=(fleet.EnginePlan(count=_ENGINES),),
+            ),
+        ),
+        model=schema.fleet.Model(name='assist-lm', max_streams=256),
+        engine_arguments=_ENGINE_ARGUMENTS,
+    )
+
+
+async def run(arguments: Arguments) -> list[Figures]:
+    """Runs the measurement.
+
+    :param arguments: rounds of each number of streams.
+    """
+    async with fleet.run_fleet(_make_plan()) as running:
+        entry = running.entries[0]
+        ways = (
+            _Way('direct', _read_urls(running.engines.values()), {}),
+            _Way(
+                'entry',
+                (entry.url,),
+                running.make_headers('urgent'),
+                psutil.Process(entry.process.pid),
+            ),
+        )
+        figures = []
+        for streams in _STREAMS:
+            for way in ways:
+                figures.append(
+                    await _measure(
+                        running.session, way, streams, arguments.rounds
+                    )
+                )
+    return figures
+
+
+def _read_urls(processes: typing.Iterable[launcher.Process]) -> tuple[str, ...]:
+    return tuple(process.url for process in processes)
+
+
+def _print_table(figures: list[Figures]) -> None:
+    table = rich.table.Table(title='Cost of the entry hop')
+    for heading in (
+        'way',
+        'streams',
+        'first token',
+        'total',
+        'tokens/s',
+        'tokens/CPU s',
+    ):
+        table.add_column(heading, justify='right')
+    for one in figures:
+        table.add_row(
+            one.way,
+            str(one.streams),
+            f'{one.first_token_s * 1000:.1f} ms',
+            f'{one.total_s:.3f} s',
+            f'{one.tokens_per_s:.0f}',
+            f'{one.tokens_per_cpu_s:.0f}',
+        )
+    rich.console.Console().print(table)
+
+
+def main() -> None:
+    """Runs the measurement and prints its table."""
+    arguments = cappa.parse(Arguments)
+    figures = asyncio.run(run(arguments))
+    _print_table(figures)
+    if arguments.output:
+        plain = [attrs.asdict(one) for one in figures]
+        arguments.output.write_bytes(
+            orjson.dumps(plain, option=orjson.OPT_INDENT_2)
+        )
+
+
+if __name__ == '__main__':
+    main()
--- a/briarknot/entry/_attempts.py
+++ b/briarknot/entry/_attempts.py
@@ -8,6 +8,11 @@
 from briarknot.entry import _requests, _stream
 
 _OK = 200
+#: Errors after which no byte of the request has left.
+NOT_CONNECTED = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
 _REFUSED_UNRUN = 503
 _CLIENT_ERRORS = range(400, 500)
 _TOO_MANY = 429
@@ -111,7 +116,7 @@
                 return await _stream.read_stream(
                     response.content, request_id, offset, self._timing, deliver
                 )
-        except aiohttp.ClientConnectorError as error:
+        except NOT_CONNECTED as error:
             return NotRun(f'cannot connect: {error}')
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return _stream.Broken(f'{type(error).__name__}: {error}')
@@ -124,7 +129,7 @@
         try:
             with telemetry.make_span('prefill', engine=engine.name):
                 answer = await self._post_prefill(target, engine.url, body)
-        except aiohttp.ClientConnectorError as error:
+        except NOT_CONNECTED as error:
             return NotRun(f'prefill on {engine.name}: cannot connect: {error}')
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return _stream.Broken(
--- a/briarknot/entry/_service_calls.py
+++ b/briarknot/entry/_service_calls.py
@@ -432,7 +432,7 @@
             ) as response:
                 body = await response.read()
                 return self._check(response, body)
-        except aiohttp.ClientConnectorError as error:
+        except _attempts.NOT_CONNECTED as error:
             return _attempts.NotRun(f'cannot connect: {error}')
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return _stream.Broken(f'{type(error).__name__}: {error}')
