--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -31,6 +31,7 @@
 _SETTLE_S = 3
 _CRASH_GAP_S = 1.1
 _LIMIT_S = 20
+_LOOK_S = 0.1
 
 
 @attrs.frozen(kw_only=True)
@@ -115,11 +116,10 @@
         )
 
     async def wait_detected(self, crashed: list[str]) -> None:
-        deadline_s = time.monotonic() + _LIMIT_S
-        while self.count_undetected(crashed):
-            if time.monotonic() > deadline_s:
+        for _ in range(int(_LIMIT_S / _LOOK_S)):
+            if not self.count_undetected(crashed):
                 return
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(_LOOK_S)
 
 
 async def _make_group(detector: str, size: int) -> _Group:
--- a/briarknot/links/_hub.py
+++ b/briarknot/links/_hub.py
@@ -89,7 +89,7 @@
     def connect(self, url: str) -> None:
         """Keeps a link to a peer URL until :meth:`disconnect`.
 
-        :param url: base URL of a peer port.
+        :param url: base URL of the peer port of another host.
         """
         if url not in self._connectors:
             self._connectors[url] = asyncio.create_task(
--- a/briarknot/links/_link.py
+++ b/briarknot/links/_link.py
@@ -141,6 +141,9 @@
     def send(self, message: schema.messages.PeerMessage) -> bool:
         """Queues a message without waiting.
 
+        A handler that answers uses ``Hub.send`` with the link's host and
+        program: the link of the question may have been replaced since.
+
         :param message: a member of ``PeerMessage``.
         :returns: whether it was queued; a false answer is counted.
         """
