--- a/briarknot/control/_decisions.py
+++ b/briarknot/control/_decisions.py
@@ -168,15 +168,21 @@
     return None
 
 
-def make_fence(state: State) -> Change:
-    """Makes a change without effect, whose number shuts out earlier ones.
+def make_fence(
+    order: schema.endpoints.Order, state: schema.endpoints.EngineState
+) -> Change:
+    """Makes a change whose number shuts out an order that may still arrive.
 
-    :param state: the engine's state.
+    :param order: the order; a role is ordered again.
+    :param state: the engine's state, which the change keeps otherwise.
     """
-    reason = 'shuts out an order that may still arrive'
+    reason = f'order {order.epoch}.{order.sequence} may still arrive'
     if state.phase is _EnginePhase.WITHDRAWN:
         return Change(_Kind.WITHDRAW, '', reason)
-    return Change(_Kind.ROLE, state.role.value, reason)
+    is_role = order.kind is _Kind.ROLE
+    return Change(
+        _Kind.ROLE, order.value if is_role else state.role.value, reason
+    )
 
 
 def choose_number(
--- a/briarknot/control/_engine.py
+++ b/briarknot/control/_engine.py
@@ -134,10 +134,11 @@
         row = self._ledger.row
         meaning = _decisions.read_row(row, state)
         if meaning is _decisions.Meaning.NOT_SENT:
-            await self._end(_Phase.VOID, state)
+            await self._end(_Phase.VOID)
         elif meaning is _decisions.Meaning.UNSEEN:
             _metrics.REISSUED.inc()
-            change = self._choose(state) or _decisions.make_fence(state)
+            fence = _decisions.make_fence(row.order, state)
+            change = self._choose(state) or fence
             await self._give(change, state, _Phase.OPEN)
         else:
             await self._settle()
@@ -163,13 +164,13 @@
             kind=change.kind,
             value=change.value,
         )
-        row = schema.records.OrderRow(
-            order=order, phase=phase, reason=change.reason
+        row = attrs.evolve(
+            self._ledger.row, order=order, phase=phase, reason=change.reason
         )
         if not await self._ledger.write(row):
             return
         if not await self._wait_drained(change, state):
-            await self._end(_Phase.VOID, state)
+            await self._end(_Phase.VOID)
             return
         if phase is _Phase.DRAINING:
             row = attrs.evolve(row, phase=_Phase.OPEN)
@@ -250,7 +251,7 @@
     async def _end(
         self,
         phase: schema.records.OrderPhase,
-        state: schema.endpoints.EngineState,
+        state: schema.endpoints.EngineState | None = None,
     ) -> None:
         if await self._ledger.end(phase, state):
             self._plan = None
--- a/briarknot/control/_ledger.py
+++ b/briarknot/control/_ledger.py
@@ -58,17 +58,17 @@
     async def end(
         self,
         phase: schema.records.OrderPhase,
-        state: schema.endpoints.EngineState,
+        state: schema.endpoints.EngineState | None = None,
     ) -> bool:
         """Ends the order and lets entry processes dispatch again.
 
         :param phase: ``done`` or ``void``.
-        :param state: the engine's state.
+        :param state: the engine's state, where the order is done.
         :returns: whether the row was written.
         """
-        row = attrs.evolve(
-            self.row, phase=phase, role=state.role, model=state.model
-        )
+        row = attrs.evolve(self.row, phase=phase)
+        if state:
+            row = attrs.evolve(row, role=state.role, model=state.model)
         is_written = await self.write(row)
         if is_written:
             _metrics.ORDERS.labels(row.order.kind, phase).inc()
--- a/briarknot/schema/_generated/records.py
+++ b/briarknot/schema/_generated/records.py
@@ -120,11 +120,11 @@
     )
     reason: str = _fields.make_field(doc='Why it was given.', default='')
     role: fleet.Role = _fields.make_field(
-        doc="The engine's role when the phase became done or void.",
+        doc="The engine's role when an order was last done.",
         default=fleet.Role.MIXED,
     )
     model: str = _fields.make_field(
-        doc="The engine's model and version when the phase became done or void.",
+        doc="The engine's model and version when an order was last done; empty where none was.",
         default='',
     )
 
--- a/briarknot/schema/definitions/records.capnp
+++ b/briarknot/schema/definitions/records.capnp
@@ -45,8 +45,8 @@
   order @0 :E.Order $A.doc("The order.");
   phase @1 :OrderPhase $A.doc("Progress.");
   reason @2 :Text $A.doc("Why it was given.");
-  role @3 :F.Role $A.doc("The engine's role when the phase became done or void.");
-  model @4 :Text $A.doc("The engine's model and version when the phase became done or void.");
+  role @3 :F.Role $A.doc("The engine's role when an order was last done.");
+  model @4 :Text $A.doc("The engine's model and version when an order was last done; empty where none was.");
 }
 
 struct ClaimRow $A.doc("Claim of a call that runs at most once.") {
