Keep targets and floors through floods in admission

Cause: trials of a tenfold batch flood refused urgent requests, because queued batch requests used up the streams of the same accounts; waits were underestimated, because floors of other ranks were not counted; and slots kept free for urgent work left 16% of the capacity idle.

Change: an account's streams count only work that is as urgent or more; the expected wait leaves out what other ranks take; slots are kept only where those that end within the target are too few.

--- a/briarknot/admission/_admission.py
+++ b/briarknot/admission/_admission.py
@@ -59,11 +59,12 @@
         :param now: monotonic time in seconds.
         :returns: a ticket, admitted already or in the queue, or the refusal.
         """
-        refusal = self._check_open(request.account)
+        rank = self._find_rank(request.rank)
+        refusal = self._check_open(request.account, rank)
         if refusal is not None:
             return refusal
         self.expire(now)
-        ticket = self._make_ticket(request, now)
+        ticket = self._make_ticket(request, rank, now)
         self._policy.push(ticket)
         self._dispatch(now)
         if ticket.phase is not _tickets.Phase.QUEUED:
@@ -156,12 +157,19 @@
         """Refuses new requests; queued and running ones go on."""
         self._closed = True
 
-    def _check_open(self, account: str) -> _tickets.Refusal | None:
+    def _check_open(
+        self, account: str, rank: schema.fleet.Rank
+    ) -> _tickets.Refusal | None:
         if self._closed:
             return _refusals.refuse_closed()
         if self._usage.capacity.concurrent <= 0:
             return _refusals.refuse_without_capacity(self._usage.capacity)
-        opened = self._open.get(account, 0)
+        # An account that floods in with one rank keeps its more urgent ones.
+        opened = sum(
+            self._open.get((account, one.name), 0)
+            for one in self._list_ranks()
+            if one.worth >= rank.worth
+        )
         default = schema.fleet.Account(name=account)
         allowed = self._accounts.get(account, default).max_streams
         if opened >= allowed:
@@ -169,14 +177,16 @@
         return None
 
     def _make_ticket(
-        self, request: _tickets.AdmissionRequest, now: float
+        self,
+        request: _tickets.AdmissionRequest,
+        rank: schema.fleet.Rank,
+        now: float,
     ) -> _tickets.Ticket:
-        rank = self._find_rank(request.rank)
         longest = rank.max_queue_s
         if request.deadline_s is not None:
             longest = min(longest, request.deadline_s)
         self._submitted += 1
-        self._open[request.account] += 1
+        self._open[request.account, rank.name] += 1
         return _tickets.Ticket(
             request=attrs.evolve(request, rank=rank.name),
             number=self._submitted,
@@ -185,8 +195,11 @@
             gate=self,
         )
 
+    def _list_ranks(self) -> tuple[schema.fleet.Rank, ...]:
+        return self._document.ranks or (_policies.DEFAULT_RANK,)
+
     def _find_rank(self, name: str) -> schema.fleet.Rank:
-        ranks = self._document.ranks or (_policies.DEFAULT_RANK,)
+        ranks = self._list_ranks()
         by_name = {rank.name: rank for rank in ranks}
         return by_name.get(name) or min(ranks, key=lambda one: one.worth)
 
@@ -211,9 +224,10 @@
         self._close_stream(ticket)
 
     def _close_stream(self, ticket: _tickets.Ticket) -> None:
-        self._open[ticket.request.account] -= 1
-        if not self._open[ticket.request.account]:
-            self._open.pop(ticket.request.account)
+        key = (ticket.request.account, ticket.request.rank)
+        self._open[key] -= 1
+        if not self._open[key]:
+            self._open.pop(key)
 
     def _note_expiry(self, ticket: _tickets.Ticket) -> None:
         heapq.heappush(
--- a/briarknot/admission/_ranked.py
+++ b/briarknot/admission/_ranked.py
@@ -9,7 +9,9 @@
 
 #: Share of the target that the expected wait may take; the rest covers the
 #: error of the estimate.
-_TARGET_SHARE = 0.8
+_TARGET_SHARE = 0.7
+#: Share of the target within which slots that end are counted on.
+_RELEASE_SHARE = 0.25
 #: Bound on the number of queued requests of a rank, for memory.
 _MAX_QUEUED = 10000
 #: Time in which a rank's remembered peak and its rate of work halve.
@@ -160,17 +162,21 @@
     def _count_kept(self, state: _RankState, now: float) -> int:
         """Returns free slots that less urgent ranks must leave to a rank.
 
-        A rank whose target is longer than slots are held loses little by
-        waiting for one, and slots kept free for it would be wasted.
+        They are what the rank used of late, but for the slots that end within
+        its target anyway and for the floors of the others. The first rank has
+        at least one.
         """
+        slots = self._usage.capacity.concurrent
         held_s = self._usage.pace.held_s
-        is_first = state is next(iter(self._states.values()))
-        is_tight = state.rank.first_token_s < held_s if held_s else is_first
-        if not is_tight or self._usage.capacity.concurrent < _LEAST_SLOTS:
-            return 0
-        recent = max(1, math.ceil(state.peak.read(now)))
+        least = int(state is next(iter(self._states.values())))
+        if slots < _LEAST_SLOTS or not held_s:
+            return least if slots >= _LEAST_SLOTS else 0
         running = self._usage.count_rank(state.rank.name)
-        return max(0, min(self._count_floor(state), recent) - running)
+        usable_s = state.rank.first_token_s * _RELEASE_SHARE
+        wanted = state.peak.read(now) + 1 - running - slots * usable_s / held_s
+        floors = sum(self._count_floor(one) for one in self._states.values())
+        allowed = slots - floors + self._count_floor(state) - running
+        return max(0, min(allowed, max(least, math.ceil(wanted))))
 
     def _pop_below_floor(self, state: _RankState) -> _tickets.Ticket | None:
         running = self._usage.count_rank(state.rank.name)
@@ -244,13 +250,19 @@
     ) -> float:
         """Returns the time until the ticket's turn, itself included."""
         pace = self._usage.work_per_s
-        ahead, urgent_rate = 0, 0
+        ahead, others_rate = 0, 0
+        is_more_urgent = True
         for other in self._states.values():
+            rate = other.admitted.read_rate(now)
             if other is state:
-                break
-            ahead += other.queue.work_s
-            urgent_rate += other.admitted.read_rate(now)
-        share = max(pace - urgent_rate, pace * state.rank.floor_share)
+                is_more_urgent = False
+            elif is_more_urgent:
+                ahead += other.queue.work_s
+                others_rate += rate
+            else:
+                # Less urgent work passes only up to its floor.
+                others_rate += min(rate, pace * other.rank.floor_share)
+        share = max(pace - others_rate, pace * state.rank.floor_share)
         fair = state.queue.sum_account(ticket.request.account)
         own = min(state.queue.work_s, fair * max(1, state.queue.accounts))
         # The floor is served even while more urgent work is ahead.
