--- a/briarknot/admission/_tickets.py
+++ b/briarknot/admission/_tickets.py
@@ -104,7 +104,6 @@
     :param expires_s: time at which it leaves the queue.
     :param phase: progress; changed only by the admission.
     :param admitted_s: time of the admission.
-    :param in_prefill: whether its prefill counts as outstanding.
     """
 
     request: AdmissionRequest
@@ -113,7 +112,6 @@
     expires_s: float
     phase: Phase = Phase.QUEUED
     admitted_s: float = 0
-    in_prefill: bool = False
     _gate: Gate
     _outcome: Admitted | Refusal | None = attrs.field(default=None, init=False)
     _future: asyncio.Future | None = attrs.field(default=None, init=False)
--- a/briarknot/routing/__init__.py
+++ b/briarknot/routing/__init__.py
@@ -7,6 +7,12 @@
     hash_blocks,
     make_estimator,
 )
+from briarknot.routing._domains import (
+    DomainChoice,
+    StayHome,
+    choose_domain,
+    make_summary,
+)
 from briarknot.routing._engine import Attempt, EngineView, Part
 from briarknot.routing._quarantine import (
     Clear,
@@ -45,6 +51,7 @@
     'Capacity',
     'Choice',
     'Clear',
+    'DomainChoice',
     'EngineView',
     'Estimator',
     'Flight',
@@ -59,9 +66,11 @@
     'ServiceAttempt',
     'ServiceChoice',
     'ServiceView',
+    'StayHome',
     'Suspect',
     'View',
     'WorkEstimate',
+    'choose_domain',
     'choose_service_endpoint',
     'hash_blocks',
     'make_estimator',
@@ -69,5 +78,6 @@
     'make_retry_budget',
     'make_router',
     'make_service_view',
+    'make_summary',
     'make_view',
 )
--- a/briarknot/routing/_cost.py
+++ b/briarknot/routing/_cost.py
@@ -79,12 +79,16 @@
         return int(tokens // BLOCK_TOKENS) + 1
 
 
-@attrs.define
+@attrs.frozen
 class _Learned:
     weight: float = 0
     tokens: float = 0
 
 
+_ALL_ACCOUNTS = ''
+_UNKNOWN = _Learned()
+
+
 @attrs.define
 class Estimator:
     """Learns the output length by account and kind."""
@@ -137,20 +141,24 @@
         :param kind: kind of request, as given to :meth:`estimate`.
         :param tokens: tokens of the complete output.
         """
-        learned = self._learned.pop((account, kind), None) or _Learned()
-        learned.weight = learned.weight * (1 - _FADE) + 1
-        learned.tokens = learned.tokens * (1 - _FADE) + tokens
-        # The pair moves to the end, so that the first one is the least used.
-        self._learned[account, kind] = learned
+        for pair in ((account, kind), (_ALL_ACCOUNTS, kind)):
+            learned = self._learned.pop(pair, _UNKNOWN)
+            # The first pair is the least recently used one.
+            self._learned[pair] = _Learned(
+                weight=learned.weight * (1 - _FADE) + 1,
+                tokens=learned.tokens * (1 - _FADE) + tokens,
+            )
         if len(self._learned) > _MAX_LEARNED:
             self._learned.pop(next(iter(self._learned)))
 
     def _expect(self, account: str, kind: str) -> float:
-        learned = self._learned.get((account, kind))
-        if learned is None:
-            return _PRIOR_TOKENS
-        total = _PRIOR_REQUESTS * _PRIOR_TOKENS + learned.tokens
-        return total / (_PRIOR_REQUESTS + learned.weight)
+        expected = _PRIOR_TOKENS
+        # A new account starts with what others of its kind receive.
+        for pair in ((_ALL_ACCOUNTS, kind), (account, kind)):
+            learned = self._learned.get(pair, _UNKNOWN)
+            total = _PRIOR_REQUESTS * expected + learned.tokens
+            expected = total / (_PRIOR_REQUESTS + learned.weight)
+        return expected
 
 
 def make_estimator(
--- a/briarknot/routing/_services.py
+++ b/briarknot/routing/_services.py
@@ -75,7 +75,7 @@
         return ServiceAttempt(endpoint_name)
 
     def end_attempt(
-        self, attempt: ServiceAttempt, now: float, *, ok: bool
+        self, attempt: ServiceAttempt, now: float, ok: bool
     ) -> None:
         """Ends a call; to be called once.
 
--- a/briarknot/routing/_view.py
+++ b/briarknot/routing/_view.py
@@ -126,7 +126,6 @@
         self,
         attempt: _engine.Attempt,
         now: float,
-        *,
         ok: bool,
         first_token_s: float | None = None,
         tokens: int = 0,
