Start a controller in each failure domain of the demo

Cause: the demo withdrew an engine without a controller to give the order. Change: the stand-in fleet of the demo has one controller a domain.

--- a/briarknot_standins/fleet/_plan.py
+++ b/briarknot_standins/fleet/_plan.py
@@ -109,18 +109,21 @@
                 region='obb',
                 engines=(EnginePlan(count=4),),
                 entries=3,
+                controls=1,
             ),
             DomainPlan(
                 name='frk-a',
                 region='frk',
                 engines=(EnginePlan(count=3),),
                 entries=2,
+                controls=1,
             ),
             DomainPlan(
                 name='swb-a',
                 region='swb',
                 engines=(EnginePlan(count=3),),
                 entries=2,
+                controls=1,
             ),
         ),
         ranks=(
@@ -169,6 +172,7 @@
                 region=region,
                 engines=(EnginePlan(count=2),),
                 entries=2,
+                controls=1,
             )
             for name, region in places
         ),
