Test authority over real processes

The invariants I1 to I3 depend on several processes and their clocks, so the tests pause, kill, and cut off real ones. Each checks that the accepted numbers of the engine grow, that no two orders overlap, and that no request was cut.

--- /dev/null
+++ b/briarknot/tests/test_authority.py
@@ -0,0 +1,301 @@
+"""Guards against orders that come twice, too late, or into running work.
+
+All processes are real; SIGSTOP, SIGKILL, the proxy, and the platform's faults
+disturb the holder of the lease.
+"""
+
+import asyncio
+import signal
+
+import attrs
+import pytest
+
+from briarknot import schema
+from briarknot_standins import fleet
+
+_DOMAIN = 'obb-a'
+_ENGINE = 'obb-a-engine-0'
+_ROLE_CHANGE_S = 2
+#: Generous, since only the order of events counts.
+_LIMIT_S = 60
+_POLL_S = 0.1
+#: Decoding 400 tokens at 40 tokens/s takes 10 s.
+_LONG_TOKENS = 400
+_Phase = schema.records.OrderPhase
+_PLAN = attrs.evolve(
+    fleet.make_sprossenwerk_plan(),
+    domains=(fleet.DomainPlan(name=_DOMAIN, region='obb', entries=2),),
+    policies=schema.fleet.Policies(planner='static', planner_interval_s=0.2),
+)
+
+
+@attrs.define
+class Rig:
+    """One engine, two entry processes, and the controllers of a domain."""
+
+    running: fleet.RunningFleet
+    streams: list = attrs.field(factory=list)
+
+    async def change_role(self, role):
+        """Asks for another role in the document."""
+        document = self.running.document
+        engine = attrs.evolve(document.engines[0], role=role)
+        await self.running.commit(attrs.evolve(document, engines=(engine,)))
+
+    async def add_proxy(self):
+        """Puts a proxy between the engine and all others."""
+        engine = self.running.engines[_ENGINE]
+        cluster = self.running.cluster
+        port = cluster.choose_port()
+        proxy = await cluster.start(
+            'briarknot_standins.proxy',
+            ['--link', f'engine={port}:127.0.0.1:{engine.port}'],
+        )
+        document = self.running.document
+        changed = attrs.evolve(
+            document.engines[0], url=f'http://127.0.0.1:{port}'
+        )
+        await self.running.commit(attrs.evolve(document, engines=(changed,)))
+        return proxy
+
+    async def start_controls(self):
+        """Starts two controllers; the first holds the lease."""
+        await self.running.start_control(_DOMAIN, 0)
+        await self.wait(self.is_held_by, f'{_DOMAIN}-host-0')
+        await self.running.start_control(_DOMAIN, 1)
+        return tuple(self.running.controls.values())
+
+    async def start_stream(self):
+        """Starts a stream that delays a drain by seconds."""
+        stream = self.running.complete('urgent', 'a prompt', _LONG_TOKENS)
+        self.streams.append(asyncio.create_task(stream))
+        await self.wait(self.is_running)
+
+    async def read_lease(self):
+        """Reads the lease."""
+        row = await self.running.client.read_row('leases', _DOMAIN)
+        tree = row.value if row else {}
+        return schema.from_plain(schema.records.LeaseRow, tree)
+
+    async def read_row(self):
+        """Reads the engine's order row."""
+        key = f'{_DOMAIN}.{_ENGINE}'
+        row = await self.running.client.read_row('orders', key)
+        tree = row.value if row else {'phase': _Phase.VOID.value}
+        return schema.from_plain(schema.records.OrderRow, tree)
+
+    async def read_engine(self):
+        """Reads the engine's orders, with its audit log."""
+        engine = self.running.engines[_ENGINE]
+        return await self.running.read_json(engine, '/orders')
+
+    async def is_held_by(self, host):
+        """Tells whether a host holds the lease."""
+        return (await self.read_lease()).holder.startswith(f'{host}-')
+
+    async def is_running(self):
+        """Tells whether the engine runs a request."""
+        engine = self.running.engines[_ENGINE]
+        return (await self.running.read_json(engine, '/load'))['running']
+
+    async def is_phase(self, *phases):
+        """Tells whether the order row is in one of the phases."""
+        return (await self.read_row()).phase in phases
+
+    async def is_role(self, role):
+        """Tells whether the engine has a role, and the row is done."""
+        state = await self.read_engine()
+        is_done = await self.is_phase(_Phase.DONE)
+        return state['role'] == role and state['phase'] == 'idle' and is_done
+
+    async def has_received(self, epoch):
+        """Tells whether an order of an epoch has reached the engine."""
+        audit = (await self.read_engine())['audit']
+        return epoch in {entry['order']['epoch'] for entry in audit}
+
+    async def is_lost(self, count):
+        """Tells whether the platform has lost so many answers."""
+        stats = await self.running.read_json(self.running.platform, '/stats')
+        return stats['answers_lost'] >= count
+
+    async def is_changing(self):
+        """Tells whether the engine is carrying out an order."""
+        return (await self.read_engine())['phase'] == 'changing'
+
+    async def wait(self, condition, *arguments):
+        """Waits until a condition holds."""
+        async with asyncio.timeout(_LIMIT_S):
+            is_met = False
+            while not is_met:
+                await asyncio.sleep(_POLL_S)
+                is_met = await condition(*arguments)
+
+    async def check_orders(self, count=None):
+        """Checks the engine's log against the invariants."""
+        audit = (await self.read_engine())['audit']
+        accepted = [one for one in audit if one['answer'] == 'accepted']
+        numbers = [
+            (one['order']['epoch'], one['order']['sequence'])
+            for one in accepted
+        ]
+        assert numbers == sorted(set(numbers))
+        ended_s = float('-inf')
+        for one in accepted:
+            assert one['decided_at_s'] > ended_s
+            assert not one['cut'] + one['refused']
+            ended_s = one['decided_at_s'] + _ROLE_CHANGE_S
+        if count is not None:
+            assert len(accepted) == count
+        for answer in await asyncio.gather(*self.streams):
+            assert answer.status == 200
+        return numbers
+
+
+@pytest.fixture
+async def make_rig():
+    """Makes a rig whose processes end with the test."""
+    contexts = []
+
+    async def make(*, checks_fencing=True):
+        arguments = ['--role-change-s', str(_ROLE_CHANGE_S)]
+        if not checks_fencing:
+            arguments.append('--no-check-fencing')
+        plan = attrs.evolve(
+            _PLAN,
+            checks_fencing=checks_fencing,
+            engine_arguments=tuple(arguments),
+        )
+        contexts.append(fleet.run_fleet(plan))
+        return Rig(await contexts[-1].__aenter__())
+
+    yield make
+    for context in contexts:
+        await context.__aexit__(None, None, None)
+
+
+async def test_change_waits_for_running_streams(make_rig):
+    """A planned change must not interrupt a request."""
+    rig = await make_rig()
+    await rig.start_controls()
+    await rig.start_stream()
+    await rig.change_role(schema.fleet.Role.DECODE)
+    await rig.wait(rig.is_role, 'decode')
+    assert await rig.check_orders(count=1) == [(1, 1)]
+
+
+@pytest.mark.parametrize('checks_fencing', [True, False])
+async def test_holder_paused_past_its_lease_dies(make_rig, checks_fencing):
+    """A holder that resumes beside its successor must send nothing."""
+    rig = await make_rig(checks_fencing=checks_fencing)
+    first, second = await rig.start_controls()
+    await rig.start_stream()
+    await rig.change_role(schema.fleet.Role.DECODE)
+    await rig.wait(rig.is_phase, _Phase.DRAINING)
+    first.pause()
+    await rig.wait(rig.is_role, 'decode')
+    first.resume()
+    async with asyncio.timeout(_LIMIT_S):
+        assert await first.wait() == -signal.SIGALRM
+    assert second.exit_status is None
+    assert await rig.check_orders(count=1) == [(2, 2)]
+
+
+@pytest.mark.parametrize('checks_fencing', [True, False])
+async def test_holder_killed_in_a_role_change(make_rig, checks_fencing):
+    """A successor must end the order that it finds, and not repeat it."""
+    rig = await make_rig(checks_fencing=checks_fencing)
+    first, _ = await rig.start_controls()
+    await rig.change_role(schema.fleet.Role.DECODE)
+    await rig.wait(rig.is_changing)
+    first.kill()
+    await rig.wait(rig.is_role, 'decode')
+    await rig.change_role(schema.fleet.Role.MIXED)
+    await rig.wait(rig.is_role, 'mixed')
+    assert await rig.check_orders(count=2) == [(1, 1), (2, 2)]
+
+
+async def test_held_order_is_refused_after_a_later_one(make_rig):
+    """An order that is released late must not undo its successor's."""
+    rig = await make_rig()
+    proxy = await rig.add_proxy()
+    first, _ = await rig.start_controls()
+    hold = {
+        'kind': 'hold',
+        'link': 'engine',
+        'direction': 'forward',
+        'marker': '"epoch": 1,',
+    }
+    await rig.running.set_faults(proxy, **hold)
+    await rig.change_role(schema.fleet.Role.DECODE)
+    await rig.wait(rig.is_phase, _Phase.OPEN)
+    # Beyond the time limit of the first order, which is then given again.
+    await asyncio.sleep(2)
+    first.kill()
+    # The successor has no other reason to give an order.
+    await rig.change_role(schema.fleet.Role.MIXED)
+    await rig.wait(rig.is_phase, _Phase.DONE, _Phase.VOID)
+    await rig.running.session.delete(f'{proxy.url}/faults')
+    await rig.wait(rig.has_received, 1)
+    await rig.wait(rig.is_role, 'mixed')
+    assert {epoch for epoch, _ in await rig.check_orders()} == {2}
+
+
+async def test_successor_waits_for_a_late_order(make_rig):
+    """An engine without fencing must not get a second order beside a late one.
+
+    The order arrives after the lease has expired, and before the successor
+    reads the engine's state.
+    """
+    rig = await make_rig(checks_fencing=False)
+    proxy = await rig.add_proxy()
+    first, _ = await rig.start_controls()
+    hold = {
+        'kind': 'hold',
+        'link': 'engine',
+        'direction': 'forward',
+        'marker': '"epoch": 1,',
+        'seconds': _PLAN.lease_s + 1,
+    }
+    await rig.running.set_faults(proxy, **hold)
+    await rig.change_role(schema.fleet.Role.DECODE)
+    await rig.wait(rig.is_phase, _Phase.OPEN)
+    await asyncio.sleep(0.2)
+    first.kill()
+    await rig.wait(rig.is_role, 'decode')
+    assert await rig.check_orders(count=1) == [(1, 1)]
+
+
+async def test_outage_longer_than_the_lease(make_rig):
+    """Without the platform there must be no holder and no order."""
+    rig = await make_rig()
+    controls = await rig.start_controls()
+    await rig.start_stream()
+    await rig.change_role(schema.fleet.Role.DECODE)
+    await rig.wait(rig.is_phase, _Phase.DRAINING)
+    platform = rig.running.platform
+    await rig.running.set_faults(platform, down=True)
+    await asyncio.gather(*rig.streams)
+    await asyncio.sleep(_PLAN.lease_s)
+    await rig.check_orders(count=0)
+    for control in controls:
+        assert control.exit_status is None
+        metrics = await rig.running.session.get(f'{control.url}/metrics')
+        assert 'briarknot_lease_epoch 0.0' in await metrics.text()
+    await rig.running.set_faults(platform, down=False)
+    await rig.wait(rig.is_role, 'decode')
+    numbers = await rig.check_orders(count=1)
+    assert numbers[0][0] >= 2
+
+
+async def test_lost_answers_of_lease_writes(make_rig):
+    """A lease write whose answer is lost must still count once."""
+    rig = await make_rig()
+    platform = rig.running.platform
+    await rig.running.set_faults(platform, lose_answers=2)
+    await rig.start_controls()
+    await rig.running.set_faults(platform, lose_answers=3)
+    await rig.wait(rig.is_lost, 5)
+    await rig.change_role(schema.fleet.Role.DECODE)
+    await rig.wait(rig.is_role, 'decode')
+    assert await rig.check_orders(count=1) == [(1, 1)]
+    assert (await rig.read_lease()).epoch == 1
