Skip what an edit leaves unchanged, and indent edited documents

Change: the form writes one field a line; an edit compares with the value that the text had and skips what is equal. Conclusion: a document on one line still blocks whoever reads it; the reader has to find places only for findings.

--- a/briarknot/console/_form_view.py
+++ b/briarknot/console/_form_view.py
@@ -81,9 +81,9 @@
             plain[self.section].append(tree)
         else:
             plain[self.section][index] = tree
-        return await config.read_fleet(
-            orjson.dumps(plain).decode(), self.section
-        )
+        # The reader takes quadratic time in the length of a line.
+        text = orjson.dumps(plain, option=orjson.OPT_INDENT_2).decode()
+        return await config.read_fleet(text, self.section)
 
 
 @attrs.frozen(eq=False)
@@ -194,7 +194,7 @@
                 self._context, current.row, notice.revision
             )
         text = await asyncio.to_thread(
-            document.edit_text, published.text, fleet
+            document.edit_text, published.text, fleet, published.fleet
         )
         return await _commits.commit(
             self._context, request, text, notice.revision
--- a/briarknot/ctl/_fleet_commands.py
+++ b/briarknot/ctl/_fleet_commands.py
@@ -118,7 +118,7 @@
             )
         result = await config.commit_document(
             context.client,
-            document.edit_text(published.text, after),
+            document.edit_text(published.text, after, published.fleet),
             _document_commands.read_operator(context.settings),
             f'drain {self.endpoint}',
             revision,
--- a/briarknot/document/_edit.py
+++ b/briarknot/document/_edit.py
@@ -27,18 +27,26 @@
     _edits: list[_Edit] = attrs.field(factory=list, init=False)
 
     def edit(
-        self, node: tree_sitter.Node, kind: typing.Any, target: typing.Any
+        self,
+        node: tree_sitter.Node,
+        kind: typing.Any,
+        target: typing.Any,
+        before: typing.Any,
     ) -> None:
         """Notes the edits that make a node read as a target.
 
         :param node: value in the text.
         :param kind: its generated class, tuple, or scalar type.
         :param target: tree of plain values.
+        :param before: tree that the node reads as; None where unknown.
         """
+        if target == before:
+            return
         if typing.get_origin(kind) is tuple:
-            self._edit_list(node, typing.get_args(kind)[0], target)
+            element_kind = typing.get_args(kind)[0]
+            self._edit_list(node, element_kind, target, before or [])
         elif attrs.has(kind):
-            self._edit_object(node, kind, target)
+            self._edit_object(node, kind, target, before or {})
         elif self._syntax.read_scalar(node) != target:
             self._replace(node, target)
 
@@ -68,6 +76,7 @@
         node: tree_sitter.Node,
         kind: typing.Any,
         target: dict[str, typing.Any],
+        before: dict[str, typing.Any],
     ) -> None:
         members = {
             member.key: member.node
@@ -78,7 +87,7 @@
         added = []
         for key, plain in target.items():
             if key in members:
-                self.edit(members[key], types[key], plain)
+                self.edit(members[key], types[key], plain, before.get(key))
             elif plain != defaults[key]:
                 added.append(f'"{key}": ')
                 added[-1] += _format(plain, f'{self._read_indent(node)}  ')
@@ -88,23 +97,25 @@
             self._replace(node, target)
 
     def _edit_list(
-        self, node: tree_sitter.Node, kind: typing.Any, target: list[typing.Any]
+        self,
+        node: tree_sitter.Node,
+        kind: typing.Any,
+        target: list[typing.Any],
+        before: list[typing.Any],
     ) -> None:
         old = {
             self._read_key(element, index): element
             for index, element in enumerate(self._syntax.read_elements(node))
         }
-        new = {
-            _read_plain_key(plain, index): plain
-            for index, plain in enumerate(target)
-        }
+        new = _read_plain_keys(target)
+        known = _read_plain_keys(before)
         kept = [key for key in old if key in new]
         if not kept or list(new)[: len(kept)] != kept or len(new) < len(target):
             if old or target:
                 self._replace(node, target)
             return
         for key in kept:
-            self.edit(old[key], kind, new[key])
+            self.edit(old[key], kind, new[key], known.get(key))
         self._cut(list(old.values()), [name in new for name in old])
         indent = self._read_indent(old[kept[0]])
         added = [
@@ -146,10 +157,14 @@
     return edit.start, edit.end
 
 
-def _read_plain_key(plain: typing.Any, index: int) -> str:
-    if isinstance(plain, dict):
-        return str(plain.get('name') or f'[{index}]')
-    return str(plain)
+def _read_plain_keys(plains: list[typing.Any]) -> dict[str, typing.Any]:
+    """Returns the elements by name, by value, or by place."""
+    keys = {}
+    for index, plain in enumerate(plains):
+        is_object = isinstance(plain, dict)
+        key = (plain.get('name') or f'[{index}]') if is_object else plain
+        keys[str(key)] = plain
+    return keys
 
 
 def _format(plain: typing.Any, indent: str) -> str:
@@ -157,7 +172,7 @@
     return text.replace('\n', f'\n{indent}')
 
 
-def edit_text(text: str, after: typing.Any) -> str:
+def edit_text(text: str, after: typing.Any, before: typing.Any = None) -> str:
     """Changes a text so that it reads as a value.
 
     Comments and the order of fields stay where the value allows it. A text
@@ -165,6 +180,8 @@
 
     :param text: JSON with comments, without findings.
     :param after: instance of a generated class.
+    :param before: what the text reads as, where that is known; it saves the
+        comparison of what stays.
 
     >>> pattern = schema.fleet.CallPattern(path='/b')
     >>> edit_text('{"path": "/a"} // orders', pattern)
@@ -174,7 +191,8 @@
     syntax = _syntax.parse(text)
     if syntax.root is not None and not syntax.errors:
         editor = _Editor(syntax)
-        editor.edit(syntax.root, kind, schema.to_plain(after))
+        plain = schema.to_plain(after)
+        editor.edit(syntax.root, kind, plain, schema.to_plain(before))
         edited = editor.apply()
         if _reader.read_text(kind, edited, 'edited').value == after:
             return edited
--- a/briarknot/document/tests/test_edit.py
+++ b/briarknot/document/tests/test_edit.py
@@ -57,3 +57,4 @@
     after = attrs.evolve(_FLEET, engines=tuple(changed), ranks=ranks)
     text = document.edit_text(_TEXT, after)
     assert document.read_text(schema.fleet.Fleet, text, 't').value == after
+    assert document.edit_text(_TEXT, after, _FLEET) == text
