--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Load scenarios over real processes, run by ``python -m benchmarks``."""
--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,97 @@
+"""Program ``python -m benchmarks``."""
+
+import asyncio
+import sys
+import typing
+
+import attrs
+import cappa
+
+from benchmarks import (
+    _bounds,
+    _measures,
+    _report,
+    _run,
+    _scenarios,
+    _variants,
+)
+
+_Names = typing.Annotated[list[str], cappa.Arg(long=True, default=[])]
+
+
+@cappa.command(name='python -m benchmarks')
+@attrs.frozen(kw_only=True)
+class Arguments:
+    """Runs load scenarios and judges them by the stated targets.
+
+    Without options it runs all scenarios and writes the results; with
+    options it only prints.
+
+    :param scenario: scenarios to run.
+    :param policy: variants to run, in place of those of the scenario.
+    :param seed: seed of the arrivals.
+    """
+
+    scenario: _Names
+    policy: _Names
+    seed: typing.Annotated[int, cappa.Arg(long=True)] = 1
+
+    @property
+    def is_partial(self) -> bool:
+        """Whether only a part is run."""
+        return bool(self.scenario or self.policy)
+
+
+async def run_all(arguments: Arguments) -> _report.Results:
+    """Runs scenarios one after the other.
+
+    :param arguments: what to run.
+    """
+    results = _report.Results()
+    for name in arguments.scenario or _scenarios.SCENARIOS.names:
+        scenario = _scenarios.SCENARIOS.get(name)()
+        runs = []
+        for variant in arguments.policy or scenario.variants:
+            run = await _run.run_scenario(name, variant, arguments.seed)
+            runs.append(_measures.measure_run(run))
+            sys.stdout.write(f'{_report.format_run(runs[-1])}\n')
+            sys.stdout.flush()
+        results.runs.extend(runs)
+        if not arguments.policy:
+            verdicts = _bounds.judge(scenario, runs)
+            results.verdicts.extend(verdicts)
+            for verdict in verdicts:
+                sys.stdout.write(f'{_report.format_verdict(verdict)}\n')
+    return results
+
+
+def check_names(arguments: Arguments) -> list[str]:
+    """Returns the names that no registry holds."""
+    return [
+        name
+        for name, known in (
+            *((name, _scenarios.SCENARIOS) for name in arguments.scenario),
+            *((name, _variants.VARIANTS) for name in arguments.policy),
+        )
+        if name not in known.names
+    ]
+
+
+def main() -> None:
+    """Runs the benchmarks; exit code 1 where a target is not reached."""
+    arguments = cappa.parse(Arguments)
+    unknown = check_names(arguments)
+    if unknown:
+        sys.exit(
+            f'unknown: {", ".join(unknown)}; scenarios '
+            f'{_scenarios.SCENARIOS.names}; variants '
+            f'{_variants.VARIANTS.names}'
+        )
+    results = asyncio.run(run_all(arguments))
+    if not arguments.is_partial:
+        _report.write_results(results)
+    sys.exit(0 if results.is_green else 1)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/benchmarks/_bounds.py
@@ -0,0 +1,73 @@
+"""Checks of stated targets."""
+
+import typing
+
+import attrs
+
+from benchmarks import _measures, _scenarios
+from briarknot import registry
+
+
+@attrs.frozen(kw_only=True)
+class Verdict:
+    """A bound and what was measured.
+
+    :param scenario: name of the scenario.
+    :param seed: seed of the arrivals.
+    :param bound: the bound.
+    :param measured: figure that the check computed.
+    """
+
+    scenario: str
+    seed: int
+    bound: _scenarios.Bound
+    measured: float
+
+    @property
+    def is_green(self) -> bool:
+        """Whether the target is reached."""
+        return self.measured >= self.bound.least
+
+
+#: Computes a figure from the first run, which is the product's, and from all
+#: runs on the same arrivals.
+Check = typing.Callable[[_scenarios.Bound, list[_measures.Figures]], float]
+
+#: Functions that compute the figure of a bound.
+CHECKS: registry.Registry[Check] = registry.Registry('check')
+
+
+def judge(
+    scenario: _scenarios.Scenario, runs: list[_measures.Figures]
+) -> list[Verdict]:
+    """Judges the bounds of a scenario.
+
+    :param scenario: the scenario.
+    :param runs: its runs on the same arrivals, the product's first.
+    """
+    first = runs[0]
+    return [
+        Verdict(
+            scenario=first.scenario,
+            seed=first.seed,
+            bound=bound,
+            measured=CHECKS.get(bound.check)(bound, runs),
+        )
+        for bound in scenario.bounds
+    ]
+
+
+@CHECKS.register('in_target')
+def compute_in_target(
+    bound: _scenarios.Bound, runs: list[_measures.Figures]
+) -> float:
+    """Computes the share of a rank's requests within their targets."""
+    return runs[0].find_window(bound.window).find_rank(bound.rank).share
+
+
+@CHECKS.register('floor')
+def compute_floor(
+    bound: _scenarios.Bound, runs: list[_measures.Figures]
+) -> float:
+    """Computes the work that a rank kept relative to its floor."""
+    return runs[0].find_window(bound.window).find_rank(bound.rank).floor
--- a/briarknot_standins/fleet/__init__.py
+++ b/briarknot_standins/fleet/__init__.py
@@ -14,12 +14,13 @@
     make_inac_plan,
     make_sprossenwerk_plan,
 )
-from briarknot_standins.fleet._running import RunningFleet, run_fleet
+from briarknot_standins.fleet._running import Entry, RunningFleet, run_fleet
 
 __all__ = (
     'Completion',
     'DomainPlan',
     'EnginePlan',
+    'Entry',
     'FleetPlan',
     'RunningFleet',
     'make_inac_plan',
