--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Load scenarios over real processes, run by ``python -m benchmarks``."""
+"""Load scenarios and measurements over real processes."""
