--- a/briarknot/journal/_story.py
+++ b/briarknot/journal/_story.py
@@ -7,6 +7,8 @@
 
 _Record = schema.records.RequestRecord
 _Attempt = schema.records.Attempt
+# Times are shown with two decimals.
+_SHOWN_WAIT_S = 0.005
 
 
 def explain(record: _Record) -> str:
@@ -62,11 +64,14 @@
 
 
 def _tell_queue(record: _Record) -> collections.abc.Iterator[str]:
-    if record.queued_s or record.queue_reason:
+    if record.queued_s >= _SHOWN_WAIT_S:
         reason = _end(record.queue_reason or 'the reason was not noted')
         yield (
             f'It waited {record.queued_s:.2f} s in rank {record.rank}: {reason}'
         )
+    elif record.queue_reason:
+        reason = _end(record.queue_reason)
+        yield f'It did not wait in rank {record.rank}: {reason}'
 
 
 def _tell_attempt(
