Commit through a console where the settings name one

Cause: with direct access to the platform, the command line wrote any name into the history, and the settings 'console_url' and 'token' had no use. Change: 'apply' and 'drain' send the text to the console's API, which knows the operator by the token; findings, race and outage keep their exit codes. Conclusion: without 'console_url' the name is still that of the settings.

--- a/briarknot/ctl/_commands.py
+++ b/briarknot/ctl/_commands.py
@@ -1,5 +1,6 @@
 """Registry of commands and what they are given."""
 
+import getpass
 import typing
 
 import aiohttp
@@ -25,6 +26,14 @@
     session: aiohttp.ClientSession
 
 
+def read_operator(settings: schema.settings.CtlSettings) -> str:
+    """Returns the name for the history.
+
+    :param settings: the program's settings.
+    """
+    return settings.operator or getpass.getuser()
+
+
 class LocalCommand(typing.Protocol):
     """A command that needs neither settings nor the fleet."""
 
--- a/briarknot/ctl/_document_commands.py
+++ b/briarknot/ctl/_document_commands.py
@@ -1,7 +1,6 @@
 """Commands on the fleet document."""
 
 import datetime
-import getpass
 import pathlib
 import sys
 import typing
@@ -10,7 +9,7 @@
 import cappa
 
 from briarknot import config, document, platform, schema
-from briarknot.ctl import _commands, _report
+from briarknot.ctl import _commands, _publisher, _report
 
 _STANDARD_INPUT = '-'
 _Path = typing.Annotated[
@@ -95,11 +94,6 @@
     return f'{moment:%Y-%m-%d %H:%M:%S} UTC'
 
 
-def read_operator(settings: schema.settings.CtlSettings) -> str:
-    """Returns the name for the history."""
-    return settings.operator or getpass.getuser()
-
-
 @_commands.COMMANDS.register('validate')
 @cappa.command(name='validate', help='Checks documents; needs no settings.')
 @attrs.frozen
@@ -153,12 +147,8 @@
         if expected is None:
             expected = current.row.revision
         before = await context.archive.read_published(expected)
-        result = await config.commit_document(
-            context.client,
-            text,
-            read_operator(context.settings),
-            self.note or '',
-            expected,
+        result = await _publisher.publish(
+            context, text, self.note or '', expected
         )
         changes = ()
         if isinstance(before, config.Published):
--- a/briarknot/ctl/_fleet_commands.py
+++ b/briarknot/ctl/_fleet_commands.py
@@ -10,7 +10,12 @@
 import orjson
 
 from briarknot import config, document, platform, schema
-from briarknot.ctl import _commands, _document_commands, _report
+from briarknot.ctl import (
+    _commands,
+    _document_commands,
+    _publisher,
+    _report,
+)
 
 _POLL_S = 0.5
 _CALL_TIMEOUT = aiohttp.ClientTimeout(total=2)
@@ -116,13 +121,9 @@
                 {'revision': revision, 'changes': []},
                 f'{self.endpoint} is leaving already.',
             )
-        result = await config.commit_document(
-            context.client,
-            document.edit_text(published.text, after, published.fleet),
-            _document_commands.read_operator(context.settings),
-            f'drain {self.endpoint}',
-            revision,
-        )
+        text = document.edit_text(published.text, after, published.fleet)
+        note = f'drain {self.endpoint}'
+        result = await _publisher.publish(context, text, note, revision)
         return _document_commands.report_commit(result, changes)
 
     async def _wait(
--- /dev/null
+++ b/briarknot/ctl/_publisher.py
@@ -0,0 +1,93 @@
+"""Commits through a console where the settings name one."""
+
+import typing
+
+import aiohttp
+import orjson
+
+from briarknot import config, document, schema
+from briarknot.ctl import _commands
+
+_Result = (
+    config.Accepted | config.Race | config.Invalid | config.CommitUnavailable
+)
+_TIMEOUT = aiohttp.ClientTimeout(total=60)
+_OK = 200
+_CONFLICT = 409
+_UNPROCESSABLE = 422
+_SERVER_ERROR = 500
+
+
+async def publish(
+    context: _commands.Context, text: str, note: str, expected_revision: int
+) -> _Result:
+    """Commits a document.
+
+    A console knows the operator by the token. Without one the platform is
+    written directly, and the operator's name is that of the settings.
+
+    :param context: settings and clients.
+    :param text: JSON with comments.
+    :param note: why.
+    :param expected_revision: revision that the change was made from.
+    """
+    settings = context.settings
+    if settings.console_url:
+        return await _send(context, text, note, expected_revision)
+    return await config.commit_document(
+        context.client,
+        text,
+        _commands.read_operator(settings),
+        note,
+        expected_revision,
+    )
+
+
+async def _send(
+    context: _commands.Context, text: str, note: str, expected_revision: int
+) -> _Result:
+    settings = context.settings
+    query = {'expected_revision': str(expected_revision), 'note': note}
+    try:
+        async with context.session.put(
+            f'{settings.console_url.rstrip("/")}/api/document',
+            params=query,
+            data=text.encode(),
+            headers={'Authorization': f'Bearer {settings.token}'},
+            timeout=_TIMEOUT,
+        ) as response:
+            return _read_answer(response.status, await response.read())
+    except aiohttp.ClientConnectorError as error:
+        return config.CommitUnavailable(str(error))
+    except (aiohttp.ClientError, TimeoutError) as error:
+        reason = f'{type(error).__name__}: {error}'
+        return config.CommitUnavailable(reason, may_have_applied=True)
+
+
+def _read_answer(status: int, body: bytes) -> _Result:
+    try:
+        tree = orjson.loads(body)
+    except ValueError:
+        return config.CommitUnavailable(
+            f'the console answered {status}',
+            may_have_applied=status >= _SERVER_ERROR,
+        )
+    if status == _OK:
+        return config.Accepted(tree['revision'])
+    if status == _CONFLICT:
+        winner = schema.from_plain(schema.records.Commit, tree['winner'])
+        row = schema.records.DocumentRow(
+            revision=winner.revision, history=(winner,)
+        )
+        return config.Race(row)
+    if status == _UNPROCESSABLE:
+        return config.Invalid(tuple(map(_read_finding, tree['findings'])))
+    return config.CommitUnavailable(
+        tree.get('reason', f'the console answered {status}'),
+        tree.get('may_have_applied', False),
+    )
+
+
+def _read_finding(tree: dict[str, typing.Any]) -> document.Finding:
+    place = document.Place(**tree['place'])
+    return document.Finding(**{**tree, 'place': place})
--- a/briarknot/tests/test_console.py
+++ b/briarknot/tests/test_console.py
@@ -4,8 +4,11 @@
 answers of transactions.
 """
 
+import asyncio
 import html
+import json
 import re
+import sys
 
 import aiohttp
 import attrs
@@ -233,6 +236,32 @@
     assert re.findall(r'"revision":(\d+)', history) == ['2', '1']
 
 
+async def test_command_line_commits_through_a_console(desk, tmp_path):
+    """The history must name the token's operator, whoever runs the command."""
+    settings = {'platform_url': desk.platform.url, 'operator': 'mallory'}
+    settings.update(console_url=desk.consoles[0].url, token='token-of-noe')
+    (tmp_path / 'ctl.json').write_text(json.dumps(settings))
+    codes = []
+    for text in (_TEXT, '{"name": 3}'):
+        (tmp_path / 'fleet.json').write_text(text)
+        for revision in ('1', '0'):
+            arguments = ['apply', str(tmp_path / 'fleet.json')]
+            arguments.extend(('--expected-revision', revision))
+            arguments.extend(('--settings', str(tmp_path / 'ctl.json')))
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'briarknot.ctl',
+                *arguments,
+                stdout=asyncio.subprocess.DEVNULL,
+                env={'PYTHONPATH': ':'.join(sys.path)},
+            )
+            codes.append(await process.wait())
+    assert codes == [0, 4, 3, 3]
+    _, history = await desk.call('GET', '/api/history')
+    assert re.findall(r'"operator":"(\w+)"', history) == ['noe', 'eva']
+
+
 async def test_platform_down(desk):
     """An outage must be told apart from a refusal and keep the entries."""
     await desk.eva.get('/document')
