Hide misplaced secrets in findings, and find places only for findings

Cause: a key pasted in place of its hash was printed in the finding; reading a document on one line took time in proportion to the square of its length. Change: fields marked hidden or secret show no text in findings; places are computed for findings only; lint checks the configuration reference. Conclusion: an operator's mistake neither leaks a key nor blocks a reader.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 lint: setup
 	$(RUN) tools/generate.py --check
+	$(RUN) tools/write_reference.py --check
 	$(RUN) -m ruff format --check .
 	$(RUN) -m ruff check .
 	$(RUN) -m flake8 .
@@ -33,3 +34,4 @@
 
 generate: setup
 	$(RUN) tools/generate.py
+	$(RUN) tools/write_reference.py
--- a/briarknot/document/_reader.py
+++ b/briarknot/document/_reader.py
@@ -49,7 +49,7 @@
     _source: str
     _syntax: _syntax.Syntax
     _found: list[_findings.Finding] = attrs.field(factory=list, init=False)
-    _places: dict[str, _findings.Place] = attrs.field(factory=dict, init=False)
+    _nodes: dict[str, tree_sitter.Node] = attrs.field(factory=dict, init=False)
 
     @property
     def findings(self) -> list[_findings.Finding]:
@@ -57,9 +57,13 @@
         return self._found
 
     @property
-    def places(self) -> dict[str, _findings.Place]:
-        """Places of the fields by path."""
-        return self._places
+    def nodes(self) -> dict[str, tree_sitter.Node]:
+        """Nodes of the fields by path.
+
+        Places are found only for findings, because that takes time in
+        proportion to the length of the line.
+        """
+        return self._nodes
 
     def add(
         self, place: _findings.Place, path: str, found: str, allowed: str
@@ -77,15 +81,25 @@
         path: str,
     ) -> typing.Any:
         """Reads a value of a kind, and notes what is wrong with it."""
-        self._places[path] = self._syntax.read_place(node)
+        self._nodes[path] = node
         if typing.get_origin(kind) is tuple:
             return self._read_list(kind, info, node, path)
         if attrs.has(kind):
             return self._read_object(kind, node, path)
         return self._read_scalar(kind, info, node, path)
 
-    def _add_at(self, node: tree_sitter.Node, path: str, allowed: str) -> None:
-        found = self._syntax.read_source(node)
+    def _add_at(
+        self,
+        node: tree_sitter.Node,
+        path: str,
+        allowed: str,
+        info: schema.FieldInfo | None = None,
+    ) -> None:
+        # A secret, or a key in place of its hash, must not reach a log.
+        is_hidden = info is not None and (info.secret or info.hidden)
+        found = (
+            'a hidden value' if is_hidden else self._syntax.read_source(node)
+        )
         self.add(self._syntax.read_place(node), path, found, allowed)
 
     def _read_list(
@@ -119,7 +133,8 @@
             if member.key not in fields:
                 self._add_unknown(member, member_path, fields)
             elif member.key in given:
-                self.add(member.place, member_path, 'it again', 'it once')
+                place = self._syntax.read_place(member.key_node)
+                self.add(place, member_path, 'it again', 'it once')
             else:
                 given[member.key] = self.read(
                     types[member.key],
@@ -139,7 +154,8 @@
         names = sorted(fields)
         close = difflib.get_close_matches(member.key, names, n=1)
         allowed = f'{close[0]!r}' if close else f'one of {", ".join(names)}'
-        self.add(member.place, path, f'unknown field {member.key!r}', allowed)
+        place = self._syntax.read_place(member.key_node)
+        self.add(place, path, f'unknown field {member.key!r}', allowed)
 
     def _check_required(
         self,
@@ -148,11 +164,11 @@
         prefix: str,
         given: typing.Container[str],
     ) -> None:
-        place = self._syntax.read_place(node)
         for attribute in attrs.fields(kind):
             info = schema.read_info(attribute)
             if info.required and attribute.name not in given:
                 path = f'{prefix}{attribute.name}'
+                place = self._syntax.read_place(node)
                 self.add(place, path, 'nothing', f'a value: {info.doc}')
 
     def _read_scalar(
@@ -171,11 +187,11 @@
         if kind is float and type(scalar) is int:
             scalar = float(scalar)
         if type(scalar) is not kind:
-            self._add_at(node, path, _describe_kind(kind))
+            self._add_at(node, path, _describe_kind(kind), info)
             return kind()
         allowed = _check_limits(info, scalar)
         if allowed:
-            self._add_at(node, path, allowed)
+            self._add_at(node, path, allowed, info)
         return scalar
 
     def _read_enum(
@@ -241,16 +257,18 @@
         return Reading(None, _findings.sort_findings(reader.findings))
     value = reader.read(kind, None, syntax.root, '')
     for problem in _checks.run_checks(kind, value):
-        place = _find_place(reader.places, problem.path)
+        place = _find_place(syntax, reader.nodes, problem.path)
         reader.add(place, problem.path, problem.found, problem.allowed)
     findings = _findings.sort_findings(reader.findings)
     return Reading(None if findings else value, findings)
 
 
 def _find_place(
-    places: dict[str, _findings.Place], path: str
+    syntax: _syntax.Syntax, nodes: dict[str, tree_sitter.Node], path: str
 ) -> _findings.Place:
     """Returns the place of a path, or of the closest object around it."""
-    while path and path not in places:
+    while path and path not in nodes:
         path = re.sub(r'(\.?[^.\[\]]+|\[\d+\])$', '', path)
-    return places.get(path, _findings.Place())
+    if path not in nodes:
+        return _findings.Place()
+    return syntax.read_place(nodes[path])
--- a/briarknot/document/_syntax.py
+++ b/briarknot/document/_syntax.py
@@ -18,12 +18,12 @@
     """A member of an object.
 
     :param key: decoded key.
-    :param place: place of the key.
+    :param key_node: the key.
     :param node: the member's value.
     """
 
     key: str
-    place: _findings.Place
+    key_node: tree_sitter.Node
     node: tree_sitter.Node
 
 
@@ -69,7 +69,7 @@
             if key is not None and member_node is not None:
                 yield Member(
                     str(self.read_scalar(key)),
-                    self.read_place(key),
+                    key,
                     member_node,
                 )
 
--- a/briarknot/document/tests/test_reader.py
+++ b/briarknot/document/tests/test_reader.py
@@ -51,6 +51,18 @@
     assert reading.value is None
 
 
+def test_misplaced_key_is_not_shown():
+    """A key pasted in place of its hash must not reach logs or pages."""
+    text = _make_text(
+        accounts='[{"name": "site", "key_hashes": ["key-of-site"]}]'
+    )
+    reading = document.read_text(_FLEET, text, 'x')
+    assert [finding.path for finding in reading.findings] == [
+        'accounts[0].key_hashes[0]'
+    ]
+    assert 'key-of-site' not in str(reading.findings[0])
+
+
 def test_syntax_errors_are_all_reported():
     """A parser that stops at the first error hides the second."""
     text = '{"name": "a" "domains": [],\n "ranks": [1 2],}'
--- a/briarknot/schema/_fields.py
+++ b/briarknot/schema/_fields.py
@@ -17,6 +17,8 @@
     :param maximum: highest allowed number, inclusive.
     :param required: whether the field must be given.
     :param secret: whether the value must never be shown or logged.
+    :param hidden: whether a wrong value must not be shown, because a secret
+        may stand there by mistake.
     :param pattern: regular expression that a text must match as a whole.
     :param references: list of the document whose names are allowed.
     :param registry: registry whose names are allowed.
@@ -28,6 +30,7 @@
     maximum: float | None = None
     required: bool = False
     secret: bool = False
+    hidden: bool = False
     pattern: str = ''
     references: str = ''
     registry: str = ''
--- a/briarknot/schema/_generated/fleet.py
+++ b/briarknot/schema/_generated/fleet.py
@@ -244,6 +244,7 @@
     )
     key_hashes: tuple[str, ...] = _fields.make_field(
         doc='SHA-256 of each valid API key, in hexadecimal.',
+        hidden=True,
         pattern='[0-9a-f]{64}',
         required=True,
         default=(),
--- a/briarknot/schema/_generated/settings.py
+++ b/briarknot/schema/_generated/settings.py
@@ -320,6 +320,7 @@
     )
     token_hash: str = _fields.make_field(
         doc="SHA-256 of the operator's token, in hexadecimal.",
+        hidden=True,
         pattern='[0-9a-f]{64}',
         required=True,
         default='',
--- a/briarknot/schema/definitions/fleet.capnp
+++ b/briarknot/schema/definitions/fleet.capnp
@@ -74,7 +74,7 @@
 
 struct Account $A.doc("An account of a caller.") {
   name @0 :Text $A.required $A.pattern("[a-z0-9][a-z0-9._-]*") $A.doc("Name, unique in the fleet.");
-  keyHashes @1 :List(Text) $A.required $A.pattern("[0-9a-f]{64}") $A.doc("SHA-256 of each valid API key, in hexadecimal.");
+  keyHashes @1 :List(Text) $A.required $A.hidden $A.pattern("[0-9a-f]{64}") $A.doc("SHA-256 of each valid API key, in hexadecimal.");
   ranks @2 :List(Text) $A.references("ranks") $A.doc("Ranks that the account may use; the first is its default. Empty allows all, with the least urgent as default.");
   capShare @3 :Float64 = 1 $A.minimum(0) $A.maximum(1) $A.doc("Largest share of a failure domain's capacity that the account may use.");
   limitWorkPerS @4 :Float64 = 0 $A.unit("engine s/s") $A.minimum(0) $A.doc("Fleet-wide limit of work; 0 means no limit.");
--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -75,7 +75,7 @@
 
 struct Operator $A.doc("An operator.") {
   name @0 :Text $A.required $A.pattern("[a-z0-9][a-z0-9._-]*") $A.doc("Name shown in the history.");
-  tokenHash @1 :Text $A.required $A.pattern("[0-9a-f]{64}") $A.doc("SHA-256 of the operator's token, in hexadecimal.");
+  tokenHash @1 :Text $A.required $A.hidden $A.pattern("[0-9a-f]{64}") $A.doc("SHA-256 of the operator's token, in hexadecimal.");
 }
 
 struct CtlSettings $A.doc("Settings of briarknotctl.") {
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -30,6 +30,7 @@
     'pattern',
     'references',
     'registry',
+    'hidden',
 )
 _INTEGER_BITS = {
     'uint8': (0, 8),
