Enforce fleet-wide limits, and mark disturbed runs

A refusal counts as false, and the entry took the refusal of a limit for leave to run.

A run whose client sent 1 in 100 requests more than 50 ms late is marked as disturbed and repeated once.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -16,6 +16,7 @@
     _variants,
 )
 
+_TRIES = 2
 _Names = typing.Annotated[list[str], cappa.Arg(long=True, default=[])]
 
 
@@ -52,10 +53,7 @@
         scenario = _scenarios.SCENARIOS.get(name)()
         runs = []
         for variant in arguments.policy or scenario.variants:
-            run = await _run.run_scenario(name, variant, arguments.seed)
-            runs.append(_measures.measure_run(run))
-            sys.stdout.write(f'{_report.format_run(runs[-1])}\n')
-            sys.stdout.flush()
+            runs.append(await _measure(name, variant, arguments.seed))
         results.runs.extend(runs)
         if not arguments.policy:
             verdicts = _bounds.judge(scenario, runs)
@@ -65,6 +63,18 @@
     return results
 
 
+async def _measure(name: str, variant: str, seed: int) -> _measures.Figures:
+    """Runs a scenario, once more where the machine was too busy."""
+    for _ in range(_TRIES):
+        run = await _run.run_scenario(name, variant, seed)
+        figures = _measures.measure_run(run)
+        sys.stdout.write(f'{_report.format_run(figures)}\n')
+        sys.stdout.flush()
+        if not run.is_disturbed:
+            break
+    return figures
+
+
 def check_names(arguments: Arguments) -> list[str]:
     """Returns the names that no registry holds."""
     return [
--- a/benchmarks/_measures.py
+++ b/benchmarks/_measures.py
@@ -80,6 +80,7 @@
     :param client_cpu: share of a core that the client used.
     :param late_send_s: delay of sending, exceeded by 1 in 100 requests.
     :param wall_s: wall time of the run.
+    :param is_disturbed: whether the machine was too busy for the figures.
     """
 
     scenario: str
@@ -92,6 +93,7 @@
     client_cpu: float
     late_send_s: float
     wall_s: float
+    is_disturbed: bool
 
     def find_window(self, name: str) -> WindowFigures:
         """Returns the figures of a window."""
@@ -119,6 +121,7 @@
         client_cpu=run.client_cpu,
         late_send_s=run.late_send_s,
         wall_s=run.wall_s,
+        is_disturbed=run.is_disturbed,
     )
 
 
--- a/benchmarks/_report.py
+++ b/benchmarks/_report.py
@@ -39,7 +39,7 @@
         f'{run.scenario} {run.variant} seed {run.seed}: {run.role_changes} '
         f'role changes, {run.retries} retries, {run.causes}, client '
         f'{run.client_cpu:.0%} of a core, late {run.late_send_s * 1000:.0f} '
-        f'ms, {run.wall_s:.1f} s'
+        f'ms, {run.wall_s:.1f} s{" DISTURBED" if run.is_disturbed else ""}'
     ]
     for window in run.windows:
         lines.append(
@@ -122,7 +122,7 @@
             f'{name} {count}' for name, count in run.causes.items()
         )
         rows.extend(
-            f'| {run.scenario} | {run.variant} | {window.window} | '
+            f'| {run.scenario} | {_name_variant(run)} | {window.window} | '
             f'{window.goodput:.0f} / {window.offered:.0f} | '
             f'{_join(f"{rank.share:.1%}" for rank in window.ranks)} | '
             f'{_join(f"{rank.floor:.2f}" for rank in window.ranks)} | '
@@ -132,5 +132,9 @@
     return '\n'.join(rows)
 
 
+def _name_variant(run: _measures.Figures) -> str:
+    return f'{run.variant} (disturbed)' if run.is_disturbed else run.variant
+
+
 def _join(parts) -> str:
     return ' / '.join(parts)
--- a/benchmarks/_run.py
+++ b/benchmarks/_run.py
@@ -14,6 +14,8 @@
 _SETTLE_S = 1.5
 #: Requests that have not ended so long after the last arrival are cancelled.
 _LINGER_S = 9.0
+#: Delay of sending beyond which the machine was too busy for the figures.
+_DISTURBED_S = 0.05
 
 
 @attrs.frozen(kw_only=True)
@@ -84,6 +86,11 @@
     late_send_s: float
     wall_s: float
 
+    @property
+    def is_disturbed(self) -> bool:
+        """Whether the machine was too busy for the figures to count."""
+        return self.late_send_s > _DISTURBED_S
+
 
 @attrs.define(eq=False)
 class _Client:
--- a/benchmarks/_scenarios.py
+++ b/benchmarks/_scenarios.py
@@ -272,12 +272,16 @@
 
 @SCENARIOS.register('limit')
 def make_limit() -> Scenario:
-    """Makes demand of twice a fleet-wide limit that moves among 8 entries."""
+    """Makes demand of twice a fleet-wide limit that moves among 8 entries.
+
+    The owner of a limit waits for 5 s before it grants, and a member uses a
+    fifth of its fair share for 9 s; these times are not compressed.
+    """
     plan = _fleets.set_option(_fleets.make_sprossenwerk(), 'report-lag-s', 5)
     limit = 0.8
     work_s = _fleets.SPEEDS.count_work(LOOKUP)
     rate = limit / work_s
-    halves = ((0, 8), (8, 16))
+    halves = ((0, 14), (14, 20))
     flows = [
         _work.Flow(kind=LOOKUP, rate=rate, start_s=0, end_s=16, account='shop')
     ]
@@ -297,7 +301,7 @@
             _fleets.set_domain(plan, entries=8), limits={'shop': limit}
         ),
         flows=tuple(flows),
-        windows=(Window(name='steady', start_s=3, end_s=16),),
+        windows=(Window(name='steady', start_s=10, end_s=20),),
         bounds=(
             Bound(check='overshoot', most=0.05, window='steady'),
             Bound(check='limit_use', least=0.8, window='steady'),
--- a/briarknot/entry/_completion.py
+++ b/briarknot/entry/_completion.py
@@ -61,7 +61,7 @@
         limited = self._context.limits.take(
             self._identity.account, self._work.work_s
         )
-        if limited:
+        if limited is not None:
             return _from_admission(limited)
         ticket = self._submit()
         if not isinstance(ticket, admission.Ticket):
--- a/briarknot/tests/conftest.py
+++ b/briarknot/tests/conftest.py
@@ -27,6 +27,15 @@
         fleet.DomainPlan(name='frk-a', region='frk'),
     ),
 )
+#: One failure domain whose account ``shop`` may use little.
+LIMITED_PLAN = attrs.evolve(SMALL_PLAN, limits={'shop': 0.001})
+
+
+@pytest_asyncio.fixture
+async def limited_fleet():
+    """A running fleet with a fleet-wide limit."""
+    async with fleet.run_fleet(LIMITED_PLAN) as running:
+        yield running
 
 
 @pytest_asyncio.fixture
--- a/briarknot/tests/test_whole_path.py
+++ b/briarknot/tests/test_whole_path.py
@@ -87,3 +87,15 @@
     assert answer.is_whole
     assert answer.text == engine.expected_text('long answer', 80)
     assert await entry.process.wait() == 0
+
+
+async def test_account_beyond_its_fleet_limit_is_refused(limited_fleet):
+    """The falsy refusal of a limit was taken for leave to run."""
+    answers = await asyncio.gather(
+        *[
+            limited_fleet.complete('urgent', f'a {number}', 1, account='shop')
+            for number in range(8)
+        ],
+    )
+    causes = [answer.problem.get('cause') for answer in answers]
+    assert causes.count('fleet_limit') >= len(answers) - 2
