--- a/briarknot_standins/fleet/_plan.py
+++ b/briarknot_standins/fleet/_plan.py
@@ -68,6 +68,7 @@
         and the engines, the services' workers and the platform.
     :param service_timeout_s: time limit of a call to the plain service.
     :param platform_timeout_s: time limit of a call to the platform.
+    :param limits: fleet-wide limits by account, in engine seconds per second.
     """
 
     name: str
@@ -91,6 +92,7 @@
     has_proxy: bool = False
     service_timeout_s: float = 5
     platform_timeout_s: float = 2
+    limits: dict[str, float] = attrs.field(factory=dict)
 
     def make_accounts(self) -> tuple[schema.fleet.Account, ...]:
         """Makes the accounts of the document."""
@@ -101,6 +103,7 @@
                     hashlib.sha256(make_key(name).encode()).hexdigest(),
                 ),
                 max_streams=4096,
+                limit_work_per_s=self.limits.get(name, 0),
             )
             for name in self.accounts
         )
