Test planned stops, document changes, and repairs by the controller

Each failed once on a scratch copy with a mechanism off:

- stopped: stand_down() in place of release(); "assert not True", the ended process still held the lease.
- document: a withdrawn engine is not ordered back; TimeoutError in the wait for the role.
- unordered: find_unordered returns ''; the alarm is missing from the metrics.
- crash: _resume leaves an unseen order; TimeoutError in the wait for the role.

--- a/briarknot/tests/test_authority.py
+++ b/briarknot/tests/test_authority.py
@@ -36,12 +36,16 @@
     running: fleet.RunningFleet
     streams: list = attrs.field(factory=list)
 
-    async def change_role(self, role):
-        """Asks for another role in the document."""
+    async def change_engine(self, **changes):
+        """Changes the engine in the document."""
         document = self.running.document
-        engine = attrs.evolve(document.engines[0], role=role)
+        engine = attrs.evolve(document.engines[0], **changes)
         await self.running.commit(attrs.evolve(document, engines=(engine,)))
 
+    async def change_role(self, role):
+        """Asks for another role in the document."""
+        await self.change_engine(role=role)
+
     async def add_proxy(self):
         """Puts a proxy between the engine and all others."""
         engine = self.running.engines[_ENGINE]
@@ -51,13 +55,23 @@
             'briarknot_standins.proxy',
             ['--link', f'engine={port}:127.0.0.1:{engine.port}'],
         )
-        document = self.running.document
-        changed = attrs.evolve(
-            document.engines[0], url=f'http://127.0.0.1:{port}'
-        )
-        await self.running.commit(attrs.evolve(document, engines=(changed,)))
+        await self.change_engine(url=f'http://127.0.0.1:{port}')
         return proxy
 
+    async def restart_engine(self):
+        """Starts the engine again on its port, without its memory."""
+        old = self.running.engines[_ENGINE]
+        model = self.running.plan.model
+        self.running.engines[_ENGINE] = await self.running.cluster.start(
+            'briarknot_standins.engine',
+            [
+                *('--port', str(old.port), '--name', _ENGINE),
+                *('--model', f'{model.name}@{model.version}'),
+                *('--role-change-s', str(_ROLE_CHANGE_S)),
+            ],
+            port=old.port,
+        )
+
     async def start_controls(self):
         """Starts two controllers; the first holds the lease."""
         await self.running.start_control(_DOMAIN, 0)
@@ -102,6 +116,11 @@
         """Tells whether the order row is in one of the phases."""
         return (await self.read_row()).phase in phases
 
+    async def is_state(self, phase, model):
+        """Tells whether the engine has a phase and a model."""
+        state = await self.read_engine()
+        return (state['phase'], state['model']) == (phase, model)
+
     async def is_role(self, role):
         """Tells whether the engine has a role, and the row is done."""
         state = await self.read_engine()
@@ -143,7 +162,10 @@
         for one in accepted:
             assert one['decided_at_s'] > ended_s
             assert not one['cut'] + one['refused']
-            ended_s = one['decided_at_s'] + _ROLE_CHANGE_S
+            # A model takes longer, a withdrawal no time.
+            is_withdrawal = one['order']['kind'] == 'withdraw'
+            change_s = 0 if is_withdrawal else _ROLE_CHANGE_S
+            ended_s = one['decided_at_s'] + change_s
         if count is not None:
             assert len(accepted) == count
         for answer in await asyncio.gather(*self.streams):
@@ -299,3 +321,65 @@
     await rig.wait(rig.is_role, 'decode')
     assert await rig.check_orders(count=1) == [(1, 1)]
     assert (await rig.read_lease()).epoch == 1
+
+
+async def test_stopped_holder_leaves_nothing_open(make_rig):
+    """A planned stop must not cost the domain a lease or leave a mark."""
+    rig = await make_rig()
+    first, _ = await rig.start_controls()
+    await rig.start_stream()
+    await rig.change_role(schema.fleet.Role.DECODE)
+    await rig.wait(rig.is_phase, _Phase.DRAINING)
+    first.terminate()
+    assert await first.wait() == 0
+    assert not await rig.is_phase(_Phase.DRAINING)
+    assert not await rig.is_held_by(f'{_DOMAIN}-host-0')
+    await rig.wait(rig.is_role, 'decode')
+    assert await rig.check_orders(count=1) == [(2, 2)]
+
+
+async def test_document_changes_reach_the_engine(make_rig):
+    """A version or a withdrawal in the document must not be forgotten."""
+    rig = await make_rig()
+    await rig.start_controls()
+    model = attrs.evolve(rig.running.document.models[0], version='2')
+    await rig.running.commit(
+        attrs.evolve(rig.running.document, models=(model,))
+    )
+    await rig.wait(rig.is_state, 'idle', f'{model.name}@2')
+    await rig.change_engine(leaving=True)
+    await rig.wait(rig.is_state, 'withdrawn', f'{model.name}@2')
+    await rig.change_engine(leaving=False)
+    await rig.wait(rig.is_role, 'mixed')
+    assert len(await rig.check_orders()) == 3
+
+
+async def test_unordered_state_is_repaired(make_rig):
+    """An order from elsewhere must raise an alarm and be undone."""
+    rig = await make_rig()
+    first, _ = await rig.start_controls()
+    await rig.change_role(schema.fleet.Role.DECODE)
+    await rig.wait(rig.is_role, 'decode')
+    foreign = {'epoch': 1, 'sequence': 9, 'kind': 'role', 'value': 'prefill'}
+    engine = rig.running.engines[_ENGINE]
+    await rig.running.session.post(f'{engine.url}/orders', json=foreign)
+    await rig.wait(rig.is_role, 'prefill')
+    await rig.wait(rig.is_role, 'decode')
+    assert (await rig.check_orders())[-1] == (1, 10)
+    metrics = await rig.running.session.get(f'{first.url}/metrics')
+    alarm = f'unordered_states_total{{engine="{_ENGINE}"}} 1.0'
+    assert alarm in await metrics.text()
+
+
+async def test_engine_that_crashes_in_a_change_is_repaired(make_rig):
+    """An engine that restarts in its old role must get the order again."""
+    rig = await make_rig()
+    await rig.start_controls()
+    engine = rig.running.engines[_ENGINE]
+    await rig.running.set_faults(engine, crash_in_change=True)
+    await rig.change_role(schema.fleet.Role.DECODE)
+    await engine.wait()
+    assert await rig.is_phase(_Phase.OPEN)
+    await rig.restart_engine()
+    await rig.wait(rig.is_role, 'decode')
+    assert await rig.check_orders(count=1) == [(1, 2)]
