Keep answers and drains safe from stale reads and late documents

A read may be stale, and an entry process may learn of an engine after it confirmed a drain.

A result of a held claim now treats another's row as a stale read and is written again in the background; it was reported as lost before. Drain marks are repeated to all entry processes, so that one that has confirmed and then dispatched counts again. The reason of a refused order is no longer parsed, since a body that is not JSON ended the process.

--- a/briarknot/authority/_transports.py
+++ b/briarknot/authority/_transports.py
@@ -38,7 +38,7 @@
 class Refused:
     """Sentinel for an order that the engine did not take.
 
-    :param reason: the engine's reason.
+    :param reason: body of the engine's answer.
     """
 
     reason: str
@@ -218,5 +218,5 @@
     if status == _ACCEPTED:
         return Accepted()
     if status == _CONFLICT:
-        return Refused(str(orjson.loads(body).get('reason')))
+        return Refused(body.decode(errors='replace'))
     return NoAnswer(f'status {status}')
--- a/briarknot/claims/_decisions.py
+++ b/briarknot/claims/_decisions.py
@@ -31,6 +31,11 @@
     """The row needs no write."""
 
 
+@attrs.frozen
+class Stale:
+    """The row is from before the own claim, which only its holder ends."""
+
+
 @attrs.frozen
 class Foreign:
     """The row is not an own claim in a phase that may change.
@@ -89,7 +94,7 @@
 
 def read_settlement(
     found: platform.Row | platform.Missing, target: schema.records.ClaimRow
-) -> Take | Settled | Foreign:
+) -> Take | Settled | Stale | Foreign:
     """Decides how a row changes to the result of an own claim.
 
     A release also replaces a row that is missing or released by another: the
@@ -108,6 +113,8 @@
             return Settled()
         if row.phase in _BEFORE[target.phase]:
             return Take(found.version)
-    elif {row.phase, target.phase} == {_Phase.RELEASED}:
+    elif target.phase is not _Phase.RELEASED:
+        return Stale()
+    elif row.phase is _Phase.RELEASED:
         return Take(found.version)
     return Foreign(row)
--- a/briarknot/claims/_settler.py
+++ b/briarknot/claims/_settler.py
@@ -145,10 +145,8 @@
             if isinstance(found, platform.Unavailable):
                 return found
             decision = _decisions.read_settlement(found, target)
-            if isinstance(decision, _decisions.Settled):
-                return _values.Finished()
-            if isinstance(decision, _decisions.Foreign):
-                return _values.Lost(f'the row is {decision.row.phase}')
+            if not isinstance(decision, _decisions.Take):
+                return _read_end(decision)
             result = await self._writer.write(
                 key, target, decision.expected_version
             )
@@ -157,3 +155,14 @@
             if isinstance(result, platform.Unavailable):
                 return result
         return platform.Unavailable(f'{_MOST_CONFLICTS} conflicts')
+
+
+def _read_end(
+    decision: _decisions.Settled | _decisions.Stale | _decisions.Foreign,
+) -> _values.Finished | _values.Lost | platform.Unavailable:
+    """Returns the result where nothing is to be written."""
+    if isinstance(decision, _decisions.Settled):
+        return _values.Finished()
+    if isinstance(decision, _decisions.Stale):
+        return platform.Unavailable('the row was read stale')
+    return _values.Lost(f'the row is {decision.row.phase}')
--- a/briarknot/claims/tests/test_claims.py
+++ b/briarknot/claims/tests/test_claims.py
@@ -31,6 +31,8 @@
     late: list[tuple[platform.Operation, ...]] = attrs.field(factory=list)
     sizes: list[int] = attrs.field(factory=list)
     is_blind: bool = False
+    older: dict[str, platform.Row] = attrs.field(factory=dict)
+    is_stale: bool = False
 
     async def read_row(self, table, key):
         """Reads a row; fails once after ``blind`` or ``dark``."""
@@ -38,7 +40,8 @@
         if self.is_down or self.is_blind:
             self.is_blind = False
             return _UNKNOWN
-        return self.rows.get(key, platform.Missing())
+        rows = self.older if self.is_stale else self.rows
+        return rows.get(key, platform.Missing())
 
     async def commit(self, *operations):
         """Applies all operations or none, as the next fault says."""
@@ -65,6 +68,8 @@
             return platform.Conflict(conflicts)
         for operation in operations:
             version = (operation.expected_version or 0) + 1
+            if version > 1:
+                self.older[operation.key] = self.rows[operation.key]
             self.rows[operation.key] = platform.Row(
                 operation.key, operation.value, version
             )
@@ -169,6 +174,11 @@
         self.table.is_down = is_down
         self.wait()
 
+    @stateful.rule(is_stale=strategies.booleans())
+    def set_stale(self, is_stale):
+        """Reads show each row before its last write, or the row itself."""
+        self.table.is_stale = is_stale
+
     @stateful.rule()
     def deliver_late(self):
         """Transactions that were held up on their way arrive."""
@@ -186,6 +196,7 @@
     def teardown(self):
         """A key that nobody ran or holds must be usable in the end."""
         self.table.faults.clear()
+        self.table.is_stale = False
         self.set_outage(False)
         self.deliver_late()
         held = {key for _, key, _, _ in self.held}
@@ -263,6 +274,23 @@
     await again.close()
 
 
+async def test_stale_read_does_not_lose_the_answer():
+    """A read from before the claim must not pass for another's claim."""
+    table = FakeTable()
+    service = claims.make_claims(table, 0, _SETTINGS)
+    await service.release(await service.acquire('ana', 'k', 'r0', 'hash'))
+    held = await service.acquire('ana', 'k', 'r1', 'hash')
+    table.is_stale = True
+    stored = await service.finish(held, 201, 'text/plain', b'booked')
+    assert isinstance(stored, claims.Deferred)
+    table.is_stale = False
+    await service.close(grace_s=10)
+    again = claims.make_claims(table, 0, _SETTINGS)
+    result = await again.acquire('ana', 'k', 'r2', 'hash')
+    assert isinstance(result, claims.Stored)
+    await again.close()
+
+
 async def test_cancelled_caller_leaves_the_key_free():
     """A caller that hangs up early must not block its own resend."""
     service = claims.make_claims(FakeTable(), 0)
--- a/briarknot/control/_entries.py
+++ b/briarknot/control/_entries.py
@@ -89,23 +89,22 @@
         if not (is_repeated and active):
             self._acks[engine] = {}
         self._marks[engine] = mark
-        for link in self._hub.links:
-            if self._is_entry(link):
-                link.send(mark)
+        self._send(mark)
 
     def repeat_mark(self, engine: str) -> tuple[str, ...]:
-        """Asks the entry processes again that have not confirmed.
+        """Asks all entry processes again.
+
+        One that has confirmed is asked too: it may have learned of the engine
+        from the document after the first mark.
 
         :param engine: name of the engine.
         :returns: hosts that have not confirmed that nothing is in flight.
         """
         mark = self._marks[engine]
-        waiting = _decisions.find_waiting(
+        self._send(mark)
+        return _decisions.find_waiting(
             self._find_required(), self._acks[engine], mark.drain_number
         )
-        for host in waiting:
-            self._hub.send(host, mark)
-        return waiting
 
     async def run(self) -> None:
         """Follows the host list and keeps links to all entry processes."""
@@ -126,6 +125,11 @@
         is_own = link.domain == self._settings.node.domain
         return is_own and link.program == 'entry'
 
+    def _send(self, mark: schema.messages.DrainMark) -> None:
+        for link in self._hub.links:
+            if self._is_entry(link):
+                link.send(mark)
+
     def _find_required(self) -> frozenset[str]:
         """Finds the hosts that must confirm a drain.
 
