--- a/benchmarks/_report.py
+++ b/benchmarks/_report.py
@@ -1,11 +1,12 @@
 """Results as JSON, and as tables in ``docs/measurements.md``."""
 
+import math
 import pathlib
 
 import attrs
 import orjson
 
-from benchmarks import _bounds, _fleets, _measures
+from benchmarks import _bounds, _fleets, _measures, _scenarios
 from briarknot import schema
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -38,7 +39,7 @@
         f'{run.scenario} {run.variant} seed {run.seed}: {run.role_changes} '
         f'role changes, {run.retries} retries, {run.causes}, client '
         f'{run.client_cpu:.0%} of a core, late {run.late_send_s * 1000:.0f} '
-        f'ms, {run.wall_s:.1f} s'
+        f'ms, {run.wall_s:.1f} s{" DISTURBED" if run.is_disturbed else ""}'
     ]
     for window in run.windows:
         lines.append(
@@ -61,10 +62,16 @@
     colour = 'green' if verdict.is_green else 'RED'
     return (
         f'{colour}: {verdict.scenario} {bound.check} {bound.rank} '
-        f'{bound.window}: {verdict.measured:.3f}, least {bound.least}'
+        f'{bound.window}: {verdict.measured:.3f}, bound {_format_bound(bound)}'
     )
 
 
+def _format_bound(bound: _scenarios.Bound) -> str:
+    if math.isfinite(bound.least):
+        return f'at least {bound.least:g}'
+    return f'at most {bound.most:g}'
+
+
 def write_results(results: Results) -> None:
     """Writes ``benchmarks/results.json`` and the tables of the page.
 
@@ -91,14 +98,14 @@
 
 def _make_bounds(results: Results) -> str:
     rows = [
-        '| scenario | target | rank | window | measured | at least | |',
+        '| scenario | target | rank | window | measured | bound | |',
         '| --- | --- | --- | --- | --- | --- | --- |',
     ]
     for verdict in results.verdicts:
         bound = verdict.bound
         rows.append(
             f'| {verdict.scenario} | {bound.check} | {bound.rank or "all"} | '
-            f'{bound.window} | {verdict.measured:.3f} | {bound.least:g} | '
+            f'{bound.window} | {verdict.measured:.3f} | {_format_bound(bound)} | '
             f'{"green" if verdict.is_green else "red"} |'
         )
     return '\n'.join(rows)
@@ -115,7 +122,7 @@
             f'{name} {count}' for name, count in run.causes.items()
         )
         rows.extend(
-            f'| {run.scenario} | {run.variant} | {window.window} | '
+            f'| {run.scenario} | {_name_variant(run)} | {window.window} | '
             f'{window.goodput:.0f} / {window.offered:.0f} | '
             f'{_join(f"{rank.share:.1%}" for rank in window.ranks)} | '
             f'{_join(f"{rank.floor:.2f}" for rank in window.ranks)} | '
@@ -125,5 +132,9 @@
     return '\n'.join(rows)
 
 
+def _name_variant(run: _measures.Figures) -> str:
+    return f'{run.variant} (disturbed)' if run.is_disturbed else run.variant
+
+
 def _join(parts) -> str:
     return ' / '.join(parts)
--- a/briarknot/entry/_attempts.py
+++ b/briarknot/entry/_attempts.py
@@ -8,16 +8,13 @@
 from briarknot.entry import _requests, _stream
 
 _OK = 200
-#: Errors after which no byte of the request has left.
-NOT_CONNECTED = (
-    aiohttp.ClientConnectorError,
-    aiohttp.ConnectionTimeoutError,
-)
 _REFUSED_UNRUN = 503
 _CLIENT_ERRORS = range(400, 500)
 _TOO_MANY = 429
 #: An answer that is no stream is short; more of it is not read.
 _PROBLEM_BYTES = 65536
+#: Failures before the connection is open, when no byte can have arrived.
+CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
 @attrs.frozen
@@ -116,7 +113,7 @@
                 return await _stream.read_stream(
                     response.content, request_id, offset, self._timing, deliver
                 )
-        except NOT_CONNECTED as error:
+        except CONNECT_ERRORS as error:
             return NotRun(f'cannot connect: {error}')
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return _stream.Broken(f'{type(error).__name__}: {error}')
@@ -129,7 +126,7 @@
         try:
             with telemetry.make_span('prefill', engine=engine.name):
                 answer = await self._post_prefill(target, engine.url, body)
-        except NOT_CONNECTED as error:
+        except CONNECT_ERRORS as error:
             return NotRun(f'prefill on {engine.name}: cannot connect: {error}')
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return _stream.Broken(
--- a/briarknot/schema/definitions/fleet.capnp
+++ b/briarknot/schema/definitions/fleet.capnp
@@ -74,16 +74,26 @@
 
 struct Account $A.doc("An account of a caller.") {
   name @0 :Text $A.required $A.pattern("[a-z0-9][a-z0-9._-]*") $A.doc("Name, unique in the fleet.");
-  keyHashes @1 :List(Text) $A.required $A.pattern("[0-9a-f]{64}") $A.doc("SHA-256 of each valid API key, in hexadecimal.");
+  keyHashes @1 :List(Text) $A.required $A.hidden $A.pattern("[0-9a-f]{64}") $A.doc("SHA-256 of each valid API key, in hexadecimal.");
   ranks @2 :List(Text) $A.references("ranks") $A.doc("Ranks that the account may use; the first is its default. Empty allows all, with the least urgent as default.");
   capShare @3 :Float64 = 1 $A.minimum(0) $A.maximum(1) $A.doc("Largest share of a failure domain's capacity that the account may use.");
   limitWorkPerS @4 :Float64 = 0 $A.unit("engine s/s") $A.minimum(0) $A.doc("Fleet-wide limit of work; 0 means no limit.");
   maxStreams @5 :UInt32 = 64 $A.minimum(1) $A.doc("Open streams per entry process.");
 }
 
+struct PlannerTimes $A.doc("Times by which roles are planned.") {
+  horizonS @0 :Float64 = 60 $A.unit("s") $A.minimum(0.1) $A.maximum(86400) $A.doc("Time over which a change must pay.");
+  changeS @1 :Float64 = 8 $A.unit("s") $A.minimum(0) $A.maximum(3600) $A.doc("Time for which a changing engine is unavailable.");
+  persistS @2 :Float64 = 6 $A.unit("s") $A.minimum(0) $A.maximum(3600) $A.doc("Time for which a gain must last; shorter peaks are noise.");
+  settleS @3 :Float64 = 30 $A.unit("s") $A.minimum(0) $A.maximum(86400) $A.doc("Time after a change without another in its group.");
+  shortWindowS @4 :Float64 = 8 $A.unit("s") $A.minimum(0.1) $A.maximum(3600) $A.doc("Time constant of the short window of demand.");
+  longWindowS @5 :Float64 = 120 $A.unit("s") $A.minimum(0.1) $A.maximum(86400) $A.doc("Time constant of the long window of demand.");
+}
+
 struct Policies $A.doc("Decision policies by their registered names.") {
   admission @0 :Text = "ranked" $A.registry("admission") $A.doc("Admission and queue discipline.");
   router @1 :Text = "least_work" $A.registry("router") $A.doc("Endpoint choice.");
   planner @2 :Text = "two_window" $A.registry("planner") $A.doc("Role planning.");
   plannerIntervalS @3 :Float64 = 2 $A.unit("s") $A.minimum(0.05) $A.maximum(600) $A.doc("Time between role decisions.");
+  plannerTimes @4 :PlannerTimes $A.doc("Times by which roles are planned.");
 }
