Ask all peers before a document is read from the platform

Cause: a process whose settings name no peers has no peer URLs when the follower starts, because the host list comes later. The wait for peers then ended at once, and a stale read of the platform put an old document in force until a peer's link opened. Besides, one answer ended the wait, also that of a peer that had just started itself and knew no revision.

Ruled out: taking a lower revision within one process. The follower never did this; only a restarted process, which starts without a document, could.

Change: the follower waits for the first host list where it has no URLs, then for the hello of each known peer and for the highest revision that one named, at most `peer_wait_s`. The host list is read again after 0.5 s where the platform did not answer, so that a process that started in an outage has list and document within 4 s of its end.

Conclusion: a restarted process takes a stale read only where no peer that knows better answers within `peer_wait_s`.

--- a/briarknot/config/_follower.py
+++ b/briarknot/config/_follower.py
@@ -52,9 +52,8 @@
     _poll_s: float
     _peer_wait_s: float
     _in_force: InForce = attrs.field(factory=InForce, init=False)
-    _peer_answered: asyncio.Event = attrs.field(
-        factory=asyncio.Event, init=False
-    )
+    _peer_news: asyncio.Event = attrs.field(factory=asyncio.Event, init=False)
+    _highest_heard: int = attrs.field(default=0, init=False)
     _listeners: list[_Listener] = attrs.field(factory=list, init=False)
 
     @property
@@ -86,13 +85,12 @@
         :param link: the new link.
         :param hello: what the peer says of itself.
         """
+        self._highest_heard = max(self._highest_heard, hello.revision)
         if hello.revision < self.revision:
             link.send(self._make_revision())
         elif hello.revision > self.revision:
             link.send(schema.messages.DocumentRequest(at_least=hello.revision))
-            return
-        # A peer with the same or an older revision has nothing to add.
-        self._peer_answered.set()
+        self._peer_news.set()
 
     async def run(self) -> None:
         """Reads the platform's row once a period, until cancelled."""
@@ -123,14 +121,25 @@
             )
 
     async def _wait_for_peers(self) -> None:
-        """Asks peers first: after a restart the platform may read stale."""
+        """Asks peers first: after a restart the platform may read stale.
+
+        A process without peers in its settings learns them from the host
+        list. Each peer is asked, because another one that has just started
+        knows no revision either.
+        """
         if not self._hub.urls:
-            return
+            await self._hub.listed.wait()
         try:
             async with asyncio.timeout(self._peer_wait_s):
-                await self._peer_answered.wait()
+                while self._must_hear_more():
+                    self._peer_news.clear()
+                    await self._peer_news.wait()
         except TimeoutError:
-            telemetry.log_change('document', 'no peer answered')
+            telemetry.log_change('document', 'not all peers answered')
+
+    def _must_hear_more(self) -> bool:
+        is_behind = self.revision < self._highest_heard
+        return is_behind or bool(self._hub.unanswered_urls)
 
     async def _handle_revision(
         self, link: links.Link, message: schema.messages.Revision
@@ -157,7 +166,7 @@
         self, link: links.Link, message: schema.messages.DocumentBody
     ) -> None:
         self._take('peer', message)
-        self._peer_answered.set()
+        self._peer_news.set()
 
     def _take(self, source: str, body: schema.messages.DocumentBody) -> None:
         # Checked again here: another task may have taken a newer document
--- a/briarknot/control/_entries.py
+++ b/briarknot/control/_entries.py
@@ -118,6 +118,8 @@
                     if host.domain == self._settings.node.domain
                 }
             self._connect()
+            if self._listed is not None:
+                self._hub.listed.set()
             self._note_links()
             self._report_unreachable()
             await asyncio.sleep(_LIST_PERIOD_S)
--- a/briarknot/entry/_neighbours.py
+++ b/briarknot/entry/_neighbours.py
@@ -14,6 +14,9 @@
 #: host fails, few enough that links don't grow with the whole fleet.
 _LINKS_PER_DOMAIN = 2
 _HOSTS_PERIOD_S = 2.0
+#: A process that started in an outage has no document before it has the list,
+#: and must have both within 4 s of the end of the outage.
+_HOSTS_RETRY_S = 0.5
 _SUMMARY_PERIOD_S = 1.0
 
 
@@ -63,7 +66,10 @@
                 context.members.apply_hosts(listed, now)
                 context.detector.read_hosts(listed, now)
                 self._connect(set(choose_links(hosts, context.node)))
-            await asyncio.sleep(_HOSTS_PERIOD_S)
+                context.hub.listed.set()
+            await asyncio.sleep(
+                _HOSTS_PERIOD_S if isinstance(hosts, tuple) else _HOSTS_RETRY_S
+            )
 
     async def run_summaries(self) -> None:
         """Sends the summary of the own failure domain, until cancelled."""
--- a/briarknot/links/_hub.py
+++ b/briarknot/links/_hub.py
@@ -45,6 +45,7 @@
         factory=dict, init=False
     )
     _keys: dict[str, _link.PeerKey] = attrs.field(factory=dict, init=False)
+    _listed: asyncio.Event = attrs.field(factory=asyncio.Event, init=False)
     _session: aiohttp.ClientSession | None = attrs.field(
         default=None, init=False
     )
@@ -64,6 +65,16 @@
         """Peer URLs to which the hub keeps connecting."""
         return tuple(self._connectors)
 
+    @property
+    def listed(self) -> asyncio.Event:
+        """Set by the owner once all listed peers, even if none, are given."""
+        return self._listed
+
+    @property
+    def unanswered_urls(self) -> tuple[str, ...]:
+        """Peer URLs from which no hello has come yet."""
+        return tuple(url for url in self._connectors if url not in self._keys)
+
     def add_routes(self, app: web.Application) -> None:
         """Adds the accepting side to an application.
 
--- a/briarknot_standins/fleet/_running.py
+++ b/briarknot_standins/fleet/_running.py
@@ -53,6 +53,8 @@
     :param entries: entry processes.
     :param controls: control processes by host.
     :param consoles: console processes.
+    :param platform_urls: URLs at which failure domains reach the platform,
+        where it is not its own.
     :param document: document that was committed last.
     :param revision: its revision.
     """
@@ -67,6 +69,7 @@
     entries: list[Entry] = attrs.field(factory=list)
     controls: dict[str, launcher.Process] = attrs.field(factory=dict)
     consoles: list[launcher.Process] = attrs.field(factory=list)
+    platform_urls: dict[str, str] = attrs.field(factory=dict)
     document: schema.fleet.Fleet = attrs.field(factory=schema.fleet.Fleet)
     revision: int = 0
     _turn: 'itertools.cycle[int] | None' = None
@@ -243,7 +246,7 @@
             host=host,
             domain=domain,
             admin_port=admin_port,
-            platform_url=self.platform.url,
+            platform_url=self.platform_urls.get(domain, self.platform.url),
             peer_secret=PEER_SECRET,
             drain_grace_s=0.3,
             stop_timeout_s=60,
