--- a/benchmarks/_measures.py
+++ b/benchmarks/_measures.py
@@ -49,12 +49,17 @@
     :param goodput: worth of requests within their targets, per second.
     :param offered: worth of all requests, per second.
     :param ranks: service by rank.
+    :param length_s: length of the window.
+    :param limit_use: work admitted for the accounts with a limit, relative to
+        the limit; 0 without one.
     """
 
     window: str
     goodput: float
     offered: float
     ranks: tuple[RankFigures, ...]
+    length_s: float
+    limit_use: float
 
     def find_rank(self, name: str) -> RankFigures:
         """Returns the service of a rank."""
@@ -75,6 +80,7 @@
     :param client_cpu: share of a core that the client used.
     :param late_send_s: delay of sending, exceeded by 1 in 100 requests.
     :param wall_s: wall time of the run.
+    :param is_disturbed: whether the machine was too busy for the figures.
     """
 
     scenario: str
@@ -87,6 +93,7 @@
     client_cpu: float
     late_send_s: float
     wall_s: float
+    is_disturbed: bool
 
     def find_window(self, name: str) -> WindowFigures:
         """Returns the figures of a window."""
@@ -114,6 +121,7 @@
         client_cpu=run.client_cpu,
         late_send_s=run.late_send_s,
         wall_s=run.wall_s,
+        is_disturbed=run.is_disturbed,
     )
 
 
@@ -134,9 +142,24 @@
         goodput=_sum_worth(worths, ranks, 'in_target') / window.length_s,
         offered=_sum_worth(worths, ranks, 'offered') / window.length_s,
         ranks=ranks,
+        length_s=window.length_s,
+        limit_use=_measure_limit(run, inside, window.length_s),
     )
 
 
+def _measure_limit(
+    run: _run.Run, samples: list[_run.Sample], length_s: float
+) -> float:
+    limits = run.plan.limits
+    admitted = [
+        one
+        for one in samples
+        if one.arrival.flow.account in limits and one.cause != 'fleet_limit'
+    ]
+    allowed = math.fsum(limits.values()) * length_s
+    return _sum_work(admitted) / allowed if allowed else 0
+
+
 def _sum_worth(
     worths: dict[str, float], ranks: tuple[RankFigures, ...], field: str
 ) -> float:
