--- a/briarknot/entry/_context.py
+++ b/briarknot/entry/_context.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import math
 import random
 import time
 
@@ -120,10 +121,20 @@
         self.apply_capacity()
 
     def apply_capacity(self) -> None:
-        """Tells admission what the engines can carry now."""
+        """Tells admission this process's share of what the engines carry.
+
+        The live entry processes of the domain share its engines equally.
+        Together they would otherwise fill the engines' queues, in which floors
+        are not known.
+        """
         now = time.monotonic()
         capacity = self.view.compute_capacity(now)
-        self.gate.apply_capacity(capacity.work_per_s, capacity.concurrent, now)
+        sharing = max(1, len(self.members.live(self.node.domain)))
+        self.gate.apply_capacity(
+            capacity.work_per_s / sharing,
+            math.ceil(capacity.concurrent / sharing),
+            now,
+        )
 
     async def handle_quarantine(
         self, link: links.Link, message: schema.messages.Quarantine
