Keep the queue of prefill in front of the engines

The entry gives admission the prefill that the prompt needs beyond the cached prefix and reports the first token, so that the window of outstanding prefill takes effect. The window becomes a share of the first rank's target: half a second was longer than a compressed target.

--- a/briarknot/admission/_ranked.py
+++ b/briarknot/admission/_ranked.py
@@ -10,6 +10,10 @@
 #: Share of the target that the expected wait may take; the rest covers the
 #: error of the estimate.
 _TARGET_SHARE = 0.7
+#: Outstanding prefill that is admitted, as a share of the first rank's target
+#: for the first token. It keeps engines busy while the queue stays here, where
+#: ranks and floors are respected; engines know priorities only.
+_WINDOW_SHARE = 0.4
 #: Share of the target within which slots that end are counted on.
 _RELEASE_SHARE = 0.25
 #: Bound on the number of queued requests of a rank, for memory.
@@ -61,6 +65,11 @@
     _accounts: dict[str, schema.fleet.Account]
     _usage: _usage.Usage
 
+    @property
+    def _window_s(self) -> float:
+        first = next(iter(self._states.values()))
+        return first.rank.first_token_s * _WINDOW_SHARE
+
     @property
     def count(self) -> int:
         """Queued tickets."""
@@ -185,7 +194,9 @@
 
         def fits(ticket: _tickets.Ticket) -> bool:
             return self._fits_cap(ticket) and self._usage.fits_prefill(
-                ticket, (state.rank.name,), state.rank.floor_share
+                ticket,
+                (state.rank.name,),
+                self._window_s * state.rank.floor_share,
             )
 
         return state.queue.pop(fits)
@@ -195,7 +206,7 @@
         names = list(self._states)
         ranks = names[: names.index(self._find_rank(ticket)) + 1]
         return self._fits_cap(ticket) and self._usage.fits_prefill(
-            ticket, ranks, 1
+            ticket, ranks, self._window_s
         )
 
     def _fits_cap(self, ticket: _tickets.Ticket) -> bool:
--- a/briarknot/admission/_usage.py
+++ b/briarknot/admission/_usage.py
@@ -8,9 +8,6 @@
 from briarknot import routing
 from briarknot.admission import _tickets
 
-#: Outstanding prefill that is admitted, in seconds of the whole capacity. It
-#: keeps engines busy while the queue stays here, where ranks are respected.
-_PREFILL_WINDOW_S = 0.5
 #: Share by which each finished request fades the older ones.
 _FADE = 0.05
 #: Finished requests after which the measured pace replaces the reported one.
@@ -94,7 +91,7 @@
         self,
         ticket: _tickets.Ticket,
         ranks: typing.Container[str],
-        share: float,
+        window_s: float,
     ) -> bool:
         """Tells whether a ticket's prefill may be added.
 
@@ -102,7 +99,8 @@
 
         :param ticket: queued ticket.
         :param ranks: ranks whose outstanding prefill counts.
-        :param share: share of the window that these ranks may use.
+        :param window_s: outstanding prefill that these ranks may have, in
+            seconds of the whole capacity.
         """
         needed = ticket.request.prefill_s
         outstanding = sum(
@@ -110,7 +108,7 @@
             for other in self._prefill.values()
             if other.request.rank in ranks
         )
-        window = self.capacity.work_per_s * _PREFILL_WINDOW_S * share
+        window = self.capacity.work_per_s * window_s
         return not (needed and outstanding) or outstanding + needed <= window
 
     def start(self, ticket: _tickets.Ticket) -> None:
--- a/briarknot/entry/_completion.py
+++ b/briarknot/entry/_completion.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import time
+import typing
 
 import attrs
 
@@ -43,6 +44,7 @@
     _work: routing.WorkEstimate
     _fingerprint: str
     _offset: int
+    _ticket: admission.Ticket | None = attrs.field(default=None, init=False)
     _may_have_run: bool = attrs.field(default=False, init=False)
     _failed: set[str] = attrs.field(factory=set, init=False)
     _last_failure: str = attrs.field(default='', init=False)
@@ -66,6 +68,7 @@
         ticket = self._submit()
         if not isinstance(ticket, admission.Ticket):
             return await self._run_elsewhere(ticket, deliver)
+        self._ticket = ticket
         try:
             return await self._run_queued(ticket, deliver)
         finally:
@@ -93,10 +96,28 @@
                 account=self._identity.account.name,
                 rank=self._identity.rank.name,
                 work_s=self._work.work_s,
+                prefill_s=self._estimate_prefill(),
             ),
             time.monotonic(),
         )
 
+    def _estimate_prefill(self) -> float:
+        """Returns the prefill that the engine with most of the prefix needs."""
+        work = self._work
+        cached = max(
+            (
+                engine.count_cached_tokens(work)
+                for engine in self._context.view.engines
+            ),
+            default=0,
+        )
+        return work.prefill_s * (1 - cached / max(1, work.prompt_tokens))
+
+    def _note_first_token(self) -> None:
+        self._story.note_first_token()
+        if self._ticket is not None:
+            self._context.gate.start_decode(self._ticket, time.monotonic())
+
     async def _run_elsewhere(
         self, refusal: admission.Refusal, deliver: _stream.Deliver
     ) -> End:
@@ -169,7 +190,7 @@
         self, target: _attempts.Target, deliver: _stream.Deliver
     ) -> _attempts.End:
         """Runs one attempt and keeps the books of endpoint and journal."""
-        meter = _Meter(self._story, deliver)
+        meter = _Meter(self._note_first_token, deliver)
         record = schema.records.Attempt(
             endpoint=target.name,
             start_s=self._story.elapsed_s,
@@ -322,7 +343,7 @@
 class _Meter:
     """Counts the pieces of one attempt on their way to the caller."""
 
-    _story: _story.Story
+    _note_first_token: typing.Callable[[], None]
     _deliver: _stream.Deliver
     _started_s: float = attrs.field(factory=time.monotonic, init=False)
     _first_token_s: float | None = attrs.field(default=None, init=False)
@@ -347,7 +368,7 @@
         """Counts pieces and passes them on."""
         if self._first_token_s is None:
             self._first_token_s = time.monotonic() - self._started_s
-            self._story.note_first_token()
+            self._note_first_token()
         self._tokens += len(pieces)
         await self._deliver(pieces)
 
