Measure the pace of admission while requests wait

The pace assumed that all slots are in use; the window of prefill keeps some free, and so the expected wait was too short and urgent requests were admitted too late to reach their target. It now takes the slots in use while requests wait, counts the admitted prefill as ahead, and work leaves the cached prefix out.

--- a/briarknot/admission/_admission.py
+++ b/briarknot/admission/_admission.py
@@ -110,7 +110,7 @@
             estimate = ticket.request.work_s
             used = estimate if used_work_s is None else used_work_s
             self._policy.charge(ticket, used - estimate)
-            self._usage.end(ticket, now, used)
+            self._usage.end(ticket, now, used, is_queued=self._policy.count > 0)
             self._close_stream(ticket)
         self._dispatch(now)
 
--- a/briarknot/admission/_ranked.py
+++ b/briarknot/admission/_ranked.py
@@ -242,6 +242,9 @@
     ) -> _tickets.Refusal | None:
         wait_s = self._expect_wait(ticket, state, now)
         target = _policies.read_target(ticket, state.rank)
+        # Admitted prefill is ahead of it inside the engines.
+        capacity = max(self._usage.capacity.work_per_s, 1e-9)
+        wait_s += self._usage.outstanding_prefill_s / capacity
         expected = wait_s + ticket.request.prefill_s
         if expected <= target * _TARGET_SHARE:
             return None
--- a/briarknot/admission/_usage.py
+++ b/briarknot/admission/_usage.py
@@ -1,6 +1,7 @@
 """What is running, and how fast it ends."""
 
 import collections
+import math
 import typing
 
 import attrs
@@ -16,9 +17,10 @@
 
 @attrs.define(eq=False)
 class Pace:
-    """Measures the work that ends per second while all slots are in use."""
+    """Measures the work that ends per second while requests wait."""
 
     _weight: float = 0
+    _slots: float = 0
     _work_s: float = 0
     _held_s: float = 0
 
@@ -29,24 +31,31 @@
             return 0
         return self._held_s / self._weight
 
-    def learn(self, work_s: float, held_s: float) -> None:
-        """Takes a finished request's work and the time it held its slot."""
+    def learn(self, work_s: float, held_s: float, slots: int) -> None:
+        """Takes a finished request's work and the time it held its slot.
+
+        :param work_s: engine seconds.
+        :param held_s: time for which it held its slot.
+        :param slots: slots that can be in use at once.
+        """
         self._weight = self._weight * (1 - _FADE) + 1
+        self._slots = self._slots * (1 - _FADE) + slots
         self._work_s = self._work_s * (1 - _FADE) + work_s
         self._held_s = self._held_s * (1 - _FADE) + held_s
 
     def compute(self, capacity: routing.Capacity) -> float:
         """Returns engine seconds that end per second.
 
-        The work of a slot per second, measured, times the number of slots.
-        Reports of speed don't include queues inside the engines, and this
-        figure does.
+        The work of a slot per second, measured, times the slots that were in
+        use while requests waited. Reports of speed don't include queues inside
+        the engines, and this figure does.
 
         :param capacity: reported capacity, used until enough is measured.
         """
         if self._weight < _LEAST_SAMPLES or not self._held_s * self._work_s:
             return capacity.work_per_s
-        return capacity.concurrent * self._work_s / self._held_s
+        slots = min(capacity.concurrent, self._slots / self._weight)
+        return slots * self._work_s / self._held_s
 
 
 @attrs.define(eq=False)
@@ -74,6 +83,13 @@
         """Free slots; negative after a loss of capacity."""
         return self.capacity.concurrent - self._running
 
+    @property
+    def outstanding_prefill_s(self) -> float:
+        """Prefill of the running requests, in engine seconds."""
+        return math.fsum(
+            ticket.request.prefill_s for ticket in self._prefill.values()
+        )
+
     @property
     def work_per_s(self) -> float:
         """Engine seconds that can be done per second."""
@@ -123,9 +139,24 @@
         """Ends the ticket's outstanding prefill."""
         self._prefill.pop(ticket.number, None)
 
-    def end(self, ticket: _tickets.Ticket, now: float, work_s: float) -> None:
-        """Ends a running ticket."""
+    def end(
+        self,
+        ticket: _tickets.Ticket,
+        now: float,
+        work_s: float,
+        *,
+        is_queued: bool,
+    ) -> None:
+        """Ends a running ticket.
+
+        :param ticket: the ticket.
+        :param now: monotonic time in seconds.
+        :param work_s: engine seconds that it took.
+        :param is_queued: whether others wait for its place.
+        """
         self.start_decode(ticket)
+        # The window of prefill may hold requests back while slots are free.
+        slots = self._running if is_queued else self.capacity.concurrent
         self._running -= 1
         for counter, key in (
             (self._by_rank, ticket.request.rank),
@@ -134,4 +165,4 @@
             counter[key] -= 1
             if not counter[key]:
                 counter.pop(key)
-        self.pace.learn(work_s, now - ticket.admitted_s)
+        self.pace.learn(work_s, now - ticket.admitted_s, slots)
--- a/briarknot/entry/_completion.py
+++ b/briarknot/entry/_completion.py
@@ -91,12 +91,13 @@
         return await self._run_attempts(deliver)
 
     def _submit(self) -> admission.Ticket | admission.Refusal:
+        prefill_s = self._estimate_prefill()
         return self._context.gate.submit(
             admission.AdmissionRequest(
                 account=self._identity.account.name,
                 rank=self._identity.rank.name,
-                work_s=self._work.work_s,
-                prefill_s=self._estimate_prefill(),
+                work_s=prefill_s + self._work.decode_s,
+                prefill_s=prefill_s,
             ),
             time.monotonic(),
         )
