Expect less wait for an urgent request without a queue

Beside an empty queue most of the admitted prefill runs on other engines, but all of it counted as ahead, and urgent requests were refused on a fleet with free engines.

--- a/briarknot/admission/_ranked.py
+++ b/briarknot/admission/_ranked.py
@@ -242,10 +242,15 @@
     ) -> _tickets.Refusal | None:
         wait_s = self._expect_wait(ticket, state, now)
         target = _policies.read_target(ticket, state.rank)
+        prefill_s = ticket.request.prefill_s
         # Admitted prefill is ahead of it inside the engines.
         capacity = max(self._usage.capacity.work_per_s, 1e-9)
-        wait_s += self._usage.outstanding_prefill_s / capacity
-        expected = wait_s + ticket.request.prefill_s
+        backlog_s = self._usage.outstanding_prefill_s / capacity
+        if state.queue.count == 1:
+            # Without a queue most prefill runs beside it on other engines.
+            backlog_s = max(0, backlog_s - prefill_s)
+        wait_s += backlog_s
+        expected = wait_s + prefill_s
         if expected <= target * _TARGET_SHARE:
             return None
         return _tickets.Refusal(
