Renew the incarnation and the document after a pause

Cause: after a gap an entry process read the drain marks again, but it kept the incarnation that peers suspect, and it read the document only at its next poll, so that work went to an engine that the document marked as leaving during the pause. The gap was measured with the monotonic clock, which stands still while a machine is suspended.

Ruled out: the detector. It withdraws its suspicion by itself once a peer tells of it, but a pause without a suspicion kept the incarnation.

A gap renews the incarnation; `wait_current` checks for a gap, and reads the document's row and the marks before the dispatch. A gap while the marks are read leads to another reading. The check runs in a task of its own too, since reading the marks may take a lease without the platform. Two metrics show the own incarnation and the number of live members.

--- a/briarknot/entry/_context.py
+++ b/briarknot/entry/_context.py
@@ -165,6 +165,12 @@
     members = membership.make_members(
         node.host, node.domain, hub.hello.incarnation
     )
+    follower = config.make_follower(
+        client,
+        hub,
+        poll_s=timing.document_poll_s,
+        peer_wait_s=timing.suspect_after_s,
+    )
     times = membership.DetectorTimes(
         heartbeat_s=timing.heartbeat_s, suspect_after_s=timing.suspect_after_s
     )
@@ -173,12 +179,7 @@
         settings=settings,
         client=client,
         hub=hub,
-        follower=config.make_follower(
-            client,
-            hub,
-            poll_s=timing.document_poll_s,
-            peer_wait_s=timing.suspect_after_s,
-        ),
+        follower=follower,
         view=view,
         estimator=routing.make_estimator(),
         router=routing.make_router('least_work', make_seed(node.host)),
@@ -194,7 +195,7 @@
         ),
         sender=_attempts.make_sender(session, timing),
         session=session,
-        drains=_drains.make_drains(client, view, node, hub),
+        drains=_drains.make_drains(client, view, node, hub, follower, members),
         services=routing.make_service_view(empty, node.domain),
         random=random.Random(make_seed(node.host)),
         members=members,
--- a/briarknot/entry/_drains.py
+++ b/briarknot/entry/_drains.py
@@ -6,7 +6,15 @@
 import attrs
 import prometheus_client
 
-from briarknot import links, platform, routing, schema, telemetry
+from briarknot import (
+    config,
+    links,
+    membership,
+    platform,
+    routing,
+    schema,
+    telemetry,
+)
 
 _GAPS = prometheus_client.Counter(
     'briarknot_execution_gaps',
@@ -31,18 +39,27 @@
 class Drains:
     """Applies drain marks before anything is dispatched.
 
-    A process that was paused may have missed marks. It reads them again from
-    the table of orders before it dispatches.
+    A process that was paused may have missed marks and documents, and peers
+    may suspect it. It takes a new incarnation, and reads the marks from the
+    table of orders and the document's row before it dispatches.
     """
 
     _client: platform.Client
     _view: routing.View
     _node: schema.settings.Node
     _hub: links.Hub
+    _follower: config.Follower
+    _members: membership.Members
     _epoch: int = attrs.field(default=0, init=False)
+    _gaps: int = attrs.field(default=0, init=False)
     #: The marks have never been read, which counts as a gap.
-    _last_tick_s: float = attrs.field(default=float('-inf'), init=False)
+    _is_current: bool = attrs.field(default=False, init=False)
     _lock: asyncio.Lock = attrs.field(factory=asyncio.Lock, init=False)
+    _pauses: membership.PauseDetector = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Starts to look for gaps."""
+        self._pauses = membership.make_pause_detector(_GAP_S, self._note_gap)
 
     async def handle_mark(
         self, link: links.Link, message: schema.messages.DrainMark
@@ -71,21 +88,46 @@
         )
 
     async def run(self) -> None:
-        """Notes at short intervals that the process runs, until cancelled."""
+        """Reads the marks after each gap, until cancelled."""
         while True:
             await self.wait_current()
             await asyncio.sleep(_TICK_S)
 
+    async def run_pauses(self) -> None:
+        """Looks for gaps in the running of the process, until cancelled.
+
+        Reading the marks takes long without the platform; in a task of its
+        own the check notices a pause in that time, and no other gap.
+        """
+        await self._pauses.run()
+
     async def wait_current(self) -> None:
         """Waits until the marks are known; call it before each dispatch."""
-        if time.monotonic() - self._last_tick_s <= _GAP_S:
-            self._last_tick_s = time.monotonic()
+        self._pauses.check()
+        if self._is_current:
             return
         async with self._lock:
-            if time.monotonic() - self._last_tick_s > _GAP_S:
-                _GAPS.inc()
-                await self._read_marks()
-                self._last_tick_s = time.monotonic()
+            while not self._is_current:
+                await self._read_again()
+
+    def _note_gap(self, gap_s: float) -> None:
+        self._gaps += 1
+        self._is_current = False
+        _GAPS.inc()
+        incarnation = self._members.renew()
+        telemetry.log_change(
+            'process', 'resumed', gap_s=gap_s, incarnation=incarnation
+        )
+
+    async def _read_again(self) -> None:
+        gaps = self._gaps
+        # At the start the follower asks the peers before the platform.
+        if self._follower.revision:
+            await self._follower.refresh()
+        await self._read_marks()
+        self._pauses.check()
+        # What was read before another gap may be old again.
+        self._is_current = self._gaps == gaps
 
     async def _read_marks(self) -> None:
         """Reads the marks, or waits until none can lead to an order.
@@ -121,6 +163,8 @@
     view: routing.View,
     node: schema.settings.Node,
     hub: links.Hub,
+    follower: config.Follower,
+    members: membership.Members,
 ) -> Drains:
     """Makes the handler of drain marks.
 
@@ -128,5 +172,7 @@
     :param view: endpoint view of the own failure domain.
     :param node: identity of the process.
     :param hub: peer links of the process.
+    :param follower: document in force.
+    :param members: live view of the entry hosts.
     """
-    return Drains(client, view, node, hub)
+    return Drains(client, view, node, hub, follower, members)
--- a/briarknot/entry/_serve.py
+++ b/briarknot/entry/_serve.py
@@ -111,6 +111,7 @@
         'links': neighbours.run_links(),
         'summaries': neighbours.run_summaries(),
         'document': context.follower.run(),
+        'pauses': context.drains.run_pauses(),
         'drain marks': context.drains.run(),
         'limits': context.limits.run(),
         'members': links.run_detector(
--- /dev/null
+++ b/briarknot/entry/tests/test_drains.py
@@ -0,0 +1,42 @@
+"""Guards against a dispatch after a pause that no other task noticed."""
+
+import functools
+
+import attrs
+
+from briarknot import membership, schema
+from briarknot.entry import _drains
+
+
+@attrs.define
+class _Platform:
+    """Counts reads; stands for the client and the follower."""
+
+    scans: int = 0
+    refreshes: int = 0
+    revision: int = 1
+
+    async def scan_rows(self, _table, _prefix):
+        self.scans += 1
+        return ()
+
+    async def refresh(self):
+        self.refreshes += 1
+
+
+async def test_dispatch_after_a_gap_reads_again(monkeypatch):
+    """The first task to run after a pause may be one that dispatches."""
+    times = [0]
+    make = functools.partial(
+        membership.make_pause_detector, clock=lambda: times[-1]
+    )
+    monkeypatch.setattr(membership, 'make_pause_detector', make)
+    read = _Platform()
+    members = membership.make_members('a', 'x', 1)
+    node = schema.settings.Node(domain='x')
+    drains = _drains.make_drains(read, None, node, None, read, members)
+    for now, reads in ((0, 1), (0.5, 1), (5, 2), (5.5, 2)):
+        times.append(now)
+        await drains.wait_current()
+        assert (read.scans, read.refreshes) == (reads, reads)
+    assert members.own.incarnation > 1
--- a/briarknot/links/_detection.py
+++ b/briarknot/links/_detection.py
@@ -5,7 +5,7 @@
 import attrs
 
 from briarknot import membership, schema
-from briarknot.links import _hub, _link
+from briarknot.links import _hub, _link, _metrics
 
 _PROGRAM = 'entry'
 _TICKS_PER_HEARTBEAT = 4
@@ -75,4 +75,6 @@
     while True:
         now = asyncio.get_running_loop().time()
         detection.send(detector.tick(now))
+        _metrics.INCARNATION.set(members.own.incarnation)
+        _metrics.LIVE.set(len(members.live()))
         await asyncio.sleep(heartbeat_s / _TICKS_PER_HEARTBEAT)
--- a/briarknot/links/_metrics.py
+++ b/briarknot/links/_metrics.py
@@ -30,3 +30,10 @@
 LINKS = prometheus_client.Gauge(
     'briarknot_peer_links', 'Open peer links, by program.', ('program',)
 )
+INCARNATION = prometheus_client.Gauge(
+    'briarknot_incarnation', 'Own incarnation.'
+)
+LIVE = prometheus_client.Gauge(
+    'briarknot_live_members',
+    'Entry processes that are not suspected and not leaving.',
+)
