--- a/briarknot/admission/_ranked.py
+++ b/briarknot/admission/_ranked.py
@@ -9,7 +9,13 @@
 
 #: Share of the target that the expected wait may take; the rest covers the
 #: error of the estimate.
-_TARGET_SHARE = 0.8
+_TARGET_SHARE = 0.7
+#: Outstanding prefill that is admitted, as a share of the first rank's target
+#: for the first token. It keeps engines busy while the queue stays here, where
+#: ranks and floors are respected; engines know priorities only.
+_WINDOW_SHARE = 0.4
+#: Share of the target within which slots that end are counted on.
+_RELEASE_SHARE = 0.25
 #: Bound on the number of queued requests of a rank, for memory.
 _MAX_QUEUED = 10000
 #: Time in which a rank's remembered peak and its rate of work halve.
@@ -59,6 +65,11 @@
     _accounts: dict[str, schema.fleet.Account]
     _usage: _usage.Usage
 
+    @property
+    def _window_s(self) -> float:
+        first = next(iter(self._states.values()))
+        return first.rank.first_token_s * _WINDOW_SHARE
+
     @property
     def count(self) -> int:
         """Queued tickets."""
@@ -160,17 +171,21 @@
     def _count_kept(self, state: _RankState, now: float) -> int:
         """Returns free slots that less urgent ranks must leave to a rank.
 
-        A rank whose target is longer than slots are held loses little by
-        waiting for one, and slots kept free for it would be wasted.
+        They are what the rank used of late, but for the slots that end within
+        its target anyway and for the floors of the others. The first rank has
+        at least one.
         """
+        slots = self._usage.capacity.concurrent
         held_s = self._usage.pace.held_s
-        is_first = state is next(iter(self._states.values()))
-        is_tight = state.rank.first_token_s < held_s if held_s else is_first
-        if not is_tight or self._usage.capacity.concurrent < _LEAST_SLOTS:
-            return 0
-        recent = max(1, math.ceil(state.peak.read(now)))
+        least = int(state is next(iter(self._states.values())))
+        if slots < _LEAST_SLOTS or not held_s:
+            return least if slots >= _LEAST_SLOTS else 0
         running = self._usage.count_rank(state.rank.name)
-        return max(0, min(self._count_floor(state), recent) - running)
+        usable_s = state.rank.first_token_s * _RELEASE_SHARE
+        wanted = state.peak.read(now) + 1 - running - slots * usable_s / held_s
+        floors = sum(self._count_floor(one) for one in self._states.values())
+        allowed = slots - floors + self._count_floor(state) - running
+        return max(0, min(allowed, max(least, math.ceil(wanted))))
 
     def _pop_below_floor(self, state: _RankState) -> _tickets.Ticket | None:
         running = self._usage.count_rank(state.rank.name)
@@ -179,7 +194,9 @@
 
         def fits(ticket: _tickets.Ticket) -> bool:
             return self._fits_cap(ticket) and self._usage.fits_prefill(
-                ticket, (state.rank.name,), state.rank.floor_share
+                ticket,
+                (state.rank.name,),
+                self._window_s * state.rank.floor_share,
             )
 
         return state.queue.pop(fits)
@@ -189,7 +206,7 @@
         names = list(self._states)
         ranks = names[: names.index(self._find_rank(ticket)) + 1]
         return self._fits_cap(ticket) and self._usage.fits_prefill(
-            ticket, ranks, 1
+            ticket, ranks, self._window_s
         )
 
     def _fits_cap(self, ticket: _tickets.Ticket) -> bool:
@@ -225,7 +242,15 @@
     ) -> _tickets.Refusal | None:
         wait_s = self._expect_wait(ticket, state, now)
         target = _policies.read_target(ticket, state.rank)
-        expected = wait_s + ticket.request.prefill_s
+        prefill_s = ticket.request.prefill_s
+        # Admitted prefill is ahead of it inside the engines.
+        capacity = max(self._usage.capacity.work_per_s, 1e-9)
+        backlog_s = self._usage.outstanding_prefill_s / capacity
+        if state.queue.count == 1:
+            # Without a queue most prefill runs beside it on other engines.
+            backlog_s = max(0, backlog_s - prefill_s)
+        wait_s += backlog_s
+        expected = wait_s + prefill_s
         if expected <= target * _TARGET_SHARE:
             return None
         return _tickets.Refusal(
@@ -244,13 +269,19 @@
     ) -> float:
         """Returns the time until the ticket's turn, itself included."""
         pace = self._usage.work_per_s
-        ahead, urgent_rate = 0, 0
+        ahead, others_rate = 0, 0
+        is_more_urgent = True
         for other in self._states.values():
+            rate = other.admitted.read_rate(now)
             if other is state:
-                break
-            ahead += other.queue.work_s
-            urgent_rate += other.admitted.read_rate(now)
-        share = max(pace - urgent_rate, pace * state.rank.floor_share)
+                is_more_urgent = False
+            elif is_more_urgent:
+                ahead += other.queue.work_s
+                others_rate += rate
+            else:
+                # Less urgent work passes only up to its floor.
+                others_rate += min(rate, pace * other.rank.floor_share)
+        share = max(pace - others_rate, pace * state.rank.floor_share)
         fair = state.queue.sum_account(ticket.request.account)
         own = min(state.queue.work_s, fair * max(1, state.queue.accounts))
         # The floor is served even while more urgent work is ahead.
--- a/briarknot/config/_follower.py
+++ b/briarknot/config/_follower.py
@@ -7,6 +7,7 @@
 import prometheus_client
 
 from briarknot import document, links, platform, schema, telemetry
+from briarknot.config import _delta, _published
 
 _REVISION = prometheus_client.Gauge(
     'briarknot_document_revision', 'Revision of the document in force.'
@@ -27,14 +28,12 @@
     :param revision: its revision; 0 where there is none yet.
     :param object_name: name of the object with the text.
     :param attempt_id: random id of its commit.
-    :param text: its text.
     :param fleet: its content.
     """
 
     revision: int = 0
     object_name: str = ''
     attempt_id: str = ''
-    text: str = ''
     fleet: schema.fleet.Fleet = attrs.field(factory=schema.fleet.Fleet)
 
 
@@ -52,9 +51,8 @@
     _poll_s: float
     _peer_wait_s: float
     _in_force: InForce = attrs.field(factory=InForce, init=False)
-    _peer_answered: asyncio.Event = attrs.field(
-        factory=asyncio.Event, init=False
-    )
+    _peer_news: asyncio.Event = attrs.field(factory=asyncio.Event, init=False)
+    _highest_heard: int = attrs.field(default=0, init=False)
     _listeners: list[_Listener] = attrs.field(factory=list, init=False)
 
     @property
@@ -86,13 +84,12 @@
         :param link: the new link.
         :param hello: what the peer says of itself.
         """
+        self._highest_heard = max(self._highest_heard, hello.revision)
         if hello.revision < self.revision:
             link.send(self._make_revision())
         elif hello.revision > self.revision:
             link.send(schema.messages.DocumentRequest(at_least=hello.revision))
-            return
-        # A peer with the same or an older revision has nothing to add.
-        self._peer_answered.set()
+        self._peer_news.set()
 
     async def run(self) -> None:
         """Reads the platform's row once a period, until cancelled."""
@@ -102,35 +99,92 @@
             await asyncio.sleep(self._poll_s)
 
     async def refresh(self) -> None:
-        """Reads the platform's row, and the text where it is newer."""
-        row = await self._client.read_row('document', 'current')
-        if not isinstance(row, platform.Row):
-            _READS.labels('platform', type(row).__name__).inc()
+        """Reads the platform's small row, and what is newer."""
+        head = await self._client.read_row(_published.TABLE, _published.HEAD)
+        if not isinstance(head, platform.Row):
+            _READS.labels('platform', type(head).__name__).inc()
+            return
+        polled = schema.from_plain(schema.records.DocumentHead, head.value)
+        if polled.revision <= self.revision:
             return
-        record = schema.from_plain(schema.records.DocumentRow, row.value)
-        if record.revision <= self.revision:
+        current = await _published.read_row(self._client)
+        if isinstance(current, platform.Unavailable):
             return
-        body = await self._client.read_object(record.object)
+        row = current.row
+        if row.revision > self.revision and not await self._take_deltas(row):
+            await self._read_whole(row)
+
+    async def _take_deltas(self, row: schema.records.DocumentRow) -> bool:
+        """Follows by differences, commit by commit.
+
+        :returns: whether that led to the row's revision.
+        """
+        known = self.revision
+        newer = [one for one in row.history if one.revision > known]
+        if not known or len(newer) != row.revision - known:
+            return False
+        for commit in reversed(newer):
+            body = await self._client.read_object(
+                _published.name_delta(commit.object)
+            )
+            if not isinstance(body, bytes) or not self._take_delta(
+                commit, body
+            ):
+                return False
+        return True
+
+    def _take_delta(self, commit: schema.records.Commit, body: bytes) -> bool:
+        """Applies one difference, unless it belongs to another document."""
+        before = self._in_force
+        delta = _delta.read_delta(body)
+        if delta is None or delta.base_attempt_id != before.attempt_id:
+            _READS.labels('delta', 'mismatch').inc()
+            return False
+        _READS.labels('delta', 'taken').inc()
+        self._install(
+            InForce(
+                revision=commit.revision,
+                object_name=commit.object,
+                attempt_id=commit.attempt_id,
+                fleet=_delta.apply_delta(before.fleet, delta),
+            ),
+            'delta',
+        )
+        return True
+
+    async def _read_whole(self, row: schema.records.DocumentRow) -> None:
+        body = await self._client.read_object(row.object)
         if isinstance(body, bytes):
-            self._take(
+            await self._take(
                 'platform',
                 schema.messages.DocumentBody(
-                    revision=record.revision,
-                    object=record.object,
-                    attempt_id=record.attempt_id,
+                    revision=row.revision,
+                    object=row.object,
+                    attempt_id=row.attempt_id,
                     text=body.decode(),
                 ),
             )
 
     async def _wait_for_peers(self) -> None:
-        """Asks peers first: after a restart the platform may read stale."""
+        """Asks peers first: after a restart the platform may read stale.
+
+        A process without peers in its settings learns them from the host
+        list. Each peer is asked, because another one that has just started
+        knows no revision either.
+        """
         if not self._hub.urls:
-            return
+            await self._hub.listed.wait()
         try:
             async with asyncio.timeout(self._peer_wait_s):
-                await self._peer_answered.wait()
+                while self._must_hear_more():
+                    self._peer_news.clear()
+                    await self._peer_news.wait()
         except TimeoutError:
-            telemetry.log_change('document', 'no peer answered')
+            telemetry.log_change('document', 'not all peers answered')
+
+    def _must_hear_more(self) -> bool:
+        is_behind = self.revision < self._highest_heard
+        return is_behind or bool(self._hub.unanswered_urls)
 
     async def _handle_revision(
         self, link: links.Link, message: schema.messages.Revision
@@ -143,28 +197,32 @@
     async def _handle_request(
         self, link: links.Link, message: schema.messages.DocumentRequest
     ) -> None:
-        if self.revision >= message.at_least and self.revision:
-            link.send(
-                schema.messages.DocumentBody(
-                    revision=self.revision,
-                    object=self._in_force.object_name,
-                    attempt_id=self._in_force.attempt_id,
-                    text=self._in_force.text,
-                )
+        if not self.revision or self.revision < message.at_least:
+            return
+        known = self._in_force
+        text = await asyncio.to_thread(document.write_text, known.fleet)
+        link.send(
+            schema.messages.DocumentBody(
+                revision=known.revision,
+                object=known.object_name,
+                attempt_id=known.attempt_id,
+                text=text,
             )
+        )
 
     async def _handle_body(
         self, link: links.Link, message: schema.messages.DocumentBody
     ) -> None:
-        self._take('peer', message)
-        self._peer_answered.set()
+        await self._take('peer', message)
+        self._peer_news.set()
 
-    def _take(self, source: str, body: schema.messages.DocumentBody) -> None:
-        # Checked again here: another task may have taken a newer document
-        # while this one waited for the text.
+    async def _take(
+        self, source: str, body: schema.messages.DocumentBody
+    ) -> None:
+        """Reads a whole text and takes it into force."""
         if body.revision <= self.revision:
             return
-        reading = document.read_text(schema.fleet.Fleet, body.text, body.object)
+        reading = await _published.read_fleet(body.text, body.object)
         if reading.value is None:
             _READS.labels(source, 'invalid').inc()
             telemetry.log_change(
@@ -174,29 +232,30 @@
                 finding=reading.findings[0],
             )
             return
+        # Checked again: another task may have taken a newer document while
+        # this one was read.
+        if body.revision <= self.revision:
+            return
         _READS.labels(source, 'taken').inc()
-        self._install(body, reading.value, source)
-
-    def _install(
-        self,
-        body: schema.messages.DocumentBody,
-        fleet: schema.fleet.Fleet,
-        source: str,
-    ) -> None:
-        self._in_force = InForce(
-            revision=body.revision,
-            object_name=body.object,
-            attempt_id=body.attempt_id,
-            text=body.text,
-            fleet=fleet,
+        self._install(
+            InForce(
+                revision=body.revision,
+                object_name=body.object,
+                attempt_id=body.attempt_id,
+                fleet=reading.value,
+            ),
+            source,
         )
-        _REVISION.set(body.revision)
+
+    def _install(self, in_force: InForce, source: str) -> None:
+        self._in_force = in_force
+        _REVISION.set(in_force.revision)
         telemetry.log_change(
-            'document', 'in force', revision=body.revision, source=source
+            'document', 'in force', revision=in_force.revision, source=source
         )
         for listener in self._listeners:
-            listener(self._in_force)
-        self._hub.update_hello(self._hub.hello.incarnation, body.revision)
+            listener(in_force)
+        self._hub.update_hello(self._hub.hello.incarnation, in_force.revision)
         self._hub.broadcast(self._make_revision())
 
     def _make_revision(self) -> schema.messages.Revision:
--- a/briarknot/entry/_callers.py
+++ b/briarknot/entry/_callers.py
@@ -165,7 +165,9 @@
                 rank=identity.rank.name,
                 revision=self._context.follower.revision,
             )
-            return self._check_streams(identity) or identity
+            # A refusal is falsy, so that `or` would drop it.
+            refusal = self._check_streams(identity)
+            return identity if refusal is None else refusal
         return identity
 
     def _check_streams(
@@ -228,8 +230,8 @@
     """Sends the answer in one piece, or a refusal and nothing of it."""
     texts: list[str] = []
 
-    async def collect(piece: _stream.Piece) -> None:
-        texts.append(piece.text)
+    async def collect(pieces: list[_stream.Piece]) -> None:
+        texts.extend(piece.text for piece in pieces)
 
     end = await completion.run(collect)
     if isinstance(end, outcomes.Refusal):
@@ -255,8 +257,9 @@
     """
     writer = _answers.make_writer(request, story.request_id)
 
-    async def send(piece: _stream.Piece) -> None:
-        await writer.write(answer.write_piece(piece.text))
+    async def send(pieces: list[_stream.Piece]) -> None:
+        events = [answer.write_piece(piece.text) for piece in pieces]
+        await writer.write(events)
 
     end = await completion.run(send)
     if isinstance(end, outcomes.Refusal):
--- a/briarknot/entry/_context.py
+++ b/briarknot/entry/_context.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import math
 import random
 import time
 
@@ -120,10 +121,20 @@
         self.apply_capacity()
 
     def apply_capacity(self) -> None:
-        """Tells admission what the engines can carry now."""
+        """Tells admission this process's share of what the engines carry.
+
+        The live entry processes of the domain share its engines equally.
+        Together they would otherwise fill the engines' queues, in which floors
+        are not known.
+        """
         now = time.monotonic()
         capacity = self.view.compute_capacity(now)
-        self.gate.apply_capacity(capacity.work_per_s, capacity.concurrent, now)
+        sharing = max(1, len(self.members.live(self.node.domain)))
+        self.gate.apply_capacity(
+            capacity.work_per_s / sharing,
+            math.ceil(capacity.concurrent / sharing),
+            now,
+        )
 
     async def handle_quarantine(
         self, link: links.Link, message: schema.messages.Quarantine
@@ -165,6 +176,12 @@
     members = membership.make_members(
         node.host, node.domain, hub.hello.incarnation
     )
+    follower = config.make_follower(
+        client,
+        hub,
+        poll_s=timing.document_poll_s,
+        peer_wait_s=timing.suspect_after_s,
+    )
     times = membership.DetectorTimes(
         heartbeat_s=timing.heartbeat_s, suspect_after_s=timing.suspect_after_s
     )
@@ -173,12 +190,7 @@
         settings=settings,
         client=client,
         hub=hub,
-        follower=config.make_follower(
-            client,
-            hub,
-            poll_s=timing.document_poll_s,
-            peer_wait_s=timing.suspect_after_s,
-        ),
+        follower=follower,
         view=view,
         estimator=routing.make_estimator(),
         router=routing.make_router('least_work', make_seed(node.host)),
@@ -194,7 +206,7 @@
         ),
         sender=_attempts.make_sender(session, timing),
         session=session,
-        drains=_drains.make_drains(client, view, node, hub),
+        drains=_drains.make_drains(client, view, node, hub, follower, members),
         services=routing.make_service_view(empty, node.domain),
         random=random.Random(make_seed(node.host)),
         members=members,
--- a/briarknot/schema/_generated/settings.py
+++ b/briarknot/schema/_generated/settings.py
@@ -188,7 +188,7 @@
         maximum=30.0,
         minimum=0.05,
         unit='s',
-        default=1.0,
+        default=2.0,
     )
     prefill_silence_s: float = _fields.make_field(
         doc='Longest silence before the first token.',
@@ -320,6 +320,7 @@
     )
     token_hash: str = _fields.make_field(
         doc="SHA-256 of the operator's token, in hexadecimal.",
+        hidden=True,
         pattern='[0-9a-f]{64}',
         required=True,
         default='',
--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -50,7 +50,7 @@
   loadPollS @1 :Float64 = 0.5 $A.unit("s") $A.minimum(0.02) $A.maximum(30) $A.doc("Period of reading load reports.");
   heartbeatS @2 :Float64 = 1 $A.unit("s") $A.minimum(0.02) $A.maximum(30) $A.doc("Period of heartbeats between peers.");
   suspectAfterS @3 :Float64 = 3 $A.unit("s") $A.minimum(0.05) $A.maximum(120) $A.doc("Silence after which a peer is suspected.");
-  connectTimeoutS @4 :Float64 = 1 $A.unit("s") $A.minimum(0.05) $A.maximum(30) $A.doc("Time limit of opening a connection to an endpoint.");
+  connectTimeoutS @4 :Float64 = 2 $A.unit("s") $A.minimum(0.05) $A.maximum(30) $A.doc("Time limit of opening a connection to an endpoint.");
   prefillSilenceS @5 :Float64 = 30 $A.unit("s") $A.minimum(0.1) $A.maximum(3600) $A.doc("Longest silence before the first token.");
   decodeSilenceS @6 :Float64 = 3 $A.unit("s") $A.minimum(0.1) $A.maximum(600) $A.doc("Longest silence between tokens.");
   journalFlushS @7 :Float64 = 10 $A.unit("s") $A.minimum(0.1) $A.maximum(600) $A.doc("Period of writing journal batches.");
@@ -75,7 +75,7 @@
 
 struct Operator $A.doc("An operator.") {
   name @0 :Text $A.required $A.pattern("[a-z0-9][a-z0-9._-]*") $A.doc("Name shown in the history.");
-  tokenHash @1 :Text $A.required $A.pattern("[0-9a-f]{64}") $A.doc("SHA-256 of the operator's token, in hexadecimal.");
+  tokenHash @1 :Text $A.required $A.hidden $A.pattern("[0-9a-f]{64}") $A.doc("SHA-256 of the operator's token, in hexadecimal.");
 }
 
 struct CtlSettings $A.doc("Settings of briarknotctl.") {
--- a/briarknot_standins/fleet/_plan.py
+++ b/briarknot_standins/fleet/_plan.py
@@ -68,6 +68,7 @@
         and the engines, the services' workers and the platform.
     :param service_timeout_s: time limit of a call to the plain service.
     :param platform_timeout_s: time limit of a call to the platform.
+    :param limits: fleet-wide limits by account, in engine seconds per second.
     """
 
     name: str
@@ -91,6 +92,7 @@
     has_proxy: bool = False
     service_timeout_s: float = 5
     platform_timeout_s: float = 2
+    limits: dict[str, float] = attrs.field(factory=dict)
 
     def make_accounts(self) -> tuple[schema.fleet.Account, ...]:
         """Makes the accounts of the document."""
@@ -101,6 +103,7 @@
                     hashlib.sha256(make_key(name).encode()).hexdigest(),
                 ),
                 max_streams=4096,
+                limit_work_per_s=self.limits.get(name, 0),
             )
             for name in self.accounts
         )
@@ -116,18 +119,21 @@
                 region='obb',
                 engines=(EnginePlan(count=4),),
                 entries=3,
+                controls=1,
             ),
             DomainPlan(
                 name='frk-a',
                 region='frk',
                 engines=(EnginePlan(count=3),),
                 entries=2,
+                controls=1,
             ),
             DomainPlan(
                 name='swb-a',
                 region='swb',
                 engines=(EnginePlan(count=3),),
                 entries=2,
+                controls=1,
             ),
         ),
         ranks=(
@@ -176,6 +182,7 @@
                 region=region,
                 engines=(EnginePlan(count=2),),
                 entries=2,
+                controls=1,
             )
             for name, region in places
         ),
