Run suspects one at a time in the whole failure domain

Cause: the turn of suspects is a lock in each entry process, so that two suspects of two entry processes ran at once, on two engines.

Ruled out: a lock row in the table service, which would make suspects depend on the platform.

Change: a suspect goes through `/peer/forward` to the entry process that `choose_owner('suspects', live entries of the domain)` names, and takes the turn there. A header marks it, so that it is not forwarded again where the two processes' views differ. Where the owner has no link or failed, the request takes the turn of its own process. Drain marks are checked again after the wait for the turn.

Before, `if self._may_forward and ...` replaced by `if False and ...`: test_suspects.py failed with "assert not 21", the samples in which both engines ran a suspect. With `stack.enter_async_context(context.suspect_turn)` removed: the same figure. After: passed in 10 s.

Conclusion: while the processes' views of the live members agree and the owner answers, suspects run in turn in the domain. Where the owner refuses a suspect or views differ, two may run at once.

--- a/briarknot/entry/_attempts.py
+++ b/briarknot/entry/_attempts.py
@@ -44,19 +44,21 @@
     :param name: name of the engine, or of the peer host.
     :param url: URL of the request.
     :param headers: headers of the request.
-    :param choice: the router's choice; None for a hop to another domain.
+    :param choice: the router's choice; None for another entry process.
+    :param why: why it was chosen, where the router did not choose.
     """
 
     name: str
     url: str
     headers: dict[str, str]
     choice: routing.Choice | None = None
+    why: str = 'no engine of the own failure domain meets the target'
 
     @property
     def reason(self) -> str:
         """Why the target was chosen."""
         if self.choice is None:
-            return 'no engine of the own failure domain meets the target'
+            return self.why
         return self.choice.reason
 
 
--- a/briarknot/entry/_completion.py
+++ b/briarknot/entry/_completion.py
@@ -19,6 +19,11 @@
 #: Attempts of one request; the retry budget is the limit under load.
 _MAX_ATTEMPTS = 6
 _COMPLETIONS_PATH = '/v1/completions'
+#: Name by which a failure domain chooses the process that runs its suspects.
+_SUSPECTS = 'suspects'
+_WHY_OWNER = 'a suspect runs at the entry process that owns the turn'
+#: Marks a suspect that its first entry process has forwarded to the owner.
+SUSPECT_HEADER = 'X-Briarknot-Suspect'
 
 #: How a completion ends.
 End = _stream.Finish | outcomes.Refusal
@@ -33,6 +38,8 @@
     :param identity: account and rank.
     :param story: journal record in the making.
     :param may_hop: whether it may go to another failure domain.
+    :param may_forward: whether it may go, as a suspect, to another entry
+        process of the own failure domain.
     """
 
     _context: _context.Context
@@ -40,6 +47,7 @@
     _identity: _identity.Identity
     _story: _story.Story
     _may_hop: bool
+    _may_forward: bool
     _work: routing.WorkEstimate
     _fingerprint: str
     _offset: int
@@ -135,14 +143,16 @@
         if isinstance(known, routing.Quarantined):
             return self._fail('quarantined', known.reason)
         async with contextlib.AsyncExitStack() as stack:
-            is_suspect = isinstance(known, routing.Suspect)
-            if is_suspect:
-                await stack.enter_async_context(self._context.suspect_turn)
-            target = self._choose_target()
+            target = None
+            if isinstance(known, routing.Suspect):
+                target = await self._find_suspect_target(stack)
+            target = target or self._choose_target()
             if not isinstance(target, _attempts.Target):
                 return self._refuse_target(target)
             flight = self._context.quarantine.start(
-                self._fingerprint, target.name, alone=is_suspect
+                self._fingerprint,
+                target.name,
+                alone=isinstance(known, routing.Suspect),
             )
             end = None
             try:
@@ -266,6 +276,32 @@
             )
         return self._make_hop_target(hop) if hop else choice
 
+    async def _find_suspect_target(
+        self, stack: contextlib.AsyncExitStack
+    ) -> _attempts.Target | None:
+        """Finds the entry process that runs the domain's suspects in turn.
+
+        :param stack: keeps the turn where the request runs here.
+        :returns: None where it runs here: this process is the owner, the
+            owner cannot be reached, or the request was forwarded already.
+        """
+        context = self._context
+        node = context.node
+        live = [member.host for member in context.members.live(node.domain)]
+        owner = admission.choose_owner(_SUSPECTS, tuple(live))
+        if self._may_forward and owner not in {node.host, *self._failed}:
+            for link in context.hub.links:
+                if link.host == owner and link.program == 'entry':
+                    target = self._make_forward_target(
+                        owner, link.peer.peer_url
+                    )
+                    target.headers[SUSPECT_HEADER] = 'yes'
+                    return attrs.evolve(target, why=_WHY_OWNER)
+        await stack.enter_async_context(context.suspect_turn)
+        # The wait for the turn may have lasted through a pause.
+        await context.drains.wait_current()
+        return None
+
     def _is_better(
         self, hop: _peers.Hop | None, choice: routing.Choice
     ) -> bool:
@@ -286,10 +322,15 @@
         return self._context.peers.choose_hop(self._request.model, self._failed)
 
     def _make_hop_target(self, hop: _peers.Hop) -> _attempts.Target:
+        return self._make_forward_target(hop.host, hop.peer_url)
+
+    def _make_forward_target(
+        self, host: str, peer_url: str
+    ) -> _attempts.Target:
         node = self._context.node
         return _attempts.Target(
-            name=hop.host,
-            url=f'{hop.peer_url}{_peers.FORWARD_PATH}{_COMPLETIONS_PATH}',
+            name=host,
+            url=f'{peer_url}{_peers.FORWARD_PATH}{_COMPLETIONS_PATH}',
             headers={
                 'Authorization': f'Bearer {node.peer_secret}',
                 'X-Request-Id': self._story.request_id,
@@ -386,6 +427,7 @@
     story: _story.Story,
     *,
     may_hop: bool = True,
+    may_forward: bool = True,
 ) -> Completion:
     """Makes the run of one completion.
 
@@ -394,6 +436,8 @@
     :param identity: account and rank.
     :param story: journal record in the making.
     :param may_hop: whether it may go to another failure domain.
+    :param may_forward: whether it may go, as a suspect, to another entry
+        process of the own failure domain.
     """
     prompt_tokens = len(request.prompt.split())
     work = context.estimator.estimate(
@@ -421,6 +465,7 @@
         identity=identity,
         story=story,
         may_hop=may_hop,
+        may_forward=may_forward,
         work=work,
         fingerprint=fingerprint,
         offset=request.resume_from,
--- a/briarknot/entry/_forward.py
+++ b/briarknot/entry/_forward.py
@@ -56,8 +56,14 @@
             parsed = _read_completion(self._context, body)
             if not isinstance(parsed, _requests.CompletionRequest):
                 return _refuse(story, parsed)
+            is_suspect = _completion.SUSPECT_HEADER in request.headers
             completion = _completion.make_completion(
-                self._context, parsed, identity, story, may_hop=False
+                self._context,
+                parsed,
+                identity,
+                story,
+                may_hop=False,
+                may_forward=not is_suspect,
             )
             return await _send_chunks(request, completion, parsed, story)
 
