Enforce the limit of open streams of an account

Cause: refusals are falsy, so that 'refusal or identity' dropped the refusal; no account was ever limited. Change: the refusal is compared with None; other uses of refusals with 'or' or as a bare condition were searched for, and none is left in the entry. Result: the new test of 4 requests at once with a limit of 1 passes; with the old line none of them was refused. Conclusion: sentinels are compared with None where another value follows.

--- a/briarknot/entry/_callers.py
+++ b/briarknot/entry/_callers.py
@@ -165,7 +165,9 @@
                 rank=identity.rank.name,
                 revision=self._context.follower.revision,
             )
-            return self._check_streams(identity) or identity
+            # A refusal is falsy, so that `or` would drop it.
+            refusal = self._check_streams(identity)
+            return identity if refusal is None else refusal
         return identity
 
     def _check_streams(
--- a/briarknot/tests/test_whole_path.py
+++ b/briarknot/tests/test_whole_path.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+import attrs
 import pytest
 
+from briarknot.tests import _support
 from briarknot_standins import engine
 
 _TOKENS = 12
@@ -99,3 +101,25 @@
     )
     causes = [answer.problem.get('cause') for answer in answers]
     assert causes.count('fleet_limit') >= len(answers) - 2
+
+
+async def test_open_streams_of_an_account_are_limited(small_fleet):
+    """One account could hold all connections of an entry process."""
+    entry = small_fleet.entries[0]
+    accounts = tuple(
+        attrs.evolve(account, max_streams=1)
+        for account in small_fleet.document.accounts
+    )
+    revision = await small_fleet.commit(
+        attrs.evolve(small_fleet.document, accounts=accounts)
+    )
+    await _support.wait_in_force(small_fleet, revision)
+    answers = await asyncio.gather(
+        *[
+            small_fleet.complete('urgent', f'at once {number}', 20, entry=entry)
+            for number in range(4)
+        ]
+    )
+    causes = [answer.problem.get('cause') for answer in answers]
+    assert causes.count('too_many_streams') == 3
+    assert sum(answer.is_whole for answer in answers) == 1
