--- a/briarknot/entry/_completion.py
+++ b/briarknot/entry/_completion.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import time
+import typing
 
 import attrs
 
@@ -19,10 +20,7 @@
 #: Attempts of one request; the retry budget is the limit under load.
 _MAX_ATTEMPTS = 6
 _COMPLETIONS_PATH = '/v1/completions'
-#: Name by which a failure domain chooses the process that runs its suspects.
-_SUSPECTS = 'suspects'
-_WHY_OWNER = 'a suspect runs at the entry process that owns the turn'
-#: Marks a suspect that its first entry process has forwarded to the owner.
+#: Names the endpoints at whose crashes a forwarded suspect was in flight.
 SUSPECT_HEADER = 'X-Briarknot-Suspect'
 
 #: How a completion ends.
@@ -38,8 +36,6 @@
     :param identity: account and rank.
     :param story: journal record in the making.
     :param may_hop: whether it may go to another failure domain.
-    :param may_forward: whether it may go, as a suspect, to another entry
-        process of the own failure domain.
     """
 
     _context: _context.Context
@@ -47,10 +43,11 @@
     _identity: _identity.Identity
     _story: _story.Story
     _may_hop: bool
-    _may_forward: bool
     _work: routing.WorkEstimate
     _fingerprint: str
     _offset: int
+    _has_suspect_turn: bool
+    _ticket: admission.Ticket | None = attrs.field(default=None, init=False)
     _may_have_run: bool = attrs.field(default=False, init=False)
     _failed: set[str] = attrs.field(factory=set, init=False)
     _last_failure: str = attrs.field(default='', init=False)
@@ -66,6 +63,9 @@
         )
         if isinstance(known, routing.Quarantined):
             return outcomes.make_refusal('quarantined', known.reason)
+        if self._has_suspect_turn:
+            # The process that forwarded it has admitted it.
+            return await self._run_attempts(deliver)
         limited = self._context.limits.take(
             self._identity.account, self._work.work_s
         )
@@ -74,6 +74,7 @@
         ticket = self._submit()
         if not isinstance(ticket, admission.Ticket):
             return await self._run_elsewhere(ticket, deliver)
+        self._ticket = ticket
         try:
             return await self._run_queued(ticket, deliver)
         finally:
@@ -96,15 +97,34 @@
         return await self._run_attempts(deliver)
 
     def _submit(self) -> admission.Ticket | admission.Refusal:
+        prefill_s = self._estimate_prefill()
         return self._context.gate.submit(
             admission.AdmissionRequest(
                 account=self._identity.account.name,
                 rank=self._identity.rank.name,
-                work_s=self._work.work_s,
+                work_s=prefill_s + self._work.decode_s,
+                prefill_s=prefill_s,
             ),
             time.monotonic(),
         )
 
+    def _estimate_prefill(self) -> float:
+        """Returns the prefill that the engine with most of the prefix needs."""
+        work = self._work
+        cached = max(
+            (
+                engine.count_cached_tokens(work)
+                for engine in self._context.view.engines
+            ),
+            default=0,
+        )
+        return work.prefill_s * (1 - cached / max(1, work.prompt_tokens))
+
+    def _note_first_token(self) -> None:
+        self._story.note_first_token()
+        if self._ticket is not None:
+            self._context.gate.start_decode(self._ticket, time.monotonic())
+
     async def _run_elsewhere(
         self, refusal: admission.Refusal, deliver: _stream.Deliver
     ) -> End:
@@ -137,49 +157,75 @@
         A request that was in flight at an endpoint's crash may be the cause;
         while it runs alone, a second crash endangers one endpoint only.
         """
-        known = self._context.quarantine.check(
-            self._fingerprint, time.monotonic()
-        )
-        if isinstance(known, routing.Quarantined):
-            return self._fail('quarantined', known.reason)
+        known = self._check_quarantine()
+        if isinstance(known, routing.Suspect) and not self._has_suspect_turn:
+            owner = self._context.peers.choose_suspect_owner(
+                self._context.node.host
+            )
+            if owner is not None:
+                target = self._make_owner_target(owner, known)
+                return await self._attempt_in_flight(target, deliver)
         async with contextlib.AsyncExitStack() as stack:
-            target = None
-            if isinstance(known, routing.Suspect):
-                target = await self._find_suspect_target(stack)
-            target = target or self._choose_target()
+            is_suspect = isinstance(known, routing.Suspect)
+            if is_suspect:
+                await stack.enter_async_context(self._context.suspect_turn)
+                # Another copy may have crashed an endpoint meanwhile.
+                known = self._check_quarantine()
+            if isinstance(known, routing.Quarantined):
+                return self._fail('quarantined', known.reason)
+            target = self._choose_target()
             if not isinstance(target, _attempts.Target):
                 return self._refuse_target(target)
-            flight = self._context.quarantine.start(
-                self._fingerprint,
-                target.name,
-                alone=isinstance(known, routing.Suspect),
+            return await self._attempt_in_flight(
+                target, deliver, alone=is_suspect
             )
-            end = None
-            try:
-                end = await self._attempt(target, deliver)
-            finally:
-                self._end_flight(flight, end)
-            if isinstance(end, _stream.Broken) and not end.is_silent:
-                await self._context.probe.check_crash(target)
-            return end
-
-    def _end_flight(
-        self, flight: routing.Flight, end: _attempts.End | None
-    ) -> None:
-        messages = self._context.quarantine.end(
-            flight,
-            time.monotonic(),
-            # An attempt that the caller ended says nothing of its engine.
-            completed=end is None or isinstance(end, _stream.Finish),
+
+    def _check_quarantine(
+        self,
+    ) -> routing.Clear | routing.Suspect | routing.Quarantined:
+        return self._context.quarantine.check(
+            self._fingerprint, time.monotonic()
         )
-        for message in messages:
-            self._context.hub.broadcast(message)
+
+    async def _attempt_in_flight(
+        self,
+        target: _attempts.Target,
+        deliver: _stream.Deliver,
+        *,
+        alone: bool = False,
+    ) -> _attempts.End:
+        """Runs one attempt and finds out whether its engine crashed."""
+        flights = [
+            self._context.quarantine.start(self._fingerprint, name, alone=alone)
+            for name in target.engine_names
+        ]
+        end = None
+        try:
+            end = await self._attempt(target, deliver)
+        finally:
+            self._end_flights(flights, end)
+        if isinstance(end, _stream.Broken) and not end.is_silent:
+            await self._context.probe.check_crash(target, end)
+        return end
+
+    def _end_flights(
+        self, flights: list[routing.Flight], end: _attempts.End | None
+    ) -> None:
+        for flight in flights:
+            messages = self._context.quarantine.end(
+                flight,
+                time.monotonic(),
+                # An attempt that the caller ended says nothing of its engine.
+                completed=end is None or isinstance(end, _stream.Finish),
+            )
+            for message in messages:
+                self._context.hub.broadcast(message)
 
     async def _attempt(
         self, target: _attempts.Target, deliver: _stream.Deliver
     ) -> _attempts.End:
         """Runs one attempt and keeps the books of endpoint and journal."""
-        meter = _Meter(self._story, deliver)
+        meter = _Meter(self._note_first_token, deliver)
         record = schema.records.Attempt(
             endpoint=target.name,
             start_s=self._story.elapsed_s,
@@ -214,16 +260,22 @@
     ) -> None:
         self._offset += meter.tokens
         record = attrs.evolve(record, tokens=meter.tokens)
-        self._may_have_run |= not isinstance(end, _attempts.NotRun)
+        is_unrun = isinstance(end, _attempts.NotRun)
+        self._may_have_run |= not is_unrun or end.has_prefilled
         if end is None:
             # The caller left, or the process is stopping.
             self._story.add_attempt(record, 'cancelled')
         elif isinstance(end, _stream.Finish):
             self._note_success(record, end)
         else:
-            self._last_failure = f'{target.name}: {end.reason}'
-            self._failed.add(target.name)
-            is_unrun = isinstance(end, _attempts.NotRun)
+            self._last_failure = f'{end.engine or target.name}: {end.reason}'
+            # A refused import says nothing of which engine of a pair failed.
+            is_import = is_unrun and end.has_prefilled
+            self._failed.update(
+                target.engine_names
+                if is_import
+                else [end.engine or target.name]
+            )
             kind = 'not run' if is_unrun else 'failed'
             self._story.add_attempt(record, f'{kind}: {end.reason}')
 
@@ -263,10 +315,10 @@
         choice = context.router.choose_engine(
             context.view, self._work, now, frozenset(self._failed)
         )
-        if not choice and self._failed:
-            # With all engines tried, the same one may still recover.
-            choice = context.router.choose_engine(context.view, self._work, now)
         hop = self._choose_hop()
+        if not choice and hop is None and self._failed:
+            # With all endpoints tried, the same one may still recover.
+            choice = context.router.choose_engine(context.view, self._work, now)
         if choice and not self._is_better(hop, choice):
             return _attempts.Target(
                 name=choice.engine.name,
@@ -276,32 +328,6 @@
             )
         return self._make_hop_target(hop) if hop else choice
 
-    async def _find_suspect_target(
-        self, stack: contextlib.AsyncExitStack
-    ) -> _attempts.Target | None:
-        """Finds the entry process that runs the domain's suspects in turn.
-
-        :param stack: keeps the turn where the request runs here.
-        :returns: None where it runs here: this process is the owner, the
-            owner cannot be reached, or the request was forwarded already.
-        """
-        context = self._context
-        node = context.node
-        live = [member.host for member in context.members.live(node.domain)]
-        owner = admission.choose_owner(_SUSPECTS, tuple(live))
-        if self._may_forward and owner not in {node.host, *self._failed}:
-            for link in context.hub.links:
-                if link.host == owner and link.program == 'entry':
-                    target = self._make_forward_target(
-                        owner, link.peer.peer_url
-                    )
-                    target.headers[SUSPECT_HEADER] = 'yes'
-                    return attrs.evolve(target, why=_WHY_OWNER)
-        await stack.enter_async_context(context.suspect_turn)
-        # The wait for the turn may have lasted through a pause.
-        await context.drains.wait_current()
-        return None
-
     def _is_better(
         self, hop: _peers.Hop | None, choice: routing.Choice
     ) -> bool:
@@ -321,16 +347,19 @@
             return None
         return self._context.peers.choose_hop(self._request.model, self._failed)
 
-    def _make_hop_target(self, hop: _peers.Hop) -> _attempts.Target:
-        return self._make_forward_target(hop.host, hop.peer_url)
-
-    def _make_forward_target(
-        self, host: str, peer_url: str
+    def _make_owner_target(
+        self, hop: _peers.Hop, known: routing.Suspect
     ) -> _attempts.Target:
+        """Makes the target of a suspect that the owner runs in its turn."""
+        target = self._make_hop_target(hop)
+        headers = {**target.headers, SUSPECT_HEADER: ','.join(known.endpoints)}
+        return attrs.evolve(target, headers=headers)
+
+    def _make_hop_target(self, hop: _peers.Hop) -> _attempts.Target:
         node = self._context.node
         return _attempts.Target(
-            name=host,
-            url=f'{peer_url}{_peers.FORWARD_PATH}{_COMPLETIONS_PATH}',
+            name=hop.host,
+            url=f'{hop.peer_url}{_peers.FORWARD_PATH}{_COMPLETIONS_PATH}',
             headers={
                 'Authorization': f'Bearer {node.peer_secret}',
                 'X-Request-Id': self._story.request_id,
@@ -338,6 +367,7 @@
                 'X-Briarknot-Rank': self._identity.rank.name,
                 'X-Briarknot-Host': node.host,
             },
+            queue_s=self._identity.rank.max_queue_s,
         )
 
     def _refuse_target(self, missing: routing.NoEndpoint) -> outcomes.Refusal:
@@ -363,7 +393,7 @@
 class _Meter:
     """Counts the pieces of one attempt on their way to the caller."""
 
-    _story: _story.Story
+    _note_first_token: typing.Callable[[], None]
     _deliver: _stream.Deliver
     _started_s: float = attrs.field(factory=time.monotonic, init=False)
     _first_token_s: float | None = attrs.field(default=None, init=False)
@@ -388,7 +418,7 @@
         """Counts pieces and passes them on."""
         if self._first_token_s is None:
             self._first_token_s = time.monotonic() - self._started_s
-            self._story.note_first_token()
+            self._note_first_token()
         self._tokens += len(pieces)
         await self._deliver(pieces)
 
@@ -427,7 +457,7 @@
     story: _story.Story,
     *,
     may_hop: bool = True,
-    may_forward: bool = True,
+    crashed: tuple[str, ...] = (),
 ) -> Completion:
     """Makes the run of one completion.
 
@@ -436,8 +466,8 @@
     :param identity: account and rank.
     :param story: journal record in the making.
     :param may_hop: whether it may go to another failure domain.
-    :param may_forward: whether it may go, as a suspect, to another entry
-        process of the own failure domain.
+    :param crashed: endpoints at whose crashes it was in flight, where the
+        own process runs it for another one, in the turn of suspects.
     """
     prompt_tokens = len(request.prompt.split())
     work = context.estimator.estimate(
@@ -459,14 +489,16 @@
     fingerprint = context.quarantine.fingerprint(
         context.node.peer_secret, identity.account.name, request.prompt.encode()
     )
+    if crashed:
+        context.quarantine.apply_crashes(fingerprint, crashed, time.monotonic())
     return Completion(
         context=context,
         request=request,
         identity=identity,
         story=story,
         may_hop=may_hop,
-        may_forward=may_forward,
         work=work,
         fingerprint=fingerprint,
         offset=request.resume_from,
+        has_suspect_turn=bool(crashed),
     )
