Keep drain marks of engines that are not declared yet

Cause: a process reads marks at its start before it has a document, and the view dropped marks of engines that it did not know; the acknowledgement then allowed an order while work could still be sent. Change: such marks are kept and applied when the engine is declared; a lease lasts at most the 10 s that an entry process waits without the platform; an answer of 429 counts as not applied. Conclusion: no mark is lost between the start and the first document.

--- a/briarknot/platform/_client.py
+++ b/briarknot/platform/_client.py
@@ -22,7 +22,8 @@
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 409
-_UNAVAILABLE = 503
+#: Answers to a request that was refused before it had any effect.
+_REFUSED = frozenset((429, 503))
 
 
 @attrs.frozen
@@ -193,7 +194,7 @@
         return _Answer(status, body)
     return _values.Unavailable(
         f'the platform answered {status}',
-        may_have_applied=status != _UNAVAILABLE,
+        may_have_applied=status not in _REFUSED,
     )
 
 
--- a/briarknot/routing/_view.py
+++ b/briarknot/routing/_view.py
@@ -27,6 +27,9 @@
     _domain: str
     _engines: dict[str, _engine.EngineView] = attrs.field(factory=dict)
     _removed: dict[str, _engine.EngineView] = attrs.field(factory=dict)
+    #: Marks of engines that no document has declared yet: a process reads
+    #: marks at its start, and a mark may arrive before its document does.
+    _early_drains: dict[str, _engine.Drain] = attrs.field(factory=dict)
 
     @property
     def domain(self) -> str:
@@ -64,6 +67,9 @@
             engine_view = known.pop(engine.name, None)
             if engine_view is None:
                 engine_view = _engine.EngineView(engine, model)
+                early = self._early_drains.pop(engine.name, None)
+                if early is not None:
+                    engine_view.drain.apply(early.number, active=early.active)
             engine_view.set_document(engine, model)
             self._engines[engine.name] = engine_view
         # Attempts on a removed engine still end, and a drain still counts.
@@ -99,8 +105,11 @@
     ) -> None:
         """Takes a drain mark; the engine gets no work while it is active."""
         engine_view = self.find_engine(engine_name)
-        if engine_view:
-            engine_view.drain.apply(drain_number, active=active)
+        if engine_view is None:
+            early = self._early_drains.setdefault(engine_name, _engine.Drain())
+            early.apply(drain_number, active=active)
+            return
+        engine_view.drain.apply(drain_number, active=active)
 
     def start_attempt(
         self,
--- a/briarknot/routing/tests/test_router.py
+++ b/briarknot/routing/tests/test_router.py
@@ -2,6 +2,7 @@
 
 import collections
 
+import attrs
 import pytest
 
 from briarknot import routing, schema
@@ -55,6 +56,21 @@
     assert _choose(view, 0)
 
 
+def test_drain_mark_is_kept_until_its_engine_is_declared():
+    """A mark read before the document would be lost, and work be cut."""
+    view = routing.make_view(schema.fleet.Fleet(), 'd')
+    view.apply_drain('e0', 3, active=True)
+    declared = _make_view(_Role.MIXED)
+    view.apply_document(
+        schema.fleet.Fleet(
+            engines=tuple(
+                attrs.evolve(one.engine, domain='d') for one in declared.engines
+            )
+        )
+    )
+    assert not _choose(view, 0)
+
+
 def test_own_dispatches_count_before_the_report():
     """Stale reports of idle engines must not attract a whole burst."""
     view = _make_view(*_FOUR_MIXED)
--- a/briarknot/schema/_generated/settings.py
+++ b/briarknot/schema/_generated/settings.py
@@ -266,7 +266,7 @@
     )
     lease_s: float = _fields.make_field(
         doc='Duration of the lease.',
-        maximum=300.0,
+        maximum=10.0,
         minimum=0.3,
         unit='s',
         default=6.0,
--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -59,7 +59,7 @@
 
 struct ControlSettings $A.doc("Settings of briarknot-control.") {
   node @0 :Node $A.required $A.doc("Identity and shared connections.");
-  leaseS @1 :Float64 = 6 $A.unit("s") $A.minimum(0.3) $A.maximum(300) $A.doc("Duration of the lease.");
+  leaseS @1 :Float64 = 6 $A.unit("s") $A.minimum(0.3) $A.maximum(10) $A.doc("Duration of the lease.");
   renewS @2 :Float64 = 1.5 $A.unit("s") $A.minimum(0.05) $A.maximum(100) $A.doc("Period of renewals.");
   marginS @3 :Float64 = 1 $A.unit("s") $A.minimum(0.05) $A.maximum(60) $A.doc("Time before the end of the lease at which the process must be dead.");
   orderTimeoutS @4 :Float64 = 2 $A.unit("s") $A.minimum(0.05) $A.maximum(60) $A.doc("Time limit of one order.");
