Measure what following one changed account costs

Cause: docs/CAPACITY.md needs a command for each figure. Change: 'python -m benchmarks.capacity difference'.

--- a/benchmarks/_capacity_decisions.py
+++ b/benchmarks/_capacity_decisions.py
@@ -6,10 +6,13 @@
 import hashlib
 import time
 
+import attrs
 import psutil
 
 from benchmarks import _slopes
 from briarknot import admission, document, journal, planning, routing, schema
+from briarknot.config import _delta
+from briarknot.entry import _identity
 from briarknot.journal import _batches
 
 _DOMAIN = 'domain-0'
@@ -83,6 +86,29 @@
     yield _slopes.fit_slope('document text', 'accounts', 'bytes', sizes)
 
 
+@_slopes.MEASUREMENTS.register('difference')
+def measure_difference() -> collections.abc.Iterator[_slopes.Slope]:
+    """Measures following one changed account by the number of accounts."""
+    making, taking, sizes = [], [], []
+    for accounts in _ACCOUNTS:
+        before = make_document(120, accounts)
+        changed = attrs.evolve(before.accounts[-1], max_streams=3)
+        after = attrs.evolve(before, accounts=(*before.accounts[:-1], changed))
+        started = time.process_time()
+        body = _delta.write_delta(_delta.make_delta(before, after, 'base'))
+        made = time.process_time()
+        taken = _delta.apply_delta(before, _delta.read_delta(body))
+        _identity.make_directory(taken)
+        routing.make_view(before, _DOMAIN).apply_document(taken)
+        ended = time.process_time()
+        making.append(_slopes.Point(accounts, made - started))
+        taking.append(_slopes.Point(accounts, ended - made))
+        sizes.append(_slopes.Point(accounts, len(body)))
+    yield _slopes.fit_slope('difference made', 'accounts', 'CPU s', making)
+    yield _slopes.fit_slope('difference taken', 'accounts', 'CPU s', taking)
+    yield _slopes.fit_slope('difference text', 'accounts', 'bytes', sizes)
+
+
 @_slopes.MEASUREMENTS.register('choice')
 def measure_choice() -> collections.abc.Iterator[_slopes.Slope]:
     """Measures the choice of an engine by the engines of the domain."""
