Wait between attempts, and don't give a suspect to a lost owner again

Cause: six refused connections used up all attempts within 0.2 s; a suspect went to its owner again after the owner had failed; an invalid text of a newer revision was read again at each poll. Conclusion: a paused owner delays a suspect by one time limit only.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -27,11 +27,11 @@
     """Arguments of the measurement.
 
     :param output: path of a JSON file for the slopes.
-    :param only: names of measurements; all where none is given.
+    :param only: names of measurements with commas between them.
     """
 
     output: typing.Annotated[pathlib.Path | None, cappa.Arg(long=True)] = None
-    only: typing.Annotated[tuple[str, ...], cappa.Arg()] = ()
+    only: typing.Annotated[str, cappa.Arg(default='all')] = 'all'
 
 
 def _print_table(slopes: list[_slopes.Slope]) -> None:
@@ -56,7 +56,9 @@
 def main() -> None:
     """Runs the measurements and prints their slopes."""
     arguments = cappa.parse(Arguments)
-    names = arguments.only or _slopes.MEASUREMENTS.names
+    names = _slopes.MEASUREMENTS.names
+    if arguments.only != 'all':
+        names = tuple(arguments.only.split(','))
     slopes: list[_slopes.Slope] = []
     for name in names:
         slopes.extend(_slopes.MEASUREMENTS.get(name)())
--- a/briarknot/config/_follower.py
+++ b/briarknot/config/_follower.py
@@ -52,6 +52,7 @@
     _peer_wait_s: float
     _in_force: InForce = attrs.field(factory=InForce, init=False)
     _peer_news: asyncio.Event = attrs.field(factory=asyncio.Event, init=False)
+    _refused_attempt_id: str | None = attrs.field(default=None, init=False)
     _highest_heard: int = attrs.field(default=0, init=False)
     _listeners: list[_Listener] = attrs.field(factory=list, init=False)
 
@@ -220,10 +221,13 @@
         self, source: str, body: schema.messages.DocumentBody
     ) -> None:
         """Reads a whole text and takes it into force."""
-        if body.revision <= self.revision:
+        is_refused = body.attempt_id == self._refused_attempt_id
+        if body.revision <= self.revision or is_refused:
             return
         reading = await _published.read_fleet(body.text, body.object)
         if reading.value is None:
+            # Reading it again at each poll would take seconds each time.
+            self._refused_attempt_id = body.attempt_id
             _READS.labels(source, 'invalid').inc()
             telemetry.log_change(
                 'document',
--- a/briarknot/entry/_completion.py
+++ b/briarknot/entry/_completion.py
@@ -1,6 +1,8 @@
 """Runs one completion, from admission to the end of its stream."""
 
+import asyncio
 import contextlib
+import random
 import time
 import typing
 
@@ -19,6 +21,9 @@
 
 #: Attempts of one request; the retry budget is the limit under load.
 _MAX_ATTEMPTS = 6
+#: The first further attempt follows at once. Without waits between the rest,
+#: refused connections used up all attempts within 0.2 s.
+_FIRST_WAIT_S = 0.1
 _COMPLETIONS_PATH = '/v1/completions'
 #: Names the endpoints at whose crashes a forwarded suspect was in flight.
 SUSPECT_HEADER = 'X-Briarknot-Suspect'
@@ -141,6 +146,7 @@
                 retry = self._context.retry_budget.take(time.monotonic())
                 if not retry:
                     return self._fail('retry_budget', retry.reason)
+                await asyncio.sleep(_choose_wait(number))
             await self._context.drains.wait_current()
             end = await self._run_attempt(deliver)
             if isinstance(end, _stream.Finish | outcomes.Refusal):
@@ -160,7 +166,7 @@
         known = self._check_quarantine()
         if isinstance(known, routing.Suspect) and not self._has_suspect_turn:
             owner = self._context.peers.choose_suspect_owner(
-                self._context.node.host
+                self._context.node.host, self._failed
             )
             if owner is not None:
                 target = self._make_owner_target(owner, known)
@@ -169,6 +175,8 @@
             is_suspect = isinstance(known, routing.Suspect)
             if is_suspect:
                 await stack.enter_async_context(self._context.suspect_turn)
+                # The wait may have lasted through a pause of the process.
+                await self._context.drains.wait_current()
                 # Another copy may have crashed an endpoint meanwhile.
                 known = self._check_quarantine()
             if isinstance(known, routing.Quarantined):
@@ -444,6 +452,12 @@
             )
 
 
+def _choose_wait(number: int) -> float:
+    """Returns the wait before a further attempt, in seconds."""
+    longest_s = _FIRST_WAIT_S * 2 ** (number - 1) if number > 1 else 0
+    return random.uniform(0, longest_s)
+
+
 def _from_admission(refusal: admission.Refusal) -> outcomes.Refusal:
     return outcomes.make_refusal(
         refusal.cause, refusal.reason, retry_after_s=refusal.retry_after_s
--- a/briarknot/entry/_peers.py
+++ b/briarknot/entry/_peers.py
@@ -82,13 +82,17 @@
             [hop for hop in hops if hop.queue_delay_s == least]
         )
 
-    def choose_suspect_owner(self, own_host: str) -> Hop | None:
+    def choose_suspect_owner(
+        self, own_host: str, exclude: collections.abc.Container[str]
+    ) -> Hop | None:
         """Returns the way to the process that runs the domain's suspects.
 
         All entry processes that can reach each other choose the same one, so
         that suspects run one at a time in the failure domain.
 
         :param own_host: name of the own host.
+        :param exclude: hosts that were tried; with the owner among them, the
+            request runs here.
         :returns: the hop; None where the own process is the owner.
         """
         linked = {
@@ -97,7 +101,7 @@
             if link.program == 'entry' and link.domain == self._domain
         }
         owner = admission.choose_owner('suspects', (own_host, *linked))
-        if owner == own_host:
+        if owner == own_host or owner in exclude:
             return None
         return Hop(
             host=owner,
