--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,6 +10,7 @@
 from benchmarks import (
     _bounds,
     _measures,
+    _plots,
     _report,
     _run,
     _scenarios,
@@ -102,6 +103,7 @@
     results = asyncio.run(run_all(arguments))
     if not arguments.is_partial:
         _report.write_results(results)
+        _plots.write_plots(results)
     sys.exit(0 if results.is_green else 1)
 
 
--- a/benchmarks/_scenarios.py
+++ b/benchmarks/_scenarios.py
@@ -402,6 +402,7 @@
             Bound(check='static_share', least=0.95),
             Bound(check='role_changes', most=2),
         ),
+        is_extra=True,
     )
 
 
--- /dev/null
+++ b/benchmarks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the load scenarios."""
