Derive all sentinels from one class

Cause: 23 classes defined the same falsy method, and nothing said where a falsy refusal is dropped by 'or'. Conclusion: behaviour is unchanged.

--- a/briarknot/admission/_tickets.py
+++ b/briarknot/admission/_tickets.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from briarknot import sentinels
+
 #: Causes of refusals that callers and the journal see.
 CAUSES = (
     'queue_full',
@@ -54,7 +56,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Refusal:
+class Refusal(sentinels.Sentinel):
     """Sentinel for a request that must not run.
 
     :param cause: one of :data:`CAUSES`.
@@ -66,10 +68,6 @@
     reason: str
     retry_after_s: float
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 class Phase(enum.Enum):
     """Progress of a ticket."""
--- a/briarknot/authority/_orders.py
+++ b/briarknot/authority/_orders.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from briarknot import platform, schema
+from briarknot import platform, schema, sentinels
 
 _TABLE = 'orders'
 _RETRY_S = 0.25
@@ -23,7 +23,7 @@
 
 
 @attrs.frozen
-class Overtaken:
+class Overtaken(sentinels.Sentinel):
     """Sentinel for a write that found another row than expected.
 
     :param found: the row that is there.
@@ -31,10 +31,6 @@
 
     found: VersionedOrder
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 @attrs.define(eq=False)
 class Orders:
--- a/briarknot/authority/_transports.py
+++ b/briarknot/authority/_transports.py
@@ -11,7 +11,7 @@
 import orjson
 import prometheus_client
 
-from briarknot import registry, schema
+from briarknot import registry, schema, sentinels
 
 _SENT = prometheus_client.Counter(
     'briarknot_orders_sent',
@@ -35,7 +35,7 @@
 
 
 @attrs.frozen
-class Refused:
+class Refused(sentinels.Sentinel):
     """Sentinel for an order that the engine did not take.
 
     :param reason: body of the engine's answer.
@@ -43,13 +43,9 @@
 
     reason: str
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 @attrs.frozen
-class NoAnswer:
+class NoAnswer(sentinels.Sentinel):
     """Sentinel for a call without an answer.
 
     :param reason: what went wrong.
@@ -59,10 +55,6 @@
     reason: str
     may_arrive: bool = True
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 Answer = Accepted | Refused | NoAnswer
 
--- a/briarknot/claims/_values.py
+++ b/briarknot/claims/_values.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from briarknot import schema
+from briarknot import schema, sentinels
 
 
 @attrs.frozen
@@ -21,16 +21,7 @@
 
 
 @attrs.frozen
-class _Sentinel:
-    """A result that is not a claim."""
-
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
-
-@attrs.frozen
-class Stored(_Sentinel):
+class Stored(sentinels.Sentinel):
     """Sentinel for a call that has run and whose answer is stored.
 
     :param row: row with the answer; see :func:`read_answer`.
@@ -40,7 +31,7 @@
 
 
 @attrs.frozen
-class InProgress(_Sentinel):
+class InProgress(sentinels.Sentinel):
     """Sentinel for a call that another request holds.
 
     :param request_id: request that holds the claim.
@@ -50,7 +41,7 @@
 
 
 @attrs.frozen
-class Reused(_Sentinel):
+class Reused(sentinels.Sentinel):
     """Sentinel for a key that was used with another body.
 
     :param request_id: request that used the key first.
@@ -60,7 +51,7 @@
 
 
 @attrs.frozen
-class UnknownRun(_Sentinel):
+class UnknownRun(sentinels.Sentinel):
     """Sentinel for a call that may have run and is never sent again.
 
     :param request_id: request that sent the call.
@@ -70,7 +61,7 @@
 
 
 @attrs.frozen
-class ClaimUnavailable(_Sentinel):
+class ClaimUnavailable(sentinels.Sentinel):
     """Sentinel for a claim that was not obtained; the call did not run.
 
     :param reason: what went wrong.
@@ -85,7 +76,7 @@
 
 
 @attrs.frozen
-class Deferred(_Sentinel):
+class Deferred(sentinels.Sentinel):
     """Sentinel for a result that is written in the background.
 
     :param reason: why it could not be written at once.
@@ -95,7 +86,7 @@
 
 
 @attrs.frozen
-class Lost(_Sentinel):
+class Lost(sentinels.Sentinel):
     """Sentinel for a result that will not be written.
 
     :param reason: why.
--- a/briarknot/config/_commit.py
+++ b/briarknot/config/_commit.py
@@ -6,7 +6,7 @@
 import attrs
 import prometheus_client
 
-from briarknot import document, platform, schema, telemetry
+from briarknot import document, platform, schema, sentinels, telemetry
 from briarknot.config import _delta, _published
 
 #: Commits that the row remembers. At 1,400 changes a day these cover an
@@ -34,7 +34,7 @@
 
 
 @attrs.frozen
-class Race:
+class Race(sentinels.Sentinel):
     """Sentinel for a commit that another one preceded.
 
     :param row: the row that is in force instead.
@@ -42,13 +42,9 @@
 
     row: schema.records.DocumentRow
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 @attrs.frozen
-class Invalid:
+class Invalid(sentinels.Sentinel):
     """Sentinel for a document with findings.
 
     :param findings: all of them, in the order of their places.
@@ -56,13 +52,9 @@
 
     findings: tuple[document.Finding, ...]
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 @attrs.frozen
-class CommitUnavailable:
+class CommitUnavailable(sentinels.Sentinel):
     """Sentinel for a commit without an answer from the platform.
 
     :param reason: what went wrong.
@@ -72,10 +64,6 @@
     reason: str
     may_have_applied: bool = False
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 @attrs.frozen
 class _Attempt:
--- a/briarknot/config/_published.py
+++ b/briarknot/config/_published.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from briarknot import document, platform, schema
+from briarknot import document, platform, schema, sentinels
 
 #: Table and key of the row that names the document in force.
 TABLE = 'document'
@@ -43,7 +43,7 @@
 
 
 @attrs.frozen
-class Unreadable:
+class Unreadable(sentinels.Sentinel):
     """Sentinel for a document whose text cannot be used.
 
     :param revision: its revision.
@@ -55,10 +55,6 @@
     findings: tuple[document.Finding, ...] = ()
     text: str = ''
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 def name_delta(object_name: str) -> str:
     """Returns the name of the object with a commit's difference.
--- a/briarknot/entry/_attempts.py
+++ b/briarknot/entry/_attempts.py
@@ -4,7 +4,7 @@
 import attrs
 import orjson
 
-from briarknot import outcomes, routing, schema, telemetry
+from briarknot import outcomes, routing, schema, sentinels, telemetry
 from briarknot.entry import _requests, _stream
 
 _OK = 200
@@ -18,7 +18,7 @@
 
 
 @attrs.frozen
-class NotRun:
+class NotRun(sentinels.Sentinel):
     """Sentinel for an attempt of which no byte was run.
 
     :param reason: what happened.
@@ -32,10 +32,6 @@
     engine: str = ''
     has_prefilled: bool = False
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 #: How an attempt ends.
 End = _stream.Finish | _stream.Broken | NotRun
--- a/briarknot/entry/_stream.py
+++ b/briarknot/entry/_stream.py
@@ -9,7 +9,7 @@
 import orjson
 import prometheus_client
 
-from briarknot import schema
+from briarknot import schema, sentinels
 
 _DROPPED = prometheus_client.Counter(
     'briarknot_dropped_chunks',
@@ -47,7 +47,7 @@
 
 
 @attrs.frozen
-class Broken:
+class Broken(sentinels.Sentinel):
     """Sentinel for a stream that ended before the whole answer.
 
     :param reason: what happened.
@@ -59,10 +59,6 @@
     is_silent: bool = False
     engine: str = ''
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 #: Takes the pieces of an answer in order, all that came at once together.
 Deliver = collections.abc.Callable[
--- a/briarknot/journal/_ids.py
+++ b/briarknot/journal/_ids.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from briarknot import sentinels
+
 _RANDOM_BYTES = 8
 _SLOT_FORMAT = '%Y%m%d%H%M'
 _PATTERN = re.compile(
@@ -28,7 +30,7 @@
 
 
 @attrs.frozen
-class BadRequestId:
+class BadRequestId(sentinels.Sentinel):
     """Sentinel for a text that is no request id.
 
     :param text: the text.
@@ -36,10 +38,6 @@
 
     text: str
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 def make_slot(now: float) -> str:
     """Returns the time slot of one minute as ``YYYYMMDDhhmm``.
--- a/briarknot/outcomes/_outcomes.py
+++ b/briarknot/outcomes/_outcomes.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from briarknot import sentinels
 from briarknot.outcomes import _causes
 
 
@@ -17,7 +18,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Refusal:
+class Refusal(sentinels.Sentinel):
     """Sentinel for a request that gets no answer from an endpoint.
 
     :param cause: one of the closed list.
@@ -31,10 +32,6 @@
     outcome: Outcome = Outcome.NOT_RUN
     retry_after_s: float = 0
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 def make_refusal(
     cause: str,
--- a/briarknot/planning/_snapshot.py
+++ b/briarknot/planning/_snapshot.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from briarknot import schema
+from briarknot import schema, sentinels
 
 
 @attrs.frozen(kw_only=True)
@@ -97,14 +97,10 @@
 
 
 @attrs.frozen(kw_only=True)
-class NoChange:
+class NoChange(sentinels.Sentinel):
     """Sentinel for a decision to leave all roles as they are.
 
     :param reason: sentence with the figures.
     """
 
     reason: str
-
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
--- a/briarknot/platform/_values.py
+++ b/briarknot/platform/_values.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from briarknot import schema
+from briarknot import schema, sentinels
 
 
 @attrs.frozen
@@ -59,16 +59,12 @@
 
 
 @attrs.frozen
-class Missing:
+class Missing(sentinels.Sentinel):
     """Sentinel for a row or an object that does not exist."""
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 @attrs.frozen
-class Conflict:
+class Conflict(sentinels.Sentinel):
     """Sentinel for a transaction that was refused as a whole.
 
     :param indexes: operations whose expected version was not there.
@@ -76,13 +72,9 @@
 
     indexes: tuple[int, ...]
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 @attrs.frozen
-class Unavailable:
+class Unavailable(sentinels.Sentinel):
     """Sentinel for a call without an answer.
 
     :param reason: what went wrong.
@@ -92,10 +84,6 @@
     reason: str
     may_have_applied: bool = True
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 def make_operation(
     table: str,
--- a/briarknot/registry.py
+++ b/briarknot/registry.py
@@ -4,11 +4,13 @@
 
 import attrs
 
+from briarknot import sentinels
+
 Item = typing.TypeVar('Item')
 
 
 @attrs.frozen
-class UnknownName:
+class UnknownName(sentinels.Sentinel):
     """Sentinel for a name that a registry does not hold.
 
     :param registry: name of the registry.
@@ -20,10 +22,6 @@
     name: str
     known: tuple[str, ...]
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 @attrs.define
 class Registry(typing.Generic[Item]):
--- a/briarknot/routing/_domains.py
+++ b/briarknot/routing/_domains.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from briarknot import schema
+from briarknot import schema, sentinels
 from briarknot.routing import _cost, _scores, _view
 
 #: Output of the request whose wait a summary states, in tokens.
@@ -27,7 +27,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class StayHome:
+class StayHome(sentinels.Sentinel):
     """Sentinel for a request that stays in its own failure domain.
 
     :param reason: sentence with the figures, for the journal.
@@ -35,10 +35,6 @@
 
     reason: str
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 def make_summary(view: _view.View, now: float) -> schema.messages.DomainSummary:
     """Makes the summary of a failure domain for its peers.
--- a/briarknot/routing/_quarantine.py
+++ b/briarknot/routing/_quarantine.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from briarknot import schema
+from briarknot import schema, sentinels
 
 #: Crashes after which a fingerprint is refused.
 _LIMIT = 2
@@ -36,7 +36,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Quarantined:
+class Quarantined(sentinels.Sentinel):
     """Sentinel for a fingerprint that must not run.
 
     :param cause: always ``quarantined``.
@@ -48,10 +48,6 @@
     reason: str
     retry_after_s: float
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 @attrs.define(eq=False)
 class Flight:
--- a/briarknot/routing/_retries.py
+++ b/briarknot/routing/_retries.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from briarknot import sentinels
+
 #: Time over which unused retries are kept, so that a long quiet success does
 #: not pay for a storm.
 _WINDOW_S = 10.0
@@ -13,7 +15,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class RetryRefused:
+class RetryRefused(sentinels.Sentinel):
     """Sentinel for a retry beyond the budget.
 
     :param reason: sentence with the figures, for the journal.
@@ -21,10 +23,6 @@
 
     reason: str
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 @attrs.define(eq=False)
 class RetryBudget:
--- a/briarknot/routing/_router.py
+++ b/briarknot/routing/_router.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from briarknot import registry, schema
+from briarknot import registry, schema, sentinels
 from briarknot.routing import _cost, _engine, _scores, _view
 
 #: Candidates within this share and time of the best are equally good: the
@@ -45,7 +45,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class NoEndpoint:
+class NoEndpoint(sentinels.Sentinel):
     """Sentinel for a request that no engine can take.
 
     :param cause: always ``no_endpoint``.
@@ -57,10 +57,6 @@
     reason: str
     retry_after_s: float = _LEAST_RETRY_S
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 @attrs.define(eq=False)
 class Router:
--- a/briarknot/schema/_codec.py
+++ b/briarknot/schema/_codec.py
@@ -8,6 +8,7 @@
 import attrs
 import capnp
 
+from briarknot import sentinels
 from briarknot.schema import _plain
 from briarknot.schema._generated import messages
 
@@ -17,7 +18,7 @@
 
 
 @attrs.frozen
-class DecodeError:
+class DecodeError(sentinels.Sentinel):
     """Sentinel for bytes that are no valid message.
 
     :param reason: what is wrong with them.
@@ -25,10 +26,6 @@
 
     reason: str
 
-    def __bool__(self) -> bool:
-        """Counts as false, so that callers can test for it."""
-        return False
-
 
 @functools.cache
 def _load(module_name: str) -> typing.Any:
