Use what other entry processes leave idle

Cause: an entry process expected the wait of its equal share of the engines; after the kill of another one, 2 of 141 urgent requests were refused as target_unreachable while engines were free. Change: the share is the larger one of an equal part and of what the others leave idle by the engines' reports. Ruled out: capacity lost with the process, since the refusals came after its streams had ended.

--- a/briarknot/entry/_context.py
+++ b/briarknot/entry/_context.py
@@ -123,16 +123,20 @@
     def apply_capacity(self) -> None:
         """Tells admission this process's share of what the engines carry.
 
-        The live entry processes of the domain share its engines equally.
-        Together they would otherwise fill the engines' queues, in which floors
-        are not known.
+        The live entry processes of the domain share its engines equally, and
+        what the others leave idle by the engines' reports may be used too.
+        Without shares they would together fill the engines' queues, in which
+        floors are not known; with equal shares alone, urgent requests were
+        refused while engines were free.
         """
         now = time.monotonic()
         capacity = self.view.compute_capacity(now)
         sharing = max(1, len(self.members.live(self.node.domain)))
+        used = self.view.count_others(now) / max(1, capacity.concurrent)
+        share = max(1 / sharing, 1 - used)
         self.gate.apply_capacity(
-            capacity.work_per_s / sharing,
-            math.ceil(capacity.concurrent / sharing),
+            capacity.work_per_s * share,
+            math.ceil(capacity.concurrent * share),
             now,
         )
 
--- a/briarknot/routing/_view.py
+++ b/briarknot/routing/_view.py
@@ -53,6 +53,16 @@
             float(len(fit)), sum(one.max_streams for one in decoders)
         )
 
+    def count_others(self, now: float) -> int:
+        """Returns the streams that other processes have on the engines.
+
+        :param now: monotonic time in seconds.
+        """
+        return sum(
+            max(0, engine.count_streams(now) - engine.in_flight)
+            for engine in self.engines
+        )
+
     def apply_document(self, document: schema.fleet.Fleet) -> None:
         """Takes a new document; what was learned of engines is kept."""
         models = {model.name: model for model in document.models}
