Use the rank of services, the regions, and the limit of stored answers

Cause: a search for fields of the document and the settings that no code reads found the rank of a service, the region of a failure domain, and the largest stored answer. Change: calls take the rank of their service; hops prefer the own region by the cost of the way; claims get the limit from the settings. Conclusion: each field of document and settings now has an effect.

--- a/briarknot/entry/_context.py
+++ b/briarknot/entry/_context.py
@@ -115,6 +115,7 @@
         self.view.apply_document(fleet)
         self.services.apply_document(fleet)
         self.limits.apply_document(fleet)
+        self.peers.apply_document(fleet)
         self.estimator.apply_document(fleet)
         self._choose_policies(fleet)
         self.gate.apply_document(fleet)
@@ -201,7 +202,13 @@
         gate=admission.make_admission(
             'ranked', empty, view.compute_capacity(time.monotonic())
         ),
-        claims=claims.make_claims(client, timing.claim_group_s),
+        claims=claims.make_claims(
+            client,
+            timing.claim_group_s,
+            claims.ClaimSettings(
+                answer_bytes=settings.limits.stored_answer_bytes
+            ),
+        ),
         journal=journal.make_journal(
             client,
             node.host,
--- a/briarknot/entry/_identity.py
+++ b/briarknot/entry/_identity.py
@@ -64,6 +64,18 @@
             )
         return self._choose_rank(account, rank_name)
 
+    def change_rank(self, identity: Identity, rank_name: str) -> Identity:
+        """Gives an identity the rank that the document sets for a service.
+
+        :param identity: account and rank of the caller.
+        :param rank_name: rank of the document.
+        """
+        names = [rank.name for rank in self._fleet.ranks]
+        index = names.index(rank_name)
+        return attrs.evolve(
+            identity, rank=self._fleet.ranks[index], priority=index
+        )
+
     def _choose_rank(
         self, account: schema.fleet.Account, rank_name: str
     ) -> Identity | outcomes.Refusal:
--- a/briarknot/entry/_peers.py
+++ b/briarknot/entry/_peers.py
@@ -46,8 +46,13 @@
 
     _hub: links.Hub
     _domain: str
+    _regions: dict[str, str] = attrs.field(factory=dict, init=False)
     _summaries: dict[str, _Received] = attrs.field(factory=dict, init=False)
 
+    def apply_document(self, fleet: schema.fleet.Fleet) -> None:
+        """Takes the regions of the failure domains."""
+        self._regions = {one.name: one.region for one in fleet.domains}
+
     async def handle_summary(
         self, link: links.Link, message: schema.messages.DomainSummary
     ) -> None:
@@ -77,10 +82,8 @@
         ]
         if not hops:
             return None
-        least = min(hop.queue_delay_s for hop in hops)
-        return random.choice(
-            [hop for hop in hops if hop.queue_delay_s == least]
-        )
+        least = min(self._weigh(hop) for hop in hops)
+        return random.choice([hop for hop in hops if self._weigh(hop) == least])
 
     def choose_suspect_owner(
         self, own_host: str, exclude: collections.abc.Container[str]
@@ -129,6 +132,13 @@
         ]
         return random.choice(hops) if hops else None
 
+    def _weigh(self, hop: Hop) -> float:
+        """Returns the wait behind a hop; other regions are slow and paid."""
+        own_region = self._regions.get(self._domain)
+        if self._regions.get(hop.domain) == own_region:
+            return hop.queue_delay_s
+        return hop.queue_delay_s + HOP_S
+
     def _read_delay(self, domain: str, model: str) -> float | None:
         received = self._summaries.get(domain)
         if received is None:
--- a/briarknot/entry/_service_calls.py
+++ b/briarknot/entry/_service_calls.py
@@ -153,6 +153,11 @@
         return outcomes.make_refusal(
             'unknown_target', f'no service {call.service_name!r}'
         )
+    if service.rank:
+        identity = context.directory.change_rank(call.identity, service.rank)
+        call = attrs.evolve(call, identity=identity)
+        story.rank = identity.rank
+        story.note(rank=identity.rank.name)
     run = _Run(context, call, story, service, may_hop)
     if run.is_repeatable or not call.idempotency_key or call.is_claimed:
         answer = await run.send()
--- /dev/null
+++ b/briarknot/entry/tests/test_peers.py
@@ -0,0 +1,52 @@
+"""Guards against hops over slow and paid links that are not needed."""
+
+import attrs
+
+from briarknot import schema
+from briarknot.entry import _peers
+
+
+@attrs.frozen
+class _Link:
+    host: str
+    domain: str
+    program: str = 'entry'
+    peer: schema.messages.Hello = schema.messages.Hello()
+
+
+@attrs.frozen
+class _Hub:
+    links: tuple[_Link, ...]
+
+
+async def _choose(delays):
+    links = tuple(_Link(f'host of {name}', name) for name in delays)
+    peers = _peers.make_peers(_Hub(links), 'own')
+    peers.apply_document(
+        schema.fleet.Fleet(
+            domains=(
+                schema.fleet.Domain(name='own', region='r'),
+                schema.fleet.Domain(name='near', region='r'),
+                schema.fleet.Domain(name='far', region='s'),
+            )
+        )
+    )
+    for name, delay_s in delays.items():
+        capacity = schema.messages.ModelCapacity(
+            model='m', engines=1, queue_delay_s=delay_s
+        )
+        await peers.handle_summary(
+            links[0],
+            schema.messages.DomainSummary(domain=name, models=(capacity,)),
+        )
+    return peers.choose_hop('m', ()).domain
+
+
+async def test_own_region_is_preferred():
+    """Work would cross regions for a wait that the way itself costs."""
+    assert await _choose({'near': 0.05, 'far': 0}) == 'near'
+
+
+async def test_long_wait_leads_to_another_region():
+    """A target would be missed although another region is idle."""
+    assert await _choose({'near': 1.0, 'far': 0}) == 'far'
