Go on polling an engine after an answer that does not fit

Cause: a malformed load report or cache event raised in the engine's feed, whose task then ended; the engine was never polled again by this process. Change: such an answer is counted as invalid and dropped. Conclusion: feeds end only with their engine or process.

--- a/briarknot/entry/_feeds.py
+++ b/briarknot/entry/_feeds.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import typing
 
 import aiohttp
 import attrs
@@ -11,6 +12,8 @@
 from briarknot import admission, config, links, schema
 from briarknot.entry import _context
 
+Value = typing.TypeVar('Value')
+
 _POLLS = prometheus_client.Counter(
     'briarknot_engine_polls', 'Polls of engines by result.', ('result',)
 )
@@ -108,11 +111,10 @@
         return tuple(member.host for member in live)
 
     async def _poll_load(self, name: str) -> None:
-        tree = await self._get(name, '/load')
-        if tree is None:
+        report = await self._get(name, '/load', schema.endpoints.LoadReport)
+        if report is None:
             return
         context = self._context
-        report = schema.from_plain(schema.endpoints.LoadReport, tree)
         context.view.apply_report(name, report, time.monotonic())
         context.apply_capacity()
         context.hub.broadcast(
@@ -121,10 +123,11 @@
         )
 
     async def _poll_cache(self, name: str, after: int) -> int:
-        tree = await self._get(name, f'/cache/events?after={after}')
-        if tree is None:
+        news = await self._get(
+            name, f'/cache/events?after={after}', schema.endpoints.CacheEvents
+        )
+        if news is None:
             return after
-        news = schema.from_plain(schema.endpoints.CacheEvents, tree)
         if news.events:
             context = self._context
             context.view.apply_cache_events(name, news.events)
@@ -134,25 +137,40 @@
             )
         return news.next
 
-    async def _get(self, name: str, path: str) -> dict | None:
-        """Reads an engine's JSON answer; None where there is none."""
+    async def _get(
+        self, name: str, path: str, kind: type[Value]
+    ) -> Value | None:
+        """Reads an engine's answer; None where there is no valid one.
+
+        An answer that does not fit must not end the engine's feed.
+        """
+        body = await self._read_body(name, path)
+        if body is None:
+            _POLLS.labels('failed').inc()
+            return None
+        try:
+            answer = schema.from_plain(kind, orjson.loads(body))
+        except (TypeError, ValueError):
+            _POLLS.labels('invalid').inc()
+            return None
+        _POLLS.labels('ok').inc()
+        return answer
+
+    async def _read_body(self, name: str, path: str) -> bytes | None:
         engine_view = self._context.view.find_engine(name)
         if engine_view is None:
             return None
-        url = f'{engine_view.engine.url}{path}'
         try:
             async with self._session.get(
-                url, timeout=aiohttp.ClientTimeout(total=_POLL_TIMEOUT_S)
+                f'{engine_view.engine.url}{path}',
+                timeout=aiohttp.ClientTimeout(total=_POLL_TIMEOUT_S),
             ) as response:
                 body = await response.read()
-                if response.status == _OK:
-                    _POLLS.labels('ok').inc()
-                    return orjson.loads(body)
         # A time-out is an OSError too.
-        except (aiohttp.ClientError, OSError, ValueError):
+        except (aiohttp.ClientError, OSError):
             self._context.view.mark_failed(name, time.monotonic())
-        _POLLS.labels('failed').inc()
-        return None
+            return None
+        return body if response.status == _OK else None
 
 
 def make_feeds(
--- /dev/null
+++ b/briarknot/entry/tests/test_feeds.py
@@ -0,0 +1,63 @@
+"""Guards against an engine whose load is never read again."""
+
+import asyncio
+
+import aiohttp
+import attrs
+from aiohttp import web
+
+from briarknot import config, routing, schema
+from briarknot.entry import _feeds
+from briarknot_standins import serving
+
+_LIMIT_S = 20
+
+
+@attrs.define
+class _Context:
+    """The parts of an entry process that feeds use."""
+
+    view: routing.View
+    counted: asyncio.Event = attrs.field(factory=asyncio.Event)
+    node: schema.settings.Node = schema.settings.Node(host='h', domain='d')
+    settings: schema.settings.EntrySettings = schema.settings.EntrySettings(
+        timing=schema.settings.Timing(load_poll_s=0.02)
+    )
+
+    @property
+    def members(self):
+        return self
+
+    @property
+    def hub(self):
+        return self
+
+    def live(self, domain):
+        return (self.node,)
+
+    def broadcast(self, message, domain):
+        """Sends nothing."""
+
+    def apply_capacity(self):
+        """Notes the report of three requests."""
+        if self.view.engines[0].count_streams(0) == 3:
+            self.counted.set()
+
+
+async def test_answer_that_does_not_fit_does_not_end_the_feed():
+    """One malformed report would leave the engine without any later one."""
+    bodies = iter([b'{"running": "x"}', b'[', b'{"running": 3}'])
+    app = web.Application()
+
+    async def answer(request):
+        return web.Response(body=next(bodies, b'{"running": 3}'))
+
+    app.router.add_get('/load', answer)
+    async with serving.serve(app) as url, aiohttp.ClientSession() as session:
+        engine = schema.fleet.Engine(name='e', domain='d', url=url, model='m')
+        fleet = schema.fleet.Fleet(engines=(engine,))
+        context = _Context(routing.make_view(fleet, 'd'))
+        feeds = _feeds.make_feeds(context, session)
+        feeds.apply_document(config.InForce(fleet=fleet))
+        await asyncio.wait_for(context.counted.wait(), _LIMIT_S)
+        await feeds.close()
