--- a/briarknot/entry/_feeds.py
+++ b/briarknot/entry/_feeds.py
@@ -166,11 +166,11 @@
                 timeout=aiohttp.ClientTimeout(total=_POLL_TIMEOUT_S),
             ) as response:
                 body = await response.read()
+                return body if response.status == _OK else None
         # A time-out is an OSError too.
         except (aiohttp.ClientError, OSError):
             self._context.view.mark_failed(name, time.monotonic())
             return None
-        return body if response.status == _OK else None
 
 
 def make_feeds(
