Start a failed duty of an entry process again

Cause: an exception in one duty, such as a row that does not fit its class, ended the whole process through its task group; all processes that read the same row would have ended together. Found while reading. Conclusion: a process ends only by its settings, a signal, or its own code outside the duties.

--- a/briarknot/entry/_serve.py
+++ b/briarknot/entry/_serve.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 
 import aiohttp
 from aiohttp import web
@@ -108,21 +109,25 @@
 ) -> list[asyncio.Task[None]]:
     neighbours = _neighbours.make_neighbours(context)
     duties = {
-        'links': neighbours.run_links(),
-        'summaries': neighbours.run_summaries(),
-        'document': context.follower.run(),
-        'pauses': context.drains.run_pauses(),
-        'drain marks': context.drains.run(),
-        'limits': context.limits.run(),
-        'members': links.run_detector(
+        'links': neighbours.run_links,
+        'summaries': neighbours.run_summaries,
+        'document': context.follower.run,
+        'pauses': context.drains.run_pauses,
+        'drain marks': context.drains.run,
+        'limits': context.limits.run,
+        'members': functools.partial(
+            links.run_detector,
             context.hub,
             context.members,
             context.detector,
             context.settings.timing.heartbeat_s,
         ),
-        'journal': context.journal.run(asyncio.Event()),
+        'journal': functools.partial(context.journal.run, asyncio.Event()),
     }
-    return [group.create_task(duty, name=name) for name, duty in duties.items()]
+    return [
+        group.create_task(program.keep_running(name, duty), name=name)
+        for name, duty in duties.items()
+    ]
 
 
 async def _report_ready(
