--- a/briarknot/entry/_completion.py
+++ b/briarknot/entry/_completion.py
@@ -4,7 +4,6 @@
 import contextlib
 import random
 import time
-import typing
 
 import attrs
 
@@ -13,6 +12,7 @@
     _attempts,
     _context,
     _identity,
+    _metering,
     _peers,
     _requests,
     _story,
@@ -233,7 +233,7 @@
         self, target: _attempts.Target, deliver: _stream.Deliver
     ) -> _attempts.End:
         """Runs one attempt and keeps the books of endpoint and journal."""
-        meter = _Meter(self._note_first_token, deliver)
+        meter = _metering.Meter(self._note_first_token, deliver)
         record = schema.records.Attempt(
             endpoint=target.name,
             start_s=self._story.elapsed_s,
@@ -263,7 +263,7 @@
         self,
         target: _attempts.Target,
         record: schema.records.Attempt,
-        meter: '_Meter',
+        meter: _metering.Meter,
         end: _attempts.End | None,
     ) -> None:
         self._offset += meter.tokens
@@ -299,7 +299,7 @@
             attrs.evolve(record, cached_tokens=cached_tokens), 'completed'
         )
 
-    def _book(self, target: _attempts.Target, now: float) -> '_Booking':
+    def _book(self, target: _attempts.Target, now: float) -> _metering.Booking:
         parts = {}
         if target.choice is not None:
             prefill = target.choice.prefill_engine
@@ -309,7 +309,7 @@
             else:
                 parts[target.name] = routing.Part.WHOLE
         view = self._context.view
-        return _Booking(
+        return _metering.Booking(
             view,
             [
                 view.start_attempt(name, self._work, now, part)
@@ -397,61 +397,6 @@
         )
 
 
-@attrs.define(eq=False)
-class _Meter:
-    """Counts the pieces of one attempt on their way to the caller."""
-
-    _note_first_token: typing.Callable[[], None]
-    _deliver: _stream.Deliver
-    _started_s: float = attrs.field(factory=time.monotonic, init=False)
-    _first_token_s: float | None = attrs.field(default=None, init=False)
-    _tokens: int = attrs.field(default=0, init=False)
-
-    @property
-    def started_s(self) -> float:
-        """Monotonic time of the start, in seconds."""
-        return self._started_s
-
-    @property
-    def first_token_s(self) -> float | None:
-        """Time to the first token; None where there was none."""
-        return self._first_token_s
-
-    @property
-    def tokens(self) -> int:
-        """Tokens so far."""
-        return self._tokens
-
-    async def deliver(self, pieces: list[_stream.Piece]) -> None:
-        """Counts pieces and passes them on."""
-        if self._first_token_s is None:
-            self._first_token_s = time.monotonic() - self._started_s
-            self._note_first_token()
-        self._tokens += len(pieces)
-        await self._deliver(pieces)
-
-
-@attrs.define(eq=False)
-class _Booking:
-    """Attempts that the endpoint view counts for one dispatch."""
-
-    _view: routing.View
-    _attempts: list[routing.Attempt]
-
-    def close(self, meter: _Meter, *, ok: bool) -> None:
-        """Ends the attempts."""
-        now = time.monotonic()
-        for attempt in self._attempts:
-            is_prefill = attempt.part is routing.Part.PREFILL
-            self._view.end_attempt(
-                attempt,
-                now,
-                ok=ok,
-                first_token_s=None if is_prefill else meter.first_token_s,
-                tokens=0 if is_prefill else meter.tokens,
-            )
-
-
 def _choose_wait(number: int) -> float:
     """Returns the wait before a further attempt, in seconds."""
     longest_s = _FIRST_WAIT_S * 2 ** (number - 1) if number > 1 else 0
