Import typing in the module of meters

Change: the import. Result: lint passes, and 17 tests of the entry and of the whole path. Conclusion: none further.

--- a/briarknot/entry/_metering.py
+++ b/briarknot/entry/_metering.py
@@ -1,6 +1,7 @@
 """Counts the tokens of an attempt, and its load on the endpoint view."""
 
 import time
+import typing
 
 import attrs
 
