Trace the sending of an order

Cause: a span was missing for the hop from a controller to an engine. Change: a span with engine, kind, epoch and sequence.

--- a/briarknot/control/_engine.py
+++ b/briarknot/control/_engine.py
@@ -233,7 +233,14 @@
                 order, lease.epoch, lease.remaining_s, lease.quiet_s
             )
 
-        return await transport.send_order(self._engine.url, order, may_send)
+        with telemetry.make_span(
+            'order',
+            engine=self._engine.name,
+            kind=order.kind.value,
+            epoch=order.epoch,
+            sequence=order.sequence,
+        ):
+            return await transport.send_order(self._engine.url, order, may_send)
 
     async def _settle(self) -> None:
         """Waits while the engine changes, and ends the row when it is done."""
