--- a/briarknot/authority/tests/test_authority.py
+++ b/briarknot/authority/tests/test_authority.py
@@ -162,6 +162,7 @@
     there.close()
     pid = here.recv()
     os.waitid(os.P_PID, pid, os.WSTOPPED)
+    # Longer than the 0.3 s of the timer, which expires during the pause.
     time.sleep(0.5)
     os.kill(pid, signal.SIGCONT)
     with pytest.raises(EOFError):
