--- /dev/null
+++ b/briarknot/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Program that serves clients on the platform."""
--- /dev/null
+++ b/briarknot/gateway/_attempts.py
@@ -0,0 +1,140 @@
+"""Sends a request to a worker and notes how the attempt ended."""
+
+import asyncio
+import contextlib
+import time
+import typing
+
+import attrs
+
+from briarknot import platform, schema, serving, telemetry
+from briarknot.gateway import _context, _requests
+
+_SERVER_ERROR = 500
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One request at one worker.
+
+    :param worker: the worker.
+    :param record: its load and health.
+    :param started_s: monotonic time at which it was sent.
+    """
+
+    worker: schema.serving.Worker
+    record: serving.WorkerRecord
+    started_s: float
+
+    @property
+    def seconds(self) -> float:
+        """Time since it was sent."""
+        return time.monotonic() - self.started_s
+
+
+@contextlib.contextmanager
+def open_attempt(
+    context: _context.Context,
+    worker: schema.serving.Worker,
+    tokens: float = 0,
+) -> typing.Iterator[Attempt]:
+    """Counts an attempt against its worker while it runs.
+
+    :param context: state of the process.
+    :param worker: the worker.
+    :param tokens: tokens that the attempt occupies there.
+    """
+    record = context.board.find(worker.id)
+    record.in_flight += 1
+    record.tokens += tokens
+    try:
+        yield Attempt(worker, record, time.monotonic())
+    finally:
+        record.in_flight -= 1
+        record.tokens -= tokens
+
+
+async def send_run(
+    context: _context.Context,
+    request: _requests.Request,
+    attempt: Attempt,
+    dispatch: serving.Dispatch,
+    *,
+    fresh: bool,
+    timeout_s: float = 0,
+) -> platform.Exchange | serving.Failed:
+    """Sends a request to a worker and waits for the start of its answer.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param attempt: the attempt, already counted.
+    :param dispatch: worker and limits.
+    :param fresh: whether a new connection is used.
+    :param timeout_s: time limit of the attempt; 0 for the request's own.
+    """
+    # Until the worker says otherwise, the request counts as run: the process
+    # may be told to answer while the call waits.
+    ran_before = request.may_have_run
+    request.may_have_run = True
+    request.attempts += 1
+    try:
+        async with asyncio.timeout(timeout_s or None):
+            result = await context.calls.run(
+                request.call, dispatch, fresh=fresh
+            )
+    except TimeoutError:
+        result = serving.Failed(
+            end=serving.End.TIMED_OUT,
+            reason=f'no answer within {timeout_s:.2f} s',
+        )
+    note_result(request, attempt, 'run', result, context.fleet)
+    if isinstance(result, serving.Failed) and result.not_run:
+        request.may_have_run = ran_before
+        request.attempts -= 1
+    return result
+
+
+def note_result(
+    request: _requests.Request,
+    attempt: Attempt,
+    call: str,
+    result: typing.Any,
+    fleet: serving.Fleet,
+) -> None:
+    """Logs the result of an attempt and updates its worker's record.
+
+    :param request: the request.
+    :param attempt: the attempt.
+    :param call: ``run`` or ``prefill``.
+    :param result: exchange, KV source, or failure.
+    :param fleet: workers, whose age is logged.
+    """
+    now = time.monotonic()
+    outcome = 'answered'
+    inputs = {}
+    if isinstance(result, serving.Failed):
+        outcome = result.end.value
+        inputs['reason'] = result.reason
+        attempt.record.note_failure(result.end, now)
+        attempt.record.note_load(result.load, now)
+    elif isinstance(result, platform.Exchange):
+        inputs['status'] = result.answer.status
+        attempt.record.note_load(result.answer.load, now)
+        attempt.record.note_answer(
+            attempt.seconds, is_error=result.answer.status >= _SERVER_ERROR
+        )
+    _context.ATTEMPTS.labels(call, outcome).inc()
+    telemetry.log_event(
+        'attempt_ended',
+        request=request.call.id,
+        call=call,
+        worker=attempt.worker.id,
+        domain=attempt.worker.domain,
+        outcome=outcome,
+        seconds=round(attempt.seconds, 4),
+        in_flight=attempt.record.in_flight,
+        failure_rate=round(attempt.record.failure_rate, 3),
+        workers_age_s=round(fleet.age_s(now), 2),
+        manifest_version=fleet.version,
+        **inputs,
+    )
--- /dev/null
+++ b/briarknot/gateway/_context.py
@@ -0,0 +1,83 @@
+"""What the tasks of a gateway process share."""
+
+import random
+import typing
+
+import attrs
+import prometheus_client
+
+from briarknot import platform, schema, serving
+
+REQUESTS = prometheus_client.Counter(
+    'briarknot_gateway_requests',
+    'Requests of clients by kind and outcome.',
+    ('kind', 'outcome'),
+)
+ATTEMPTS = prometheus_client.Counter(
+    'briarknot_gateway_attempts',
+    'Requests sent to workers by call and result.',
+    ('call', 'result'),
+)
+SECONDS = prometheus_client.Histogram(
+    'briarknot_gateway_seconds',
+    'Time from a request to its whole answer or to the first event.',
+    ('kind',),
+)
+
+
+@attrs.define(eq=False)
+class Context:
+    """State of a gateway process.
+
+    :param settings: settings in force.
+    :param fleet: manifest and workers.
+    :param board: load and health of the workers.
+    :param budget: repeats that this process may send.
+    :param calls: client of the workers.
+    :param places: distances between failure domains.
+    :param random_source: source of randomness.
+    :param background: tasks that outlive the request that started them.
+    """
+
+    settings: schema.settings.GatewaySettings
+    fleet: serving.Fleet
+    board: serving.Board
+    budget: serving.RetryBudget
+    calls: platform.WorkerCalls
+    places: serving.Places
+    random_source: random.Random = attrs.field(factory=random.Random)
+    background: set[typing.Any] = attrs.field(factory=set)
+
+    @property
+    def choice(self) -> serving.PlainChoice:
+        """What the policies may use."""
+        return serving.PlainChoice(self.board, self.places, self.random_source)
+
+
+def make_context(
+    settings: schema.settings.GatewaySettings, calls: platform.WorkerCalls
+) -> Context:
+    """Makes the state of a process that knows no fleet yet.
+
+    :param settings: settings in force.
+    :param calls: client of the workers.
+    """
+    regions = {one.domain: one.region for one in settings.domains}
+    return Context(
+        settings=settings,
+        fleet=serving.make_fleet(),
+        board=serving.make_board(),
+        budget=serving.make_retry_budget(
+            settings.retry_share,
+            settings.retry_extra,
+            settings.retry_window_s,
+            hosts=_ASSUMED_HOSTS,
+        ),
+        calls=calls,
+        places=serving.Places(settings.domain, regions),
+    )
+
+
+#: Processes that share the budget before the first list of them was read; a
+#: larger number is the safer one.
+_ASSUMED_HOSTS = 16
--- /dev/null
+++ b/briarknot/gateway/_generation.py
@@ -0,0 +1,250 @@
+"""Serves generations: a prefill, then a stream of events."""
+
+import asyncio
+import time
+
+from briarknot import platform, schema, serving, telemetry
+from briarknot.gateway import _attempts, _context, _requests, _stream
+
+_Stage = schema.serving.Stage
+_PREFILL_POLICY = 'home'
+_DECODE_POLICY = 'least_tokens'
+_OK = 200
+#: Attempts to have a prompt read, and to send one generation. A worker that
+#: refuses is followed by another one while the retry budget allows.
+_MAX_PREFILLS = 3
+_MAX_SENDS = 4
+#: Time limit of freeing a handle, in seconds; it ends by itself soon after.
+_FREE_TIMEOUT_S = 1.0
+
+
+@_requests.HANDLERS.register(schema.serving.RequestKind.GENERATION)
+async def serve_generation(
+    context: _context.Context, request: _requests.Request
+) -> None:
+    """Serves a request that is answered by a stream of events."""
+    relay = _stream.make_relay(request.responder, request.call.last_event)
+    source: serving.KvSource | None = None
+    last: serving.Failed | None = None
+    tried: list[str] = []
+    try:
+        while len(tried) < _MAX_SENDS:
+            if source is None:
+                source = await _prefill(context, request)
+            worker = _choose_decode(context, request, source, tried)
+            if worker is None or not _may_send(context, request, tried, last):
+                break
+            tried.append(worker.id)
+            last = await _attempt(context, request, worker, source, relay)
+            if last is None:
+                return
+            if not (
+                isinstance(last, serving.Failed)
+                and last.end == serving.End.NOT_SENT
+            ):
+                # A worker that refused may have taken the cache already.
+                source = None if not last.not_run else source
+            if not _may_go_on(request, last):
+                break
+    finally:
+        if source is not None:
+            _free_later(context, source)
+    _finish_failure(request, relay, last)
+
+
+def _may_go_on(request: _requests.Request, last: serving.Failed) -> bool:
+    if last.not_run:
+        return True
+    if not request.route.resumable:
+        return False
+    return request.attempts < request.route.max_attempts
+
+
+def _may_send(
+    context: _context.Context,
+    request: _requests.Request,
+    tried: list[str],
+    last: serving.Failed | None,
+) -> bool:
+    if not tried or (last is not None and last.end == serving.End.NOT_SENT):
+        return True
+    return context.budget.take(request.service.name, time.monotonic())
+
+
+async def _prefill(
+    context: _context.Context, request: _requests.Request
+) -> serving.KvSource | None:
+    tried: list[str] = []
+    last: serving.Failed | None = None
+    while len(tried) < _MAX_PREFILLS:
+        worker = _choose_prefill(context, request, tried)
+        if worker is None or not _may_send(context, request, tried, last):
+            return None
+        tried.append(worker.id)
+        dispatch = serving.Dispatch(
+            worker=worker,
+            remaining_s=request.remaining_s(time.monotonic()),
+            rank=request.route.rank,
+        )
+        tokens = request.call.prompt.tokens
+        with _attempts.open_attempt(context, worker, tokens) as attempt:
+            result = await context.calls.prefill(request.call, dispatch)
+            _attempts.note_result(
+                request, attempt, 'prefill', result, context.fleet
+            )
+        if isinstance(result, serving.KvSource):
+            return result
+        last = result
+    return None
+
+
+def _choose_prefill(
+    context: _context.Context, request: _requests.Request, tried: list[str]
+) -> schema.serving.Worker | None:
+    prompt = request.call.prompt
+    workers = _list_calm(context, request, _Stage.PREFILL, tried)
+    if prompt is None or not workers:
+        return None
+    policy = serving.PREFILL_POLICIES.get(_PREFILL_POLICY)
+    return policy(context.choice, workers, prompt, time.monotonic())
+
+
+def _choose_decode(
+    context: _context.Context,
+    request: _requests.Request,
+    source: serving.KvSource | None,
+    tried: list[str],
+) -> schema.serving.Worker | None:
+    workers = _list_calm(context, request, _Stage.DECODE, tried)
+    if not workers:
+        return None
+    policy = serving.DECODE_POLICIES.get(_DECODE_POLICY)
+    return policy(context.choice, workers, source, time.monotonic())
+
+
+def _list_calm(
+    context: _context.Context,
+    request: _requests.Request,
+    stage: _Stage,
+    tried: list[str],
+) -> tuple[schema.serving.Worker, ...]:
+    now = time.monotonic()
+    untried = tuple(
+        one
+        for one in context.fleet.list_usable(request.service.name, stage)
+        if one.id not in tried
+    )
+    calm = tuple(
+        one for one in untried if not context.board.find(one.id).is_blocked(now)
+    )
+    return calm or untried
+
+
+async def _attempt(
+    context: _context.Context,
+    request: _requests.Request,
+    worker: schema.serving.Worker,
+    source: serving.KvSource | None,
+    relay: _stream.Relay,
+) -> serving.Failed | None:
+    """Sends a generation and relays its events.
+
+    :returns: None where the client's answer is complete or its client left.
+    """
+    dispatch = serving.Dispatch(
+        worker=worker,
+        remaining_s=request.remaining_s(time.monotonic()),
+        rank=request.route.rank,
+        source=source,
+        last_event=relay.resume_after,
+    )
+    prompt = request.call.prompt
+    tokens = prompt.tokens + prompt.output_tokens if prompt else 0
+    with _attempts.open_attempt(context, worker, tokens) as attempt:
+        exchange = await _attempts.send_run(
+            context,
+            request,
+            attempt,
+            dispatch,
+            fresh=not request.route.resumable,
+        )
+        if isinstance(exchange, serving.Failed):
+            return exchange
+        try:
+            return await _relay(request, exchange, relay, attempt)
+        finally:
+            exchange.close()
+
+
+async def _relay(
+    request: _requests.Request,
+    exchange: platform.Exchange,
+    relay: _stream.Relay,
+    attempt: _attempts.Attempt,
+) -> serving.Failed | None:
+    if exchange.answer.status != _OK:
+        body = await exchange.read_whole()
+        if isinstance(body, serving.Failed):
+            return body
+        if relay.has_started:
+            return serving.Failed(
+                end=serving.End.BROKEN,
+                reason=f'status {exchange.answer.status} for the rest',
+            )
+        request.responder.send_answer(exchange.complete(body))
+        request.log_end('completed', status=exchange.answer.status)
+        return None
+    failure = await relay.run(exchange)
+    if isinstance(failure, serving.Failed):
+        telemetry.log_event(
+            'stream_broken',
+            request=request.call.id,
+            worker=attempt.worker.id,
+            outcome=failure.end.value,
+            reason=failure.reason,
+            last_event=relay.resume_after,
+            seconds=round(attempt.seconds, 4),
+        )
+        return failure
+    _context.SECONDS.labels(request.route.kind.value).observe(
+        relay.first_s - request.call.received_s
+    )
+    request.log_end(
+        'completed',
+        status=_OK,
+        worker=attempt.worker.id,
+        first_event_s=round(relay.first_s - request.call.received_s, 4),
+        longest_gap_s=round(relay.longest_gap_s, 4),
+    )
+    return None
+
+
+def _free_later(context: _context.Context, source: serving.KvSource) -> None:
+    task = asyncio.get_running_loop().create_task(
+        context.calls.free(source, _FREE_TIMEOUT_S)
+    )
+    context.background.add(task)
+    task.add_done_callback(context.background.discard)
+
+
+def _finish_failure(
+    request: _requests.Request,
+    relay: _stream.Relay,
+    last: serving.Failed | None,
+) -> None:
+    if relay.has_started:
+        request.responder.cut()
+        request.log_end('endpoint_failed', status=0)
+    elif request.may_have_run:
+        request.refuse(
+            _requests.BAD_GATEWAY,
+            'endpoint_failed',
+            reason=last.reason if last else '',
+        )
+    else:
+        request.refuse(
+            _requests.UNAVAILABLE,
+            'no_capacity' if last else 'no_endpoint',
+            _requests.ABSENT_RETRY_S,
+            reason=last.reason if last else '',
+        )
--- /dev/null
+++ b/briarknot/gateway/_plain.py
@@ -0,0 +1,161 @@
+"""Serves requests to plain services."""
+
+import time
+
+from briarknot import platform, schema, serving
+from briarknot.gateway import _attempts, _context, _requests
+
+_Kind = schema.serving.RequestKind
+_POLICY = 'least_cost'
+_SERVER_ERROR = 500
+#: Share of the remaining time after which a silent worker's idempotent request
+#: is sent to another one; the second attempt then has as long.
+_FIRST_SHARE = 0.5
+#: Attempts that reached no worker are free of charge; this bounds their time.
+_MAX_SENDS = 5
+
+
+@_requests.HANDLERS.register(_Kind.IDEMPOTENT)
+async def serve_idempotent(
+    context: _context.Context, request: _requests.Request
+) -> None:
+    """Serves a request that may be repeated."""
+    await _serve(context, request, repeatable=True)
+
+
+@_requests.HANDLERS.register(_Kind.NON_IDEMPOTENT)
+async def serve_non_idempotent(
+    context: _context.Context, request: _requests.Request
+) -> None:
+    """Serves a request that runs at most once."""
+    await _serve(context, request, repeatable=False)
+
+
+async def _serve(
+    context: _context.Context, request: _requests.Request, *, repeatable: bool
+) -> None:
+    tried: list[str] = []
+    last: serving.Answer | serving.Failed | None = None
+    while len(tried) < _MAX_SENDS:
+        worker = _choose(context, request, tried)
+        if worker is None or not _may_send(context, request, tried, last):
+            break
+        tried.append(worker.id)
+        last = await _attempt(context, request, worker, repeatable=repeatable)
+        if isinstance(last, serving.Answer):
+            if not _is_worth_repeating(request, last, repeatable=repeatable):
+                break
+        elif not last.not_run and not repeatable:
+            break
+        if request.attempts >= request.route.max_attempts:
+            break
+    _finish(request, last, len(tried))
+
+
+def _choose(
+    context: _context.Context, request: _requests.Request, tried: list[str]
+) -> schema.serving.Worker | None:
+    now = time.monotonic()
+    usable = context.fleet.list_usable(request.service.name)
+    untried = tuple(one for one in usable if one.id not in tried)
+    calm = tuple(
+        one for one in untried if not context.board.find(one.id).is_blocked(now)
+    )
+    if not untried:
+        return None
+    policy = serving.PLAIN_POLICIES.get(_POLICY)
+    return policy(context.choice, calm or untried, now)
+
+
+def _may_send(
+    context: _context.Context,
+    request: _requests.Request,
+    tried: list[str],
+    last: serving.Answer | serving.Failed | None,
+) -> bool:
+    if not tried:
+        return True
+    if isinstance(last, serving.Failed) and last.end == serving.End.NOT_SENT:
+        # Nothing arrived at a worker, so that nothing is repeated.
+        return True
+    return context.budget.take(request.service.name, time.monotonic())
+
+
+async def _attempt(
+    context: _context.Context,
+    request: _requests.Request,
+    worker: schema.serving.Worker,
+    *,
+    repeatable: bool,
+) -> serving.Answer | serving.Failed:
+    remaining_s = request.remaining_s(time.monotonic())
+    is_last = request.attempts + 1 >= request.route.max_attempts
+    waits_for_all = is_last or not repeatable
+    timeout_s = 0 if waits_for_all else remaining_s * _FIRST_SHARE
+    dispatch = serving.Dispatch(
+        worker=worker, remaining_s=remaining_s, rank=request.route.rank
+    )
+    with _attempts.open_attempt(context, worker) as attempt:
+        exchange = await _attempts.send_run(
+            context,
+            request,
+            attempt,
+            dispatch,
+            fresh=not repeatable,
+            timeout_s=timeout_s,
+        )
+        if isinstance(exchange, serving.Failed):
+            return exchange
+        return await _read_answer(exchange)
+
+
+async def _read_answer(
+    exchange: platform.Exchange,
+) -> serving.Answer | serving.Failed:
+    try:
+        body = await exchange.read_whole()
+        if isinstance(body, serving.Failed):
+            return body
+        return exchange.complete(body)
+    finally:
+        exchange.close()
+
+
+def _is_worth_repeating(
+    request: _requests.Request, answer: serving.Answer, *, repeatable: bool
+) -> bool:
+    return repeatable and answer.status >= _SERVER_ERROR
+
+
+def _finish(
+    request: _requests.Request,
+    last: serving.Answer | serving.Failed | None,
+    sends: int,
+) -> None:
+    if isinstance(last, serving.Answer):
+        request.responder.send_answer(last)
+        request.log_end('completed', status=last.status, sends=sends)
+        _context.SECONDS.labels(request.route.kind.value).observe(
+            time.monotonic() - request.call.received_s
+        )
+        return
+    inputs = {'sends': sends}
+    if last is None:
+        request.refuse(
+            _requests.UNAVAILABLE,
+            'no_endpoint',
+            _requests.ABSENT_RETRY_S,
+            **inputs,
+        )
+    elif request.may_have_run:
+        status = _requests.BAD_GATEWAY
+        if last.end == serving.End.TIMED_OUT:
+            status = _requests.GATEWAY_TIMEOUT
+        request.refuse(status, 'endpoint_failed', **inputs)
+    else:
+        request.refuse(
+            _requests.UNAVAILABLE,
+            'no_capacity',
+            _requests.ABSENT_RETRY_S,
+            **inputs,
+        )
--- /dev/null
+++ b/briarknot/gateway/_requests.py
@@ -0,0 +1,177 @@
+"""Serves one request: finds its route, and hands it to its kind's handler."""
+
+import asyncio
+import time
+import typing
+
+import attrs
+
+from briarknot import platform, registry, schema, serving, telemetry
+from briarknot.gateway import _context
+
+NOT_FOUND = 404
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+#: Retry-After while no manifest or worker is known, in seconds; a worker or a
+#: manifest that is expected shows itself within about a second.
+ABSENT_RETRY_S = 0.5
+#: Share of its remaining time after which a client honours Retry-After.
+_HONOURED_SHARE = 1 / 3
+#: Time before the limit at which a request is answered, in seconds, so that
+#: the answer reaches the client within it.
+_ANSWER_MARGIN_S = 0.02
+
+
+@attrs.define(eq=False)
+class Request:
+    """A request while it is served.
+
+    :param call: what the client sent.
+    :param route: its route.
+    :param service: service that runs it.
+    :param responder: answers the client.
+    :param limit_s: monotonic time at which it must be answered.
+    :param attempts: attempts so far that may have run it.
+    :param may_have_run: whether one of them may have run it.
+    """
+
+    call: serving.Call
+    route: schema.serving.Route
+    service: schema.serving.Service
+    responder: platform.Responder
+    limit_s: float
+    attempts: int = 0
+    may_have_run: bool = False
+
+    def remaining_s(self, now: float) -> float:
+        """Returns the time until it must be answered."""
+        return self.limit_s - now
+
+    def refuse(
+        self,
+        status: int,
+        cause: str,
+        retry_after_s: float = 0,
+        **inputs: object,
+    ) -> None:
+        """Answers with a failure and logs why.
+
+        :param status: HTTP status; a status that promises that the request
+            has not run becomes 502 where that is not known.
+        :param cause: cause from a small set.
+        :param retry_after_s: time after which a retry can help.
+        :param inputs: figures behind the cause.
+        """
+        now = time.monotonic()
+        if self.may_have_run and status == UNAVAILABLE:
+            status = BAD_GATEWAY
+        if status == UNAVAILABLE:
+            longest = self.remaining_s(now) * _HONOURED_SHARE
+            retry_after_s = max(0.05, min(retry_after_s, longest))
+        else:
+            retry_after_s = 0
+        self.responder.refuse(status, self.call.id, retry_after_s)
+        self.log_end(
+            cause,
+            status=status,
+            retry_after_s=round(retry_after_s, 2),
+            **inputs,
+        )
+
+    def log_end(self, outcome: str, **inputs: object) -> None:
+        """Logs and counts how the request ended.
+
+        :param outcome: outcome from a small set.
+        :param inputs: figures behind it.
+        """
+        _context.REQUESTS.labels(self.route.kind.value, outcome).inc()
+        telemetry.log_event(
+            'request_ended',
+            request=self.call.id,
+            route=self.route.name,
+            rank=self.route.rank,
+            outcome=outcome,
+            attempts=self.attempts,
+            seconds=round(time.monotonic() - self.call.received_s, 4),
+            **inputs,
+        )
+
+
+Handler = typing.Callable[
+    [_context.Context, Request], typing.Coroutine[typing.Any, typing.Any, None]
+]
+
+#: Serve requests, by the kind of their route.
+HANDLERS: registry.Registry[Handler] = registry.Registry('request_kind')
+
+
+async def serve_call(
+    context: _context.Context,
+    call: serving.Call,
+    responder: platform.Responder,
+) -> None:
+    """Serves one request of a client.
+
+    :param context: state of the process.
+    :param call: what the client sent.
+    :param responder: answers the client.
+    """
+    with telemetry.make_span('gateway'):
+        request = _open_request(context, call, responder)
+        if request is None:
+            return
+        try:
+            async with asyncio.timeout_at(
+                asyncio.get_running_loop().time()
+                + request.remaining_s(time.monotonic())
+            ):
+                await HANDLERS.get(request.route.kind)(context, request)
+        except TimeoutError:
+            _answer_timeout(request)
+        except asyncio.CancelledError:
+            request.log_end('caller_left')
+            raise
+
+
+def _answer_timeout(request: Request) -> None:
+    if request.responder.has_started:
+        request.responder.cut()
+        request.log_end('endpoint_timeout', status=0)
+    elif request.may_have_run:
+        request.refuse(GATEWAY_TIMEOUT, 'endpoint_timeout')
+    else:
+        request.refuse(UNAVAILABLE, 'queue_timeout', ABSENT_RETRY_S)
+
+
+def _open_request(
+    context: _context.Context,
+    call: serving.Call,
+    responder: platform.Responder,
+) -> Request | None:
+    fleet = context.fleet
+    if fleet.manifest is None:
+        responder.refuse(UNAVAILABLE, call.id, ABSENT_RETRY_S)
+        _log_unrouted(call, 'no_document', 0)
+        return None
+    route = fleet.find_route(call.host, call.path)
+    if route is None:
+        responder.refuse(NOT_FOUND, call.id)
+        _log_unrouted(call, 'unknown_target', fleet.version)
+        return None
+    name = serving.choose_destination(route, context.random_source)
+    service = fleet.find_service(name) or schema.serving.Service(name=name)
+    context.budget.note_request(name, call.received_s)
+    limit_s = call.received_s + min(call.limit_s, route.timeout_s)
+    return Request(call, route, service, responder, limit_s - _ANSWER_MARGIN_S)
+
+
+def _log_unrouted(call: serving.Call, cause: str, version: int) -> None:
+    _context.REQUESTS.labels('none', cause).inc()
+    telemetry.log_event(
+        'request_ended',
+        request=call.id,
+        outcome=cause,
+        path=call.path,
+        manifest_version=version,
+    )
--- /dev/null
+++ b/briarknot/gateway/_stream.py
@@ -0,0 +1,102 @@
+"""Relays the events of one or more runs as one stream."""
+
+import time
+
+import attrs
+
+from briarknot import platform, serving
+
+_EVENT_END = b'\n\n'
+_ID_FIELD = b'id:'
+
+
+@attrs.define(eq=False)
+class Relay:
+    """Forwards whole events, so that a further run can go on after them.
+
+    :param responder: answers the client.
+    :param resume_after: last event that the client has.
+    :param first_s: monotonic time of the first event.
+    :param longest_gap_s: longest pause between events in seconds.
+    """
+
+    responder: platform.Responder
+    resume_after: str = ''
+    first_s: float = 0
+    longest_gap_s: float = 0
+    _latest_s: float = 0
+    _is_open: bool = False
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the client has got a part of the answer."""
+        return self._is_open
+
+    async def run(self, exchange: platform.Exchange) -> serving.Failed | None:
+        """Forwards the events of a run.
+
+        :param exchange: answer of the run.
+        :returns: why the stream is not complete; None where it is, or where
+            the client left.
+        """
+        rest = b''
+        failure = None
+        is_end = False
+        while not is_end:
+            part = await exchange.read_some()
+            if isinstance(part, serving.Failed):
+                failure = part
+                break
+            is_end = not part
+            events, rest = _split_events(rest + part, is_end=is_end)
+            if not await self._forward(exchange, events, is_end=is_end):
+                break
+        return failure
+
+    async def _forward(
+        self, exchange: platform.Exchange, events: bytes, *, is_end: bool
+    ) -> bool:
+        if not self._is_open and (events or is_end):
+            self._is_open = True
+            if not await self.responder.start_stream(exchange.answer):
+                return False
+        if not events:
+            return True
+        self._note_events(events)
+        return await self.responder.send_events(events)
+
+    def _note_events(self, events: bytes) -> None:
+        now = time.monotonic()
+        if self.first_s:
+            self.longest_gap_s = max(self.longest_gap_s, now - self._latest_s)
+        else:
+            self.first_s = now
+        self._latest_s = now
+        self.resume_after = _find_last_id(events) or self.resume_after
+
+
+def _split_events(data: bytes, *, is_end: bool) -> tuple[bytes, bytes]:
+    """Splits bytes into whole events and the start of the next one."""
+    if is_end:
+        return data, b''
+    end = data.rfind(_EVENT_END)
+    if end < 0:
+        return b'', data
+    end += len(_EVENT_END)
+    return data[:end], data[end:]
+
+
+def _find_last_id(events: bytes) -> str:
+    for line in reversed(events.split(b'\n')):
+        if line.startswith(_ID_FIELD):
+            return line[len(_ID_FIELD) :].strip().decode('ascii', 'replace')
+    return ''
+
+
+def make_relay(responder: platform.Responder, resume_after: str) -> Relay:
+    """Makes a relay that has forwarded nothing.
+
+    :param responder: answers the client.
+    :param resume_after: last event that the client has already.
+    """
+    return Relay(responder, resume_after)
--- a/briarknot/platform/__init__.py
+++ b/briarknot/platform/__init__.py
@@ -1,26 +1,54 @@
-"""Client for the platform's table service, object store, and host list."""
+"""Adapter of the platform: the only place that knows its names.
+
+The store client, the front end for the platform's clients, the calls to
+workers, and the decoding of the operators' manifest and workers' entries.
+"""
 
 from briarknot.platform._client import Client, make_client
+from briarknot.platform._decoding import (
+    Malformed,
+    decode_manifest,
+    decode_worker,
+)
+from briarknot.platform._ingress import Ingress, Responder, make_ingress
 from briarknot.platform._values import (
     Committed,
     Conflict,
+    HistoryLost,
     Host,
     Missing,
     Operation,
+    Page,
     Row,
     Unavailable,
     make_operation,
 )
+from briarknot.platform._worker_calls import (
+    Exchange,
+    WorkerCalls,
+    make_worker_calls,
+)
 
 __all__ = (
     'Client',
     'Committed',
     'Conflict',
+    'Exchange',
+    'HistoryLost',
     'Host',
+    'Ingress',
+    'Malformed',
     'Missing',
     'Operation',
+    'Page',
+    'Responder',
     'Row',
     'Unavailable',
+    'WorkerCalls',
+    'decode_manifest',
+    'decode_worker',
     'make_client',
+    'make_ingress',
     'make_operation',
+    'make_worker_calls',
 )
--- a/briarknot/platform/_client.py
+++ b/briarknot/platform/_client.py
@@ -1,11 +1,13 @@
-"""HTTP client of the platform."""
+"""Client of the platform's metadata store."""
 
+import base64
 import urllib.parse
 
 import aiohttp
 import attrs
 import orjson
 import prometheus_client
+import yarl
 
 from briarknot.platform import _values
 
@@ -21,9 +23,16 @@
 )
 _OK = 200
 _NOT_FOUND = 404
-_CONFLICT = 409
+_GONE = 410
+_CONFLICT = 412
 #: Answers to a request that was refused before it had any effect.
-_REFUSED = frozenset((429, 503))
+_REFUSED = frozenset((403, 429, 503, 507))
+#: Table of the list of live and leaving hosts.
+_HOSTS = 'hosts'
+#: Smallest text that sorts after a key, so that a range holds that key alone.
+_NEXT_KEY = '\x00'
+#: Sorts after every key that starts with the text before it.
+_LAST_KEY = '\U0010ffff'
 
 
 @attrs.frozen
@@ -36,15 +45,16 @@
 
 @attrs.define
 class Client:
-    """Calls the platform; no method raises on an outage.
+    """Calls the store; no method raises on an outage.
 
     Each answers with a value or with a falsy sentinel:
-    :class:`Missing`, :class:`Conflict`, or :class:`Unavailable`.
+    :class:`Missing`, :class:`Conflict`, :class:`Unavailable`, or
+    :class:`HistoryLost`.
     """
 
     _session: aiohttp.ClientSession
     _url: str
-    _timeout: aiohttp.ClientTimeout
+    _timeout_s: float
 
     async def read_row(
         self, table: str, key: str
@@ -54,14 +64,10 @@
         :param table: table.
         :param key: key.
         """
-        path = f'/tables/{table}/{urllib.parse.quote(key, safe="")}'
-        answer = await self._call('read_row', 'GET', path)
-        if isinstance(answer, _values.Unavailable):
-            return answer
-        if answer.status == _NOT_FOUND:
-            return _values.Missing()
-        tree = orjson.loads(answer.body)
-        return _values.Row(key, tree['value'], tree['version'])
+        page = await self._read_page(table, key, f'{key}{_NEXT_KEY}')
+        if isinstance(page, _values.Unavailable):
+            return page
+        return page.rows[0] if page.rows else _values.Missing()
 
     async def scan_rows(
         self, table: str, prefix: str = ''
@@ -71,16 +77,56 @@
         :param table: table.
         :param prefix: start of the keys.
         """
-        query = urllib.parse.urlencode({'prefix': prefix})
+        page = await self.read_table(table, prefix)
+        return page if isinstance(page, _values.Unavailable) else page.rows
+
+    async def read_table(
+        self, table: str, prefix: str = ''
+    ) -> _values.Page | _values.Unavailable:
+        """Reads rows with the version of the store that they are of.
+
+        :param table: table.
+        :param prefix: start of the keys.
+        :returns: the version is that of the first page, so that a feed from
+            it repeats what changed while later pages were read.
+        """
+        start = prefix
+        rows: list[_values.Row] = []
+        version = None
+        while True:
+            end = f'{prefix}{_LAST_KEY}' if prefix else ''
+            page = await self._read_page(table, start, end)
+            if isinstance(page, _values.Unavailable):
+                return page
+            rows.extend(page.rows)
+            version = page.version if version is None else version
+            if not page.more or not page.rows:
+                return _values.Page(tuple(rows), version)
+            start = f'{page.rows[-1].key}{_NEXT_KEY}'
+
+    async def follow_table(
+        self, table: str, version: int, wait_s: float
+    ) -> _values.Page | _values.HistoryLost | _values.Unavailable:
+        """Waits for changes of a table.
+
+        :param table: table.
+        :param version: version after which changes are wanted.
+        :param wait_s: longest wait in seconds; no change is an empty page.
+        """
+        query = urllib.parse.urlencode(
+            {'table': table, 'after': version, 'waitMs': int(wait_s * 1000)}
+        )
         answer = await self._call(
-            'scan_rows', 'GET', f'/tables/{table}?{query}'
+            'follow_table',
+            'GET',
+            f'/v1/rows-feed?{query}',
+            timeout_s=wait_s + self._timeout_s,
         )
         if isinstance(answer, _values.Unavailable):
             return answer
-        return tuple(
-            _values.Row(row['key'], row['value'], row['version'])
-            for row in orjson.loads(answer.body)['rows']
-        )
+        if answer.status == _GONE:
+            return _values.HistoryLost()
+        return _decode_page(answer.body)
 
     async def commit(
         self, *operations: _values.Operation
@@ -91,18 +137,22 @@
         """
         body = orjson.dumps(
             {
-                'operations': [
-                    attrs.asdict(operation, recurse=False)
-                    for operation in operations
+                'expected': [
+                    {**_name_row(one), 'ver': one.expected_version or 0}
+                    for one in operations
+                ],
+                'put': [
+                    {**_name_row(one), 'value': _encode_value(one.value)}
+                    for one in operations
                 ],
+                'remove': [],
             }
         )
-        answer = await self._call('commit', 'POST', '/transactions', body)
+        answer = await self._call('commit', 'POST', '/v1/rows-tx', body)
         if isinstance(answer, _values.Unavailable):
             return answer
         if answer.status == _CONFLICT:
-            indexes = orjson.loads(answer.body)['conflicts']
-            return _values.Conflict(tuple(indexes))
+            return _values.Conflict(_find_conflicts(operations, answer.body))
         return _values.Committed()
 
     async def read_object(
@@ -112,7 +162,8 @@
 
         :param name: name, which may contain slashes.
         """
-        answer = await self._call('read_object', 'GET', f'/objects/{name}')
+        path = f'/v1/blob-get/{_quote(name)}'
+        answer = await self._call('read_object', 'GET', path)
         if isinstance(answer, _values.Unavailable):
             return answer
         if answer.status == _NOT_FOUND:
@@ -127,7 +178,7 @@
         :param name: name, which may contain slashes.
         :param body: its bytes.
         """
-        path = f'/objects/{name}'
+        path = f'/v1/blob-put/{_quote(name)}'
         answer = await self._call('write_object', 'PUT', path, body)
         if isinstance(answer, _values.Unavailable):
             return answer
@@ -140,34 +191,58 @@
 
         :param prefix: start of the names.
         """
-        query = urllib.parse.urlencode({'prefix': prefix})
-        answer = await self._call('list_objects', 'GET', f'/objects?{query}')
-        if isinstance(answer, _values.Unavailable):
-            return answer
-        return tuple(orjson.loads(answer.body)['objects'])
+        names: list[str] = []
+        after = ''
+        while True:
+            query = urllib.parse.urlencode(
+                {'pathPrefix': prefix, 'after': after}
+            )
+            answer = await self._call(
+                'list_objects', 'GET', f'/v1/blob-list?{query}'
+            )
+            if isinstance(answer, _values.Unavailable):
+                return answer
+            tree = orjson.loads(answer.body)
+            names.extend(tree['names'])
+            if not tree['morePages'] or not tree['names']:
+                return tuple(names)
+            after = names[-1]
 
     async def list_hosts(
         self,
     ) -> tuple[_values.Host, ...] | _values.Unavailable:
-        """Lists the hosts that the platform considers live or leaving."""
-        answer = await self._call('list_hosts', 'GET', '/hosts')
+        """Lists the hosts that are registered as live or leaving."""
+        rows = await self.scan_rows(_HOSTS)
+        if isinstance(rows, _values.Unavailable):
+            return rows
+        return tuple(_decode_host(row) for row in rows)
+
+    async def _read_page(
+        self, table: str, start: str, end: str
+    ) -> _values.Page | _values.Unavailable:
+        terms = {'table': table, 'part': ''}
+        if start:
+            terms['from'] = start
+        if end:
+            terms['to'] = end
+        query = urllib.parse.urlencode(terms)
+        answer = await self._call('read_rows', 'GET', f'/v1/rows-get?{query}')
         if isinstance(answer, _values.Unavailable):
             return answer
-        return tuple(
-            _values.Host(
-                host=row['host'],
-                domain=row['domain'],
-                peer_url=row['peer_url'],
-                leaving=row['state'] == 'leaving',
-            )
-            for row in orjson.loads(answer.body)['hosts']
-        )
+        return _decode_page(answer.body)
 
     async def _call(
-        self, operation: str, method: str, path: str, body: bytes | None = None
+        self,
+        operation: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        timeout_s: float = 0,
     ) -> _Answer | _values.Unavailable:
         with _SECONDS.labels(operation).time():
-            answer = await self._send(method, path, body)
+            answer = await self._send(
+                method, path, body, timeout_s or self._timeout_s
+            )
         result = 'unavailable'
         if isinstance(answer, _Answer):
             result = str(answer.status)
@@ -175,12 +250,15 @@
         return answer
 
     async def _send(
-        self, method: str, path: str, body: bytes | None
+        self, method: str, path: str, body: bytes | None, timeout_s: float
     ) -> _Answer | _values.Unavailable:
-        url = f'{self._url}{path}'
+        url = _make_url(self._url, path)
         try:
             async with self._session.request(
-                method, url, data=body, timeout=self._timeout
+                method,
+                url,
+                data=body,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 return _check_answer(response.status, await response.read())
         except aiohttp.ClientConnectorError as error:
@@ -189,8 +267,75 @@
             return _values.Unavailable(f'{type(error).__name__}: {error}')
 
 
+def _make_url(base: str, path: str) -> yarl.URL:
+    # The path is quoted already; quoting it again would change keys.
+    return yarl.URL(f'{base}{path}', encoded=True)
+
+
+def _quote(name: str) -> str:
+    return urllib.parse.quote(name, safe='')
+
+
+def _name_row(operation: _values.Operation) -> dict[str, str]:
+    return {'table': operation.table, 'part': '', 'key': operation.key}
+
+
+def _encode_value(value: object) -> str:
+    return base64.b64encode(orjson.dumps(value)).decode()
+
+
+def _decode_page(body: bytes) -> _values.Page:
+    tree = orjson.loads(body)
+    return _values.Page(
+        tuple(_decode_row(row) for row in tree['rows']),
+        tree['ver'],
+        more=tree.get('morePages', False),
+    )
+
+
+def _decode_row(row: dict[str, object]) -> _values.Row:
+    if row.get('deleted'):
+        return _values.Row(row['key'], None, row['ver'], deleted=True)
+    text = base64.b64decode(row['value'])
+    try:
+        value = orjson.loads(text)
+    except orjson.JSONDecodeError:
+        # Another writer's bytes must not hide the other rows of the page.
+        return _values.Row(row['key'], text, row['ver'])
+    return _values.Row(row['key'], value, row['ver'])
+
+
+def _find_conflicts(
+    operations: tuple[_values.Operation, ...], body: bytes
+) -> tuple[int, ...]:
+    """Returns the indexes of operations whose expected version is not there.
+
+    :param operations: operations of the refused transaction.
+    :param body: answer with the rows that are there.
+    """
+    found = {
+        (row['table'], row['key']): row['ver']
+        for row in orjson.loads(body)['rows']
+        if not row.get('deleted')
+    }
+    return tuple(
+        index
+        for index, one in enumerate(operations)
+        if found.get((one.table, one.key), 0) != (one.expected_version or 0)
+    )
+
+
+def _decode_host(row: _values.Row) -> _values.Host:
+    return _values.Host(
+        host=row.value['host'],
+        domain=row.value['domain'],
+        peer_url=row.value['peer_url'],
+        leaving=row.value['state'] == 'leaving',
+    )
+
+
 def _check_answer(status: int, body: bytes) -> _Answer | _values.Unavailable:
-    if status in {_OK, _NOT_FOUND, _CONFLICT}:
+    if status in {_OK, _NOT_FOUND, _GONE, _CONFLICT}:
         return _Answer(status, body)
     return _values.Unavailable(
         f'the platform answered {status}',
@@ -204,8 +349,7 @@
     """Makes a client.
 
     :param session: session whose connections are used.
-    :param url: base URL of the platform.
+    :param url: base URL of the store.
     :param timeout_s: time limit of one call, in seconds.
     """
-    timeout = aiohttp.ClientTimeout(total=timeout_s)
-    return Client(session, url.rstrip('/'), timeout)
+    return Client(session, url.rstrip('/'), timeout_s)
--- /dev/null
+++ b/briarknot/platform/_decoding.py
@@ -0,0 +1,156 @@
+"""Decodes the operators' manifest and workers' entries into product types."""
+
+import typing
+
+import attrs
+
+from briarknot import schema, sentinels
+
+_MS_PER_S = 1000
+_BITS_PER_MBIT = 1e6
+_KINDS = {
+    'idempotent': schema.serving.RequestKind.IDEMPOTENT,
+    'non_idempotent': schema.serving.RequestKind.NON_IDEMPOTENT,
+    'streaming': schema.serving.RequestKind.GENERATION,
+}
+_STAGES = {
+    'prefill': schema.serving.Stage.PREFILL,
+    'decode': schema.serving.Stage.DECODE,
+}
+#: What reading a tree of another shape raises.
+_SHAPE_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
+_STATES = {'ready': False, 'draining': True}
+# The longest gap where a route states none; the streams' timeout then rules.
+_NO_GAP_MS = 0
+
+
+@attrs.frozen
+class Malformed(sentinels.Sentinel):
+    """Sentinel for an entry that can't be used.
+
+    :param reason: what is wrong with it.
+    """
+
+    reason: str
+
+
+def decode_manifest(tree: typing.Any) -> schema.serving.Manifest | Malformed:
+    """Decodes the operators' configuration.
+
+    :param tree: plain value of its row.
+    """
+    try:
+        return schema.serving.Manifest(
+            version=_number(tree['version'], int),
+            routes=tuple(_decode_route(one) for one in tree['routes']),
+            services=tuple(_decode_service(one) for one in tree['services']),
+            limits=_decode_limits(tree['limits']),
+        )
+    except _SHAPE_ERRORS as error:
+        return Malformed(f'{type(error).__name__}: {error}')
+
+
+def decode_worker(
+    worker_id: str, tree: typing.Any
+) -> schema.serving.Worker | Malformed:
+    """Decodes what a worker registered of itself.
+
+    :param worker_id: key of its row.
+    :param tree: plain value of its row; other writers may leave anything.
+    """
+    try:
+        return schema.serving.Worker(
+            id=worker_id,
+            service=_text(tree['service']),
+            address=_address(tree['address']),
+            domain=_text(tree['zone']),
+            slots=_number(tree['slots'], int),
+            draining=_STATES[tree['state']],
+            stage=(
+                _STAGES[tree['stage']]
+                if 'stage' in tree
+                else schema.serving.Stage.NONE
+            ),
+            cold_s=_number(tree['coldRemainingMs'], float, int) / _MS_PER_S,
+            born_ms=_number(tree.get('born', 0), int),
+        )
+    except _SHAPE_ERRORS as error:
+        return Malformed(f'{type(error).__name__}: {error}')
+
+
+def _decode_route(tree: dict[str, typing.Any]) -> schema.serving.Route:
+    return schema.serving.Route(
+        name=tree['name'],
+        host=tree['host'].lower(),
+        path_prefix=tree['pathPrefix'],
+        kind=_KINDS[tree['kind']],
+        timeout_s=tree['timeoutMs'] / _MS_PER_S,
+        target_s=tree.get('targetLatencyMs', tree['timeoutMs']) / _MS_PER_S,
+        rank=tree.get('priority', 0),
+        destinations=_decode_destinations(tree),
+        max_attempts=tree.get('maxAttempts', 1),
+        resumable=tree.get('resumable', False),
+        event_gap_s=tree.get('gapTargetMs', _NO_GAP_MS) / _MS_PER_S,
+    )
+
+
+def _decode_destinations(
+    tree: dict[str, typing.Any],
+) -> tuple[schema.serving.Destination, ...]:
+    if 'split' in tree:
+        return tuple(
+            schema.serving.Destination(
+                service=one['service'], weight=float(one['weight'])
+            )
+            for one in tree['split']
+        )
+    return (schema.serving.Destination(service=tree['service'], weight=1.0),)
+
+
+def _decode_service(tree: dict[str, typing.Any]) -> schema.serving.Service:
+    engine = tree.get('engine')
+    return schema.serving.Service(
+        name=tree['name'],
+        max_connections=tree.get('maxConnections', 0),
+        has_engines=engine is not None,
+        engine=_decode_engine(engine or {}),
+    )
+
+
+def _decode_engine(tree: dict[str, typing.Any]) -> schema.serving.EngineLimits:
+    return schema.serving.EngineLimits(
+        slots=tree.get('slots', 0),
+        kv_tokens=tree.get('kvTokens', 0),
+        kv_token_bytes=tree.get('kvBytes', 0),
+        link_bits_per_s=tree.get('linkMbps', 0) * _BITS_PER_MBIT,
+        handle_ttl_s=float(tree.get('handleTtlS', 0)),
+        switch_s=float(tree.get('switchS', 0)),
+    )
+
+
+def _decode_limits(tree: dict[str, typing.Any]) -> schema.serving.ClientLimits:
+    return schema.serving.ClientLimits(
+        header_bytes=tree['maxHeaderBytes'],
+        body_bytes=tree['maxBodyBytes'],
+        header_timeout_s=tree['headerTimeoutMs'] / _MS_PER_S,
+        idle_timeout_s=tree['idleTimeoutMs'] / _MS_PER_S,
+    )
+
+
+def _text(value: typing.Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise TypeError(f'expected a text, found {value!r}')
+    return value
+
+
+def _number(value: typing.Any, *kinds: type) -> typing.Any:
+    if isinstance(value, bool) or not isinstance(value, kinds) or value < 0:
+        raise TypeError(f'expected a number, found {value!r}')
+    return value
+
+
+def _address(value: typing.Any) -> str:
+    host, _, port = _text(value).rpartition(':')
+    if not host or not port.isdigit():
+        raise ValueError(f'expected IP:PORT, found {value!r}')
+    return value
--- /dev/null
+++ b/briarknot/platform/_headers.py
@@ -0,0 +1,52 @@
+"""Header names of requests and answers on the platform."""
+
+REQUEST_ID = 'Request-Id'
+DEADLINE_MS = 'Deadline-Ms'
+RETRY_AFTER = 'Retry-After'
+#: Digest that a worker adds to the answers that it made.
+SEAL = 'Server-Seal'
+#: Present where a worker states that it did not run a request.
+NOT_EXECUTED = 'Not-Executed'
+EXPECTED_WORKER = 'Expect-Instance'
+#: Running and waiting requests and slots of the answering worker.
+WORKER_LOAD = 'Instance-Load'
+#: Prompt tokens and the largest number of output tokens.
+TOKEN_COUNTS = 'Token-Counts'
+PROMPT_PARTS = 'Prompt-Prefix'
+#: Last event that the client has, as in server-sent events.
+LAST_EVENT = 'Last-Event-Id'
+URGENCY = 'Request-Urgency'
+STAGE = 'Serving-Stage'
+KV_SOURCE = 'Kv-Source'
+
+#: Headers that only the system may set towards workers, in lower case.
+SYSTEM_HEADERS = frozenset(
+    (
+        'deadline-ms',
+        'expect-instance',
+        'expect-version',
+        'kv-backup',
+        'kv-fetch',
+        'kv-hold',
+        'kv-source',
+        'pin-ms',
+        'request-urgency',
+        'serving-stage',
+    )
+)
+#: Headers that concern one connection only, in lower case (RFC 9110, 7.6.1).
+CONNECTION_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
--- /dev/null
+++ b/briarknot/platform/_ingress.py
@@ -0,0 +1,310 @@
+"""Front end for the platform's clients."""
+
+import asyncio
+import time
+import typing
+
+import attrs
+from aiohttp import web
+
+from briarknot import schema, serving, telemetry
+from briarknot.platform import _headers
+
+_MS_PER_S = 1000
+#: Time limit of a request whose client states none; its route's limit is
+#: shorter.
+_NO_LIMIT_S = 60.0
+#: Largest start line and header; the platform's clients stay within the
+#: manifest's limits, which are smaller.
+_MAX_LINE_BYTES = 65536
+_MAX_HEADERS = 256
+#: The platform keeps idle connections for up to four fifths of a limit in the
+#: manifest, which may grow; closing none is always within it.
+_KEEPALIVE_S = 3600.0
+_BACKLOG = 1024
+#: Answers that say when to come back: the status promises that the request
+#: has not run.
+_SERVICE_UNAVAILABLE = 503
+
+
+@attrs.define(eq=False)
+class Responder:
+    """Answers one request of a client."""
+
+    _request: web.BaseRequest
+    _closing: bool
+    _response: web.StreamResponse | None = None
+    _result: web.StreamResponse | None = None
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the client has got a part of an answer."""
+        return self._response is not None
+
+    @property
+    def result(self) -> web.StreamResponse | None:
+        """What the connection's task has to send."""
+        return self._result
+
+    def send_answer(self, answer: serving.Answer) -> None:
+        """Sends a worker's whole answer.
+
+        :param answer: status, headers, and body.
+        """
+        response = web.Response(status=answer.status, body=answer.body)
+        _copy_headers(response, answer.headers)
+        self._finish(response)
+
+    def refuse(
+        self, status: int, request_id: str, retry_after_s: float = 0
+    ) -> None:
+        """Sends a failure of the system's own.
+
+        :param status: HTTP status.
+        :param request_id: id of the client's attempt.
+        :param retry_after_s: time after which a retry can help; 0 for none.
+        """
+        response = web.Response(status=status)
+        if request_id:
+            response.headers[_headers.REQUEST_ID] = request_id
+        if retry_after_s:
+            response.headers[_headers.RETRY_AFTER] = f'{retry_after_s:.2f}'
+        self._finish(response)
+
+    async def start_stream(self, answer: serving.Answer) -> bool:
+        """Starts a stream with the head of a worker's answer.
+
+        :param answer: status and headers.
+        :returns: whether the client is still there.
+        """
+        response = web.StreamResponse(status=answer.status)
+        _copy_headers(response, answer.headers)
+        self._response = response
+        if self._closing:
+            response.force_close()
+        try:
+            await response.prepare(self._request)
+        except ConnectionError:
+            return False
+        self._result = response
+        return True
+
+    async def send_events(self, data: bytes) -> bool:
+        """Sends events.
+
+        :param data: whole events.
+        :returns: whether the client is still there.
+        """
+        try:
+            await self._response.write(data)
+        except ConnectionError:
+            return False
+        return True
+
+    def cut(self) -> None:
+        """Closes the connection, so that the answer does not look complete."""
+        if self._request.transport is not None:
+            self._request.transport.close()
+
+    def _finish(self, response: web.Response) -> None:
+        if self._closing:
+            response.force_close()
+        self._result = response
+
+
+Handler = typing.Callable[
+    [serving.Call, Responder], typing.Coroutine[typing.Any, typing.Any, None]
+]
+
+
+@attrs.define(eq=False)
+class Ingress:
+    """Listens for clients and for the platform's readiness check."""
+
+    _settings: schema.settings.GatewaySettings
+    _handler: Handler
+    _is_ready: typing.Callable[[], bool]
+    _read_limit: typing.Callable[[], int]
+    _closing: bool = False
+    _open_requests: int = 0
+    _idle: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _runners: list[web.ServerRunner] = attrs.field(factory=list)
+    _sites: list[web.TCPSite] = attrs.field(factory=list)
+
+    @property
+    def open_requests(self) -> int:
+        """Requests that have no whole answer yet."""
+        return self._open_requests
+
+    async def start(self) -> None:
+        """Opens the listeners."""
+        self._idle.set()
+        for address, handler in (
+            (self._settings.readiness_address, self._answer_check),
+            (self._settings.front_address, self._answer),
+        ):
+            server = web.Server(
+                handler,
+                handler_cancellation=True,
+                access_log=None,
+                keepalive_timeout=_KEEPALIVE_S,
+                max_line_size=_MAX_LINE_BYTES,
+                max_field_size=_MAX_LINE_BYTES,
+                max_headers=_MAX_HEADERS,
+                auto_decompress=False,
+            )
+            runner = web.ServerRunner(server)
+            await runner.setup()
+            host, _, port = address.rpartition(':')
+            site = web.TCPSite(
+                runner, host, int(port), backlog=_BACKLOG, reuse_address=True
+            )
+            await site.start()
+            self._runners.append(runner)
+            self._sites.append(site)
+
+    def set_closing(self) -> None:
+        """Closes connections after their current request."""
+        self._closing = True
+
+    async def stop_listening(self) -> None:
+        """Takes no new connections of clients."""
+        await self._sites[-1].stop()
+
+    async def wait_idle(self, timeout_s: float) -> None:
+        """Waits until no request is open.
+
+        :param timeout_s: longest wait in seconds.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._idle.wait()
+        except TimeoutError:
+            telemetry.log_event(
+                'requests_left_open', open_requests=self._open_requests
+            )
+
+    async def close(self) -> None:
+        """Closes all listeners and connections."""
+        for runner in reversed(self._runners):
+            await runner.cleanup()
+
+    async def _answer_check(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(
+            status=200 if self._is_ready() else _SERVICE_UNAVAILABLE
+        )
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        received_s = time.monotonic()
+        responder = Responder(request, self._closing)
+        self._open_requests += 1
+        self._idle.clear()
+        try:
+            body = await _read_body(request, self._read_limit())
+            if body is None:
+                return web.Response(status=413)
+            await self._handler(
+                _decode_call(request, body, received_s), responder
+            )
+        finally:
+            self._open_requests -= 1
+            if not self._open_requests:
+                self._idle.set()
+        if responder.result is None:
+            responder.cut()
+            raise asyncio.CancelledError
+        return responder.result
+
+
+async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
+    parts = []
+    size = 0
+    async for part in request.content.iter_any():
+        size += len(part)
+        if size > limit:
+            return None
+        parts.append(part)
+    return b''.join(parts)
+
+
+def _decode_call(
+    request: web.BaseRequest, body: bytes, received_s: float
+) -> serving.Call:
+    headers = request.headers
+    dropped = _headers.CONNECTION_HEADERS | _headers.SYSTEM_HEADERS
+    for named in headers.getall('Connection', ()):
+        dropped |= {name.strip().lower() for name in named.split(',')}
+    return serving.Call(
+        id=headers.get(_headers.REQUEST_ID, ''),
+        host=headers.get('Host', '').partition(':')[0].lower(),
+        method=request.method,
+        path=request.raw_path,
+        headers=tuple(
+            (name, value)
+            for name, value in headers.items()
+            if name.lower() not in dropped
+        ),
+        body=body,
+        received_s=received_s,
+        limit_s=_decode_limit(headers.get(_headers.DEADLINE_MS, '')),
+        prompt=_decode_prompt(headers),
+        last_event=headers.get(_headers.LAST_EVENT, ''),
+    )
+
+
+def _decode_limit(text: str) -> float:
+    try:
+        return max(0.001, float(text) / _MS_PER_S)
+    except ValueError:
+        return _NO_LIMIT_S
+
+
+def _decode_prompt(
+    headers: typing.Mapping[str, str],
+) -> serving.Prompt | None:
+    counts = headers.get(_headers.TOKEN_COUNTS)
+    if counts is None:
+        return None
+    try:
+        tokens, output_tokens = (int(part) for part in counts.split(','))
+        parts = tuple(
+            _decode_part(part)
+            for part in headers.get(_headers.PROMPT_PARTS, '').split(',')
+            if part.strip()
+        )
+    except ValueError:
+        # The worker judges the header; without it there is no home to find.
+        return None
+    return serving.Prompt(
+        parts=parts, tokens=tokens, output_tokens=output_tokens
+    )
+
+
+def _decode_part(text: str) -> schema.serving.PromptPart:
+    part_id, _, tokens = text.strip().partition(':')
+    return schema.serving.PromptPart(id=part_id, tokens=int(tokens))
+
+
+def _copy_headers(
+    response: web.StreamResponse, headers: tuple[serving.Header, ...]
+) -> None:
+    for name, value in headers:
+        response.headers.add(name, value)
+    if 'Content-Type' not in response.headers:
+        response.content_type = 'application/octet-stream'
+
+
+def make_ingress(
+    settings: schema.settings.GatewaySettings,
+    handler: Handler,
+    is_ready: typing.Callable[[], bool],
+    read_limit: typing.Callable[[], int],
+) -> Ingress:
+    """Makes the front end.
+
+    :param settings: addresses.
+    :param handler: serves one request and answers it by the responder.
+    :param is_ready: whether the platform may send new connections.
+    :param read_limit: returns the largest body in bytes.
+    """
+    return Ingress(settings, handler, is_ready, read_limit)
--- a/briarknot/platform/_values.py
+++ b/briarknot/platform/_values.py
@@ -14,11 +14,27 @@
     :param key: key of the row.
     :param value: plain tree of the row.
     :param version: version for a compare-and-set.
+    :param deleted: whether a feed reports its removal.
     """
 
     key: str
     value: typing.Any
     version: int
+    deleted: bool = False
+
+
+@attrs.frozen
+class Page:
+    """Rows of a table.
+
+    :param rows: rows as they were read, or as they changed.
+    :param version: version of the store after which a feed goes on.
+    :param more: whether there are further rows.
+    """
+
+    rows: tuple[Row, ...]
+    version: int
+    more: bool = False
 
 
 @attrs.frozen
@@ -73,6 +89,11 @@
     indexes: tuple[int, ...]
 
 
+@attrs.frozen
+class HistoryLost(sentinels.Sentinel):
+    """Sentinel for changes that the store does not keep any more."""
+
+
 @attrs.frozen
 class Unavailable(sentinels.Sentinel):
     """Sentinel for a call without an answer.
--- /dev/null
+++ b/briarknot/platform/_worker_calls.py
@@ -0,0 +1,379 @@
+"""Calls to workers: runs, prefills, and handles."""
+
+import asyncio
+import contextlib
+import socket
+
+import aiohttp
+import attrs
+import orjson
+import yarl
+
+from briarknot import serving
+from briarknot.platform import _headers
+
+_OK = 200
+_MISDIRECTED = 421
+#: Statuses that promise that a request has not run. Without the worker's own
+#: statement they promise too much.
+_PROMISES = frozenset((408, 421, 429, 503))
+_MS_PER_S = 1000
+#: Urgencies that the worker knows for each rank of a route; prompts that are
+#: needed elsewhere go first within their rank.
+_URGENCIES_PER_RANK = 3
+_LEAST_URGENT = 9
+#: A worker refuses a connection at once or is away; a packet lost on the way
+#: is sent again within 0.2 s to 1 s.
+_CONNECT_S = 1.2
+#: Idle time after which a connection is not used again: workers close idle
+#: ones after some seconds, and a request that crosses the close may have run.
+_IDLE_S = 2.0
+#: Time after which unacknowledged bytes end a connection, in milliseconds; a
+#: partition or a silent connection is noticed by it.
+_USER_TIMEOUT_MS = 2500
+_KEEPALIVE_IDLE_S = 1
+_KEEPALIVE_PERIOD_S = 1
+_KEEPALIVE_PROBES = 2
+_SKIPPED = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
+_MAX_LINE_BYTES = 65536
+#: Errors of opening a connection, before any byte of a request was sent.
+_NOT_SENT_ERRORS = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+
+
+def make_socket(
+    info: tuple[int, int, int, str, tuple[str, int]],
+) -> socket.socket:
+    """Makes a socket that notices a silent connection.
+
+    :param info: address as ``getaddrinfo`` gives it.
+    """
+    family, kind, protocol, _, _ = info
+    made = socket.socket(family, kind, protocol)
+    made.setblocking(False)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, amount in (
+        (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, _KEEPALIVE_PERIOD_S),
+        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+        (socket.TCP_NODELAY, 1),
+    ):
+        made.setsockopt(socket.IPPROTO_TCP, option, amount)
+    return made
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """A worker's answer whose body is still to be read."""
+
+    _answer: serving.Answer
+    _response: aiohttp.ClientResponse
+    _closed: asyncio.Future | None
+
+    @property
+    def answer(self) -> serving.Answer:
+        """Status and headers."""
+        return self._answer
+
+    async def read_whole(self) -> bytes | serving.Failed:
+        """Reads the whole body."""
+        parts = []
+        while True:
+            part = await self.read_some()
+            if isinstance(part, serving.Failed):
+                return part
+            if not part:
+                return b''.join(parts)
+            parts.append(part)
+
+    async def read_some(self) -> bytes | serving.Failed:
+        """Reads what has come of the body; empty at its proper end."""
+        try:
+            part = await self._response.content.readany()
+        except (aiohttp.ClientError, ConnectionError, OSError) as error:
+            return _make_failure(serving.End.BROKEN, error)
+        if part or not self._ends_with_connection:
+            return part
+        return await self._check_end()
+
+    def complete(self, body: bytes) -> serving.Answer:
+        """Returns the whole answer.
+
+        :param body: the body as it was read.
+        """
+        return attrs.evolve(self._answer, body=body)
+
+    def close(self) -> None:
+        """Ends the exchange; the worker drops a request that still runs."""
+        self._response.close()
+
+    def release(self) -> None:
+        """Gives the connection back after the whole body was read."""
+        self._response.release()
+
+    @property
+    def _ends_with_connection(self) -> bool:
+        headers = self._response.headers
+        return (
+            'Content-Length' not in headers
+            and 'chunked' not in headers.get('Transfer-Encoding', '').lower()
+        )
+
+    async def _check_end(self) -> bytes | serving.Failed:
+        # The parser takes a reset for the end of a body without a length.
+        if self._closed is None:
+            return serving.Failed(
+                end=serving.End.BROKEN, reason='end of the body is not known'
+            )
+        try:
+            await self._closed
+        except aiohttp.ClientConnectionError as error:
+            return _make_failure(serving.End.BROKEN, error)
+        return b''
+
+
+@attrs.define(eq=False)
+class WorkerCalls:
+    """Sends requests to workers."""
+
+    _reused: aiohttp.ClientSession
+    _fresh: aiohttp.ClientSession
+
+    async def run(
+        self, call: serving.Call, dispatch: serving.Dispatch, *, fresh: bool
+    ) -> Exchange | serving.Failed:
+        """Sends a request and waits for the start of its answer.
+
+        :param call: the request.
+        :param dispatch: worker and limits.
+        :param fresh: whether a new connection is used, so that a request that
+            may not be repeated is not lost on a stale one.
+        """
+        headers = _make_headers(call, dispatch)
+        if dispatch.source is not None:
+            source = dispatch.source
+            headers.append(
+                (
+                    _headers.KV_SOURCE,
+                    f'{source.worker.address}/{source.handle}',
+                )
+            )
+        return await self._send(call, dispatch, headers, fresh=fresh)
+
+    async def prefill(
+        self, call: serving.Call, dispatch: serving.Dispatch
+    ) -> serving.KvSource | serving.Failed:
+        """Has a prompt read; this does not run the request.
+
+        :param call: the request.
+        :param dispatch: worker and limits.
+        """
+        headers = _make_headers(call, dispatch)
+        headers.append((_headers.STAGE, 'prefill'))
+        exchange = await self._send(call, dispatch, headers, fresh=False)
+        if isinstance(exchange, serving.Failed):
+            return exchange
+        try:
+            return await _read_handle(exchange, dispatch)
+        finally:
+            exchange.release()
+
+    async def free(self, source: serving.KvSource, timeout_s: float) -> bool:
+        """Frees the KV cache of a prompt that nobody will fetch.
+
+        :param source: the KV cache.
+        :param timeout_s: time limit in seconds.
+        """
+        url = yarl.URL(
+            f'http://{source.worker.address}/v1/kv-handle/{source.handle}'
+        )
+        try:
+            async with self._reused.delete(
+                url, timeout=aiohttp.ClientTimeout(total=timeout_s)
+            ) as response:
+                return response.status == _OK
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return False
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._reused.close()
+        await self._fresh.close()
+
+    async def _send(
+        self,
+        call: serving.Call,
+        dispatch: serving.Dispatch,
+        headers: list[serving.Header],
+        *,
+        fresh: bool,
+    ) -> Exchange | serving.Failed:
+        session = self._fresh if fresh else self._reused
+        url = yarl.URL(
+            f'http://{dispatch.worker.address}{call.path}', encoded=True
+        )
+        try:
+            response = await session.request(
+                call.method,
+                url,
+                data=call.body or None,
+                headers=headers,
+                allow_redirects=False,
+            )
+        except _NOT_SENT_ERRORS as error:
+            return _make_failure(serving.End.NOT_SENT, error)
+        except (aiohttp.ClientResponseError, ValueError) as error:
+            return _make_failure(serving.End.FOREIGN, error)
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return _make_failure(serving.End.BROKEN, error)
+        return _check_response(call, response)
+
+
+def _check_response(
+    call: serving.Call, response: aiohttp.ClientResponse
+) -> Exchange | serving.Failed:
+    failure = _find_failure(call, response)
+    if failure is not None:
+        if failure.not_run:
+            response.release()
+        else:
+            response.close()
+        return failure
+    connection = response.connection
+    protocol = connection.protocol if connection else None
+    answer = serving.Answer(
+        status=response.status,
+        headers=_keep_headers(response),
+        load=_read_load(response),
+    )
+    return Exchange(answer, response, protocol.closed if protocol else None)
+
+
+def _find_failure(
+    call: serving.Call, response: aiohttp.ClientResponse
+) -> serving.Failed | None:
+    headers = response.headers
+    status = response.status
+    load = _read_load(response)
+    echoed = headers.get(_headers.REQUEST_ID)
+    if echoed is not None and echoed != call.id:
+        return serving.Failed(
+            end=serving.End.FOREIGN,
+            reason=f'the answer is for request {echoed}',
+        )
+    if status == _MISDIRECTED:
+        return serving.Failed(
+            end=serving.End.WRONG_WORKER, reason='status 421', load=load
+        )
+    if _headers.NOT_EXECUTED in headers:
+        return serving.Failed(
+            end=serving.End.REJECTED, reason=f'status {status}', load=load
+        )
+    if status in _PROMISES:
+        return serving.Failed(
+            end=serving.End.BROKEN,
+            reason=f'status {status} without a statement that it did not run',
+            load=load,
+        )
+    return None
+
+
+def _keep_headers(
+    response: aiohttp.ClientResponse,
+) -> tuple[serving.Header, ...]:
+    return tuple(
+        (name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in _headers.CONNECTION_HEADERS
+    )
+
+
+def _read_load(response: aiohttp.ClientResponse) -> serving.Load | None:
+    text = response.headers.get(_headers.WORKER_LOAD, '')
+    with contextlib.suppress(ValueError):
+        running, waiting, slots = (int(part) for part in text.split(','))
+        return serving.Load(running=running, waiting=waiting, slots=slots)
+    return None
+
+
+async def _read_handle(
+    exchange: Exchange, dispatch: serving.Dispatch
+) -> serving.KvSource | serving.Failed:
+    if exchange.answer.status != _OK:
+        return serving.Failed(
+            end=serving.End.BROKEN,
+            reason=f'prefill answered {exchange.answer.status}',
+        )
+    body = await exchange.read_whole()
+    if isinstance(body, serving.Failed):
+        return body
+    try:
+        tree = orjson.loads(body)
+        return serving.KvSource(
+            worker=dispatch.worker,
+            handle=str(tree['kvHandle']),
+            tokens=int(tree['tokens']),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        return _make_failure(serving.End.FOREIGN, error)
+
+
+def _make_headers(
+    call: serving.Call, dispatch: serving.Dispatch
+) -> list[serving.Header]:
+    headers = list(call.headers)
+    urgency = min(_LEAST_URGENT, dispatch.rank * _URGENCIES_PER_RANK)
+    remaining_ms = max(1, int(dispatch.remaining_s * _MS_PER_S))
+    headers.extend(
+        (
+            (_headers.DEADLINE_MS, str(remaining_ms)),
+            (_headers.EXPECTED_WORKER, dispatch.worker.id),
+        )
+    )
+    if call.prompt is not None:
+        headers.append((_headers.URGENCY, str(urgency)))
+    if dispatch.last_event:
+        headers.append((_headers.LAST_EVENT, dispatch.last_event))
+    return headers
+
+
+def _make_failure(end: serving.End, error: BaseException) -> serving.Failed:
+    return serving.Failed(end=end, reason=f'{type(error).__name__}: {error}')
+
+
+def _make_session(
+    connections: int, *, force_close: bool
+) -> aiohttp.ClientSession:
+    options = {} if force_close else {'keepalive_timeout': _IDLE_S}
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        limit_per_host=connections,
+        force_close=force_close,
+        socket_factory=make_socket,
+        happy_eyeballs_delay=None,
+        **options,
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=_SKIPPED,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_S),
+        max_line_size=_MAX_LINE_BYTES,
+        max_field_size=_MAX_LINE_BYTES,
+        read_bufsize=_MAX_LINE_BYTES,
+    )
+
+
+def make_worker_calls(connections: int = 0) -> WorkerCalls:
+    """Makes the client of workers; a running event loop is needed.
+
+    :param connections: connections to one worker; 0 for no limit.
+    """
+    return WorkerCalls(
+        _make_session(connections, force_close=False),
+        _make_session(connections, force_close=True),
+    )
--- a/briarknot/schema/__init__.py
+++ b/briarknot/schema/__init__.py
@@ -10,6 +10,7 @@
     fleet,
     messages,
     records,
+    serving,
     settings,
 )
 from briarknot.schema._plain import from_plain, read_types, to_plain
@@ -26,6 +27,7 @@
     'read_info',
     'read_types',
     'records',
+    'serving',
     'settings',
     'to_plain',
 )
--- a/briarknot/schema/_generated/settings.py
+++ b/briarknot/schema/_generated/settings.py
@@ -379,3 +379,99 @@
         secret=True,
         default='',
     )
+
+
+@attrs.frozen(kw_only=True)
+class DomainRegion:
+    """Region of a failure domain."""
+
+    __schema__ = 'settings'
+
+    domain: str = _fields.make_field(
+        doc='Name of the failure domain.', required=True, default=''
+    )
+    region: str = _fields.make_field(
+        doc='Name of its region.', required=True, default=''
+    )
+
+
+@attrs.frozen(kw_only=True)
+class GatewaySettings:
+    """Settings of briarknot-gateway."""
+
+    __schema__ = 'settings'
+
+    host: str = _fields.make_field(
+        doc='Name of the host, unique in the fleet.', required=True, default=''
+    )
+    domain: str = _fields.make_field(
+        doc='Failure domain of the host.', required=True, default=''
+    )
+    region: str = _fields.make_field(
+        doc='Region of the host.', required=True, default=''
+    )
+    domains: tuple[DomainRegion, ...] = _fields.make_field(
+        doc='All failure domains of the fleet.', default=()
+    )
+    address: str = _fields.make_field(
+        doc='IP number of the host.', required=True, default=''
+    )
+    front_address: str = _fields.make_field(
+        doc='IP number and port for clients.', required=True, default=''
+    )
+    readiness_address: str = _fields.make_field(
+        doc='IP number and port of the readiness check.',
+        required=True,
+        default='',
+    )
+    metrics_port: int = _fields.make_field(
+        doc='Port of the metrics.', maximum=65535, minimum=0, default=9100
+    )
+    store_address: str = _fields.make_field(
+        doc="IP number and port of the platform's store.",
+        required=True,
+        default='',
+    )
+    heartbeat_s: float = _fields.make_field(
+        doc='Period in which workers register again.',
+        minimum=0.05,
+        unit='s',
+        default=1.0,
+    )
+    peer_port: int = _fields.make_field(
+        doc="Port for the system's own processes; 0 for none.",
+        maximum=65535,
+        minimum=0,
+        default=0,
+    )
+    drain_s: float = _fields.make_field(
+        doc='Time after which a leaving worker must get no more requests.',
+        unit='s',
+        default=3.0,
+    )
+    stop_grace_s: float = _fields.make_field(
+        doc='Time from SIGTERM until the process is killed.',
+        unit='s',
+        default=8.0,
+    )
+    retry_share: float = _fields.make_field(
+        doc='Repeated arrivals at a service for each request, over the whole fleet.',
+        default=0.2,
+    )
+    retry_extra: float = _fields.make_field(
+        doc='Repeated arrivals at a service in a window beside those of the share, over the whole fleet.',
+        default=50.0,
+    )
+    retry_window_s: float = _fields.make_field(
+        doc='Window of the two limits above.', unit='s', default=10.0
+    )
+    lease_s: float = _fields.make_field(
+        doc='Time in which only one process may give orders.',
+        unit='s',
+        default=3.0,
+    )
+    cut_s: float = _fields.make_field(
+        doc='Time in which a worker notices that a connection was closed.',
+        unit='s',
+        default=0.4,
+    )
--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -86,3 +86,29 @@
   peerUrl @4 :Text $A.pattern("(https?://.+)?") $A.doc("Peer URL of an entry process, for status and drain.");
   peerSecret @5 :Text $A.secret $A.doc("Secret that the system's own processes share.");
 }
+
+struct DomainRegion $A.doc("Region of a failure domain.") {
+  domain @0 :Text $A.required $A.doc("Name of the failure domain.");
+  region @1 :Text $A.required $A.doc("Name of its region.");
+}
+
+struct GatewaySettings $A.doc("Settings of briarknot-gateway.") {
+  host @0 :Text $A.required $A.doc("Name of the host, unique in the fleet.");
+  domain @1 :Text $A.required $A.doc("Failure domain of the host.");
+  region @2 :Text $A.required $A.doc("Region of the host.");
+  domains @3 :List(DomainRegion) $A.doc("All failure domains of the fleet.");
+  address @4 :Text $A.required $A.doc("IP number of the host.");
+  frontAddress @5 :Text $A.required $A.doc("IP number and port for clients.");
+  readinessAddress @6 :Text $A.required $A.doc("IP number and port of the readiness check.");
+  metricsPort @7 :UInt16 = 9100 $A.doc("Port of the metrics.");
+  storeAddress @8 :Text $A.required $A.doc("IP number and port of the platform's store.");
+  heartbeatS @9 :Float64 = 1 $A.unit("s") $A.minimum(0.05) $A.doc("Period in which workers register again.");
+  peerPort @10 :UInt16 $A.doc("Port for the system's own processes; 0 for none.");
+  drainS @11 :Float64 = 3 $A.unit("s") $A.doc("Time after which a leaving worker must get no more requests.");
+  stopGraceS @12 :Float64 = 8 $A.unit("s") $A.doc("Time from SIGTERM until the process is killed.");
+  retryShare @13 :Float64 = 0.2 $A.doc("Repeated arrivals at a service for each request, over the whole fleet.");
+  retryExtra @14 :Float64 = 50 $A.doc("Repeated arrivals at a service in a window beside those of the share, over the whole fleet.");
+  retryWindowS @15 :Float64 = 10 $A.unit("s") $A.doc("Window of the two limits above.");
+  leaseS @16 :Float64 = 3 $A.unit("s") $A.doc("Time in which only one process may give orders.");
+  cutS @17 :Float64 = 0.4 $A.unit("s") $A.doc("Time in which a worker notices that a connection was closed.");
+}
--- /dev/null
+++ b/briarknot/serving/_engine_choice.py
@@ -0,0 +1,108 @@
+"""Chooses the engines that read a prompt and that generate its tokens."""
+
+import hashlib
+import typing
+
+from briarknot import registry, schema
+from briarknot.serving import _calls, _places, _plain_choice
+
+#: Cost of fetching KV cache, as a share of a decode worker's slots that may be
+#: taken more before a farther worker is the better one.
+_FETCH_COST = {
+    _places.Distance.SAME_DOMAIN: 0,
+    _places.Distance.SAME_REGION: 0.1,
+    _places.Distance.OTHER_REGION: 0.35,
+}
+_HASH_BYTES = 8
+
+Choice = _plain_choice.PlainChoice
+Workers = _plain_choice.Workers
+
+
+class PrefillPolicy(typing.Protocol):
+    """Chooses the worker that reads a prompt."""
+
+    def __call__(
+        self,
+        choice: Choice,
+        workers: Workers,
+        prompt: _calls.Prompt,
+        now: float,
+    ) -> schema.serving.Worker: ...
+
+
+class DecodePolicy(typing.Protocol):
+    """Chooses the worker that generates tokens."""
+
+    def __call__(
+        self,
+        choice: Choice,
+        workers: Workers,
+        source: _calls.KvSource | None,
+        now: float,
+    ) -> schema.serving.Worker: ...
+
+
+PREFILL_POLICIES: registry.Registry[PrefillPolicy] = registry.Registry(
+    'prefill_policy'
+)
+DECODE_POLICIES: registry.Registry[DecodePolicy] = registry.Registry(
+    'decode_policy'
+)
+
+
+def rank_homes(key: str, workers: Workers) -> Workers:
+    """Orders workers by rendezvous hash of a shared part of a prompt.
+
+    All processes find the same order, and a worker that comes or goes moves
+    only its own parts.
+
+    :param key: identity of the part.
+    :param workers: workers to order.
+    """
+    return tuple(sorted(workers, key=lambda worker: _hash_pair(key, worker.id)))
+
+
+def _hash_pair(key: str, worker_id: str) -> bytes:
+    pair = f'{key} {worker_id}'.encode()
+    return hashlib.blake2b(pair, digest_size=_HASH_BYTES).digest()
+
+
+@PREFILL_POLICIES.register('home')
+def choose_home(
+    choice: Choice, workers: Workers, prompt: _calls.Prompt, now: float
+) -> schema.serving.Worker:
+    """Chooses the one home of the prompt's shared part in the fleet."""
+    return rank_homes(prompt.shared_key, workers)[0]
+
+
+@DECODE_POLICIES.register('least_tokens')
+def choose_least_tokens(
+    choice: Choice,
+    workers: Workers,
+    source: _calls.KvSource | None,
+    now: float,
+) -> schema.serving.Worker:
+    """Chooses the least loaded worker near the prompt's KV cache."""
+    start = source.worker.domain if source else choice.places.domain
+    costs = [
+        (
+            _find_load(choice, worker, now)
+            + _FETCH_COST[choice.places.measure(start, worker.domain)],
+            choice.random_source.random(),
+            worker,
+        )
+        for worker in workers
+    ]
+    return min(costs, key=lambda cost: cost[:2])[-1]
+
+
+def _find_load(
+    choice: Choice, worker: schema.serving.Worker, now: float
+) -> float:
+    record = choice.board.find(worker.id)
+    load = record.read_load(now)
+    busy = float(record.in_flight)
+    if load is not None:
+        busy = max(busy, load.running + load.waiting)
+    return busy / max(1, worker.slots) + record.failure_rate
--- /dev/null
+++ b/briarknot/serving/_places.py
@@ -0,0 +1,38 @@
+"""Distances between failure domains."""
+
+import enum
+
+import attrs
+
+
+class Distance(enum.IntEnum):
+    """How far two failure domains are from each other."""
+
+    SAME_DOMAIN = 0
+    SAME_REGION = 1
+    OTHER_REGION = 2
+
+
+@attrs.frozen
+class Places:
+    """Regions of the failure domains.
+
+    :param domain: failure domain of this process.
+    :param regions: region by failure domain.
+    """
+
+    domain: str
+    regions: dict[str, str]
+
+    def measure(self, first: str, second: str) -> Distance:
+        """Measures the distance between two failure domains.
+
+        >>> places = Places('a', {'a': 'north', 'b': 'north', 'c': 'south'})
+        >>> places.measure('a', 'b').name, places.measure('a', 'c').name
+        ('SAME_REGION', 'OTHER_REGION')
+        """
+        if first == second:
+            return Distance.SAME_DOMAIN
+        if self.regions.get(first) == self.regions.get(second, ''):
+            return Distance.SAME_REGION
+        return Distance.OTHER_REGION
--- a/briarknot/telemetry/__init__.py
+++ b/briarknot/telemetry/__init__.py
@@ -1,5 +1,11 @@
 """Logs, metrics, and traces."""
 
+from briarknot.telemetry._lines import (
+    LineBuffer,
+    LineHandler,
+    log_event,
+    set_up_lines,
+)
 from briarknot.telemetry._logs import log_change, set_up_logs
 from briarknot.telemetry._traces import (
     inject_context,
@@ -9,9 +15,13 @@
 )
 
 __all__ = (
+    'LineBuffer',
+    'LineHandler',
     'inject_context',
     'log_change',
+    'log_event',
     'make_span',
+    'set_up_lines',
     'set_up_logs',
     'set_up_traces',
     'shut_down_traces',
--- a/briarknot_standins/platform/_config.py
+++ b/briarknot_standins/platform/_config.py
@@ -33,6 +33,7 @@
 
     :param down: whether connections are closed without an answer and without
         effect.
+    :param busy: whether calls are answered with 503 and without effect.
     :param slow_s: time before a request is handled.
     :param lose_answers: number of next writes that take effect and whose
         connection is then closed without an answer.
@@ -42,6 +43,7 @@
     """
 
     down: bool = False
+    busy: bool = False
     slow_s: float = 0
     lose_answers: int = 0
     stale_reads: float = 0
--- a/briarknot_standins/platform/_state.py
+++ b/briarknot_standins/platform/_state.py
@@ -3,10 +3,14 @@
 import asyncio
 
 import attrs
+import orjson
 from aiohttp import web
 
+from briarknot import schema
 from briarknot_standins.platform import _config, _stats, _store
 
+_HOSTS_TABLE = 'hosts'
+
 
 @attrs.define(eq=False)
 class Platform:
@@ -56,6 +60,19 @@
         if isinstance(response, web.Response) and response.body:
             self.stats.bytes_out += len(response.body)
 
+    def list_rows(
+        self, table: str, start: str, end: str
+    ) -> dict[str, _store.Row]:
+        """Returns rows by key; the hosts are rows of a table of their own."""
+        if table != _HOSTS_TABLE:
+            return self.tables.list_rows(
+                table, start, end, self.faults.stale_reads
+            )
+        return {
+            host.host: _store.Row(orjson.dumps(schema.to_plain(host)), 1)
+            for host in self.hosts.read(self.faults.host_lag_s)
+        }
+
     def store_object(self, name: str, body: bytes) -> None:
         """Stores an object, in place of an older one of this name."""
         replaced = len(self.objects.get(name, b''))
--- a/briarknot_standins/serving.py
+++ b/briarknot_standins/serving.py
@@ -13,7 +13,7 @@
 from briarknot import schema
 
 HOST = '127.0.0.1'
-CONTROL_PATHS = frozenset(('/faults', '/runs', '/stats'))
+CONTROL_PATHS = frozenset(('/faults', '/forget', '/runs', '/stats'))
 
 # Open connections are not part of a stand-in's result; a long wait for them
 # would only delay the tests.
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -18,7 +18,14 @@
 _DEFINITIONS = _ROOT / 'briarknot' / 'schema' / 'definitions'
 _OUTPUT = _ROOT / 'briarknot' / 'schema' / '_generated'
 # A module may use only classes of modules before it.
-_MODULES = ('fleet', 'settings', 'endpoints', 'records', 'messages')
+_MODULES = (
+    'fleet',
+    'settings',
+    'endpoints',
+    'records',
+    'messages',
+    'serving',
+)
 _ANNOTATION_BASE = 0xB0A1F6D2C3E4A500
 _ANNOTATIONS = (
     'doc',
--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -24,6 +24,7 @@
     ('briarknot-entry', schema.settings.EntrySettings),
     ('briarknot-control', schema.settings.ControlSettings),
     ('briarknot-console', schema.settings.ConsoleSettings),
+    ('briarknot-gateway', schema.settings.GatewaySettings),
     ('briarknotctl', schema.settings.CtlSettings),
 )
 _TYPE_NAMES = {str: 'text', bool: 'true, false', int: 'whole number'}
