Free a prompt's cache only where nobody fetched it

Cause: the cache was freed after each stream, though its worker had fetched it; a short answer without a length was taken for broken, because its connection was gone before its end was looked at. Change: the cache counts as taken once a request ran; the response keeps how its connection ended. Both were found by new tests of the ends of attempts.

--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -36,14 +36,11 @@
                 break
             tried.append(worker.id)
             last = await _attempt(context, request, worker, source, relay)
+            if last is None or not last.not_run:
+                # A worker that ran the request has taken the cache.
+                source = None
             if last is None:
                 return
-            if not (
-                isinstance(last, serving.Failed)
-                and last.end == serving.End.NOT_SENT
-            ):
-                # A worker that refused may have taken the cache already.
-                source = None if not last.not_run else source
             if not _may_go_on(request, last):
                 break
     finally:
--- /dev/null
+++ b/briarknot/gateway/tests/_support.py
@@ -0,0 +1,236 @@
+"""Workers that answer by a script, and a gateway before them."""
+
+import asyncio
+import contextlib
+import functools
+import socket
+import struct
+import time
+
+import aiohttp
+import attrs
+import yarl
+
+from briarknot import platform, schema
+from briarknot.gateway import (  # noqa: F401
+    _context,
+    _generation,
+    _plain,
+    _requests,
+)
+
+_SERVING = schema.serving
+SEAL = 'Server-Seal: s\r\n'
+CLOSE = 'close'
+RESET = 'reset'
+KEEP = 'keep'
+HANG = 'hang'
+
+
+@attrs.frozen
+class Reply:
+    """What a worker does with one request.
+
+    :param text: bytes that it sends; ``{id}`` is the request's id.
+    :param then: what it does with the connection.
+    :param delay_s: time before it sends.
+    """
+
+    text: str
+    then: str = KEEP
+    delay_s: float = 0
+
+
+def make_reply(status, body='', *headers, then=KEEP, delay_s=0):
+    """Makes a whole answer with a length."""
+    lines = ''.join(f'{header}\r\n' for header in headers)
+    return Reply(
+        f'HTTP/1.1 {status} X\r\nRequest-Id: {{id}}\r\n{lines}'
+        f'Content-Length: {len(body)}\r\n\r\n{body}',
+        then,
+        delay_s,
+    )
+
+
+def make_stream(*events, then=KEEP, end=True, start=1):
+    """Makes a stream of events in chunks."""
+    chunks = [
+        f'id: {number}\ndata: {event}\n\n'
+        for number, event in enumerate(events, start)
+    ]
+    body = ''.join(f'{len(one):x}\r\n{one}\r\n' for one in chunks)
+    if end:
+        body = f'{body}0\r\n\r\n'
+    return Reply(
+        f'HTTP/1.1 200 OK\r\nRequest-Id: {{id}}\r\n{SEAL}'
+        'Content-Type: text/event-stream\r\n'
+        f'Transfer-Encoding: chunked\r\n\r\n{body}',
+        then,
+    )
+
+
+REJECTED = make_reply(503, '', 'Not-Executed: 1')
+HANDLE = make_reply(200, '{"kvHandle":"k1","tokens":10,"version":1}')
+
+
+@attrs.define(eq=False)
+class ScriptedWorker:
+    """Answers requests in the order of its script."""
+
+    script: list
+    stage: str = 'none'
+    port: int = 0
+    requests: list = attrs.field(factory=list)
+    cancelled: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @property
+    def entry(self):
+        """Its entry in the fleet."""
+        return _SERVING.Worker(
+            id=f'i-{self.port}',
+            service='s',
+            address=f'127.0.0.1:{self.port}',
+            domain='a',
+            slots=4,
+            stage=_SERVING.Stage(self.stage),
+        )
+
+    async def answer(self, reader, writer):
+        """Serves one connection."""
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                reply = await self._take(head.decode(), reader)
+                if reply.then == HANG:
+                    await reader.read()
+                    self.cancelled.set()
+                    break
+                await asyncio.sleep(reply.delay_s)
+                writer.write(self._fill(reply.text).encode())
+                await writer.drain()
+                if reply.then == RESET:
+                    _set_reset(writer)
+                if reply.then != KEEP:
+                    break
+        writer.close()
+
+    async def _take(self, head, reader):
+        fields = _read_fields(head)
+        fields['body'] = await reader.readexactly(
+            int(fields.get('content-length', 0))
+        )
+        self.requests.append(fields)
+        return self.script.pop(0)
+
+    def _fill(self, text):
+        return text.replace('{id}', self.requests[-1].get('request-id', ''))
+
+
+def _read_fields(head):
+    first, *lines = head.split('\r\n')
+    fields = {'first': first}
+    for line in lines:
+        name, _, value = line.partition(':')
+        fields[name.strip().lower()] = value.strip()
+    return fields
+
+
+def _set_reset(writer):
+    connection = writer.get_extra_info('socket')
+    linger = struct.pack('ii', 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def find_port():
+    """Finds a free port on the loopback interface."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+def make_route(kind, **changes):
+    """Makes the route of all requests."""
+    fields = {
+        'name': 'r',
+        'host': '127.0.0.1',
+        'path_prefix': '/r/',
+        'kind': kind,
+        'timeout_s': 5.0,
+        'target_s': 1.0,
+        'destinations': (_SERVING.Destination(service='s', weight=1.0),),
+        'max_attempts': 2,
+    }
+    return _SERVING.Route(**{**fields, **changes})
+
+
+@attrs.define(eq=False)
+class Front:
+    """A gateway and a client of it."""
+
+    context: _context.Context
+    url: str
+    session: aiohttp.ClientSession
+
+    async def send(self, method='POST', path='/r/x', **options):
+        """Sends a request; returns status, headers, and body or an error."""
+        headers = {'Request-Id': 'q1', 'Deadline-Ms': '4000'}
+        headers.update(options.pop('headers', {}))
+        url = yarl.URL(f'{self.url}{path}', encoded=True)
+        async with self.session.request(
+            method, url, headers=headers, **options
+        ) as response:
+            return response.status, response.headers, await response.read()
+
+
+@contextlib.asynccontextmanager
+async def open_front(route, *workers, hosts=1):
+    """Serves a gateway with one route to the given workers."""
+    port = find_port()
+    settings = schema.settings.GatewaySettings(
+        host='g',
+        domain='a',
+        region='a',
+        address='127.0.0.1',
+        front_address=f'127.0.0.1:{port}',
+        readiness_address=f'127.0.0.1:{find_port()}',
+        store_address='127.0.0.1:1',
+    )
+    async with contextlib.AsyncExitStack() as stack:
+        for worker in workers:
+            server = await asyncio.start_server(worker.answer, '127.0.0.1')
+            stack.push_async_callback(server.wait_closed)
+            stack.callback(server.close)
+            worker.port = server.sockets[0].getsockname()[1]
+        calls = platform.make_worker_calls()
+        context = _context.make_context(settings, calls)
+        context.budget.set_hosts(hosts)
+        context.fleet.apply_manifest(
+            _SERVING.Manifest(
+                version=1,
+                routes=(route,),
+                services=(_SERVING.Service(name='s'),),
+                limits=_SERVING.ClientLimits(body_bytes=1 << 20),
+            )
+        )
+        context.fleet.apply_workers(
+            tuple(worker.entry for worker in workers),
+            time.monotonic(),
+            after_outage=False,
+        )
+        ingress = platform.make_ingress(
+            settings,
+            functools.partial(_requests.serve_call, context),
+            lambda: True,
+            lambda: 1 << 20,
+        )
+        await ingress.start()
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        yield Front(context, f'http://127.0.0.1:{port}', session)
+        await ingress.close()
+        await calls.close()
+
+
+def make_call_entry(context, worker):
+    """Returns the record that the gateway keeps of a worker."""
+    return context.board.find(worker.entry.id)
--- /dev/null
+++ b/briarknot/gateway/tests/test_generation.py
@@ -0,0 +1,135 @@
+"""Guards streams: whole events, resumes, and cuts that look like cuts."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from briarknot import schema
+from briarknot.gateway.tests import _support
+
+_Kind = schema.serving.RequestKind
+_PROMPT = {
+    'Model': 'm',
+    'Token-Counts': '10,5',
+    'Prompt-Prefix': 'aa:6,bb:4',
+}
+
+
+def make_workers(prefill, *decodes):
+    """Makes a prefill worker and decode workers with their scripts."""
+    return [
+        _support.ScriptedWorker(prefill, 'prefill'),
+        *(_support.ScriptedWorker(script, 'decode') for script in decodes),
+    ]
+
+
+def make_stream_route(*, resumable=True, **changes):
+    """Makes a route of generations."""
+    return _support.make_route(_Kind.GENERATION, resumable=resumable, **changes)
+
+
+def read_data(body):
+    """Returns the data of a stream's events."""
+    return [
+        line.removeprefix('data: ')
+        for line in body.decode().splitlines()
+        if line.startswith('data: ')
+    ]
+
+
+async def test_prompt_is_read_and_tokens_are_made_elsewhere():
+    """A decode worker would read the prompt at half the speed."""
+    prefill, decode = make_workers(
+        [_support.HANDLE], [_support.make_stream('x', 'y')]
+    )
+    async with _support.open_front(
+        make_stream_route(), prefill, decode
+    ) as front:
+        status, _, body = await front.send(headers=_PROMPT)
+    assert (status, read_data(body)) == (200, ['x', 'y'])
+    assert prefill.requests[0]['serving-stage'] == 'prefill'
+    assert decode.requests[0]['kv-source'] == f'127.0.0.1:{prefill.port}/k1'
+    assert decode.requests[0]['prompt-prefix'] == 'aa:6,bb:4'
+
+
+async def test_broken_stream_goes_on_after_its_last_whole_event():
+    """Pieces would be missing or come twice."""
+    torn = _support.make_stream('x', 'y', then=_support.RESET, end=False)
+    rest = _support.make_stream('z', start=3)
+    workers = make_workers([_support.HANDLE] * 3, [torn, rest], [torn, rest])
+    for worker in workers[1:]:
+        worker.script[0] = _support.Reply(
+            torn.text + '8\r\nid: 3\nda\r\n', _support.CLOSE, delay_s=0.05
+        )
+    route = make_stream_route()
+    async with _support.open_front(route, *workers, hosts=1) as front:
+        # The second worker's script must start with the rest.
+        asyncio.get_running_loop().call_later(
+            0.02, _drop_first_unless_used, workers[1:]
+        )
+        status, _, body = await front.send(headers=_PROMPT)
+    assert (status, read_data(body)) == (200, ['x', 'y', 'z'])
+    last_events = {
+        request.get('last-event-id')
+        for worker in workers[1:]
+        for request in worker.requests
+    }
+    assert last_events == {None, '2'}
+
+
+def _drop_first_unless_used(workers):
+    for worker in workers:
+        if len(worker.script) == 2:
+            worker.script.pop(0)
+
+
+async def test_stream_that_may_not_go_on_is_cut():
+    """An answer that ends early must not look complete."""
+    torn = _support.make_stream('x', then=_support.CLOSE, end=False)
+    workers = make_workers([_support.HANDLE], [torn], [torn])
+    route = make_stream_route(resumable=False)
+    async with _support.open_front(route, *workers) as front:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await front.send(headers=_PROMPT)
+    assert sum(len(worker.requests) for worker in workers[1:]) == 1
+
+
+async def test_rejected_generation_keeps_its_cache():
+    """A prompt would be read again though its cache is still there."""
+    script = [_support.REJECTED]
+    good = [_support.make_stream('x')]
+    workers = make_workers([_support.HANDLE], script, good)
+    route = make_stream_route(resumable=False, max_attempts=1)
+    async with _support.open_front(route, *workers, hosts=1) as front:
+        _support.make_call_entry(front.context, workers[2]).in_flight = 1
+        status, _, body = await front.send(headers=_PROMPT)
+    assert (status, read_data(body)) == (200, ['x'])
+    assert len(workers[0].requests) == 1
+
+
+async def test_cache_that_nobody_fetches_is_freed():
+    """A kept cache takes memory from other prompts."""
+    freed = _support.make_reply(200)
+    workers = make_workers([_support.HANDLE, freed], [_support.REJECTED])
+    async with _support.open_front(make_stream_route(), *workers) as front:
+        status, _, _ = await front.send(headers=_PROMPT)
+        async with asyncio.timeout(2):
+            while len(workers[0].requests) < 2:
+                await asyncio.sleep(0.01)
+    assert status == 503
+    assert workers[0].requests[1]['first'].startswith('DELETE /v1/kv-handle/k1')
+
+
+async def test_worker_is_told_when_the_client_of_a_stream_leaves():
+    """A worker would go on generating for nobody."""
+    workers = make_workers(
+        [_support.HANDLE], [_support.Reply('', _support.HANG)]
+    )
+    async with _support.open_front(make_stream_route(), *workers) as front:
+        with pytest.raises(TimeoutError):
+            await front.send(
+                headers=_PROMPT, timeout=aiohttp.ClientTimeout(total=0.2)
+            )
+        async with asyncio.timeout(2):
+            await workers[1].cancelled.wait()
--- /dev/null
+++ b/briarknot/gateway/tests/test_plain.py
@@ -0,0 +1,201 @@
+"""Guards what a gateway concludes from each way an attempt can end."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from briarknot import schema
+from briarknot.gateway.tests import _support
+
+_Kind = schema.serving.RequestKind
+_OK = _support.make_reply(200, 'done', 'Server-Seal: s')
+_FAILED = _support.make_reply(500, 'oops', 'Server-Seal: s')
+
+
+def make_plain_route(kind, **changes):
+    """Makes a route to a plain service."""
+    return _support.make_route(kind, **changes)
+
+
+def count_requests(*workers):
+    """Counts the requests that reached workers."""
+    return sum(len(worker.requests) for worker in workers)
+
+
+async def test_request_and_answer_are_passed_on_unchanged():
+    """A worker would run another request than the client's."""
+    worker = _support.ScriptedWorker([_OK])
+    route = make_plain_route(_Kind.NON_IDEMPOTENT)
+    async with _support.open_front(route, worker) as front:
+        status, headers, body = await front.send(
+            path='/r/a%2Fb/../c?x=%20y',
+            data=b'body',
+            headers={'X-Own': '1', 'Kv-Source': 'forged', 'TE': 'trailers'},
+        )
+    request = worker.requests[0]
+    assert request['first'] == 'POST /r/a%2Fb/../c?x=%20y HTTP/1.1'
+    assert request['body'] == b'body'
+    assert request['x-own'] == '1'
+    assert request['request-id'] == 'q1'
+    assert request['expect-instance'] == worker.entry.id
+    assert 0 < int(request['deadline-ms']) <= 4000
+    assert not {'kv-source', 'te'} & set(request)
+    assert (status, body) == (200, b'done')
+    assert headers['Server-Seal'] == 's'
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [
+        _support.Reply('', _support.CLOSE),
+        _support.Reply('', _support.RESET),
+        _support.Reply(
+            'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf', 'close'
+        ),
+        _support.Reply('nonsense\r\n\r\n', _support.CLOSE),
+        _support.make_reply(503),
+        _support.make_reply(429),
+    ],
+    ids=('closed', 'reset', 'truncated', 'garbage', '503', '429'),
+)
+async def test_unknown_end_is_not_repeated(reply):
+    """A booking would run twice, or be said not to have run."""
+    workers = [_support.ScriptedWorker([reply]) for _ in range(2)]
+    route = make_plain_route(_Kind.NON_IDEMPOTENT)
+    async with _support.open_front(route, *workers) as front:
+        status, _, _ = await front.send()
+    assert count_requests(*workers) == 1
+    assert status == 502
+
+
+async def test_rejected_request_goes_to_another_worker():
+    """A worker that did not run a booking leaves it free to run."""
+    workers = [
+        _support.ScriptedWorker([_support.REJECTED]),
+        _support.ScriptedWorker([_OK]),
+    ]
+    route = make_plain_route(_Kind.NON_IDEMPOTENT, max_attempts=1)
+    async with _support.open_front(route, *workers) as front:
+        _support.make_call_entry(front.context, workers[1]).in_flight = 1
+        status, _, body = await front.send()
+    assert (status, body) == (200, b'done')
+    assert count_requests(*workers) == 2
+
+
+async def test_refusal_says_when_to_come_back():
+    """Clients come back only where a refusal promises that nothing ran."""
+    worker = _support.ScriptedWorker([_support.REJECTED])
+    route = make_plain_route(_Kind.NON_IDEMPOTENT)
+    async with _support.open_front(route, worker) as front:
+        status, headers, _ = await front.send()
+    assert status == 503
+    assert 0 < float(headers['Retry-After']) <= 4 / 3
+
+
+async def test_failed_idempotent_request_is_repeated():
+    """A lookup that failed once can still be answered."""
+    workers = [
+        _support.ScriptedWorker([_FAILED]),
+        _support.ScriptedWorker([_OK]),
+    ]
+    route = make_plain_route(_Kind.IDEMPOTENT)
+    async with _support.open_front(route, *workers) as front:
+        _support.make_call_entry(front.context, workers[1]).in_flight = 1
+        status, _, body = await front.send('GET')
+    assert (status, body) == (200, b'done')
+    assert count_requests(*workers) == 2
+
+
+async def test_attempts_of_a_route_bound_repeats():
+    """More workers would run a request than its route allows."""
+    workers = [_support.ScriptedWorker([_FAILED]) for _ in range(4)]
+    route = make_plain_route(_Kind.IDEMPOTENT, max_attempts=2)
+    async with _support.open_front(route, *workers) as front:
+        status, _, body = await front.send('GET')
+    assert (status, body) == (500, b'oops')
+    assert count_requests(*workers) == 2
+
+
+async def test_answer_of_another_request_is_dropped():
+    """A late answer on a kept connection belongs to an earlier request."""
+    extra = _support.Reply(
+        'HTTP/1.1 200 OK\r\nRequest-Id: old\r\nServer-Seal: s\r\n'
+        'Content-Length: 5\r\n\r\nother'
+    )
+    workers = [_support.ScriptedWorker([extra, _OK]) for _ in range(2)]
+    workers[1].script.reverse()
+    route = make_plain_route(_Kind.IDEMPOTENT)
+    async with _support.open_front(route, *workers) as front:
+        results = [await front.send('GET') for _ in range(2)]
+    assert [body for _, _, body in results] == [b'done', b'done']
+
+
+@pytest.mark.parametrize('then', [_support.CLOSE, _support.RESET])
+async def test_body_without_a_length_counts_only_after_a_proper_end(then):
+    """A reset was taken for the end of the body."""
+    reply = _support.Reply(
+        'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: s\r\n\r\npart',
+        then,
+        delay_s=0.05,
+    )
+    worker = _support.ScriptedWorker([reply])
+    route = make_plain_route(_Kind.NON_IDEMPOTENT)
+    async with _support.open_front(route, worker) as front:
+        status, _, body = await front.send()
+    if then == _support.CLOSE:
+        assert (status, body) == (200, b'part')
+    else:
+        assert status == 502
+
+
+async def test_time_limit_of_the_route_is_kept():
+    """A request that is held past its limit is given up too late."""
+    worker = _support.ScriptedWorker([_support.Reply('', _support.HANG)])
+    route = make_plain_route(_Kind.NON_IDEMPOTENT, timeout_s=0.3)
+    async with _support.open_front(route, worker) as front:
+        started_s = asyncio.get_running_loop().time()
+        status, _, _ = await front.send()
+        seconds = asyncio.get_running_loop().time() - started_s
+        await worker.cancelled.wait()
+    assert status == 504
+    assert 0.2 < seconds < 2
+
+
+async def test_worker_is_told_when_the_client_leaves():
+    """A worker would go on for a client that is gone."""
+    worker = _support.ScriptedWorker([_support.Reply('', _support.HANG)])
+    route = make_plain_route(_Kind.NON_IDEMPOTENT)
+    async with _support.open_front(route, worker) as front:
+        with pytest.raises(TimeoutError):
+            await front.send(timeout=aiohttp.ClientTimeout(total=0.2))
+        async with asyncio.timeout(2):
+            await worker.cancelled.wait()
+
+
+async def test_unreachable_worker_costs_no_repeat():
+    """Crashed workers would use up the budget of the whole fleet."""
+    down = _support.ScriptedWorker([])
+    up = _support.ScriptedWorker([_OK])
+    route = make_plain_route(_Kind.NON_IDEMPOTENT)
+    async with _support.open_front(route, down, up, hosts=10**6) as front:
+        entry = down.entry
+        workers = tuple(
+            one if one.id != entry.id else make_unreachable(entry)
+            for one in front.context.fleet.workers
+        )
+        front.context.fleet.apply_workers(workers, 0, after_outage=False)
+        status, _, _ = await front.send()
+    assert status == 200
+    assert not down.requests
+
+
+def make_unreachable(entry):
+    """Returns an entry whose port has no listener."""
+    return schema.serving.Worker(
+        id=entry.id,
+        service=entry.service,
+        address=f'127.0.0.1:{_support.find_port()}',
+        domain=entry.domain,
+        slots=entry.slots,
+    )
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -65,13 +65,28 @@
     return made
 
 
+class _Response(aiohttp.ClientResponse):
+    """A response that knows how its connection ended."""
+
+    #: Set when the connection is closed, with an exception after a reset.
+    closed_connection: asyncio.Future | None = None
+
+    async def start(
+        self, connection: aiohttp.connector.Connection
+    ) -> aiohttp.ClientResponse:
+        """Waits for the head of the answer."""
+        # A short answer's connection is gone once its head was read.
+        if connection.protocol is not None:
+            self.closed_connection = connection.protocol.closed
+        return await super().start(connection)
+
+
 @attrs.define(eq=False)
 class Exchange:
     """A worker's answer whose body is still to be read."""
 
     _answer: serving.Answer
-    _response: aiohttp.ClientResponse
-    _closed: asyncio.Future | None
+    _response: _Response
 
     @property
     def answer(self) -> serving.Answer:
@@ -124,12 +139,13 @@
 
     async def _check_end(self) -> bytes | serving.Failed:
         # The parser takes a reset for the end of a body without a length.
-        if self._closed is None:
+        closed = self._response.closed_connection
+        if closed is None:
             return serving.Failed(
                 end=serving.End.BROKEN, reason='end of the body is not known'
             )
         try:
-            await self._closed
+            await closed
         except aiohttp.ClientConnectionError as error:
             return _make_failure(serving.End.BROKEN, error)
         return b''
@@ -233,7 +249,7 @@
 
 
 def _check_response(
-    call: serving.Call, response: aiohttp.ClientResponse
+    call: serving.Call, response: _Response
 ) -> Exchange | serving.Failed:
     failure = _find_failure(call, response)
     if failure is not None:
@@ -242,18 +258,16 @@
         else:
             response.close()
         return failure
-    connection = response.connection
-    protocol = connection.protocol if connection else None
     answer = serving.Answer(
         status=response.status,
         headers=_keep_headers(response),
         load=_read_load(response),
     )
-    return Exchange(answer, response, protocol.closed if protocol else None)
+    return Exchange(answer, response)
 
 
 def _find_failure(
-    call: serving.Call, response: aiohttp.ClientResponse
+    call: serving.Call, response: _Response
 ) -> serving.Failed | None:
     headers = response.headers
     status = response.status
@@ -360,6 +374,7 @@
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
+        response_class=_Response,
         skip_auto_headers=_SKIPPED,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_S),
         max_line_size=_MAX_LINE_BYTES,
--- /dev/null
+++ b/briarknot/serving/tests/test_choices.py
@@ -0,0 +1,97 @@
+"""Guards the choices of workers."""
+
+import random
+
+import pytest
+
+from briarknot import schema, serving
+
+_Stage = schema.serving.Stage
+_PLACES = serving.Places('a', {'a': 'north', 'b': 'north', 'c': 'south'})
+
+
+def make_choice():
+    """Makes what the policies use, with a fixed seed."""
+    return serving.PlainChoice(serving.make_board(), _PLACES, random.Random(1))
+
+
+def make_workers(*domains, stage=_Stage.NONE):
+    """Makes a worker in each domain."""
+    return tuple(
+        schema.serving.Worker(
+            id=f'w{index}', service='s', domain=domain, slots=4, stage=stage
+        )
+        for index, domain in enumerate(domains)
+    )
+
+
+def make_prompt(key):
+    """Makes a prompt with one shared part."""
+    parts = (
+        schema.serving.PromptPart(id=key, tokens=1000),
+        schema.serving.PromptPart(id=f'{key}-own', tokens=100),
+    )
+    return serving.Prompt(parts=parts, tokens=1100, output_tokens=10)
+
+
+def test_near_worker_is_chosen():
+    """Regions are far and paid by volume."""
+    policy = serving.PLAIN_POLICIES.get('least_cost')
+    choice = make_choice()
+    workers = make_workers('c', 'a', 'c')
+    assert policy(choice, workers, 0) is workers[1]
+
+
+def test_failing_worker_is_avoided():
+    """A worker that fails with good health must not get all requests."""
+    policy = serving.PLAIN_POLICIES.get('least_cost')
+    choice = make_choice()
+    near, far = make_workers('a', 'c')
+    for _ in range(6):
+        choice.board.find(near.id).note_answer(0.05, is_error=True)
+    assert policy(choice, (near, far), 0) is far
+
+
+def test_worker_without_connection_is_blocked_for_a_while():
+    """Each request would wait for the connection of a crashed worker."""
+    record = serving.make_board().find('w')
+    record.note_failure(serving.End.NOT_SENT, now=0)
+    assert record.is_blocked(0.1)
+    assert not record.is_blocked(10)
+    record.note_failure(serving.End.REJECTED, now=20)
+    assert not record.is_blocked(20)
+
+
+def test_homes_move_only_with_their_worker():
+    """A worker that leaves must not move the prompts of all others."""
+    workers = make_workers(*'abcabc', stage=_Stage.PREFILL)
+    keys = [f'k{index}' for index in range(200)]
+    before = {key: serving.rank_homes(key, workers)[0].id for key in keys}
+    after = {key: serving.rank_homes(key, workers[1:])[0].id for key in keys}
+    moved = {key for key in keys if before[key] != after[key]}
+    assert moved == {key for key in keys if before[key] == 'w0'}
+
+
+@pytest.mark.parametrize('name', serving.PREFILL_POLICIES.names)
+def test_all_processes_find_the_same_home(name):
+    """Each process would have the same shared part read again."""
+    policy = serving.PREFILL_POLICIES.get(name)
+    workers = make_workers(*'abc', stage=_Stage.PREFILL)
+    homes = {
+        policy(make_choice(), order, make_prompt('k'), 0).id
+        for order in (workers, workers[::-1])
+    }
+    assert len(homes) == 1
+
+
+def test_decode_worker_near_the_cache_is_chosen_until_it_is_busy():
+    """Moves between regions are slow; a full worker is slower."""
+    policy = serving.DECODE_POLICIES.get('least_tokens')
+    choice = make_choice()
+    source = serving.KvSource(
+        worker=make_workers('c')[0], handle='h', tokens=1000
+    )
+    far, near = make_workers('a', 'c', stage=_Stage.DECODE)
+    assert policy(choice, (far, near), source, 0) is near
+    choice.board.find(near.id).in_flight = 4
+    assert policy(choice, (far, near), source, 0) is far
--- /dev/null
+++ b/briarknot/serving/tests/test_retry_budget.py
@@ -0,0 +1,102 @@
+"""Guards the fleet's limit of repeated arrivals."""
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from briarknot import serving
+
+_SHARE = 0.2
+_EXTRA = 8.0
+_WINDOW_S = 10.0
+_HOSTS = 4
+
+
+class BudgetMachine(stateful.RuleBasedStateMachine):
+    """Lets several processes repeat as much as they may."""
+
+    def __init__(self):
+        """Starts all processes at once."""
+        super().__init__()
+        self.now = 0.0
+        self.hosts = [
+            serving.make_retry_budget(_SHARE, _EXTRA, _WINDOW_S, _HOSTS)
+            for _ in range(_HOSTS)
+        ]
+        self.requests = []
+        self.repeats = []
+
+    @stateful.rule(seconds=strategies.floats(0.01, 6))
+    def wait(self, seconds):
+        """Time passes."""
+        self.now += seconds
+
+    @stateful.rule(
+        host=strategies.integers(0, _HOSTS - 1),
+        count=strategies.integers(1, 40),
+    )
+    def send_requests(self, host, count):
+        """Clients send requests to one process."""
+        for _ in range(count):
+            self.hosts[host].note_request('s', self.now)
+            self.requests.append(self.now)
+
+    @stateful.rule(host=strategies.integers(0, _HOSTS - 1))
+    def repeat_all(self, host):
+        """One process repeats until it may not."""
+        while self.hosts[host].take('s', self.now):
+            self.repeats.append(self.now)
+
+    @stateful.rule(host=strategies.integers(0, _HOSTS - 1))
+    def restart(self, host):
+        """A process that starts again knows nothing of its repeats.
+
+        Its share is spent twice at most, which is why the check below allows
+        one share more for each restart within a window.
+        """
+        self.hosts[host] = serving.make_retry_budget(
+            _SHARE, _EXTRA, _WINDOW_S, _HOSTS
+        )
+        self.restarts.append(self.now)
+
+    restarts: list = []
+
+    @stateful.initialize()
+    def forget_restarts(self):
+        """Starts without restarts."""
+        self.restarts = []
+
+    @stateful.invariant()
+    def fleet_stays_within_its_limit(self):
+        """More repeats would break the limit of the service."""
+        repeats = _count(self.repeats, self.now, _WINDOW_S)
+        # A window of requests that ends as late as the repeats' own, or up to
+        # one window before, is what the repeats were allowed for.
+        requests = _count(self.requests, self.now, 2 * _WINDOW_S)
+        restarts = _count(self.restarts, self.now, 2 * _WINDOW_S)
+        allowed = _SHARE * requests + _EXTRA * (1 + restarts / _HOSTS)
+        assert repeats <= allowed
+
+
+def _count(times, now, window_s):
+    return sum(now - window_s < time <= now for time in times)
+
+
+TestBudget = BudgetMachine.TestCase
+TestBudget.settings = hypothesis.settings(
+    hypothesis.settings.get_profile('repeatable'), stateful_step_count=30
+)
+
+
+def test_services_do_not_share():
+    """A failing service must not take the repeats of another one."""
+    budget = serving.make_retry_budget(0, 1, _WINDOW_S, hosts=1)
+    assert budget.take('a', 0)
+    assert not budget.take('a', 0)
+    assert budget.take('b', 0)
+
+
+def test_more_processes_have_smaller_shares():
+    """Added machines must not add repeats to the fleet."""
+    budget = serving.make_retry_budget(0, 8, _WINDOW_S, hosts=1)
+    budget.set_hosts(8)
+    assert [budget.take('a', 0) for _ in range(2)] == [True, False]
