Read prompts where their first token is expected first

Change: placement by prediction over two homes of each stage, prompts told between gateways over UDP, sends counted as the budget counts them, lapsed entries kept only from the first read after an outage.

--- a/briarknot/gateway/_attempts.py
+++ b/briarknot/gateway/_attempts.py
@@ -91,6 +91,8 @@
     if isinstance(result, serving.Failed) and result.not_run:
         request.may_have_run = ran_before
         request.attempts -= 1
+        if result.end == serving.End.NOT_SENT:
+            request.return_arrival(context.budget)
     return result
 
 
--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -32,20 +32,24 @@
     :param settings: settings in force.
     :param fleet: manifest and workers.
     :param board: load and health of the workers.
+    :param prompts: prompts at engines.
     :param budget: repeats that this process may send.
     :param calls: client of the workers.
     :param places: distances between failure domains.
     :param random_source: source of randomness.
+    :param hosts: addresses of the other processes by host.
     :param background: tasks that outlive the request that started them.
     """
 
     settings: schema.settings.GatewaySettings
     fleet: serving.Fleet
     board: serving.Board
+    prompts: serving.PromptLoad
     budget: serving.RetryBudget
     calls: platform.WorkerCalls
     places: serving.Places
     random_source: random.Random = attrs.field(factory=random.Random)
+    hosts: dict[str, tuple[str, int]] = attrs.field(factory=dict)
     background: set[typing.Any] = attrs.field(factory=set)
 
     @property
@@ -67,6 +71,7 @@
         settings=settings,
         fleet=serving.make_fleet(),
         board=serving.make_board(),
+        prompts=serving.make_prompt_load(),
         budget=serving.make_retry_budget(
             settings.retry_share,
             settings.retry_extra,
--- a/briarknot/gateway/_followers.py
+++ b/briarknot/gateway/_followers.py
@@ -20,12 +20,12 @@
 _WORKERS_PERIOD_S = 0.8
 #: Pause after a failed call to the store.
 _RETRY_S = 0.4
-#: Time after an outage of the store during which entries may be missing.
-_AFTER_OUTAGE_S = 3.0
 #: Period in which a process registers itself, and of reading the others.
 _HOSTS_PERIOD_S = 6.0
 #: Periods without a change after which a process does not count any more.
 _HOSTS_PERIODS_KEPT = 3
+#: Processes that may start before the next count.
+_SPARE_HOSTS = 3
 
 
 @attrs.define(eq=False)
@@ -35,7 +35,6 @@
     _context: _context.Context
     _client: platform.Client
     _is_away: bool = False
-    _back_s: float = float('-inf')
     _malformed: set[str] = attrs.field(factory=set)
 
     async def follow_manifest(self) -> None:
@@ -65,10 +64,61 @@
                 self._note_outage(page.reason)
                 await asyncio.sleep(_RETRY_S)
                 continue
-            self._note_return(started_s)
-            self._apply_workers(page.rows, started_s)
+            self._apply_workers(
+                page.rows, started_s, after_outage=self._note_return()
+            )
             await asyncio.sleep(_WORKERS_PERIOD_S)
 
+    async def follow_hosts(self) -> None:
+        """Registers this process, and counts those that change their entry."""
+        settings = self._context.settings
+        own = None
+        changed: dict[str, tuple[int, int]] = {}
+        beat = 0
+        while True:
+            beat += 1
+            page = await self._client.read_table(_HOSTS_TABLE)
+            if not isinstance(page, platform.Unavailable):
+                for row in page.rows:
+                    known = changed.get(row.key)
+                    if known is None or known[0] != row.version:
+                        changed[row.key] = (row.version, beat)
+                    if row.key == settings.host:
+                        own = row.version
+                self._note_hosts(page.rows, changed, beat)
+                await self._client.commit(
+                    platform.Operation(
+                        _HOSTS_TABLE,
+                        settings.host,
+                        {
+                            'address': settings.address,
+                            'port': settings.peer_port,
+                            'beat': beat,
+                        },
+                        own,
+                    )
+                )
+            await asyncio.sleep(_HOSTS_PERIOD_S)
+
+    def _note_hosts(
+        self,
+        rows: tuple[platform.Row, ...],
+        changed: dict[str, tuple[int, int]],
+        beat: int,
+    ) -> None:
+        own = self._context.settings.host
+        hosts = {
+            row.key: (row.value['address'], row.value['port'])
+            for row in rows
+            if beat - changed[row.key][1] < _HOSTS_PERIODS_KEPT
+            and row.key != own
+        }
+        if hosts.keys() != self._context.hosts.keys():
+            telemetry.log_event('hosts_changed', hosts=sorted(hosts))
+        self._context.hosts = hosts
+        # A share of the budget must be safe also where more processes start.
+        self._context.budget.set_hosts(1 + len(hosts) + _SPARE_HOSTS)
+
     async def _read_manifest(self) -> int:
         """Reads the manifest until the store answers.
 
@@ -103,7 +153,11 @@
                 )
 
     def _apply_workers(
-        self, rows: tuple[platform.Row, ...], started_s: float
+        self,
+        rows: tuple[platform.Row, ...],
+        started_s: float,
+        *,
+        after_outage: bool,
     ) -> None:
         workers = []
         for row in rows:
@@ -122,10 +176,11 @@
         gone = fleet.apply_workers(
             tuple(workers),
             started_s,
-            after_outage=started_s - self._back_s < _AFTER_OUTAGE_S,
+            after_outage=after_outage,
         )
         for worker_id in gone:
             self._context.board.forget(worker_id)
+            self._context.prompts.forget(worker_id)
             telemetry.log_event('worker_gone', worker=worker_id)
         for worker in workers:
             old = before.get(worker.id)
@@ -144,11 +199,16 @@
             telemetry.log_event('store_lost', reason=reason)
         self._is_away = True
 
-    def _note_return(self, now: float) -> None:
-        if self._is_away:
+    def _note_return(self) -> bool:
+        """Notes an answer of the store.
+
+        :returns: whether it is the first one after an outage.
+        """
+        was_away = self._is_away
+        if was_away:
             telemetry.log_event('store_back')
-            self._back_s = now
         self._is_away = False
+        return was_away
 
 
 def _is_changed(old: object, new: object) -> bool:
--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -1,13 +1,15 @@
 """Serves generations: a prefill, then a stream of events."""
 
 import asyncio
+import contextlib
 import time
+import typing
 
 from briarknot import platform, schema, serving, telemetry
 from briarknot.gateway import _attempts, _context, _requests, _stream
 
 _Stage = schema.serving.Stage
-_PREFILL_POLICY = 'home'
+_PLACEMENT_POLICY = 'predicted'
 _DECODE_POLICY = 'least_tokens'
 _OK = 200
 #: Attempts to have a prompt read, and to send one generation. A worker that
@@ -29,13 +31,17 @@
     tried: list[str] = []
     try:
         while len(tried) < _MAX_SENDS:
+            direct = None
             if source is None:
-                source = await _prefill(context, request)
+                source, direct = await _read_prompt(context, request, tried)
             worker = _choose_decode(context, request, source, tried)
-            if worker is None or not _may_send(context, request, tried, last):
+            if direct is not None:
+                worker = direct.reader
+            if worker is None or not request.take_arrival(context.budget):
                 break
             tried.append(worker.id)
-            last = await _attempt(context, request, worker, source, relay)
+            with _count_prompt(context, request, direct):
+                last = await _attempt(context, request, worker, source, relay)
             if last is None or not last.not_run:
                 # A worker that ran the request has taken the cache.
                 source = None
@@ -57,53 +63,132 @@
     return request.attempts < request.route.max_attempts
 
 
-def _may_send(
+async def _read_prompt(
+    context: _context.Context, request: _requests.Request, refused: list[str]
+) -> tuple[serving.KvSource | None, serving.Placement | None]:
+    """Has the prompt read by a prefill worker, unless that is slower.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param refused: workers that have failed already.
+    :returns: the KV cache, and the place of a prompt that its decode worker
+        reads itself; one of both at the most.
+    """
+    tried = list(refused)
+    for _ in range(_MAX_PREFILLS):
+        placement = _place(context, request, tried)
+        if placement is None:
+            return None, None
+        _log_placement(context, request, placement)
+        if placement.is_direct:
+            return None, placement
+        if not request.take_arrival(context.budget):
+            return None, None
+        tried.append(placement.reader.id)
+        result = await _prefill(context, request, placement)
+        if isinstance(result, serving.KvSource):
+            return result, None
+    return None, None
+
+
+@contextlib.contextmanager
+def _count_prompt(
     context: _context.Context,
     request: _requests.Request,
-    tried: list[str],
-    last: serving.Failed | None,
-) -> bool:
-    if not tried or (last is not None and last.end == serving.End.NOT_SENT):
-        return True
-    return context.budget.take(request.service.name, time.monotonic())
+    placement: serving.Placement | None,
+) -> typing.Iterator[None]:
+    """Counts a prompt that a decode worker reads itself, while it streams.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param placement: where the prompt is read; None where it was read before.
+    """
+    if placement is None:
+        yield
+        return
+    context.prompts.add(placement, request.call.prompt)
+    try:
+        yield
+    finally:
+        context.prompts.remove(placement, 0, is_read=False)
 
 
 async def _prefill(
-    context: _context.Context, request: _requests.Request
-) -> serving.KvSource | None:
-    tried: list[str] = []
-    last: serving.Failed | None = None
-    while len(tried) < _MAX_PREFILLS:
-        worker = _choose_prefill(context, request, tried)
-        if worker is None or not _may_send(context, request, tried, last):
-            return None
-        tried.append(worker.id)
-        dispatch = serving.Dispatch(
-            worker=worker,
-            remaining_s=request.remaining_s(time.monotonic()),
-            rank=request.route.rank,
-        )
-        tokens = request.call.prompt.tokens
-        with _attempts.open_attempt(context, worker, tokens) as attempt:
+    context: _context.Context,
+    request: _requests.Request,
+    placement: serving.Placement,
+) -> serving.KvSource | serving.Failed:
+    dispatch = serving.Dispatch(
+        worker=placement.reader,
+        remaining_s=request.remaining_s(time.monotonic()),
+        rank=request.route.rank,
+    )
+    prompt = request.call.prompt
+    with _attempts.open_attempt(
+        context, placement.reader, prompt.tokens
+    ) as attempt:
+        result: serving.KvSource | serving.Failed | None = None
+        context.prompts.add(placement, prompt)
+        try:
             result = await context.calls.prefill(request.call, dispatch)
-            _attempts.note_result(
-                request, attempt, 'prefill', result, context.fleet
+        finally:
+            context.prompts.remove(
+                placement,
+                attempt.seconds,
+                is_read=isinstance(result, serving.KvSource),
             )
-        if isinstance(result, serving.KvSource):
-            return result
-        last = result
-    return None
+        _attempts.note_result(
+            request, attempt, 'prefill', result, context.fleet
+        )
+    if not _counts_as_arrival(request, result):
+        request.return_arrival(context.budget)
+    return result
+
+
+def _counts_as_arrival(
+    request: _requests.Request, result: serving.KvSource | serving.Failed
+) -> bool:
+    if isinstance(result, serving.KvSource):
+        # Only the first prefill that a worker accepts is free.
+        is_free = not request.has_prefill
+        request.has_prefill = True
+        return not is_free
+    return result.end != serving.End.NOT_SENT
 
 
-def _choose_prefill(
+def _place(
     context: _context.Context, request: _requests.Request, tried: list[str]
-) -> schema.serving.Worker | None:
+) -> serving.Placement | None:
     prompt = request.call.prompt
-    workers = _list_calm(context, request, _Stage.PREFILL, tried)
-    if prompt is None or not workers:
+    if prompt is None:
         return None
-    policy = serving.PREFILL_POLICIES.get(_PREFILL_POLICY)
-    return policy(context.choice, workers, prompt, time.monotonic())
+    view = serving.PlacementView(
+        context.prompts,
+        context.board,
+        context.places,
+        _list_calm(context, request, _Stage.PREFILL, tried),
+        _list_calm(context, request, _Stage.DECODE, tried),
+    )
+    return serving.PLACEMENT_POLICIES.get(_PLACEMENT_POLICY)(
+        view, prompt, time.monotonic()
+    )
+
+
+def _log_placement(
+    context: _context.Context,
+    request: _requests.Request,
+    placement: serving.Placement,
+) -> None:
+    telemetry.log_event(
+        'prompt_placed',
+        request=request.call.id,
+        worker=placement.reader.id,
+        stage=placement.reader.stage.value,
+        expected_s=round(placement.expected_s, 4),
+        uncached=placement.uncached,
+        slowdown=round(context.prompts.find_slowdown(placement.reader), 2),
+        waiting=context.prompts.find_wait(placement.reader, time.monotonic()),
+    )
 
 
 def _choose_decode(
--- /dev/null
+++ b/briarknot/gateway/_peers.py
@@ -0,0 +1,99 @@
+"""Tells the other gateway processes which prompts this one has at engines."""
+
+import asyncio
+import socket
+import time
+
+import attrs
+import prometheus_client
+
+from briarknot import schema, telemetry
+from briarknot.gateway import _context
+
+#: Shortest period of messages. A prompt takes some hundred milliseconds to
+#: read, so that later news would come after it.
+_PERIOD_S = 0.15
+#: Messages that a process sends in a second at the most; with more peers the
+#: period grows, which keeps control traffic within 4 KB a second and region.
+_MESSAGES_PER_S = 60.0
+_DATAGRAM_BYTES = 65536
+_MS_PER_S = 1000
+_MESSAGES = prometheus_client.Counter(
+    'briarknot_gateway_peer_messages',
+    'Messages between gateway processes by direction.',
+    ('direction',),
+)
+
+
+@attrs.define(eq=False)
+class Peers:
+    """Sends and receives messages over UDP; lost ones are not repeated."""
+
+    _context: _context.Context
+    _socket: socket.socket
+    _born_ms: int
+
+    async def receive(self) -> None:
+        """Takes the messages of other processes."""
+        loop = asyncio.get_running_loop()
+        while True:
+            data = await loop.sock_recv(self._socket, _DATAGRAM_BYTES)
+            message = schema.decode(schema.messages.PromptTokens, data)
+            if isinstance(message, schema.DecodeError):
+                telemetry.log_event(
+                    'peer_message_malformed', reason=message.reason
+                )
+                continue
+            _MESSAGES.labels('received').inc()
+            self._context.prompts.apply_peer(message, time.monotonic())
+
+    async def send(self) -> None:
+        """Sends the own prompts to all others while they change."""
+        sequence = 0
+        before: dict[str, int] = {}
+        while True:
+            hosts = tuple(self._context.hosts.values())
+            period_s = max(_PERIOD_S, len(hosts) / _MESSAGES_PER_S)
+            await asyncio.sleep(period_s)
+            tokens = self._context.prompts.own_tokens
+            if tokens == before and not tokens:
+                continue
+            before = tokens
+            sequence += 1
+            data = schema.encode(self._make_message(tokens, sequence))
+            for address in hosts:
+                self._send_one(data, address)
+
+    def _send_one(self, data: bytes, address: tuple[str, int]) -> None:
+        try:
+            self._socket.sendto(data, address)
+        except OSError:
+            # The next message tells the same again.
+            _MESSAGES.labels('failed').inc()
+        else:
+            _MESSAGES.labels('sent').inc()
+
+    def _make_message(
+        self, tokens: dict[str, int], sequence: int
+    ) -> schema.messages.PromptTokens:
+        return schema.messages.PromptTokens(
+            host=self._context.settings.host,
+            sequence=sequence,
+            born_ms=self._born_ms,
+            workers=tuple(
+                schema.messages.WorkerTokens(worker=worker_id, tokens=amount)
+                for worker_id, amount in tokens.items()
+            ),
+        )
+
+
+def make_peers(context: _context.Context) -> Peers:
+    """Opens the socket for messages of peers.
+
+    :param context: state of the process.
+    """
+    settings = context.settings
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    opened.setblocking(False)
+    opened.bind((settings.address, settings.peer_port))
+    return Peers(context, opened, int(time.time() * _MS_PER_S))
--- a/briarknot/gateway/_plain.py
+++ b/briarknot/gateway/_plain.py
@@ -38,7 +38,7 @@
     last: serving.Answer | serving.Failed | None = None
     while len(tried) < _MAX_SENDS:
         worker = _choose(context, request, tried)
-        if worker is None or not _may_send(context, request, tried, last):
+        if worker is None or not request.take_arrival(context.budget):
             break
         tried.append(worker.id)
         last = await _attempt(context, request, worker, repeatable=repeatable)
@@ -67,20 +67,6 @@
     return policy(context.choice, calm or untried, now)
 
 
-def _may_send(
-    context: _context.Context,
-    request: _requests.Request,
-    tried: list[str],
-    last: serving.Answer | serving.Failed | None,
-) -> bool:
-    if not tried:
-        return True
-    if isinstance(last, serving.Failed) and last.end == serving.End.NOT_SENT:
-        # Nothing arrived at a worker, so that nothing is repeated.
-        return True
-    return context.budget.take(request.service.name, time.monotonic())
-
-
 async def _attempt(
     context: _context.Context,
     request: _requests.Request,
--- a/briarknot/gateway/_program.py
+++ b/briarknot/gateway/_program.py
@@ -17,6 +17,7 @@
     _context,
     _followers,
     _generation,
+    _peers,
     _plain,
     _requests,
 )
@@ -80,11 +81,15 @@
         )
         await ingress.start()
         followers = _followers.make_followers(self._context, self._client)
+        peers = _peers.make_peers(self._context)
         tasks = [
             loop.create_task(program.keep_running(name, duty))
             for name, duty in (
                 ('manifest', followers.follow_manifest),
                 ('workers', followers.follow_workers),
+                ('hosts', followers.follow_hosts),
+                ('peer_news', peers.receive),
+                ('own_news', peers.send),
                 ('settings', self._watch_settings),
                 ('log', self._flush_lines),
             )
--- a/briarknot/gateway/_requests.py
+++ b/briarknot/gateway/_requests.py
@@ -34,6 +34,9 @@
     :param limit_s: monotonic time at which it must be answered.
     :param attempts: attempts so far that may have run it.
     :param may_have_run: whether one of them may have run it.
+    :param arrivals: times that it arrived at workers, as the retry budget
+        counts them.
+    :param has_prefill: whether a worker has accepted to read its prompt.
     """
 
     call: serving.Call
@@ -43,6 +46,31 @@
     limit_s: float
     attempts: int = 0
     may_have_run: bool = False
+    arrivals: int = 0
+    has_prefill: bool = False
+
+    def take_arrival(self, budget: serving.RetryBudget) -> bool:
+        """Counts a send, and takes a repeat of the budget for all but one.
+
+        :param budget: repeats that this process may send.
+        :returns: whether the request may be sent.
+        """
+        is_first = not self.arrivals
+        if not is_first and not budget.take(
+            self.service.name, time.monotonic()
+        ):
+            return False
+        self.arrivals += 1
+        return True
+
+    def return_arrival(self, budget: serving.RetryBudget) -> None:
+        """Takes back the count of a send that does not count as an arrival.
+
+        :param budget: repeats that this process may send.
+        """
+        self.arrivals -= 1
+        if self.arrivals:
+            budget.give_back(self.service.name)
 
     def remaining_s(self, now: float) -> float:
         """Returns the time until it must be answered."""
--- a/briarknot/gateway/tests/test_generation.py
+++ b/briarknot/gateway/tests/test_generation.py
@@ -11,8 +11,8 @@
 _Kind = schema.serving.RequestKind
 _PROMPT = {
     'Model': 'm',
-    'Token-Counts': '10,5',
-    'Prompt-Prefix': 'aa:6,bb:4',
+    'Token-Counts': '9000,5',
+    'Prompt-Prefix': 'aa:6000,bb:3000',
 }
 
 
@@ -50,7 +50,7 @@
     assert (status, read_data(body)) == (200, ['x', 'y'])
     assert prefill.requests[0]['serving-stage'] == 'prefill'
     assert decode.requests[0]['kv-source'] == f'127.0.0.1:{prefill.port}/k1'
-    assert decode.requests[0]['prompt-prefix'] == 'aa:6,bb:4'
+    assert decode.requests[0]['prompt-prefix'] == 'aa:6000,bb:3000'
 
 
 async def test_broken_stream_goes_on_after_its_last_whole_event():
--- a/briarknot/gateway/tests/test_plain.py
+++ b/briarknot/gateway/tests/test_plain.py
@@ -123,12 +123,16 @@
         'HTTP/1.1 200 OK\r\nRequest-Id: old\r\nServer-Seal: s\r\n'
         'Content-Length: 5\r\n\r\nother'
     )
-    workers = [_support.ScriptedWorker([extra, _OK]) for _ in range(2)]
-    workers[1].script.reverse()
+    workers = [
+        _support.ScriptedWorker([extra]),
+        _support.ScriptedWorker([_OK]),
+    ]
     route = make_plain_route(_Kind.IDEMPOTENT)
     async with _support.open_front(route, *workers) as front:
-        results = [await front.send('GET') for _ in range(2)]
-    assert [body for _, _, body in results] == [b'done', b'done']
+        _support.make_call_entry(front.context, workers[1]).in_flight = 1
+        status, _, body = await front.send('GET')
+    assert (status, body) == (200, b'done')
+    assert count_requests(*workers) == 2
 
 
 @pytest.mark.parametrize('then', [_support.CLOSE, _support.RESET])
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -319,3 +319,44 @@
     DomainSummary: 'domainSummary',
     EngineCache: 'engineCache',
 }
+
+
+@attrs.frozen(kw_only=True)
+class WorkerTokens:
+    """Prompt tokens that a process has at a worker."""
+
+    __schema__ = 'messages'
+
+    worker: str = _fields.make_field(doc='Id of the worker.', default='')
+    tokens: int = _fields.make_field(
+        doc='Tokens that are still to be read.',
+        maximum=4294967295,
+        minimum=0,
+        unit='tokens',
+        default=0,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class PromptTokens:
+    """Prompts that a gateway process has at the engines now."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(doc='Host of the process.', default='')
+    sequence: int = _fields.make_field(
+        doc='Grows with each message of a process; a lower one is late.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    born_ms: int = _fields.make_field(
+        doc='Start of the process; sequences begin anew with it.',
+        maximum=18446744073709551615,
+        minimum=0,
+        unit='ms',
+        default=0,
+    )
+    workers: tuple[WorkerTokens, ...] = _fields.make_field(
+        doc='Workers with at least one prompt.', default=()
+    )
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -115,3 +115,15 @@
   engines @1 :UInt32 $A.doc("Engines that take work.");
   queueDelayS @2 :Float64 $A.unit("s") $A.doc("Expected wait of new work.");
 }
+
+struct WorkerTokens $A.doc("Prompt tokens that a process has at a worker.") {
+  worker @0 :Text $A.doc("Id of the worker.");
+  tokens @1 :UInt32 $A.unit("tokens") $A.doc("Tokens that are still to be read.");
+}
+
+struct PromptTokens $A.doc("Prompts that a gateway process has at the engines now.") {
+  host @0 :Text $A.doc("Host of the process.");
+  sequence @1 :UInt64 $A.doc("Grows with each message of a process; a lower one is late.");
+  bornMs @2 :UInt64 $A.unit("ms") $A.doc("Start of the process; sequences begin anew with it.");
+  workers @3 :List(WorkerTokens) $A.doc("Workers with at least one prompt.");
+}
--- a/briarknot/serving/__init__.py
+++ b/briarknot/serving/__init__.py
@@ -19,10 +19,16 @@
 )
 from briarknot.serving._engine_choice import (
     DECODE_POLICIES,
-    PREFILL_POLICIES,
     rank_homes,
 )
 from briarknot.serving._fleet import Fleet, choose_destination, make_fleet
+from briarknot.serving._placement import (
+    PLACEMENT_POLICIES,
+    Placement,
+    PlacementView,
+    PromptLoad,
+    make_prompt_load,
+)
 from briarknot.serving._places import Distance, Places
 from briarknot.serving._plain_choice import PLAIN_POLICIES, PlainChoice
 from briarknot.serving._retry_budget import RetryBudget, make_retry_budget
@@ -30,8 +36,8 @@
 __all__ = (
     'DECODE_POLICIES',
     'NOT_RUN_ENDS',
+    'PLACEMENT_POLICIES',
     'PLAIN_POLICIES',
-    'PREFILL_POLICIES',
     'Answer',
     'Board',
     'Call',
@@ -43,14 +49,18 @@
     'Header',
     'KvSource',
     'Load',
+    'Placement',
+    'PlacementView',
     'Places',
     'PlainChoice',
     'Prompt',
+    'PromptLoad',
     'RetryBudget',
     'WorkerRecord',
     'choose_destination',
     'make_board',
     'make_fleet',
+    'make_prompt_load',
     'make_retry_budget',
     'rank_homes',
 )
--- a/briarknot/serving/_board.py
+++ b/briarknot/serving/_board.py
@@ -10,6 +10,9 @@
 #: doubles with each further failure, as crashed workers need seconds.
 _FIRST_BLOCK_S = 0.5
 _LONGEST_BLOCK_S = 4.0
+#: Time for which a worker gets no requests after another one answered at its
+#: address; its entry lapses after three heartbeats of about a second.
+_REPLACED_S = 8.0
 #: Weight of the newest answer in the mean time to an answer.
 _TIME_WEIGHT = 0.2
 #: Age after which a reported load says nothing any more; engines report some
@@ -74,7 +77,9 @@
         if end == _calls.End.REJECTED:
             return
         self._add_result(1.0)
-        if end in {_calls.End.NOT_SENT, _calls.End.WRONG_WORKER}:
+        if end == _calls.End.WRONG_WORKER:
+            self._blocked_until_s = now + _REPLACED_S
+        elif end == _calls.End.NOT_SENT:
             self._block_s = min(
                 max(self._block_s * 2, _FIRST_BLOCK_S), _LONGEST_BLOCK_S
             )
--- a/briarknot/serving/_engine_choice.py
+++ b/briarknot/serving/_engine_choice.py
@@ -1,4 +1,4 @@
-"""Chooses the engines that read a prompt and that generate its tokens."""
+"""Chooses the engine that generates tokens, and the homes of prompts."""
 
 import hashlib
 import typing
@@ -19,18 +19,6 @@
 Workers = _plain_choice.Workers
 
 
-class PrefillPolicy(typing.Protocol):
-    """Chooses the worker that reads a prompt."""
-
-    def __call__(
-        self,
-        choice: Choice,
-        workers: Workers,
-        prompt: _calls.Prompt,
-        now: float,
-    ) -> schema.serving.Worker: ...
-
-
 class DecodePolicy(typing.Protocol):
     """Chooses the worker that generates tokens."""
 
@@ -43,9 +31,6 @@
     ) -> schema.serving.Worker: ...
 
 
-PREFILL_POLICIES: registry.Registry[PrefillPolicy] = registry.Registry(
-    'prefill_policy'
-)
 DECODE_POLICIES: registry.Registry[DecodePolicy] = registry.Registry(
     'decode_policy'
 )
@@ -68,14 +53,6 @@
     return hashlib.blake2b(pair, digest_size=_HASH_BYTES).digest()
 
 
-@PREFILL_POLICIES.register('home')
-def choose_home(
-    choice: Choice, workers: Workers, prompt: _calls.Prompt, now: float
-) -> schema.serving.Worker:
-    """Chooses the one home of the prompt's shared part in the fleet."""
-    return rank_homes(prompt.shared_key, workers)[0]
-
-
 @DECODE_POLICIES.register('least_tokens')
 def choose_least_tokens(
     choice: Choice,
--- a/briarknot/serving/_fleet.py
+++ b/briarknot/serving/_fleet.py
@@ -8,7 +8,7 @@
 
 #: Workers missing from the list after an outage of the store register again
 #: within this time if they live: about two seconds, as the platform promises.
-_RETURN_S = 2.5
+_RETURN_S = 2.2
 
 
 @attrs.define(eq=False)
@@ -76,8 +76,8 @@
 
         :param workers: all registered workers.
         :param now: monotonic time at which the read began, in seconds.
-        :param after_outage: whether the store was away shortly before, so that
-            entries of living workers may have lapsed.
+        :param after_outage: whether this is the first read after an outage of
+            the store, so that entries of living workers may have lapsed.
         :returns: ids of workers that are gone.
         """
         listed = {worker.id: worker for worker in workers}
--- a/briarknot/serving/_retry_budget.py
+++ b/briarknot/serving/_retry_budget.py
@@ -56,6 +56,14 @@
         self._repeats.setdefault(service, collections.deque()).append(now)
         return True
 
+    def give_back(self, service: str) -> None:
+        """Gives back the newest repeat, as it arrived nowhere.
+
+        :param service: service that it was for.
+        """
+        if self._repeats.get(service):
+            self._repeats[service].pop()
+
     def left(self, service: str, now: float) -> float:
         """Returns the repeats that may still be sent in the window.
 
--- a/briarknot/serving/tests/test_choices.py
+++ b/briarknot/serving/tests/test_choices.py
@@ -64,7 +64,7 @@
 
 def test_homes_move_only_with_their_worker():
     """A worker that leaves must not move the prompts of all others."""
-    workers = make_workers(*'abcabc', stage=_Stage.PREFILL)
+    workers = make_workers('a', 'b', 'c', 'a', 'b', 'c', stage=_Stage.PREFILL)
     keys = [f'k{index}' for index in range(200)]
     before = {key: serving.rank_homes(key, workers)[0].id for key in keys}
     after = {key: serving.rank_homes(key, workers[1:])[0].id for key in keys}
@@ -72,18 +72,54 @@
     assert moved == {key for key in keys if before[key] == 'w0'}
 
 
-@pytest.mark.parametrize('name', serving.PREFILL_POLICIES.names)
+def make_view(prefills, decodes=()):
+    """Makes what the placement policies use."""
+    return serving.PlacementView(
+        serving.make_prompt_load(),
+        serving.make_board(),
+        _PLACES,
+        tuple(prefills),
+        tuple(decodes),
+    )
+
+
+@pytest.mark.parametrize('name', serving.PLACEMENT_POLICIES.names)
 def test_all_processes_find_the_same_home(name):
     """Each process would have the same shared part read again."""
-    policy = serving.PREFILL_POLICIES.get(name)
-    workers = make_workers(*'abc', stage=_Stage.PREFILL)
+    policy = serving.PLACEMENT_POLICIES.get(name)
+    workers = make_workers('a', 'b', 'c', stage=_Stage.PREFILL)
     homes = {
-        policy(make_choice(), order, make_prompt('k'), 0).id
+        policy(make_view(order), make_prompt('k'), 0).reader.id
         for order in (workers, workers[::-1])
     }
     assert len(homes) == 1
 
 
+def test_prompts_leave_a_home_that_is_busy():
+    """A burst of one shared part would wait at one worker."""
+    policy = serving.PLACEMENT_POLICIES.get('predicted')
+    workers = make_workers('a', 'b', 'c', stage=_Stage.PREFILL)
+    view = make_view(workers)
+    prompt = make_prompt('k')
+    readers = []
+    for _ in range(40):
+        placement = policy(view, prompt, 0)
+        view.load.add(placement, prompt)
+        readers.append(placement.reader.id)
+    homes = [one.id for one in serving.rank_homes('k', workers)]
+    assert readers[0] == homes[0]
+    assert set(readers) == set(homes[:2])
+
+
+def test_decode_worker_reads_a_prompt_where_prefill_workers_are_away():
+    """Requests would be refused though a worker could run them."""
+    decodes = make_workers('a', stage=_Stage.DECODE)
+    for name in serving.PLACEMENT_POLICIES.names:
+        policy = serving.PLACEMENT_POLICIES.get(name)
+        placement = policy(make_view((), decodes), make_prompt('k'), 0)
+        assert placement.is_direct
+
+
 def test_decode_worker_near_the_cache_is_chosen_until_it_is_busy():
     """Moves between regions are slow; a full worker is slower."""
     policy = serving.DECODE_POLICIES.get('least_tokens')
--- a/briarknot/serving/tests/test_fleet.py
+++ b/briarknot/serving/tests/test_fleet.py
@@ -64,6 +64,15 @@
     assert fleet.apply_workers((), 13, after_outage=False) == ('w',)
 
 
+def test_entry_that_goes_after_the_outage_is_gone():
+    """A worker that left shortly after an outage got requests for seconds."""
+    fleet = serving.make_fleet()
+    worker = _Worker(id='w', service='s')
+    fleet.apply_workers((worker,), 0, after_outage=False)
+    fleet.apply_workers((worker,), 10, after_outage=True)
+    assert fleet.apply_workers((), 11, after_outage=False) == ('w',)
+
+
 def test_draining_worker_stays_out_when_its_entry_lapses():
     """The process has acknowledged that the worker leaves."""
     fleet = serving.make_fleet()
