Send the news of prompts as a member of the peers' message

Cause: the message was no member of the union, so that each send failed. Change: member promptTokens, and a test over two sockets.

--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -38,10 +38,10 @@
         loop = asyncio.get_running_loop()
         while True:
             data = await loop.sock_recv(self._socket, _DATAGRAM_BYTES)
-            message = schema.decode(schema.messages.PromptTokens, data)
-            if isinstance(message, schema.DecodeError):
+            message = schema.decode(data)
+            if not isinstance(message, schema.messages.PromptTokens):
                 telemetry.log_event(
-                    'peer_message_malformed', reason=message.reason
+                    'peer_message_malformed', message=repr(message)
                 )
                 continue
             _MESSAGES.labels('received').inc()
--- /dev/null
+++ b/briarknot/gateway/tests/test_peers.py
@@ -0,0 +1,90 @@
+"""Guards the news of prompts between gateway processes."""
+
+import asyncio
+import contextlib
+import time
+
+import attrs
+
+from briarknot import schema, serving
+from briarknot.gateway import _context, _peers
+from briarknot.gateway.tests import _support
+
+_WORKER = schema.serving.Worker(
+    id='w', service='s', stage=schema.serving.Stage.PREFILL
+)
+
+
+def make_peer_context(host):
+    """Makes the state of one process, with a port of its own."""
+    settings = schema.settings.GatewaySettings(
+        host=host,
+        domain='a',
+        region='a',
+        address='127.0.0.1',
+        front_address='127.0.0.1:0',
+        readiness_address='127.0.0.1:0',
+        store_address='127.0.0.1:1',
+        peer_port=_support.find_port(),
+    )
+    return _context.make_context(settings, calls=None)
+
+
+async def test_prompts_of_others_are_seen_and_end():
+    """All processes would send their prompts to the same busy worker."""
+    first, second = make_peer_context('g1'), make_peer_context('g2')
+    first.hosts = {'g2': ('127.0.0.1', second.settings.peer_port)}
+    part = schema.serving.PromptPart(id='k', tokens=700)
+    prompt = serving.Prompt(parts=(part,), tokens=700, output_tokens=1)
+    placement = serving.Placement(_WORKER, 0.1, 700)
+    async with contextlib.AsyncExitStack() as stack:
+        group = await stack.enter_async_context(asyncio.TaskGroup())
+        tasks = [
+            group.create_task(_peers.make_peers(first).send()),
+            group.create_task(_peers.make_peers(second).receive()),
+        ]
+        first.prompts.add(placement, prompt)
+        await wait_for_tokens(second, 700)
+        first.prompts.remove(placement, 0.1, is_read=True)
+        await wait_for_tokens(second, 0)
+        for task in tasks:
+            task.cancel()
+
+
+async def wait_for_tokens(context, tokens):
+    """Waits until a process knows of so many tokens at the worker."""
+    async with asyncio.timeout(5):
+        while True:
+            now = time.monotonic()
+            if context.prompts.find_wait(_WORKER, now) == tokens:
+                return
+            await asyncio.sleep(0.02)
+
+
+def test_late_message_changes_nothing():
+    """Datagrams overtake each other."""
+    load = serving.make_prompt_load()
+    newer = schema.messages.PromptTokens(host='g', sequence=2, born_ms=5)
+    older = attrs.evolve(
+        newer,
+        sequence=1,
+        workers=(schema.messages.WorkerTokens(worker='w', tokens=9),),
+    )
+    load.apply_peer(newer, 0)
+    load.apply_peer(older, 0)
+    assert load.find_wait(_WORKER, 0) == 0
+    restarted = attrs.evolve(older, born_ms=6)
+    load.apply_peer(restarted, 0)
+    assert load.find_wait(_WORKER, 0) == 9
+
+
+def test_old_news_is_forgotten():
+    """A process that was killed would keep its worker busy for ever."""
+    load = serving.make_prompt_load()
+    news = schema.messages.PromptTokens(
+        host='g',
+        sequence=1,
+        workers=(schema.messages.WorkerTokens(worker='w', tokens=9),),
+    )
+    load.apply_peer(news, 0)
+    assert load.find_wait(_WORKER, 60) == 0
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -284,43 +284,6 @@
     )
 
 
-#: One frame of a peer link.
-PeerMessage = (
-    Hello
-    | Heartbeat
-    | Suspicion
-    | Revision
-    | DocumentRequest
-    | DocumentBody
-    | EngineLoad
-    | Quarantine
-    | DrainMark
-    | DrainAck
-    | CreditRequest
-    | CreditGrant
-    | DomainSummary
-    | EngineCache
-)
-
-#: Names of the members of PeerMessage in the schema.
-PEER_MESSAGE_MEMBERS = {
-    Hello: 'hello',
-    Heartbeat: 'heartbeat',
-    Suspicion: 'suspicion',
-    Revision: 'revision',
-    DocumentRequest: 'documentRequest',
-    DocumentBody: 'documentBody',
-    EngineLoad: 'engineLoad',
-    Quarantine: 'quarantine',
-    DrainMark: 'drainMark',
-    DrainAck: 'drainAck',
-    CreditRequest: 'creditRequest',
-    CreditGrant: 'creditGrant',
-    DomainSummary: 'domainSummary',
-    EngineCache: 'engineCache',
-}
-
-
 @attrs.frozen(kw_only=True)
 class WorkerTokens:
     """Prompt tokens that a process has at a worker."""
@@ -360,3 +323,42 @@
     workers: tuple[WorkerTokens, ...] = _fields.make_field(
         doc='Workers with at least one prompt.', default=()
     )
+
+
+#: One frame of a peer link.
+PeerMessage = (
+    Hello
+    | Heartbeat
+    | Suspicion
+    | Revision
+    | DocumentRequest
+    | DocumentBody
+    | EngineLoad
+    | Quarantine
+    | DrainMark
+    | DrainAck
+    | CreditRequest
+    | CreditGrant
+    | DomainSummary
+    | EngineCache
+    | PromptTokens
+)
+
+#: Names of the members of PeerMessage in the schema.
+PEER_MESSAGE_MEMBERS = {
+    Hello: 'hello',
+    Heartbeat: 'heartbeat',
+    Suspicion: 'suspicion',
+    Revision: 'revision',
+    DocumentRequest: 'documentRequest',
+    DocumentBody: 'documentBody',
+    EngineLoad: 'engineLoad',
+    Quarantine: 'quarantine',
+    DrainMark: 'drainMark',
+    DrainAck: 'drainAck',
+    CreditRequest: 'creditRequest',
+    CreditGrant: 'creditGrant',
+    DomainSummary: 'domainSummary',
+    EngineCache: 'engineCache',
+    PromptTokens: 'promptTokens',
+}
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -19,6 +19,7 @@
     creditGrant @11 :CreditGrant;
     domainSummary @12 :DomainSummary;
     engineCache @13 :EngineCache;
+    promptTokens @14 :PromptTokens;
   }
 }
 
