Count the reading of a shared part again at twice its time

Cause: prompts left their home for a worker that had to read the shared part. Change: such a reading costs twice its time on top, as later prompts wait too.

--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -26,6 +26,9 @@
 #: Cost in seconds for each second that a decode worker reads a prompt, since
 #: the streams of other requests pause meanwhile.
 _INTERFERENCE = 0.5
+#: Cost in seconds for each second that shared parts are read again: the
+#: prompts behind wait for it, and the part takes another one's place.
+_REREAD = 2.0
 #: Workers in the order of their homes that may read a prompt; further ones
 #: would have the shared part read once more each.
 _HOMES = 2
@@ -45,11 +48,13 @@
     :param reader: the worker; a decode worker generates the tokens too.
     :param expected_s: expected time until the prompt is read, in seconds.
     :param uncached: tokens that the worker probably has to read.
+    :param reread: those of them that the prompt shares with others.
     """
 
     reader: schema.serving.Worker
     expected_s: float
     uncached: int
+    reread: int = 0
 
     @property
     def is_direct(self) -> bool:
@@ -257,7 +262,8 @@
         speed *= _DECODE_SHARE
     reading_s = (uncached + view.load.find_wait(worker, now)) / speed
     expected_s = reading_s * view.load.find_slowdown(worker)
-    return Placement(worker, expected_s, uncached)
+    own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
+    return Placement(worker, expected_s, uncached, max(0, uncached - own))
 
 
 def _find_cost(view: PlacementView, placement: Placement) -> float:
@@ -266,6 +272,7 @@
     extra_s = _HAND_OVER_S
     if placement.is_direct:
         extra_s = placement.uncached / speed * _INTERFERENCE
+    extra_s += placement.reread / _PREFILL_TOKENS_PER_S * _REREAD
     return placement.expected_s + extra_s + failures
 
 
