Let two processes of a domain read the store for the others

Change: two processes of each failure domain read the workers and the manifest; the others read them where the news of these differ, or none came for 1.1 s.

--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -1,5 +1,6 @@
 """What the tasks of a gateway process share."""
 
+import asyncio
 import random
 import typing
 
@@ -38,6 +39,9 @@
     :param places: distances between failure domains.
     :param random_source: source of randomness.
     :param hosts: addresses of the other processes by host.
+    :param domain_hosts: other processes of the own failure domain.
+    :param news: what another process of the domain read last.
+    :param news_arrived: set when there are news.
     :param background: tasks that outlive the request that started them.
     """
 
@@ -50,6 +54,9 @@
     places: serving.Places
     random_source: random.Random = attrs.field(factory=random.Random)
     hosts: dict[str, tuple[str, int]] = attrs.field(factory=dict)
+    domain_hosts: tuple[str, ...] = ()
+    news: schema.messages.FleetNews | None = None
+    news_arrived: asyncio.Event = attrs.field(factory=asyncio.Event)
     background: set[typing.Any] = attrs.field(factory=set)
 
     @property
--- a/briarknot/gateway/_followers.py
+++ b/briarknot/gateway/_followers.py
@@ -5,27 +5,26 @@
 
 import attrs
 
-from briarknot import platform, telemetry
-from briarknot.gateway import _context
+from briarknot import platform, schema, serving, telemetry
+from briarknot.gateway import _context, _peers
 
 _MANIFEST_TABLE = 'op'
 _MANIFEST_KEY = 'config'
 _WORKERS_TABLE = 'servers'
-_HOSTS_TABLE = 'gateways'
 #: Longest wait for a changed manifest. A silent connection is noticed after
 #: it and the time limit of a call, within the time that a manifest may take.
 _MANIFEST_WAIT_S = 1.2
 #: Period of reading the workers. A leaving worker must get no requests after
 #: the settings' time, which is three seconds at the least.
 _WORKERS_PERIOD_S = 0.8
+#: Processes of a failure domain that read the store; the others read it where
+#: these have news, or none for a while. Two bear the loss of one.
+_READERS = 2
+_READERS_KEY = 'readers'
+#: Longest wait for news; a reader's period and the way are shorter.
+_NEWS_S = 1.1
 #: Pause after a failed call to the store.
 _RETRY_S = 0.4
-#: Period in which a process registers itself, and of reading the others.
-_HOSTS_PERIOD_S = 6.0
-#: Periods without a change after which a process does not count any more.
-_HOSTS_PERIODS_KEPT = 3
-#: Processes that may start before the next count.
-_SPARE_HOSTS = 3
 
 
 @attrs.define(eq=False)
@@ -34,6 +33,7 @@
 
     _context: _context.Context
     _client: platform.Client
+    _peers: _peers.Peers
     _is_away: bool = False
     _malformed: set[str] = attrs.field(factory=set)
 
@@ -41,6 +41,8 @@
         """Follows the operators' manifest."""
         version = await self._read_manifest()
         while True:
+            if not self._is_reader() and await self._is_manifest_confirmed():
+                continue
             started_s = time.monotonic()
             page = await self._client.follow_table(
                 _MANIFEST_TABLE, version, _MANIFEST_WAIT_S
@@ -58,6 +60,8 @@
     async def follow_workers(self) -> None:
         """Reads the list of workers again and again."""
         while True:
+            if not self._is_reader() and await self._is_list_confirmed():
+                continue
             started_s = time.monotonic()
             page = await self._client.read_table(_WORKERS_TABLE)
             if isinstance(page, platform.Unavailable):
@@ -67,57 +71,43 @@
             self._apply_workers(
                 page.rows, started_s, after_outage=self._note_return()
             )
-            await asyncio.sleep(_WORKERS_PERIOD_S)
-
-    async def follow_hosts(self) -> None:
-        """Registers this process, and counts those that change their entry."""
-        settings = self._context.settings
-        own = None
-        changed: dict[str, tuple[int, int]] = {}
-        beat = 0
-        while True:
-            beat += 1
-            page = await self._client.read_table(_HOSTS_TABLE)
-            if not isinstance(page, platform.Unavailable):
-                for row in page.rows:
-                    known = changed.get(row.key)
-                    if known is None or known[0] != row.version:
-                        changed[row.key] = (row.version, beat)
-                    if row.key == settings.host:
-                        own = row.version
-                self._note_hosts(page.rows, changed, beat)
-                await self._client.commit(
-                    platform.Operation(
-                        _HOSTS_TABLE,
-                        settings.host,
-                        {
-                            'address': settings.address,
-                            'port': settings.peer_port,
-                            'beat': beat,
-                        },
-                        own,
-                    )
-                )
-            await asyncio.sleep(_HOSTS_PERIOD_S)
+            if self._is_reader():
+                self._peers.send_news()
+                await asyncio.sleep(_WORKERS_PERIOD_S)
 
-    def _note_hosts(
-        self,
-        rows: tuple[platform.Row, ...],
-        changed: dict[str, tuple[int, int]],
-        beat: int,
-    ) -> None:
+    def _is_reader(self) -> bool:
+        """Returns whether this process reads the store for its domain."""
         own = self._context.settings.host
-        hosts = {
-            row.key: (row.value['address'], row.value['port'])
-            for row in rows
-            if beat - changed[row.key][1] < _HOSTS_PERIODS_KEPT
-            and row.key != own
-        }
-        if hosts.keys() != self._context.hosts.keys():
-            telemetry.log_event('hosts_changed', hosts=sorted(hosts))
-        self._context.hosts = hosts
-        # A share of the budget must be safe also where more processes start.
-        self._context.budget.set_hosts(1 + len(hosts) + _SPARE_HOSTS)
+        hosts = {*self._context.domain_hosts, own}
+        ranked = serving.rank_names(_READERS_KEY, hosts)
+        return own in ranked[:_READERS]
+
+    async def _is_manifest_confirmed(self) -> bool:
+        """Waits for news, and returns whether the manifest is the newest."""
+        news = await self._wait_for_news()
+        if news is None:
+            return False
+        return news.manifest_version <= self._context.fleet.version
+
+    async def _is_list_confirmed(self) -> bool:
+        """Waits for news, and returns whether the workers are the same."""
+        news = await self._wait_for_news()
+        fleet = self._context.fleet
+        if news is None or news.workers_digest != fleet.workers_digest:
+            return False
+        fleet.confirm_workers(time.monotonic())
+        return not self._is_away
+
+    async def _wait_for_news(self) -> schema.messages.FleetNews | None:
+        try:
+            async with asyncio.timeout(_NEWS_S):
+                await self._context.news_arrived.wait()
+        except TimeoutError:
+            return None
+        # Both followers wait for the same event; the next one is awaited anew.
+        await asyncio.sleep(0)
+        self._context.news_arrived.clear()
+        return self._context.news
 
     async def _read_manifest(self) -> int:
         """Reads the manifest until the store answers.
@@ -221,11 +211,14 @@
 
 
 def make_followers(
-    context: _context.Context, client: platform.Client
+    context: _context.Context,
+    client: platform.Client,
+    peers: _peers.Peers,
 ) -> Followers:
     """Makes the followers of a process.
 
     :param context: state of the process.
     :param client: client of the store.
+    :param peers: the other processes.
     """
-    return Followers(context, client)
+    return Followers(context, client, peers)
--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -1,4 +1,4 @@
-"""Tells the other gateway processes which prompts this one has at engines."""
+"""Messages between gateway processes: prompts at engines, and store reads."""
 
 import asyncio
 import socket
@@ -39,13 +39,30 @@
         while True:
             data = await loop.sock_recv(self._socket, _DATAGRAM_BYTES)
             message = schema.decode(data)
-            if not isinstance(message, schema.messages.PromptTokens):
+            _MESSAGES.labels('received').inc()
+            if isinstance(message, schema.messages.PromptTokens):
+                self._context.prompts.apply_peer(message, time.monotonic())
+            elif isinstance(message, schema.messages.FleetNews):
+                self._context.news = message
+                self._context.news_arrived.set()
+            else:
                 telemetry.log_event(
                     'peer_message_malformed', message=repr(message)
                 )
-                continue
-            _MESSAGES.labels('received').inc()
-            self._context.prompts.apply_peer(message, time.monotonic())
+
+    def send_news(self) -> None:
+        """Tells the processes of the domain what was just read."""
+        fleet = self._context.fleet
+        data = schema.encode(
+            schema.messages.FleetNews(
+                host=self._context.settings.host,
+                manifest_version=fleet.version,
+                workers_digest=fleet.workers_digest,
+            )
+        )
+        for host in self._context.domain_hosts:
+            if host in self._context.hosts:
+                self._send_one(data, self._context.hosts[host])
 
     async def send(self) -> None:
         """Sends the own prompts to all others while they change."""
--- a/briarknot/gateway/_program.py
+++ b/briarknot/gateway/_program.py
@@ -17,6 +17,8 @@
     _context,
     _followers,
     _generation,
+    _hosts,
+    _metrics,
     _peers,
     _plain,
     _requests,
@@ -80,14 +82,21 @@
             self._read_body_limit,
         )
         await ingress.start()
-        followers = _followers.make_followers(self._context, self._client)
+        settings = self._context.settings
+        metrics = await _metrics.serve_metrics(
+            settings.address, settings.metrics_port
+        )
+        hosts = _hosts.make_hosts(self._context, self._client)
         peers = _peers.make_peers(self._context)
+        followers = _followers.make_followers(
+            self._context, self._client, peers
+        )
         tasks = [
             loop.create_task(program.keep_running(name, duty))
             for name, duty in (
                 ('manifest', followers.follow_manifest),
                 ('workers', followers.follow_workers),
-                ('hosts', followers.follow_hosts),
+                ('hosts', hosts.follow),
                 ('peer_news', peers.receive),
                 ('own_news', peers.send),
                 ('settings', self._watch_settings),
@@ -98,6 +107,7 @@
         await self._stop(ingress)
         for task in tasks:
             task.cancel()
+        await metrics.cleanup()
 
     async def _stop(self, ingress: platform.Ingress) -> None:
         started_s = time.monotonic()
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 
 import aiohttp
@@ -30,7 +31,7 @@
 _IDLE_S = 2.0
 #: Time after which unacknowledged bytes end a connection, in milliseconds; a
 #: partition or a silent connection is noticed by it.
-_USER_TIMEOUT_MS = 2500
+_USER_TIMEOUT_MS = 1500
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_PERIOD_S = 1
 _KEEPALIVE_PROBES = 2
@@ -355,9 +356,20 @@
 
 
 def _make_failure(end: serving.End, error: BaseException) -> serving.Failed:
+    if end == serving.End.BROKEN and _is_unreachable(error):
+        end = serving.End.UNREACHABLE
     return serving.Failed(end=end, reason=f'{type(error).__name__}: {error}')
 
 
+def _is_unreachable(error: BaseException | None) -> bool:
+    """Returns whether a connection ended because nothing was acknowledged."""
+    while error is not None:
+        if getattr(error, 'errno', None) == errno.ETIMEDOUT:
+            return True
+        error = error.__cause__
+    return False
+
+
 def _make_session(
     connections: int, *, force_close: bool
 ) -> aiohttp.ClientSession:
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -325,6 +325,27 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class FleetNews:
+    """What a gateway process has just read from the store."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(doc='Host of the process.', default='')
+    manifest_version: int = _fields.make_field(
+        doc='Version of the manifest.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    workers_digest: int = _fields.make_field(
+        doc='Digest of the list of workers.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+
+
 #: One frame of a peer link.
 PeerMessage = (
     Hello
@@ -342,6 +363,7 @@
     | DomainSummary
     | EngineCache
     | PromptTokens
+    | FleetNews
 )
 
 #: Names of the members of PeerMessage in the schema.
@@ -361,4 +383,5 @@
     DomainSummary: 'domainSummary',
     EngineCache: 'engineCache',
     PromptTokens: 'promptTokens',
+    FleetNews: 'fleetNews',
 }
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -20,6 +20,7 @@
     domainSummary @12 :DomainSummary;
     engineCache @13 :EngineCache;
     promptTokens @14 :PromptTokens;
+    fleetNews @15 :FleetNews;
   }
 }
 
@@ -128,3 +129,9 @@
   bornMs @2 :UInt64 $A.unit("ms") $A.doc("Start of the process; sequences begin anew with it.");
   workers @3 :List(WorkerTokens) $A.doc("Workers with at least one prompt.");
 }
+
+struct FleetNews $A.doc("What a gateway process has just read from the store.") {
+  host @0 :Text $A.doc("Host of the process.");
+  manifestVersion @1 :UInt64 $A.doc("Version of the manifest.");
+  workersDigest @2 :UInt64 $A.doc("Digest of the list of workers.");
+}
--- a/briarknot/serving/__init__.py
+++ b/briarknot/serving/__init__.py
@@ -20,6 +20,7 @@
 from briarknot.serving._engine_choice import (
     DECODE_POLICIES,
     rank_homes,
+    rank_names,
 )
 from briarknot.serving._fleet import Fleet, choose_destination, make_fleet
 from briarknot.serving._placement import (
@@ -63,4 +64,5 @@
     'make_prompt_load',
     'make_retry_budget',
     'rank_homes',
+    'rank_names',
 )
--- a/briarknot/serving/_board.py
+++ b/briarknot/serving/_board.py
@@ -79,7 +79,7 @@
         self._add_result(1.0)
         if end == _calls.End.WRONG_WORKER:
             self._blocked_until_s = now + _REPLACED_S
-        elif end == _calls.End.NOT_SENT:
+        elif end in {_calls.End.NOT_SENT, _calls.End.UNREACHABLE}:
             self._block_s = min(
                 max(self._block_s * 2, _FIRST_BLOCK_S), _LONGEST_BLOCK_S
             )
--- a/briarknot/serving/_calls.py
+++ b/briarknot/serving/_calls.py
@@ -116,6 +116,8 @@
     WRONG_WORKER = 'wrong worker'
     #: The connection ended before the answer did.
     BROKEN = 'broken'
+    #: The worker acknowledged no bytes any more; it may have run the request.
+    UNREACHABLE = 'unreachable'
     #: The answer belongs to another request, or is none in the protocol.
     FOREIGN = 'foreign answer'
     #: There was no answer within the attempt's time limit.
--- a/briarknot/serving/_engine_choice.py
+++ b/briarknot/serving/_engine_choice.py
@@ -48,6 +48,18 @@
     return tuple(sorted(workers, key=lambda worker: _hash_pair(key, worker.id)))
 
 
+def rank_names(key: str, names: typing.Iterable[str]) -> tuple[str, ...]:
+    """Orders names by rendezvous hash of a key.
+
+    :param key: the key.
+    :param names: names to order.
+
+    >>> rank_names('k', ('a', 'b')) == rank_names('k', ('b', 'a'))
+    True
+    """
+    return tuple(sorted(names, key=lambda name: _hash_pair(key, name)))
+
+
 def _hash_pair(key: str, worker_id: str) -> bytes:
     pair = f'{key} {worker_id}'.encode()
     return hashlib.blake2b(pair, digest_size=_HASH_BYTES).digest()
--- a/briarknot/serving/_fleet.py
+++ b/briarknot/serving/_fleet.py
@@ -3,6 +3,7 @@
 import random
 
 import attrs
+import xxhash
 
 from briarknot import schema
 
@@ -37,6 +38,26 @@
         """Known workers, leaving ones too."""
         return tuple(self._workers.values())
 
+    @property
+    def workers_digest(self) -> int:
+        """Digest of what matters of the workers to a choice.
+
+        Processes with the same list find the same digest.
+        """
+        described = sorted(
+            f'{one.id} {one.service} {one.address} {one.draining}'
+            f' {one.stage} {one.born_ms}'
+            for one in self._workers.values()
+        )
+        return xxhash.xxh64_intdigest(repr(described))
+
+    def confirm_workers(self, now: float) -> None:
+        """Notes that the list of workers was read again and is the same.
+
+        :param now: monotonic time in seconds.
+        """
+        self._seen_s = now
+
     def age_s(self, now: float) -> float:
         """Returns the age of the list of workers.
 
