Hash the description of the workers as bytes

Cause: the digest raised, so that each process read for itself again. Change: encode it; followers are tested against the stand-in store, with foreign entries, lost history, outages, and eight processes of a domain.

--- /dev/null
+++ b/briarknot/gateway/tests/test_followers.py
@@ -0,0 +1,217 @@
+"""Guards the tasks that follow the store, against the stand-in store."""
+
+import asyncio
+import base64
+import contextlib
+import json
+
+import aiohttp
+import attrs
+
+from briarknot import platform, schema
+from briarknot.gateway import _context, _followers, _hosts, _peers
+from briarknot.gateway.tests import _support
+from briarknot_standins import platform as standin
+from briarknot_standins import serving as standin_serving
+
+_MANIFEST = {
+    'version': 3,
+    'routes': [
+        {
+            'name': 'r',
+            'host': 'h',
+            'pathPrefix': '/r/',
+            'kind': 'idempotent',
+            'timeoutMs': 1000,
+            'service': 's',
+        }
+    ],
+    'services': [{'name': 's', 'maxConnections': 9}],
+    'limits': {
+        'maxHeaderBytes': 1,
+        'maxBodyBytes': 1,
+        'headerTimeoutMs': 1,
+        'idleTimeoutMs': 1,
+    },
+}
+_WORKER = {
+    'service': 's',
+    'address': '127.0.0.1:1',
+    'zone': 'a',
+    'slots': 4,
+    'state': 'ready',
+    'coldRemainingMs': 0,
+    'sequence': 1,
+}
+
+
+@attrs.define(eq=False)
+class _Store:
+    """The stand-in store, as the operator and workers write to it."""
+
+    session: aiohttp.ClientSession
+    url: str
+
+    async def put(self, table, key, value):
+        """Writes a row, whatever its version."""
+        text = value
+        if not isinstance(value, bytes):
+            text = json.dumps(value).encode()
+        row = {'table': table, 'part': '', 'key': key}
+        encoded = {**row, 'value': base64.b64encode(text).decode()}
+        await self._post('/v1/rows-tx', {'put': [encoded]})
+
+    async def remove(self, table, key):
+        """Removes a row."""
+        row = {'table': table, 'part': '', 'key': key}
+        await self._post('/v1/rows-tx', {'remove': [row]})
+
+    async def set_faults(self, **faults):
+        """Changes the faults in force."""
+        await self._post('/faults', faults)
+
+    async def forget(self):
+        """Drops the history of changes."""
+        await self._post('/forget', {})
+
+    async def read_stats(self):
+        """Returns the counts of calls."""
+        async with self.session.get(f'{self.url}/stats') as response:
+            return await response.json(content_type=None)
+
+    async def _post(self, path, body):
+        async with self.session.post(
+            f'{self.url}{path}', json=body
+        ) as response:
+            assert response.status == 200
+
+
+@contextlib.asynccontextmanager
+async def open_store():
+    """Serves a store with a manifest and a worker."""
+    config = standin.PlatformConfig(host_lag_s=0)
+    async with standin_serving.serve(standin.make_app(config)) as url:
+        async with aiohttp.ClientSession() as session:
+            store = _Store(session, str(url).rstrip('/'))
+            await store.put('op', 'config', _MANIFEST)
+            await store.put('servers', 'w1', _WORKER)
+            yield store
+
+
+@contextlib.asynccontextmanager
+async def follow(store, *hosts):
+    """Runs the followers of several processes of one failure domain."""
+    async with contextlib.AsyncExitStack() as stack:
+        contexts = []
+        tasks = []
+        for host in hosts:
+            context = _context.make_context(make_settings(host), calls=None)
+            client = platform.make_client(store.session, store.url, 1)
+            peers = _peers.make_peers(context)
+            followers = _followers.make_followers(context, client, peers)
+            tasks.extend(
+                asyncio.ensure_future(duty())
+                for duty in (
+                    _hosts.make_hosts(context, client).follow,
+                    followers.follow_manifest,
+                    followers.follow_workers,
+                    peers.receive,
+                )
+            )
+            contexts.append(context)
+        for task in tasks:
+            stack.callback(task.cancel)
+        yield contexts
+        assert not any(task.done() for task in tasks)
+
+
+def make_settings(host):
+    """Makes the settings of a process."""
+    return schema.settings.GatewaySettings(
+        host=host,
+        domain='a',
+        region='a',
+        address='127.0.0.1',
+        front_address='127.0.0.1:0',
+        readiness_address='127.0.0.1:0',
+        store_address='127.0.0.1:1',
+        peer_port=_support.find_port(),
+    )
+
+
+async def wait_until(holds, seconds=4):
+    """Waits until a condition holds."""
+    async with asyncio.timeout(seconds):
+        while True:
+            if holds():
+                return
+            await asyncio.sleep(0.02)
+
+
+async def test_manifest_and_workers_are_followed():
+    """A gateway would serve by what it read at its start."""
+    async with open_store() as store, follow(store, 'g1') as contexts:
+        fleet = contexts[0].fleet
+        await wait_until(lambda: fleet.version == 3 and fleet.workers)
+        await store.put('op', 'config', {**_MANIFEST, 'version': 8})
+        await store.put('servers', 'w1', {**_WORKER, 'state': 'draining'})
+        await wait_until(lambda: fleet.version == 8)
+        await wait_until(lambda: not fleet.list_usable('s'))
+        await store.remove('servers', 'w1')
+        await wait_until(lambda: not fleet.workers)
+
+
+async def test_foreign_entries_name_no_worker():
+    """One malformed entry would hide the workers beside it."""
+    async with open_store() as store:
+        await store.put('servers', 'bytes', b'\xff\x00')
+        await store.put('servers', 'number', {**_WORKER, 'slots': 'many'})
+        await store.put('servers', 'state', {**_WORKER, 'state': 'asleep'})
+        await store.put('servers', 'list', [1])
+        async with follow(store, 'g1') as contexts:
+            fleet = contexts[0].fleet
+            await wait_until(lambda: fleet.workers)
+            assert [worker.id for worker in fleet.workers] == ['w1']
+
+
+async def test_lost_history_is_read_anew():
+    """A manifest that came in the gap would never be in force."""
+    async with open_store() as store, follow(store, 'g1') as contexts:
+        fleet = contexts[0].fleet
+        await wait_until(lambda: fleet.version == 3)
+        await store.put('op', 'config', {**_MANIFEST, 'version': 5})
+        await store.forget()
+        await wait_until(lambda: fleet.version == 5)
+
+
+async def test_outage_keeps_the_fleet():
+    """Requests would be refused though their workers live."""
+    async with open_store() as store, follow(store, 'g1') as contexts:
+        fleet = contexts[0].fleet
+        await wait_until(lambda: fleet.workers)
+        for fault in ('down', 'busy'):
+            await store.set_faults(**{fault: True})
+            await asyncio.sleep(0.5)
+            assert fleet.list_usable('s')
+            await store.set_faults(**{fault: False})
+        await store.put('servers', 'w2', _WORKER)
+        await wait_until(lambda: len(fleet.workers) == 2)
+
+
+async def test_few_processes_read_for_their_domain():
+    """Each process of a large fleet would poll the store."""
+    hosts = [f'g{number}' for number in range(8)]
+    async with open_store() as store, follow(store, *hosts) as contexts:
+        await wait_until(
+            lambda: all(len(one.domain_hosts) == 8 for one in contexts), 20
+        )
+        before = (await store.read_stats())['reads']
+        await asyncio.sleep(4)
+        reads = (await store.read_stats())['reads'] - before
+        await store.put('servers', 'w1', {**_WORKER, 'state': 'draining'})
+        await wait_until(
+            lambda: not any(one.fleet.list_usable('s') for one in contexts), 3
+        )
+    # Eight processes that all read need 8 workers' lists and 8 manifests in
+    # about a second.
+    assert reads < 40
--- a/briarknot/serving/_fleet.py
+++ b/briarknot/serving/_fleet.py
@@ -49,7 +49,7 @@
             f' {one.stage} {one.born_ms}'
             for one in self._workers.values()
         )
-        return xxhash.xxh64_intdigest(repr(described))
+        return xxhash.xxh64_intdigest(repr(described).encode())
 
     def confirm_workers(self, now: float) -> None:
         """Notes that the list of workers was read again and is the same.
--- a/briarknot/serving/tests/test_fleet.py
+++ b/briarknot/serving/tests/test_fleet.py
@@ -90,3 +90,16 @@
     fleet.apply_workers((prefill, decode), 0, after_outage=False)
     assert fleet.list_usable('s', prefill.stage) == (prefill,)
     assert fleet.list_usable('s', decode.stage) == (decode,)
+
+
+def test_digest_tells_a_change_and_nothing_else():
+    """Processes would serve by an old list, or each read the store."""
+    first, second = serving.make_fleet(), serving.make_fleet()
+    workers = (_Worker(id='v', service='s'), _Worker(id='w', service='s'))
+    first.apply_workers(workers, 0, after_outage=False)
+    cooled = tuple(attrs.evolve(one, cold_s=1.0) for one in reversed(workers))
+    second.apply_workers(cooled, 5, after_outage=False)
+    assert first.workers_digest == second.workers_digest
+    leaving = (workers[0], attrs.evolve(workers[1], draining=True))
+    second.apply_workers(leaving, 6, after_outage=False)
+    assert first.workers_digest != second.workers_digest
