--- a/briarknot/gateway/tests/test_peers.py
+++ b/briarknot/gateway/tests/test_peers.py
@@ -88,3 +88,16 @@
     )
     load.apply_peer(news, 0)
     assert load.find_wait(_WORKER, 60) == 0
+
+
+def test_prompt_of_a_worker_that_is_gone_leaves_nothing():
+    """A negative number of tokens ended the messages to all peers."""
+    load = serving.make_prompt_load()
+    part = schema.serving.PromptPart(id='k', tokens=700)
+    prompt = serving.Prompt(parts=(part,), tokens=700, output_tokens=1)
+    placement = serving.Placement(_WORKER, 0.1, 700)
+    load.add(placement, prompt)
+    load.forget(_WORKER.id)
+    load.remove(placement, 0.1, is_read=False)
+    assert not load.own_tokens
+    assert load.find_wait(_WORKER, 0) == 0
--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -90,11 +90,7 @@
     @property
     def own_tokens(self) -> dict[str, int]:
         """Prompt tokens of this process at each worker."""
-        return {
-            worker_id: tokens
-            for worker_id, tokens in self._tokens.items()
-            if tokens
-        }
+        return dict(self._tokens)
 
     def apply_peer(
         self, message: schema.messages.PromptTokens, now: float
@@ -130,7 +126,10 @@
         :param is_read: whether it was read, so that the time tells something.
         """
         worker_id = placement.reader.id
-        self._tokens[worker_id] -= placement.uncached
+        # A worker that is gone was forgotten with the prompts it had.
+        left = self._tokens.pop(worker_id, 0) - placement.uncached
+        if left > 0:
+            self._tokens[worker_id] = left
         if not is_read:
             return
         before = self._slowdowns.get(worker_id, 1.0)
