--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -79,6 +79,10 @@
         # A short answer's connection is gone once its head was read.
         if connection.protocol is not None:
             self.closed_connection = connection.protocol.closed
+        if self.closed_connection is not None:
+            # Only the end of a body without a length is asked for it; the
+            # others must not log an exception that nobody retrieved.
+            self.closed_connection.add_done_callback(_retrieve)
         return await super().start(connection)
 
 
@@ -370,6 +374,11 @@
     return False
 
 
+def _retrieve(closed: asyncio.Future) -> None:
+    if not closed.cancelled():
+        closed.exception()
+
+
 def _make_session(
     connections: int, *, force_close: bool
 ) -> aiohttp.ClientSession:
--- /dev/null
+++ b/briarknot_standins/soak/_config.py
@@ -0,0 +1,58 @@
+"""Configuration and report of a soak."""
+
+import collections
+
+import attrs
+import cappa
+
+
+@cappa.command(name='briarknot_standins.soak', default_long=True)
+@attrs.frozen(kw_only=True)
+class SoakConfig:
+    """Configuration of a soak.
+
+    :param seed: seed of the faults and of the clients.
+    :param seconds: time in which faults are injected.
+    :param gateways: gateway processes.
+    :param workers: workers of each kind.
+    :param clients: clients that send one request after the other.
+    :param keep: folder to which the output of all processes is copied where a
+        promise was broken; None for none.
+    """
+
+    seed: int = 1
+    seconds: float = 10.0
+    gateways: int = 3
+    workers: int = 2
+    clients: int = 12
+    keep: str | None = None
+
+
+@attrs.define(eq=False)
+class Report:
+    """What a soak has seen.
+
+    :param config: its configuration.
+    :param faults: faults that were injected, in order.
+    :param answers: counts of answers by kind and status.
+    :param findings: broken promises.
+    """
+
+    config: SoakConfig
+    faults: list[str] = attrs.field(factory=list)
+    answers: collections.Counter = attrs.field(factory=collections.Counter)
+    findings: list[str] = attrs.field(factory=list)
+
+    def describe(self) -> str:
+        """Returns the report as text."""
+        answers = ', '.join(
+            f'{kind} {status}: {count}'
+            for (kind, status), count in sorted(self.answers.items(), key=repr)
+        )
+        lines = [
+            f'seed {self.config.seed}: {len(self.faults)} faults '
+            f'({", ".join(self.faults)})',
+            f'answers: {answers}',
+            *(f'BROKEN {finding}' for finding in self.findings),
+        ]
+        return '\n'.join(lines)
--- /dev/null
+++ b/briarknot_standins/soak/_fleet.py
@@ -0,0 +1,209 @@
+"""Processes of a soak."""
+
+import asyncio
+import base64
+import json
+import pathlib
+
+import aiohttp
+import attrs
+
+from briarknot import schema
+from briarknot_standins import launcher, serving
+from briarknot_standins.soak import _config
+
+_HOST = serving.HOST
+_ROUTES = (
+    ('booking', '/booking/', 'non_idempotent', 'plain', 1),
+    ('lookup', '/lookup/', 'idempotent', 'plain', 2),
+    ('chat', '/chat/', 'streaming', 'lm', 2),
+)
+_TIMEOUT_MS = 3000
+
+
+@attrs.define(eq=False)
+class Member:
+    """A process that may be started again under the same name.
+
+    :param name: name of the process.
+    :param module: module that it runs.
+    :param arguments: its arguments.
+    :param port: port that it answers on.
+    :param process: the process that runs now.
+    """
+
+    name: str
+    module: str
+    arguments: tuple[str, ...]
+    port: int
+    process: launcher.Process | None = None
+    lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """All processes of a soak, and the operator's manifest."""
+
+    config: _config.SoakConfig
+    cluster: launcher.Cluster
+    session: aiohttp.ClientSession
+    store: Member | None = None
+    proxy: Member | None = None
+    gateways: list[Member] = attrs.field(factory=list)
+    workers: list[Member] = attrs.field(factory=list)
+    _version: int = 0
+
+    @property
+    def members(self) -> list[Member]:
+        """Processes that faults may stop."""
+        return [*self.gateways, *self.workers]
+
+    async def start(self) -> None:
+        """Starts the store, the proxy, the workers, and the gateways."""
+        store_port = self.cluster.choose_port()
+        self.store = await self._add(
+            'store', 'briarknot_standins.platform', (), store_port
+        )
+        planned = [
+            (f'{kind}{number}', kind, self.cluster.choose_port())
+            for kind in ('plain', 'prefill', 'decode')
+            for number in range(self.config.workers)
+        ]
+        links = {
+            name: self.cluster.choose_port()
+            for name in ('store', *(name for name, _, _ in planned))
+        }
+        targets = {'store': store_port, **{name: p for name, _, p in planned}}
+        self.proxy = await self._add(
+            'proxy',
+            'briarknot_standins.proxy',
+            tuple(
+                f'--link={name}={port}:{_HOST}:{targets[name]}'
+                for name, port in links.items()
+            ),
+            self.cluster.choose_port(),
+        )
+        await self.write_manifest()
+        for name, kind, port in planned:
+            self.workers.append(
+                await self._add_worker(name, kind, port, links[name])
+            )
+        for number in range(self.config.gateways):
+            self.gateways.append(
+                await self._add_gateway(f'g{number}', links['store'])
+            )
+
+    async def restart(self, member: Member) -> None:
+        """Starts a member again unless its process runs; its port is the same.
+
+        Two faults may have ended the same process.
+
+        :param member: a member whose process has ended.
+        """
+        async with member.lock:
+            if member.process and member.process.exit_status is None:
+                return
+            member.process = await self.cluster.start(
+                member.module,
+                member.arguments,
+                port=member.port,
+                name=member.name,
+            )
+
+    async def write_manifest(self) -> None:
+        """Writes the next version of the manifest."""
+        self._version += 1
+        manifest = {
+            'version': self._version,
+            'routes': [
+                {
+                    'name': name,
+                    'host': _HOST,
+                    'pathPrefix': prefix,
+                    'kind': kind,
+                    'timeoutMs': _TIMEOUT_MS,
+                    'targetLatencyMs': 1000,
+                    'service': service,
+                    'maxAttempts': attempts,
+                    'resumable': kind == 'streaming',
+                }
+                for name, prefix, kind, service, attempts in _ROUTES
+            ],
+            'services': [
+                {'name': 'plain', 'maxConnections': 200},
+                {'name': 'lm', 'maxConnections': 200, 'engine': {'slots': 16}},
+            ],
+            'limits': {
+                'maxHeaderBytes': 16384,
+                'maxBodyBytes': 1 << 20,
+                'headerTimeoutMs': 3000,
+                'idleTimeoutMs': 15000,
+            },
+        }
+        encoded = base64.b64encode(json.dumps(manifest).encode()).decode()
+        row = {'table': 'op', 'part': '', 'key': 'config', 'value': encoded}
+        # The operator writes past the proxy: its confirmation is certain.
+        async with self.session.post(
+            f'{self.store.process.url}/v1/rows-tx', json={'put': [row]}
+        ) as response:
+            await response.read()
+
+    async def _add(
+        self, name: str, module: str, arguments: tuple[str, ...], port: int
+    ) -> Member:
+        arguments = (*arguments, '--port', str(port))
+        member = Member(name, module, arguments, port)
+        await self.restart(member)
+        return member
+
+    async def _add_worker(
+        self, name: str, kind: str, port: int, link_port: int
+    ) -> Member:
+        is_plain = kind == 'plain'
+        arguments = [
+            '--id',
+            name,
+            '--address',
+            f'{_HOST}:{link_port}',
+            '--store',
+            self.store.process.url,
+            '--service',
+            'plain' if is_plain else 'lm',
+            '--seed',
+            str(self.config.seed),
+        ]
+        arguments.extend(
+            ('--failure-share', '0.1' if is_plain else '0.0', '--stage')
+        )
+        arguments.append('none' if is_plain else kind)
+        return await self._add(
+            name, 'briarknot_standins.worker', tuple(arguments), port
+        )
+
+    async def _add_gateway(self, name: str, store_port: int) -> Member:
+        port = self.cluster.choose_port()
+        path = self._write_settings(name, port, store_port)
+        member = Member(
+            name, 'briarknot.gateway', ('--settings', str(path)), port
+        )
+        await self.restart(member)
+        return member
+
+    def _write_settings(
+        self, name: str, port: int, store_port: int
+    ) -> pathlib.Path:
+        choose_port = self.cluster.choose_port
+        return self.cluster.write_settings(
+            name,
+            schema.settings.GatewaySettings(
+                host=name,
+                domain='a',
+                region='a',
+                address=_HOST,
+                front_address=f'{_HOST}:{port}',
+                readiness_address=f'{_HOST}:{choose_port()}',
+                metrics_port=choose_port(),
+                store_address=f'{_HOST}:{store_port}',
+                peer_port=choose_port(),
+            ),
+        )
--- /dev/null
+++ b/briarknot_standins/worker/_app.py
@@ -0,0 +1,204 @@
+"""HTTP interface of a worker; a handler is its connection's task."""
+
+import asyncio
+import base64
+import os
+import random
+import typing
+import uuid
+
+import aiohttp
+import attrs
+import orjson
+from aiohttp import web
+
+from briarknot_standins.worker import _config
+
+_HEARTBEAT_S = 0.4
+_SEAL = 'Server-Seal'
+_EVENTS = 6
+_NO_STAGE = 'none'
+_STATE = web.AppKey('worker', 'Worker')
+
+
+@attrs.define(eq=False)
+class Worker:
+    """State of a worker.
+
+    :param config: configuration.
+    :param id: id of this start.
+    :param running: requests that run.
+    :param handles: prompts that were read and not fetched, by handle.
+    :param random_source: source of failures.
+    :param draining: whether it is leaving.
+    """
+
+    config: _config.WorkerConfig
+    id: str
+    random_source: random.Random
+    running: int = 0
+    handles: dict[str, str] = attrs.field(factory=dict)
+    draining: bool = False
+    _beats: int = 0
+
+    async def register(self, session: aiohttp.ClientSession) -> None:
+        """Writes its entry to the store once."""
+        self._beats += 1
+        entry = {
+            'service': self.config.service,
+            'address': self.config.address or f'127.0.0.1:{self.config.port}',
+            'zone': 'a',
+            'version': 'v1',
+            'slots': self.config.slots,
+            'state': 'draining' if self.draining else 'ready',
+            'coldRemainingMs': 0,
+            'sequence': self._beats,
+        }
+        if self.config.stage != _NO_STAGE:
+            entry['stage'] = self.config.stage
+        await self._write(session, 'put', entry)
+
+    async def unregister(self, session: aiohttp.ClientSession) -> None:
+        """Removes its entry from the store."""
+        await self._write(session, 'remove', None)
+
+    async def _write(
+        self, session: aiohttp.ClientSession, kind: str, entry: typing.Any
+    ) -> None:
+        row = {'table': 'servers', 'part': '', 'key': self.id}
+        if entry is not None:
+            row['value'] = base64.b64encode(orjson.dumps(entry)).decode()
+        url = f'{self.config.store}/v1/rows-tx'
+        try:
+            async with session.post(url, json={kind: [row]}) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            print(f'store: {type(error).__name__}', flush=True)
+
+
+def make_app(config: _config.WorkerConfig) -> web.Application:
+    """Makes the application of a worker.
+
+    :param config: configuration.
+    """
+    app = web.Application(handler_args={'handler_cancellation': True})
+    app[_STATE] = Worker(
+        config, f'{config.id}-{os.getpid()}', random.Random(config.seed)
+    )
+    app.router.add_post('/drain', _drain)
+    app.router.add_delete('/v1/kv-handle/{handle}', _free)
+    app.router.add_route('*', '/{path:.*}', _run)
+    app.cleanup_ctx.append(_keep_registered)
+    return app
+
+
+async def _keep_registered(
+    app: web.Application,
+) -> typing.AsyncIterator[None]:
+    if not app[_STATE].config.store:
+        yield
+        return
+    async with aiohttp.ClientSession(
+        timeout=aiohttp.ClientTimeout(total=1)
+    ) as session:
+        task = asyncio.create_task(_beat(app[_STATE], session))
+        yield
+        task.cancel()
+        await app[_STATE].unregister(session)
+
+
+async def _beat(worker: Worker, session: aiohttp.ClientSession) -> None:
+    while True:
+        await worker.register(session)
+        await asyncio.sleep(_HEARTBEAT_S)
+
+
+async def _drain(request: web.Request) -> web.Response:
+    request.app[_STATE].draining = True
+    return web.Response()
+
+
+async def _free(request: web.Request) -> web.Response:
+    request.app[_STATE].handles.pop(request.match_info['handle'], None)
+    return web.Response()
+
+
+async def _run(request: web.Request) -> web.StreamResponse:
+    worker = request.app[_STATE]
+    body = await request.read()
+    refusal = _find_refusal(worker, request)
+    if refusal is not None:
+        return refusal
+    worker.running += 1
+    try:
+        if request.headers.get('Serving-Stage') == 'prefill':
+            return await _prefill(worker, request)
+        # The soak reads these lines to count the runs of a request.
+        print('run', request.headers['Request-Id'], flush=True)
+        if worker.config.stage != _NO_STAGE:
+            return await _stream(worker, request)
+        return await _answer(worker, request, body)
+    finally:
+        worker.running -= 1
+
+
+def _find_refusal(worker: Worker, request: web.Request) -> web.Response | None:
+    headers = request.headers
+    common = {
+        'Request-Id': headers.get('Request-Id', ''),
+        'Instance-Id': worker.id,
+    }
+    prefills = headers.get('Serving-Stage') == 'prefill'
+    if headers.get('Expect-Instance', worker.id) != worker.id or (
+        prefills != (worker.config.stage == 'prefill')
+    ):
+        return web.Response(status=421, headers=common)
+    common['Not-Executed'] = '1'
+    source = headers.get('Kv-Source', '')
+    is_full = worker.running >= worker.config.slots
+    if is_full or source.endswith('/gone'):
+        return web.Response(status=503, headers=common)
+    return None
+
+
+async def _prefill(worker: Worker, request: web.Request) -> web.Response:
+    await asyncio.sleep(worker.config.work_s)
+    handle = uuid.uuid4().hex
+    request_id = request.headers['Request-Id']
+    worker.handles[handle] = request_id
+    return web.json_response(
+        {'kvHandle': handle, 'tokens': 1, 'version': 1},
+        headers={'Request-Id': request_id},
+    )
+
+
+async def _answer(
+    worker: Worker, request: web.Request, body: bytes
+) -> web.Response:
+    await asyncio.sleep(worker.config.work_s)
+    request_id = request.headers['Request-Id']
+    fails = worker.random_source.random() < worker.config.failure_share
+    return web.Response(
+        status=500 if fails else 200,
+        body=f'answer {request_id} {len(body)}'.encode(),
+        headers={'Request-Id': request_id, _SEAL: 's'},
+    )
+
+
+async def _stream(worker: Worker, request: web.Request) -> web.StreamResponse:
+    request_id = request.headers['Request-Id']
+    response = web.StreamResponse(
+        headers={
+            'Request-Id': request_id,
+            _SEAL: 's',
+            'Content-Type': 'text/event-stream',
+        }
+    )
+    response.enable_chunked_encoding()
+    await response.prepare(request)
+    start = int(request.headers.get('Last-Event-Id') or 0) + 1
+    for number in range(start, _EVENTS + 1):
+        await asyncio.sleep(worker.config.work_s)
+        event = f'id: {number}\ndata: {request_id} {number}/{_EVENTS}\n\n'
+        await response.write(event.encode())
+    return response
