Try a worker that was away with one request, and give up silent streams

Change: one trial after a block; prefills count as answers; a rejected cache is read anew where its worker is away or at the second rejection; a resumable stream leaves a worker that sends nothing on any stream for 1.2 s.

--- a/briarknot/gateway/_attempts.py
+++ b/briarknot/gateway/_attempts.py
@@ -125,6 +125,9 @@
         attempt.record.note_answer(
             attempt.seconds, is_error=result.answer.status >= _SERVER_ERROR
         )
+        attempt.record.note_bytes(now)
+    else:
+        attempt.record.note_answer(attempt.seconds, is_error=False)
     _context.ATTEMPTS.labels(call, outcome).inc()
     telemetry.log_event(
         'attempt_ended',
--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -45,6 +45,9 @@
             if last is None or not last.not_run:
                 # A worker that ran the request has taken the cache.
                 source = None
+            elif source and not _is_kept(context, source, last, tried):
+                _free_later(context, source)
+                source = None
             if last is None:
                 return
             if not _may_go_on(request, last):
@@ -55,6 +58,28 @@
     _finish_failure(request, relay, last)
 
 
+def _is_kept(
+    context: _context.Context,
+    source: serving.KvSource,
+    last: serving.Failed,
+    tried: list[str],
+) -> bool:
+    """Returns whether a prompt's cache can still be fetched.
+
+    A worker rejects a request whose cache can't be had, as it does when it is
+    full; a second rejection, or a source that is away, means the former.
+
+    :param context: state of the process.
+    :param source: the cache.
+    :param last: end of the last attempt.
+    :param tried: workers that were tried.
+    """
+    if last.end == serving.End.NOT_SENT:
+        return True
+    record = context.board.find(source.worker.id)
+    return len(tried) < 2 and not record.is_blocked(time.monotonic())
+
+
 def _may_go_on(request: _requests.Request, last: serving.Failed) -> bool:
     if last.not_run:
         return True
@@ -276,8 +301,13 @@
         request.responder.send_answer(exchange.complete(body))
         request.log_end('completed', status=exchange.answer.status)
         return None
-    failure = await relay.run(exchange)
+    can_resume = (
+        request.route.resumable
+        and request.attempts < request.route.max_attempts
+    )
+    failure = await relay.run(exchange, attempt.record if can_resume else None)
     if isinstance(failure, serving.Failed):
+        attempt.record.note_failure(failure.end, time.monotonic())
         telemetry.log_event(
             'stream_broken',
             request=request.call.id,
--- a/briarknot/gateway/_stream.py
+++ b/briarknot/gateway/_stream.py
@@ -1,5 +1,6 @@
 """Relays the events of one or more runs as one stream."""
 
+import asyncio
 import time
 
 import attrs
@@ -8,6 +9,8 @@
 
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
+#: Period of looking whether a worker has fallen silent.
+_CHECK_S = 0.3
 
 
 @attrs.define(eq=False)
@@ -32,10 +35,16 @@
         """Whether the client has got a part of the answer."""
         return self._is_open
 
-    async def run(self, exchange: platform.Exchange) -> serving.Failed | None:
+    async def run(
+        self,
+        exchange: platform.Exchange,
+        record: serving.WorkerRecord | None = None,
+    ) -> serving.Failed | None:
         """Forwards the events of a run.
 
         :param exchange: answer of the run.
+        :param record: record of its worker, by which a silent one is given up;
+            None where the stream could not go on elsewhere.
         :returns: why the stream is not complete; None where it is, or where
             the client left.
         """
@@ -43,7 +52,7 @@
         failure = None
         is_end = False
         while not is_end:
-            part = await exchange.read_some()
+            part = await self._read(exchange, record)
             if isinstance(part, serving.Failed):
                 failure = part
                 break
@@ -53,6 +62,27 @@
                 break
         return failure
 
+    async def _read(
+        self,
+        exchange: platform.Exchange,
+        record: serving.WorkerRecord | None,
+    ) -> bytes | serving.Failed:
+        if record is None:
+            return await exchange.read_some()
+        while True:
+            try:
+                async with asyncio.timeout(_CHECK_S):
+                    part = await exchange.read_some()
+            except TimeoutError:
+                if record.is_silent(time.monotonic()):
+                    return serving.Failed(
+                        end=serving.End.UNREACHABLE,
+                        reason='the worker sends nothing on any stream',
+                    )
+                continue
+            record.note_bytes(time.monotonic())
+            return part
+
     async def _forward(
         self, exchange: platform.Exchange, events: bytes, *, is_end: bool
     ) -> bool:
--- a/briarknot/gateway/tests/_support.py
+++ b/briarknot/gateway/tests/_support.py
@@ -25,6 +25,7 @@
 RESET = 'reset'
 KEEP = 'keep'
 HANG = 'hang'
+SILENT = 'silent'
 
 
 @attrs.frozen
@@ -113,6 +114,8 @@
                 await asyncio.sleep(reply.delay_s)
                 writer.write(self._fill(reply.text).encode())
                 await writer.drain()
+                if reply.then == SILENT:
+                    await reader.read()
                 if reply.then == RESET:
                     _set_reset(writer)
                 if reply.then != KEEP:
--- a/briarknot/gateway/tests/test_generation.py
+++ b/briarknot/gateway/tests/test_generation.py
@@ -118,3 +118,44 @@
             )
         async with asyncio.timeout(2):
             await workers[1].cancelled.wait()
+
+
+async def test_stream_of_a_silent_worker_goes_on_elsewhere():
+    """A stream waited for seconds for a worker that had gone dark."""
+    part = _support.make_stream('x', end=False)
+    silent = _support.Reply(part.text, _support.SILENT)
+    rest = _support.make_stream('y', start=2)
+    workers = make_workers([_support.HANDLE, _support.HANDLE], [silent], [rest])
+    async with _support.open_front(make_stream_route(), *workers) as front:
+        _support.make_call_entry(front.context, workers[2]).in_flight = 1
+        status, _, body = await front.send(headers=_PROMPT)
+    assert (status, read_data(body)) == (200, ['x', 'y'])
+    assert workers[2].requests[0]['last-event-id'] == '1'
+
+
+async def test_cache_that_cannot_be_had_is_read_anew():
+    """Each worker rejects a request whose cache is gone."""
+    handles = [
+        _support.make_reply(
+            200, f'{{"kvHandle":"{name}","tokens":10,"version":1}}'
+        )
+        for name in ('k1', 'k2', 'k3', 'k4')
+    ]
+    rejected = [_support.REJECTED]
+    workers = make_workers(
+        handles, rejected, rejected, [_support.make_stream('x')]
+    )
+    async with _support.open_front(make_stream_route(), *workers) as front:
+        for busy, decode in enumerate(workers[1:]):
+            record = _support.make_call_entry(front.context, decode)
+            record.in_flight = busy
+            # They would read the prompt themselves otherwise.
+            record.failure_rate = 5
+        status, _, body = await front.send(headers=_PROMPT)
+    assert (status, read_data(body)) == (200, ['x'])
+    sources = [
+        worker.requests[0].get('kv-source', '').rpartition('/')[2]
+        for worker in workers[1:]
+    ]
+    assert sources[0] == sources[1] == 'k1'
+    assert sources[2] != 'k1'
--- a/briarknot/serving/_board.py
+++ b/briarknot/serving/_board.py
@@ -15,6 +15,9 @@
 _REPLACED_S = 8.0
 #: Weight of the newest answer in the mean time to an answer.
 _TIME_WEIGHT = 0.2
+#: Time without a byte of any stream after which a worker counts as away. Steps
+#: take some milliseconds, and the users allow pauses of 0.3 s to 0.4 s.
+_SILENCE_S = 1.2
 #: Age after which a reported load says nothing any more; engines report some
 #: hundred milliseconds late and a batch turns over within a second.
 _LOAD_AGE_S = 1.0
@@ -38,6 +41,7 @@
     _block_s: float = 0
     _load: _calls.Load | None = None
     _load_s: float = float('-inf')
+    _seen_s: float = float('-inf')
 
     def read_load(self, now: float) -> _calls.Load | None:
         """Returns the reported load unless it is too old.
@@ -49,8 +53,24 @@
         return self._load
 
     def is_blocked(self, now: float) -> bool:
-        """Whether the worker gets no requests for now."""
-        return now < self._blocked_until_s
+        """Whether the worker gets no requests for now.
+
+        After a block one request tries the worker, and further ones wait for
+        its result, so that a worker that is still away delays only that one.
+
+        :param now: monotonic time in seconds.
+        """
+        if now < self._blocked_until_s:
+            return True
+        return bool(self._block_s and self.in_flight)
+
+    def is_silent(self, now: float) -> bool:
+        """Whether a worker with requests has sent nothing for a while."""
+        return bool(self.in_flight) and now - self._seen_s > _SILENCE_S
+
+    def note_bytes(self, now: float) -> None:
+        """Notes that the worker has sent something."""
+        self._seen_s = now
 
     def note_load(self, load: _calls.Load | None, now: float) -> None:
         """Takes the load that came with an answer."""
--- a/briarknot/serving/tests/test_choices.py
+++ b/briarknot/serving/tests/test_choices.py
@@ -132,3 +132,14 @@
     assert policy(choice, (far, near), source, 0) is near
     choice.board.find(near.id).in_flight = 4
     assert policy(choice, (far, near), source, 0) is far
+
+
+def test_one_request_tries_a_worker_that_was_away():
+    """Many requests would wait for the connection of a worker that is away."""
+    record = serving.make_board().find('w')
+    record.note_failure(serving.End.UNREACHABLE, now=0)
+    assert not record.is_blocked(5)
+    record.in_flight = 1
+    assert record.is_blocked(5)
+    record.note_answer(0.1, is_error=False)
+    assert not record.is_blocked(5)
