--- a/briarknot/ctl/_program.py
+++ b/briarknot/ctl/_program.py
@@ -16,6 +16,7 @@
 from briarknot.ctl import _fleet_commands as _registered_fleet
 from briarknot.ctl import _journal_commands as _registered_journal
 from briarknot.ctl import _key_commands as _registered_keys
+from briarknot.ctl import _log_commands as _registered_logs
 
 #: Modules that fill the registry when they are imported.
 COMMAND_MODULES = (
@@ -23,6 +24,7 @@
     _registered_fleet,
     _registered_journal,
     _registered_keys,
+    _registered_logs,
 )
 _SETTINGS_VARIABLE = 'BRIARKNOTCTL_SETTINGS'
 _TIMEOUT_S = 30
--- a/briarknot/gateway/_attempts.py
+++ b/briarknot/gateway/_attempts.py
@@ -36,22 +36,18 @@
 def open_attempt(
     context: _context.Context,
     worker: schema.serving.Worker,
-    tokens: float = 0,
 ) -> typing.Iterator[Attempt]:
     """Counts an attempt against its worker while it runs.
 
     :param context: state of the process.
     :param worker: the worker.
-    :param tokens: tokens that the attempt occupies there.
     """
     record = context.board.find(worker.id)
     record.in_flight += 1
-    record.tokens += tokens
     try:
         yield Attempt(worker, record, time.monotonic())
     finally:
         record.in_flight -= 1
-        record.tokens -= tokens
 
 
 async def send_run(
--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -24,6 +24,9 @@
     'Time from a request to its whole answer or to the first event.',
     ('kind',),
 )
+#: Processes that share the budget before the first list of them was read; a
+#: larger number is the safer one.
+_ASSUMED_HOSTS = 16
 
 
 @attrs.define(eq=False)
@@ -88,8 +91,3 @@
         calls=calls,
         places=serving.Places(settings.domain, regions),
     )
-
-
-#: Processes that share the budget before the first list of them was read; a
-#: larger number is the safer one.
-_ASSUMED_HOSTS = 16
--- a/briarknot/gateway/_followers.py
+++ b/briarknot/gateway/_followers.py
@@ -8,9 +8,6 @@
 from briarknot import platform, schema, serving, telemetry
 from briarknot.gateway import _context, _peers
 
-_MANIFEST_TABLE = 'op'
-_MANIFEST_KEY = 'config'
-_WORKERS_TABLE = 'servers'
 #: Longest wait for a changed manifest. A silent connection is noticed after
 #: it and the time limit of a call, within the time that a manifest may take.
 _MANIFEST_WAIT_S = 1.2
@@ -45,7 +42,7 @@
                 continue
             started_s = time.monotonic()
             page = await self._client.follow_table(
-                _MANIFEST_TABLE, version, _MANIFEST_WAIT_S
+                platform.MANIFEST_TABLE, version, _MANIFEST_WAIT_S
             )
             if isinstance(page, platform.HistoryLost):
                 telemetry.log_event('manifest_history_lost', after=version)
@@ -63,7 +60,7 @@
             if not self._is_reader() and await self._is_list_confirmed():
                 continue
             started_s = time.monotonic()
-            page = await self._client.read_table(_WORKERS_TABLE)
+            page = await self._client.read_table(platform.WORKERS_TABLE)
             if isinstance(page, platform.Unavailable):
                 self._note_outage(page.reason)
                 await asyncio.sleep(_RETRY_S)
@@ -116,7 +113,7 @@
         """
         while True:
             started_s = time.monotonic()
-            page = await self._client.read_table(_MANIFEST_TABLE)
+            page = await self._client.read_table(platform.MANIFEST_TABLE)
             if not isinstance(page, platform.Unavailable):
                 self._apply_manifest(page.rows, started_s)
                 return page.version
@@ -127,7 +124,7 @@
         self, rows: tuple[platform.Row, ...], started_s: float
     ) -> None:
         for row in rows:
-            if row.key != _MANIFEST_KEY or row.deleted:
+            if row.key != platform.MANIFEST_KEY or row.deleted:
                 continue
             manifest = platform.decode_manifest(row.value)
             if isinstance(manifest, platform.Malformed):
--- /dev/null
+++ b/briarknot/gateway/_prompts.py
@@ -0,0 +1,203 @@
+"""Has prompts read: by a prefill worker, or by the decode worker itself."""
+
+import asyncio
+import contextlib
+import time
+import typing
+
+from briarknot import schema, serving, telemetry
+from briarknot.gateway import _attempts, _context, _requests
+
+_Stage = schema.serving.Stage
+_PLACEMENT_POLICY = 'predicted'
+#: Attempts to have a prompt read. A worker that refuses is followed by another
+#: one while the retry budget allows.
+_MAX_PREFILLS = 3
+#: Time limit of freeing a handle, in seconds; it ends by itself soon after.
+_FREE_TIMEOUT_S = 1.0
+
+
+async def read_prompt(
+    context: _context.Context, request: _requests.Request, refused: list[str]
+) -> tuple[serving.KvSource | None, serving.Placement | None]:
+    """Has the prompt read by a prefill worker, unless that is slower.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param refused: workers that have failed already.
+    :returns: the KV cache, and the place of a prompt that its decode worker
+        reads itself; one of both at the most.
+    """
+    tried = list(refused)
+    for _ in range(_MAX_PREFILLS):
+        placement = _place(context, request, tried)
+        if placement is None:
+            return None, None
+        _log_placement(context, request, placement)
+        if placement.is_direct:
+            return None, placement
+        if not request.take_arrival(context.budget):
+            return None, None
+        tried.append(placement.reader.id)
+        result = await _prefill(context, request, placement)
+        if isinstance(result, serving.KvSource):
+            return result, None
+    return None, None
+
+
+@contextlib.contextmanager
+def count_prompt(
+    context: _context.Context,
+    request: _requests.Request,
+    placement: serving.Placement | None,
+) -> typing.Iterator[None]:
+    """Counts a prompt that a decode worker reads itself, while it streams.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param placement: where the prompt is read; None where it was read before.
+    """
+    if placement is None:
+        yield
+        return
+    context.prompts.add(placement, request.call.prompt)
+    try:
+        yield
+    finally:
+        context.prompts.remove(placement, 0, is_read=False)
+
+
+async def _prefill(
+    context: _context.Context,
+    request: _requests.Request,
+    placement: serving.Placement,
+) -> serving.KvSource | serving.Failed:
+    dispatch = serving.Dispatch(
+        worker=placement.reader,
+        remaining_s=request.remaining_s(time.monotonic()),
+        rank=request.route.rank,
+    )
+    prompt = request.call.prompt
+    with _attempts.open_attempt(context, placement.reader) as attempt:
+        result: serving.KvSource | serving.Failed | None = None
+        context.prompts.add(placement, prompt)
+        try:
+            result = await context.calls.prefill(request.call, dispatch)
+        finally:
+            context.prompts.remove(
+                placement,
+                attempt.seconds,
+                is_read=isinstance(result, serving.KvSource),
+            )
+        _attempts.note_result(
+            request, attempt, 'prefill', result, context.fleet
+        )
+    if not _counts_as_arrival(request, result):
+        request.return_arrival(context.budget)
+    return result
+
+
+def _counts_as_arrival(
+    request: _requests.Request, result: serving.KvSource | serving.Failed
+) -> bool:
+    if isinstance(result, serving.KvSource):
+        # Only the first prefill that a worker accepts is free.
+        is_free = not request.has_prefill
+        request.has_prefill = True
+        return not is_free
+    return result.end != serving.End.NOT_SENT
+
+
+def _place(
+    context: _context.Context, request: _requests.Request, tried: list[str]
+) -> serving.Placement | None:
+    prompt = request.call.prompt
+    if prompt is None:
+        return None
+    view = serving.PlacementView(
+        context.prompts,
+        context.board,
+        context.places,
+        list_calm(context, request, _Stage.PREFILL, tried),
+        list_calm(context, request, _Stage.DECODE, tried),
+    )
+    return serving.PLACEMENT_POLICIES.get(_PLACEMENT_POLICY)(
+        view, prompt, time.monotonic()
+    )
+
+
+def _log_placement(
+    context: _context.Context,
+    request: _requests.Request,
+    placement: serving.Placement,
+) -> None:
+    telemetry.log_event(
+        'prompt_placed',
+        request=request.call.id,
+        worker=placement.reader.id,
+        stage=placement.reader.stage.value,
+        expected_s=round(placement.expected_s, 4),
+        uncached=placement.uncached,
+        slowdown=round(context.prompts.find_slowdown(placement.reader), 2),
+        waiting=context.prompts.find_wait(placement.reader, time.monotonic()),
+    )
+
+
+def list_calm(
+    context: _context.Context,
+    request: _requests.Request,
+    stage: _Stage,
+    tried: list[str],
+) -> tuple[schema.serving.Worker, ...]:
+    """Lists the workers of a stage, without those that are away if others are.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param stage: part of a generation that they take.
+    :param tried: workers to leave out.
+    """
+    now = time.monotonic()
+    untried = tuple(
+        one
+        for one in context.fleet.list_usable(request.service.name, stage)
+        if one.id not in tried
+    )
+    calm = tuple(
+        one for one in untried if not context.board.find(one.id).is_blocked(now)
+    )
+    return calm or untried
+
+
+def is_kept(
+    context: _context.Context,
+    source: serving.KvSource,
+    last: serving.Failed,
+    tried: list[str],
+) -> bool:
+    """Returns whether a prompt's cache can still be fetched.
+
+    A worker rejects a request whose cache can't be had, as it does when it is
+    full; a second rejection, or a source that is away, means the former.
+
+    :param context: state of the process.
+    :param source: the cache.
+    :param last: end of the last attempt.
+    :param tried: workers that were tried.
+    """
+    if last.end == serving.End.NOT_SENT:
+        return True
+    record = context.board.find(source.worker.id)
+    return len(tried) < 2 and not record.is_blocked(time.monotonic())
+
+
+def free_later(context: _context.Context, source: serving.KvSource) -> None:
+    """Frees a cache that nobody will fetch, without waiting for it.
+
+    :param context: state of the process.
+    :param source: the cache.
+    """
+    task = asyncio.get_running_loop().create_task(
+        context.calls.free(source, _FREE_TIMEOUT_S)
+    )
+    context.background.add(task)
+    task.add_done_callback(context.background.discard)
--- a/briarknot/platform/__init__.py
+++ b/briarknot/platform/__init__.py
@@ -6,6 +6,9 @@
 
 from briarknot.platform._client import Client, make_client
 from briarknot.platform._decoding import (
+    MANIFEST_KEY,
+    MANIFEST_TABLE,
+    WORKERS_TABLE,
     Malformed,
     decode_manifest,
     decode_worker,
@@ -30,6 +33,9 @@
 )
 
 __all__ = (
+    'MANIFEST_KEY',
+    'MANIFEST_TABLE',
+    'WORKERS_TABLE',
     'Client',
     'Committed',
     'Conflict',
--- a/briarknot/platform/_decoding.py
+++ b/briarknot/platform/_decoding.py
@@ -6,6 +6,11 @@
 
 from briarknot import schema, sentinels
 
+#: Where the operators' manifest lies.
+MANIFEST_TABLE = 'op'
+MANIFEST_KEY = 'config'
+#: Where the workers register themselves.
+WORKERS_TABLE = 'servers'
 _MS_PER_S = 1000
 _BITS_PER_MBIT = 1e6
 _KINDS = {
--- a/briarknot/schema/_generated/settings.py
+++ b/briarknot/schema/_generated/settings.py
@@ -432,23 +432,12 @@
         required=True,
         default='',
     )
-    heartbeat_s: float = _fields.make_field(
-        doc='Period in which workers register again.',
-        minimum=0.05,
-        unit='s',
-        default=1.0,
-    )
     peer_port: int = _fields.make_field(
         doc="Port for the system's own processes; 0 for none.",
         maximum=65535,
         minimum=0,
         default=0,
     )
-    drain_s: float = _fields.make_field(
-        doc='Time after which a leaving worker must get no more requests.',
-        unit='s',
-        default=3.0,
-    )
     stop_grace_s: float = _fields.make_field(
         doc='Time from SIGTERM until the process is killed.',
         unit='s',
@@ -465,13 +454,3 @@
     retry_window_s: float = _fields.make_field(
         doc='Window of the two limits above.', unit='s', default=10.0
     )
-    lease_s: float = _fields.make_field(
-        doc='Time in which only one process may give orders.',
-        unit='s',
-        default=3.0,
-    )
-    cut_s: float = _fields.make_field(
-        doc='Time in which a worker notices that a connection was closed.',
-        unit='s',
-        default=0.4,
-    )
--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -102,13 +102,9 @@
   readinessAddress @6 :Text $A.required $A.doc("IP number and port of the readiness check.");
   metricsPort @7 :UInt16 = 9100 $A.doc("Port of the metrics.");
   storeAddress @8 :Text $A.required $A.doc("IP number and port of the platform's store.");
-  heartbeatS @9 :Float64 = 1 $A.unit("s") $A.minimum(0.05) $A.doc("Period in which workers register again.");
-  peerPort @10 :UInt16 $A.doc("Port for the system's own processes; 0 for none.");
-  drainS @11 :Float64 = 3 $A.unit("s") $A.doc("Time after which a leaving worker must get no more requests.");
-  stopGraceS @12 :Float64 = 8 $A.unit("s") $A.doc("Time from SIGTERM until the process is killed.");
-  retryShare @13 :Float64 = 0.2 $A.doc("Repeated arrivals at a service for each request, over the whole fleet.");
-  retryExtra @14 :Float64 = 50 $A.doc("Repeated arrivals at a service in a window beside those of the share, over the whole fleet.");
-  retryWindowS @15 :Float64 = 10 $A.unit("s") $A.doc("Window of the two limits above.");
-  leaseS @16 :Float64 = 3 $A.unit("s") $A.doc("Time in which only one process may give orders.");
-  cutS @17 :Float64 = 0.4 $A.unit("s") $A.doc("Time in which a worker notices that a connection was closed.");
+  peerPort @9 :UInt16 $A.doc("Port for the system's own processes; 0 for none.");
+  stopGraceS @10 :Float64 = 8 $A.unit("s") $A.doc("Time from SIGTERM until the process is killed.");
+  retryShare @11 :Float64 = 0.2 $A.doc("Repeated arrivals at a service for each request, over the whole fleet.");
+  retryExtra @12 :Float64 = 50 $A.doc("Repeated arrivals at a service in a window beside those of the share, over the whole fleet.");
+  retryWindowS @13 :Float64 = 10 $A.unit("s") $A.doc("Window of the two limits above.");
 }
--- a/briarknot/serving/_board.py
+++ b/briarknot/serving/_board.py
@@ -28,13 +28,11 @@
     """Load and health of one worker, as this process sees them.
 
     :param in_flight: own requests that have no whole answer yet.
-    :param tokens: tokens of these requests.
     :param answer_s: mean time to an answer in seconds; 0 before the first.
     :param failure_rate: recent share of attempts that failed.
     """
 
     in_flight: int = 0
-    tokens: float = 0
     answer_s: float = 0
     failure_rate: float = 0
     _blocked_until_s: float = float('-inf')
--- a/briarknot/tests/test_pages.py
+++ b/briarknot/tests/test_pages.py
@@ -41,5 +41,5 @@
 
 def test_operations_cover_each_cause():
     """An operator looks up the cause that a refusal names."""
-    page = (_ROOT / 'docs' / 'operations.md').read_text()
+    page = (_ROOT / 'docs' / 'OPERATIONS.md').read_text()
     assert [cause for cause in outcomes.Cause if f'`{cause}`' not in page] == []
--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -47,7 +47,7 @@
 Each refusal and each failure has one cause of this closed list. It is the
 field `cause` of the problem document that the caller gets, of the journal's
 record and of the metric `briarknot_requests_total`. `briarknotctl explain ID`
-adds the figures behind it; [operations](operations.md) says what to do.
+adds the figures behind it; [operations](OPERATIONS.md) says what to do.
 
 | cause | HTTP status | meaning |
 | --- | --- | --- |
