--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -70,12 +70,10 @@
     :returns: whether it was sent to a worker.
     """
     tried = progress.tried
-    direct = None
-    if progress.source is None:
-        progress.source, direct = await _prompts.read_prompt(
-            context, request, tried
-        )
-    source = progress.source
+    source, direct = progress.source, None
+    if source is None:
+        source, direct = await _prompts.read_prompt(context, request, tried)
+        progress.source = source
     worker = _choose_decode(context, request, source, tried)
     if direct is not None:
         worker = direct.reader
