Let the decode worker read a prompt whose cache lapsed

Change: a rejection by a worker with free slots means that the cache is gone; the worker may read the prompt itself, and the reader that lost it is left out.

--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -28,11 +28,15 @@
     :param source: KV cache of its prompt, ready to be fetched.
     :param last: end of the last attempt; None where the client is answered.
     :param tried: decode workers that it was sent to.
+    :param readers: prefill workers that lost its prompt's cache.
+    :param sends: times that it was sent to a decode worker.
     """
 
     source: serving.KvSource | None = None
     last: serving.Failed | None = None
     tried: list[str] = attrs.field(factory=list)
+    readers: list[str] = attrs.field(factory=list)
+    sends: int = 0
 
 
 @_requests.HANDLERS.register(schema.serving.RequestKind.GENERATION)
@@ -44,7 +48,7 @@
     progress = _Progress()
     is_sent = True
     try:
-        while is_sent and len(progress.tried) < _MAX_SENDS:
+        while is_sent and progress.sends < _MAX_SENDS:
             is_sent = await _send_once(context, request, relay, progress)
             if is_sent and progress.last is None:
                 return
@@ -72,7 +76,9 @@
     tried = progress.tried
     source, direct = progress.source, None
     if source is None:
-        source, direct = await _prompts.read_prompt(context, request, tried)
+        source, direct = await _prompts.read_prompt(
+            context, request, tried + progress.readers
+        )
         progress.source = source
     worker = _choose_decode(context, request, source, tried)
     if direct is not None:
@@ -80,6 +86,7 @@
     if worker is None or not request.take_arrival(context.budget):
         return False
     tried.append(worker.id)
+    progress.sends += 1
     with _prompts.count_prompt(context, request, direct):
         last = await _attempt(context, request, worker, source, relay)
     progress.last = last
@@ -89,6 +96,10 @@
     elif source and not _prompts.is_kept(context, source, last, tried):
         _prompts.free_later(context, source)
         progress.source = None
+        progress.readers.append(source.worker.id)
+        if _prompts.has_room(last):
+            # It lacked the cache only, and may read the prompt itself.
+            tried.remove(worker.id)
     return True
 
 
--- a/briarknot/gateway/_prompts.py
+++ b/briarknot/gateway/_prompts.py
@@ -177,7 +177,8 @@
     """Returns whether a prompt's cache can still be fetched.
 
     A worker rejects a request whose cache can't be had, as it does when it is
-    full; a second rejection, or a source that is away, means the former.
+    full. Free slots, a second rejection, or a source that is away mean the
+    former.
 
     :param context: state of the process.
     :param source: the cache.
@@ -186,8 +187,19 @@
     """
     if last.end == serving.End.NOT_SENT:
         return True
+    if has_room(last) or len(tried) > 1:
+        return False
     record = context.board.find(source.worker.id)
-    return len(tried) < 2 and not record.is_blocked(time.monotonic())
+    return not record.is_blocked(time.monotonic())
+
+
+def has_room(last: serving.Failed) -> bool:
+    """Returns whether a worker that rejected a request had free slots.
+
+    :param last: end of the attempt.
+    """
+    load = last.load
+    return load is not None and load.running + load.waiting < load.slots
 
 
 def free_later(context: _context.Context, source: serving.KvSource) -> None:
--- a/briarknot/gateway/tests/test_generation.py
+++ b/briarknot/gateway/tests/test_generation.py
@@ -159,3 +159,19 @@
     ]
     assert sources[0] == sources[1] == 'k1'
     assert sources[2] != 'k1'
+
+
+async def test_worker_that_lacked_the_cache_reads_the_prompt_itself():
+    """Caches that lapse at once used up all workers that could run it."""
+    rejected = _support.make_reply(
+        503, '', 'Not-Executed: 1\r\nInstance-Load: 0,0,4'
+    )
+    freed = _support.make_reply(200)
+    workers = make_workers(
+        [_support.HANDLE, freed], [rejected, _support.make_stream('x')]
+    )
+    async with _support.open_front(make_stream_route(), *workers) as front:
+        status, _, body = await front.send(headers=_PROMPT)
+    assert (status, read_data(body)) == (200, ['x'])
+    assert 'kv-source' in workers[1].requests[0]
+    assert 'kv-source' not in workers[1].requests[1]
