--- /dev/null
+++ b/briarknot/telemetry/tests/test_lines.py
@@ -0,0 +1,44 @@
+"""Guards the bounds of log lines."""
+
+import os
+
+import orjson
+
+from briarknot import telemetry
+
+
+def test_lines_above_the_rate_are_dropped_and_counted():
+    """A storm of requests would spend the processor on logs."""
+    reader, writer = os.pipe()
+    buffer = telemetry.LineBuffer(writer, clock=float)
+    for number in range(5000):
+        buffer.add(orjson.dumps({'n': number}))
+    buffer.flush()
+    os.close(writer)
+    with os.fdopen(reader, 'rb') as output:
+        lines = [orjson.loads(line) for line in output]
+    assert lines[-1]['event'] == 'log_lines_dropped'
+    assert lines[-1]['lines'] + len(lines) - 1 == 5000
+
+
+def test_full_pipe_does_not_block():
+    """A collector that stops reading would stop the process."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    seconds = iter(range(10**6))
+    buffer = telemetry.LineBuffer(writer, clock=lambda: next(seconds))
+    for _ in range(3000):
+        buffer.add(b'x' * 1000)
+        buffer.flush()
+    os.close(reader)
+    os.close(writer)
+
+
+def test_closed_output_is_not_an_error():
+    """The end of the collector would end the process."""
+    reader, writer = os.pipe()
+    os.close(reader)
+    buffer = telemetry.LineBuffer(writer)
+    buffer.add(b'line')
+    buffer.flush()
+    os.close(writer)
