Refuse requests that come late in a planned stop

Change: from the closing of the listener on, requests are refused as not run, with the time to come back. Test: test_late_request_of_a_stopping_gateway_is_refused.

--- a/briarknot/gateway/tests/_support.py
+++ b/briarknot/gateway/tests/_support.py
@@ -181,6 +181,7 @@
     context: _context.Context
     url: str
     session: aiohttp.ClientSession
+    ingress: platform.Ingress
 
     async def send(self, method='POST', path='/r/x', **options):
         """Sends a request; returns status, headers, and body or an error."""
@@ -236,7 +237,7 @@
         )
         await ingress.start()
         session = await stack.enter_async_context(aiohttp.ClientSession())
-        yield Front(context, f'http://127.0.0.1:{port}', session)
+        yield Front(context, f'http://127.0.0.1:{port}', session, ingress)
         await ingress.close()
         await calls.close()
 
--- a/briarknot/gateway/tests/test_plain.py
+++ b/briarknot/gateway/tests/test_plain.py
@@ -208,3 +208,17 @@
         domain=entry.domain,
         slots=entry.slots,
     )
+
+
+async def test_late_request_of_a_stopping_gateway_is_refused():
+    """A request on a kept connection was taken late in a stop, and cut."""
+    worker = _support.ScriptedWorker([_OK])
+    route = make_plain_route(_Kind.NON_IDEMPOTENT)
+    async with _support.open_front(route, worker) as front:
+        first, _, _ = await front.send()
+        front.ingress.set_closing()
+        await front.ingress.stop_listening()
+        status, headers, _ = await front.send()
+    assert (first, status) == (200, 503)
+    assert float(headers['Retry-After']) > 0
+    assert len(worker.requests) == 1
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -25,6 +25,9 @@
 #: Answers that say when to come back: the status promises that the request
 #: has not run.
 _SERVICE_UNAVAILABLE = 503
+#: Retry-After of a request that comes while the process stops, in seconds; a
+#: new connection leads to another host.
+_STOP_RETRY_S = 0.1
 
 
 @attrs.define(eq=False)
@@ -126,6 +129,7 @@
     _is_ready: typing.Callable[[], bool]
     _read_limit: typing.Callable[[], int]
     _closing: bool = False
+    _refusing: bool = False
     _open_requests: int = 0
     _idle: asyncio.Event = attrs.field(factory=asyncio.Event)
     _runners: list[web.ServerRunner] = attrs.field(factory=list)
@@ -168,7 +172,12 @@
         self._closing = True
 
     async def stop_listening(self) -> None:
-        """Takes no new connections of clients."""
+        """Takes no new connections of clients, and refuses further requests.
+
+        A request that came late on a kept connection was cut when the process
+        ended.
+        """
+        self._refusing = True
         await self._sites[-1].stop()
 
     async def wait_idle(self, timeout_s: float) -> None:
@@ -203,9 +212,12 @@
             body = await _read_body(request, self._read_limit())
             if body is None:
                 return web.Response(status=413)
-            await self._handler(
-                _decode_call(request, body, received_s), responder
-            )
+            call = _decode_call(request, body, received_s)
+            if self._refusing:
+                telemetry.log_event('request_refused_at_stop', request=call.id)
+                responder.refuse(_SERVICE_UNAVAILABLE, call.id, _STOP_RETRY_S)
+            else:
+                await self._handler(call, responder)
         finally:
             self._open_requests -= 1
             if not self._open_requests:
