Reserve the ports of test runs, and show the tracebacks that a soak finds

The ports of a run were not reserved: while a killed process was away, a run beside it could choose its port, and the process ended with a failed bind when it was started again. The launcher then took the other run's listener for its process.

Change: a chosen port is reserved by a locked file until its run ends. A finding shows the traceback. The worker stand-in refuses a request without an id as the protocol says, and takes a caller that left for no error.

--- a/briarknot_standins/launcher/_ports.py
+++ b/briarknot_standins/launcher/_ports.py
@@ -1,9 +1,13 @@
 """Choice of free ports."""
 
 import contextlib
+import fcntl
 import itertools
 import os
+import pathlib
 import socket
+import tempfile
+import typing
 
 from briarknot_standins import serving
 
@@ -17,14 +21,37 @@
 _candidates = itertools.cycle(range(_FIRST_PORT, _LAST_PORT))
 _offset = (os.getpid() * _STRIDE) % (_LAST_PORT - _FIRST_PORT)
 _shifted = itertools.islice(_candidates, _offset, None)
+#: Locked files of the chosen ports, which end with this process.
+_reservations: dict[int, typing.IO[bytes]] = {}
 
 
 def choose_port() -> int:
     """Chooses a port on which nothing listens.
 
-    No port is chosen twice in a process before all others were.
+    No port is chosen twice in a process before all others were. It stays
+    reserved until this process ends, as the one that listens on it may be
+    killed and started again, and another run must not take it meanwhile.
     """
-    return next(filter(_is_free, _shifted))
+    return next(filter(_take, _shifted))
+
+
+def _take(port: int) -> bool:
+    return _reserve(port) and _is_free(port)
+
+
+def _reserve(port: int) -> bool:
+    if port in _reservations:
+        return True
+    folder = pathlib.Path(tempfile.gettempdir(), 'briarknot-ports')
+    folder.mkdir(exist_ok=True)
+    reservation = (folder / str(port)).open('wb')
+    try:
+        fcntl.flock(reservation, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        reservation.close()
+        return False
+    _reservations[port] = reservation
+    return True
 
 
 def _is_free(port: int) -> bool:
--- /dev/null
+++ b/briarknot_standins/launcher/tests/test_ports.py
@@ -0,0 +1,23 @@
+"""Guards the choice of ports."""
+
+import subprocess
+import sys
+
+from briarknot_standins.launcher import _ports
+
+_CHOOSE = """
+import itertools
+from briarknot_standins.launcher import _ports
+_ports._shifted = itertools.count({port})
+print(_ports.choose_port())
+"""
+
+
+def test_port_of_a_killed_process_is_not_taken_by_another_run():
+    """A process started again met the listener of another test run."""
+    port = _ports.choose_port()
+    code = _CHOOSE.format(port=port)
+    chosen = subprocess.run(
+        [sys.executable, '-c', code], capture_output=True, check=True, text=True
+    )
+    assert int(chosen.stdout) > port
--- a/briarknot_standins/soak/_run.py
+++ b/briarknot_standins/soak/_run.py
@@ -24,6 +24,9 @@
 _CALM_S = 2.0
 #: Time in which a late run of a refused request would show itself.
 _LATE_S = 1.0
+_TRACEBACK = 'Traceback'
+#: Part of a traceback that a report shows; its last calls are within it.
+_TRACEBACK_CHARACTERS = 6000
 
 
 async def run_soak(config: _config.SoakConfig) -> _config.Report:
@@ -109,5 +112,10 @@
 
 def _check_exits(cluster: launcher.Cluster, report: _config.Report) -> None:
     for process in cluster.processes:
-        if 'Traceback' in process.read_output():
-            report.findings.append(f'{process.name}: a traceback in its log')
+        found = process.read_output().partition(_TRACEBACK)
+        if found[1]:
+            # The folder of the logs is gone when the report is read.
+            details = found[-1][:_TRACEBACK_CHARACTERS]
+            report.findings.append(
+                f'{process.name}: a traceback in its log: {details}'
+            )
--- a/briarknot_standins/worker/_app.py
+++ b/briarknot_standins/worker/_app.py
@@ -144,6 +144,8 @@
 
 def _find_refusal(worker: Worker, request: web.Request) -> web.Response | None:
     headers = request.headers
+    if 'Request-Id' not in headers:
+        return web.Response(status=400, headers={'Not-Executed': '1'})
     common = {
         'Request-Id': headers.get('Request-Id', ''),
         'Instance-Id': worker.id,
@@ -200,5 +202,10 @@
     for number in range(start, _EVENTS + 1):
         await asyncio.sleep(worker.config.work_s)
         event = f'id: {number}\ndata: {request_id} {number}/{_EVENTS}\n\n'
-        await response.write(event.encode())
+        try:
+            await response.write(event.encode())
+        except ConnectionError:
+            # The caller left, and bytes before it still wait to be sent.
+            print('left', request_id, flush=True)
+            break
     return response
