Read prompts where an engine holds their shared parts

Cause: processes knew only from their own prompts what engines hold, and counted a shared part as cached at its home before anybody had read it there.

Ruled out: the share of prefill workers.

Change: processes tell each other which shared parts they have sent where; a decode worker that fetched a prompt holds its parts too. The messages also carry the streams at each engine.

--- a/briarknot/gateway/_followers.py
+++ b/briarknot/gateway/_followers.py
@@ -171,6 +171,9 @@
             telemetry.log_event('worker_gone', worker=worker_id)
         for worker in workers:
             old = before.get(worker.id)
+            if old is not None and old.born_ms != worker.born_ms:
+                # A worker that started again knows nothing of before.
+                self._context.prompts.forget(worker.id)
             if old is None or _is_changed(old, worker):
                 telemetry.log_event(
                     'worker_changed',
--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -87,9 +87,14 @@
         return False
     tried.append(worker.id)
     progress.sends += 1
-    with _prompts.count_prompt(context, request, direct):
+    with (
+        _prompts.count_prompt(context, request, direct),
+        _prompts.count_stream(context, request, worker),
+    ):
         last = await _attempt(context, request, worker, source, relay)
     progress.last = last
+    if source is not None and last is None:
+        context.prompts.caches.note_prompt(worker.id, request.call.prompt)
     if last is None or not last.not_run:
         # A worker that ran the request has taken the cache.
         progress.source = None
--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -1,4 +1,4 @@
-"""Messages between gateway processes: prompts at engines, and store reads."""
+"""Messages between gateway processes: work at engines, and store reads."""
 
 import asyncio
 import socket
@@ -40,8 +40,10 @@
             data = await loop.sock_recv(self._socket, _DATAGRAM_BYTES)
             message = schema.decode(data)
             _MESSAGES.labels('received').inc()
-            if isinstance(message, schema.messages.PromptTokens):
-                self._context.prompts.apply_peer(message, time.monotonic())
+            if isinstance(message, schema.messages.EngineWork):
+                prompts = self._context.prompts
+                prompts.work.apply_peer(message, time.monotonic())
+                prompts.caches.apply_peer(message.parts)
             elif isinstance(message, schema.messages.FleetNews):
                 self._context.news = message
                 self._context.news_arrived.set()
@@ -65,19 +67,20 @@
                 self._send_one(data, self._context.hosts[host])
 
     async def send(self) -> None:
-        """Sends the own prompts to all others while they change."""
+        """Sends the own work at engines to all others while there is some."""
         sequence = 0
-        before: dict[str, int] = {}
+        was_idle = True
         while True:
             hosts = tuple(self._context.hosts.values())
             period_s = max(_PERIOD_S, len(hosts) / _MESSAGES_PER_S)
             await asyncio.sleep(period_s)
-            tokens = self._context.prompts.own_tokens
-            if tokens == before and not tokens:
+            work = self._context.prompts.work.own
+            parts = self._context.prompts.caches.take_news()
+            if not work and not parts and was_idle:
                 continue
-            before = tokens
+            was_idle = not work
             sequence += 1
-            data = schema.encode(self._make_message(tokens, sequence))
+            data = schema.encode(self._make_message(work, parts, sequence))
             for address in hosts:
                 self._send_one(data, address)
 
@@ -91,16 +94,17 @@
             _MESSAGES.labels('sent').inc()
 
     def _make_message(
-        self, tokens: dict[str, int], sequence: int
-    ) -> schema.messages.PromptTokens:
-        return schema.messages.PromptTokens(
+        self,
+        work: tuple[schema.messages.WorkerWork, ...],
+        parts: tuple[schema.messages.CachedPart, ...],
+        sequence: int,
+    ) -> schema.messages.EngineWork:
+        return schema.messages.EngineWork(
             host=self._context.settings.host,
             sequence=sequence,
             born_ms=self._born_ms,
-            workers=tuple(
-                schema.messages.WorkerTokens(worker=worker_id, tokens=amount)
-                for worker_id, amount in tokens.items()
-            ),
+            workers=work,
+            parts=parts,
         )
 
 
--- a/briarknot/gateway/_prompts.py
+++ b/briarknot/gateway/_prompts.py
@@ -67,6 +67,28 @@
         context.prompts.remove(placement, 0, is_read=False)
 
 
+@contextlib.contextmanager
+def count_stream(
+    context: _context.Context,
+    request: _requests.Request,
+    worker: schema.serving.Worker,
+) -> typing.Iterator[None]:
+    """Counts a generation at its worker while it is sent and streams.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param worker: the decode worker.
+    """
+    prompt = request.call.prompt
+    tokens = prompt.tokens + prompt.output_tokens if prompt else 0
+    work = context.prompts.work
+    work.add(worker.id, streams=1, stream_tokens=tokens)
+    try:
+        yield
+    finally:
+        work.add(worker.id, streams=-1, stream_tokens=-tokens)
+
+
 async def _prefill(
     context: _context.Context,
     request: _requests.Request,
--- a/briarknot/gateway/tests/test_peers.py
+++ b/briarknot/gateway/tests/test_peers.py
@@ -34,8 +34,9 @@
     """All processes would send their prompts to the same busy worker."""
     first, second = make_peer_context('g1'), make_peer_context('g2')
     first.hosts = {'g2': ('127.0.0.1', second.settings.peer_port)}
-    part = schema.serving.PromptPart(id='k', tokens=700)
-    prompt = serving.Prompt(parts=(part,), tokens=700, output_tokens=1)
+    part = schema.serving.PromptPart(id='k', tokens=500)
+    own = schema.serving.PromptPart(id='o', tokens=200)
+    prompt = serving.Prompt(parts=(part, own), tokens=700, output_tokens=1)
     placement = serving.Placement(_WORKER, 0.1, 700)
     async with contextlib.AsyncExitStack() as stack:
         group = await stack.enter_async_context(asyncio.TaskGroup())
@@ -47,6 +48,7 @@
         await wait_for_tokens(second, 700)
         first.prompts.remove(placement, 0.1, is_read=True)
         await wait_for_tokens(second, 0)
+        assert second.prompts.count_uncached(_WORKER, prompt) == 200
         for task in tasks:
             task.cancel()
 
@@ -64,29 +66,29 @@
 def test_late_message_changes_nothing():
     """Datagrams overtake each other."""
     load = serving.make_prompt_load()
-    newer = schema.messages.PromptTokens(host='g', sequence=2, born_ms=5)
+    newer = schema.messages.EngineWork(host='g', sequence=2, born_ms=5)
     older = attrs.evolve(
         newer,
         sequence=1,
-        workers=(schema.messages.WorkerTokens(worker='w', tokens=9),),
+        workers=(schema.messages.WorkerWork(worker='w', tokens=9),),
     )
-    load.apply_peer(newer, 0)
-    load.apply_peer(older, 0)
+    load.work.apply_peer(newer, 0)
+    load.work.apply_peer(older, 0)
     assert load.find_wait(_WORKER, 0) == 0
     restarted = attrs.evolve(older, born_ms=6)
-    load.apply_peer(restarted, 0)
+    load.work.apply_peer(restarted, 0)
     assert load.find_wait(_WORKER, 0) == 9
 
 
 def test_old_news_is_forgotten():
     """A process that was killed would keep its worker busy for ever."""
     load = serving.make_prompt_load()
-    news = schema.messages.PromptTokens(
+    news = schema.messages.EngineWork(
         host='g',
         sequence=1,
-        workers=(schema.messages.WorkerTokens(worker='w', tokens=9),),
+        workers=(schema.messages.WorkerWork(worker='w', tokens=9),),
     )
-    load.apply_peer(news, 0)
+    load.work.apply_peer(news, 0)
     assert load.find_wait(_WORKER, 60) == 0
 
 
@@ -99,5 +101,6 @@
     load.add(placement, prompt)
     load.forget(_WORKER.id)
     load.remove(placement, 0.1, is_read=False)
-    assert not load.own_tokens
+    assert not load.work.own
+
     assert load.find_wait(_WORKER, 0) == 0
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -1,9 +1,7 @@
 """Calls to workers: runs, prefills, and handles."""
 
-import asyncio
 import contextlib
 import errno
-import socket
 
 import aiohttp
 import attrs
@@ -11,7 +9,7 @@
 import yarl
 
 from briarknot import serving
-from briarknot.platform import _headers
+from briarknot.platform import _headers, _sessions
 
 _OK = 200
 _MISDIRECTED = 421
@@ -23,20 +21,6 @@
 #: needed elsewhere go first within their rank.
 _URGENCIES_PER_RANK = 3
 _LEAST_URGENT = 9
-#: A worker refuses a connection at once or is away; a packet lost on the way
-#: is sent again within 0.2 s to 1 s.
-_CONNECT_S = 1.2
-#: Idle time after which a connection is not used again: workers close idle
-#: ones after some seconds, and a request that crosses the close may have run.
-_IDLE_S = 2.0
-#: Time after which unacknowledged bytes end a connection, in milliseconds; a
-#: partition or a silent connection is noticed by it.
-_USER_TIMEOUT_MS = 1500
-_KEEPALIVE_IDLE_S = 1
-_KEEPALIVE_PERIOD_S = 1
-_KEEPALIVE_PROBES = 2
-_SKIPPED = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
-_MAX_LINE_BYTES = 65536
 #: Errors of opening a connection, before any byte of a request was sent.
 _NOT_SENT_ERRORS = (
     aiohttp.ClientConnectorError,
@@ -44,54 +28,12 @@
 )
 
 
-def make_socket(
-    info: tuple[int, int, int, str, tuple[str, int]],
-) -> socket.socket:
-    """Makes a socket that notices a silent connection.
-
-    :param info: address as ``getaddrinfo`` gives it.
-    """
-    family, kind, protocol, _, _ = info
-    made = socket.socket(family, kind, protocol)
-    made.setblocking(False)
-    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, amount in (
-        (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, _KEEPALIVE_PERIOD_S),
-        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
-        (socket.TCP_NODELAY, 1),
-    ):
-        made.setsockopt(socket.IPPROTO_TCP, option, amount)
-    return made
-
-
-class _Response(aiohttp.ClientResponse):
-    """A response that knows how its connection ended."""
-
-    #: Set when the connection is closed, with an exception after a reset.
-    closed_connection: asyncio.Future | None = None
-
-    async def start(
-        self, connection: aiohttp.connector.Connection
-    ) -> aiohttp.ClientResponse:
-        """Waits for the head of the answer."""
-        # A short answer's connection is gone once its head was read.
-        if connection.protocol is not None:
-            self.closed_connection = connection.protocol.closed
-        if self.closed_connection is not None:
-            # Only the end of a body without a length is asked for it; the
-            # others must not log an exception that nobody retrieved.
-            self.closed_connection.add_done_callback(_retrieve)
-        return await super().start(connection)
-
-
 @attrs.define(eq=False)
 class Exchange:
     """A worker's answer whose body is still to be read."""
 
     _answer: serving.Answer
-    _response: _Response
+    _response: _sessions.Response
 
     @property
     def answer(self) -> serving.Answer:
@@ -254,7 +196,7 @@
 
 
 def _check_response(
-    call: serving.Call, response: _Response
+    call: serving.Call, response: _sessions.Response
 ) -> Exchange | serving.Failed:
     failure = _find_failure(call, response)
     if failure is not None:
@@ -272,7 +214,7 @@
 
 
 def _find_failure(
-    call: serving.Call, response: _Response
+    call: serving.Call, response: _sessions.Response
 ) -> serving.Failed | None:
     headers = response.headers
     status = response.status
@@ -374,42 +316,12 @@
     return False
 
 
-def _retrieve(closed: asyncio.Future) -> None:
-    if not closed.cancelled():
-        closed.exception()
-
-
-def _make_session(
-    connections: int, *, force_close: bool
-) -> aiohttp.ClientSession:
-    options = {} if force_close else {'keepalive_timeout': _IDLE_S}
-    connector = aiohttp.TCPConnector(
-        limit=0,
-        limit_per_host=connections,
-        force_close=force_close,
-        socket_factory=make_socket,
-        happy_eyeballs_delay=None,
-        **options,
-    )
-    return aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        response_class=_Response,
-        skip_auto_headers=_SKIPPED,
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_S),
-        max_line_size=_MAX_LINE_BYTES,
-        max_field_size=_MAX_LINE_BYTES,
-        read_bufsize=_MAX_LINE_BYTES,
-    )
-
-
 def make_worker_calls(connections: int = 0) -> WorkerCalls:
     """Makes the client of workers; a running event loop is needed.
 
     :param connections: connections to one worker; 0 for no limit.
     """
     return WorkerCalls(
-        _make_session(connections, force_close=False),
-        _make_session(connections, force_close=True),
+        _sessions.make_session(connections, force_close=False),
+        _sessions.make_session(connections, force_close=True),
     )
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -285,14 +285,27 @@
 
 
 @attrs.frozen(kw_only=True)
-class WorkerTokens:
-    """Prompt tokens that a process has at a worker."""
+class WorkerWork:
+    """Work that a process has at an engine."""
 
     __schema__ = 'messages'
 
     worker: str = _fields.make_field(doc='Id of the worker.', default='')
     tokens: int = _fields.make_field(
-        doc='Tokens that are still to be read.',
+        doc='Prompt tokens that are still to be read.',
+        maximum=4294967295,
+        minimum=0,
+        unit='tokens',
+        default=0,
+    )
+    streams: int = _fields.make_field(
+        doc='Generations that it runs.',
+        maximum=4294967295,
+        minimum=0,
+        default=0,
+    )
+    stream_tokens: int = _fields.make_field(
+        doc='KV cache that they take when they are complete.',
         maximum=4294967295,
         minimum=0,
         unit='tokens',
@@ -301,8 +314,25 @@
 
 
 @attrs.frozen(kw_only=True)
-class PromptTokens:
-    """Prompts that a gateway process has at the engines now."""
+class CachedPart:
+    """A shared part of prompts that an engine has read or fetched."""
+
+    __schema__ = 'messages'
+
+    worker: str = _fields.make_field(doc='Id of the worker.', default='')
+    part: str = _fields.make_field(doc='Identity of the part.', default='')
+    tokens: int = _fields.make_field(
+        doc='Its length.',
+        maximum=4294967295,
+        minimum=0,
+        unit='tokens',
+        default=0,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class EngineWork:
+    """Work that a gateway process has at the engines now."""
 
     __schema__ = 'messages'
 
@@ -320,8 +350,12 @@
         unit='ms',
         default=0,
     )
-    workers: tuple[WorkerTokens, ...] = _fields.make_field(
-        doc='Workers with at least one prompt.', default=()
+    workers: tuple[WorkerWork, ...] = _fields.make_field(
+        doc='Engines with at least one prompt or generation.', default=()
+    )
+    parts: tuple[CachedPart, ...] = _fields.make_field(
+        doc='Shared parts of prompts that were sent to engines since the message before.',
+        default=(),
     )
 
 
@@ -362,7 +396,7 @@
     | CreditGrant
     | DomainSummary
     | EngineCache
-    | PromptTokens
+    | EngineWork
     | FleetNews
 )
 
@@ -382,6 +416,6 @@
     CreditGrant: 'creditGrant',
     DomainSummary: 'domainSummary',
     EngineCache: 'engineCache',
-    PromptTokens: 'promptTokens',
+    EngineWork: 'engineWork',
     FleetNews: 'fleetNews',
 }
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -19,7 +19,7 @@
     creditGrant @11 :CreditGrant;
     domainSummary @12 :DomainSummary;
     engineCache @13 :EngineCache;
-    promptTokens @14 :PromptTokens;
+    engineWork @14 :EngineWork;
     fleetNews @15 :FleetNews;
   }
 }
@@ -118,16 +118,25 @@
   queueDelayS @2 :Float64 $A.unit("s") $A.doc("Expected wait of new work.");
 }
 
-struct WorkerTokens $A.doc("Prompt tokens that a process has at a worker.") {
+struct WorkerWork $A.doc("Work that a process has at an engine.") {
   worker @0 :Text $A.doc("Id of the worker.");
-  tokens @1 :UInt32 $A.unit("tokens") $A.doc("Tokens that are still to be read.");
+  tokens @1 :UInt32 $A.unit("tokens") $A.doc("Prompt tokens that are still to be read.");
+  streams @2 :UInt32 $A.doc("Generations that it runs.");
+  streamTokens @3 :UInt32 $A.unit("tokens") $A.doc("KV cache that they take when they are complete.");
 }
 
-struct PromptTokens $A.doc("Prompts that a gateway process has at the engines now.") {
+struct CachedPart $A.doc("A shared part of prompts that an engine has read or fetched.") {
+  worker @0 :Text $A.doc("Id of the worker.");
+  part @1 :Text $A.doc("Identity of the part.");
+  tokens @2 :UInt32 $A.unit("tokens") $A.doc("Its length.");
+}
+
+struct EngineWork $A.doc("Work that a gateway process has at the engines now.") {
   host @0 :Text $A.doc("Host of the process.");
   sequence @1 :UInt64 $A.doc("Grows with each message of a process; a lower one is late.");
   bornMs @2 :UInt64 $A.unit("ms") $A.doc("Start of the process; sequences begin anew with it.");
-  workers @3 :List(WorkerTokens) $A.doc("Workers with at least one prompt.");
+  workers @3 :List(WorkerWork) $A.doc("Engines with at least one prompt or generation.");
+  parts @4 :List(CachedPart) $A.doc("Shared parts of prompts that were sent to engines since the message before.");
 }
 
 struct FleetNews $A.doc("What a gateway process has just read from the store.") {
--- a/briarknot/serving/__init__.py
+++ b/briarknot/serving/__init__.py
@@ -22,16 +22,19 @@
     rank_homes,
     rank_names,
 )
+from briarknot.serving._engine_work import EngineWork
 from briarknot.serving._fleet import Fleet, choose_destination, make_fleet
 from briarknot.serving._placement import (
     PLACEMENT_POLICIES,
-    Placement,
     PlacementView,
-    PromptLoad,
-    make_prompt_load,
 )
 from briarknot.serving._places import Distance, Places
 from briarknot.serving._plain_choice import PLAIN_POLICIES, PlainChoice
+from briarknot.serving._prompt_load import (
+    Placement,
+    PromptLoad,
+    make_prompt_load,
+)
 from briarknot.serving._retry_budget import RetryBudget, make_retry_budget
 
 __all__ = (
@@ -45,6 +48,7 @@
     'Dispatch',
     'Distance',
     'End',
+    'EngineWork',
     'Failed',
     'Fleet',
     'Header',
--- /dev/null
+++ b/briarknot/serving/_prompt_load.py
@@ -0,0 +1,113 @@
+"""Prompts at engines: what waits there, and what their caches hold."""
+
+import attrs
+
+from briarknot import schema
+from briarknot.serving import _calls, _engine_caches, _engine_work
+
+_Stage = schema.serving.Stage
+#: Shortest expectation that a measured time is compared with, in seconds: a
+#: call and a transfer take about as long for the shortest prompt.
+_SHORTEST_S = 0.06
+_SLOWDOWN_WEIGHT = 0.1
+_LARGEST_SLOWDOWN = 8.0
+
+
+@attrs.frozen
+class Placement:
+    """Where a prompt is read.
+
+    :param reader: the worker; a decode worker generates the tokens too.
+    :param expected_s: expected time until the prompt is read, in seconds.
+    :param uncached: tokens that the worker probably has to read.
+    :param reread: those of them that the prompt shares with others.
+    """
+
+    reader: schema.serving.Worker
+    expected_s: float
+    uncached: int
+    reread: int = 0
+
+    @property
+    def is_direct(self) -> bool:
+        """Whether the reader generates the tokens too."""
+        return self.reader.stage == _Stage.DECODE
+
+
+@attrs.define(eq=False)
+class PromptLoad:
+    """Prompts that this process has at engines.
+
+    :param work: work of all processes at the engines.
+    :param caches: shared parts in the engines' caches.
+    """
+
+    work: _engine_work.EngineWork = attrs.field(
+        factory=_engine_work.make_engine_work
+    )
+    caches: _engine_caches.EngineCaches = attrs.field(
+        factory=_engine_caches.make_engine_caches
+    )
+    _slowdowns: dict[str, float] = attrs.field(factory=dict)
+
+    def add(self, placement: Placement, prompt: _calls.Prompt) -> None:
+        """Counts a prompt that is sent to its reader."""
+        self.work.add(placement.reader.id, tokens=placement.uncached)
+        self.caches.note_prompt(placement.reader.id, prompt)
+
+    def remove(
+        self, placement: Placement, seconds: float, *, is_read: bool
+    ) -> None:
+        """Ends the count of a prompt.
+
+        :param placement: where it was read.
+        :param seconds: time that it took.
+        :param is_read: whether it was read, so that the time tells something.
+        """
+        worker_id = placement.reader.id
+        self.work.add(worker_id, tokens=-placement.uncached)
+        if not is_read:
+            return
+        before = self._slowdowns.get(worker_id, 1.0)
+        seen = min(
+            _LARGEST_SLOWDOWN,
+            max(1.0, seconds / max(placement.expected_s, _SHORTEST_S)),
+        )
+        # The expectation contains the slowdown of that time.
+        target = min(_LARGEST_SLOWDOWN, before * seen) if seen > 1 else 1.0
+        step = _SLOWDOWN_WEIGHT * (target - before)
+        self._slowdowns[worker_id] = before + step
+
+    def count_uncached(
+        self, worker: schema.serving.Worker, prompt: _calls.Prompt
+    ) -> int:
+        """Estimates the tokens that a worker has to read.
+
+        :param worker: the worker.
+        :param prompt: the prompt.
+        """
+        cached = self.caches.count_cached(worker.id, prompt)
+        return max(1, prompt.tokens - cached)
+
+    def find_wait(self, worker: schema.serving.Worker, now: float) -> int:
+        """Estimates the tokens of all processes that wait at a worker.
+
+        :param worker: the worker.
+        :param now: monotonic time in seconds.
+        """
+        return self.work.find(worker.id, now).tokens
+
+    def find_slowdown(self, worker: schema.serving.Worker) -> float:
+        """Returns by how much a worker is slower than expected."""
+        return self._slowdowns.get(worker.id, 1.0)
+
+    def forget(self, worker_id: str) -> None:
+        """Drops what is known of a worker that is gone."""
+        self.work.forget(worker_id)
+        self.caches.forget(worker_id)
+        self._slowdowns.pop(worker_id, None)
+
+
+def make_prompt_load() -> PromptLoad:
+    """Makes the load of a process that has sent nothing."""
+    return PromptLoad()
