Choose decode workers by the streams and prompts of all processes

Cause: a process compared decode workers by its own streams and by the loads that its own answers told, at most once a second for each worker, and did not see the prompts that others had sent there to be read.

Change: the streams and waiting prompts of all processes, as their messages tell them, count for the choice.

--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -64,9 +64,16 @@
 
     @property
     def choice(self) -> serving.PlainChoice:
-        """What the policies may use."""
+        """What the policies for plain services may use."""
         return serving.PlainChoice(self.board, self.places, self.random_source)
 
+    @property
+    def engine_choice(self) -> serving.EngineChoice:
+        """What the policies for engines may use."""
+        return serving.EngineChoice(
+            self.board, self.places, self.random_source, self.prompts.work
+        )
+
 
 def make_context(
     settings: schema.settings.GatewaySettings, calls: platform.WorkerCalls
--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -126,7 +126,7 @@
     if not workers:
         return None
     policy = serving.DECODE_POLICIES.get(_DECODE_POLICY)
-    return policy(context.choice, workers, source, time.monotonic())
+    return policy(context.engine_choice, workers, source, time.monotonic())
 
 
 async def _attempt(
--- a/briarknot/serving/__init__.py
+++ b/briarknot/serving/__init__.py
@@ -19,6 +19,7 @@
 )
 from briarknot.serving._engine_choice import (
     DECODE_POLICIES,
+    EngineChoice,
     rank_homes,
     rank_names,
 )
@@ -48,6 +49,7 @@
     'Dispatch',
     'Distance',
     'End',
+    'EngineChoice',
     'EngineWork',
     'Failed',
     'Fleet',
--- a/briarknot/serving/_engine_choice.py
+++ b/briarknot/serving/_engine_choice.py
@@ -1,10 +1,19 @@
 """Chooses the engine that generates tokens, and the homes of prompts."""
 
 import hashlib
+import random
 import typing
 
+import attrs
+
 from briarknot import registry, schema
-from briarknot.serving import _calls, _places, _plain_choice
+from briarknot.serving import (
+    _board,
+    _calls,
+    _engine_work,
+    _places,
+    _plain_choice,
+)
 
 #: Cost of fetching KV cache, as a share of a decode worker's slots that may be
 #: taken more before a farther worker is the better one.
@@ -13,18 +22,38 @@
     _places.Distance.SAME_REGION: 0.1,
     _places.Distance.OTHER_REGION: 0.35,
 }
+#: Cost of a second's prompts that wait at a decode worker, as a share of its
+#: slots: its streams are some three times slower while it reads them.
+_WAIT_COST = 0.5
+#: Prompt tokens that a decode worker reads in a second; a prior.
+_READ_TOKENS_PER_S = 27500.0
 _HASH_BYTES = 8
 
-Choice = _plain_choice.PlainChoice
 Workers = _plain_choice.Workers
 
 
+@attrs.frozen
+class EngineChoice:
+    """What a policy may use.
+
+    :param board: load and health of workers.
+    :param places: distances.
+    :param random_source: source of randomness.
+    :param work: work of all processes at the engines.
+    """
+
+    board: _board.Board
+    places: _places.Places
+    random_source: random.Random
+    work: _engine_work.EngineWork
+
+
 class DecodePolicy(typing.Protocol):
     """Chooses the worker that generates tokens."""
 
     def __call__(
         self,
-        choice: Choice,
+        choice: EngineChoice,
         workers: Workers,
         source: _calls.KvSource | None,
         now: float,
@@ -67,7 +96,7 @@
 
 @DECODE_POLICIES.register('least_tokens')
 def choose_least_tokens(
-    choice: Choice,
+    choice: EngineChoice,
     workers: Workers,
     source: _calls.KvSource | None,
     now: float,
@@ -87,11 +116,15 @@
 
 
 def _find_load(
-    choice: Choice, worker: schema.serving.Worker, now: float
+    choice: EngineChoice, worker: schema.serving.Worker, now: float
 ) -> float:
     record = choice.board.find(worker.id)
     load = record.read_load(now)
-    busy = float(record.in_flight)
+    work = choice.work.find(worker.id, now)
+    busy = max(record.in_flight, work.streams)
     if load is not None:
         busy = max(busy, load.running + load.waiting)
-    return busy / max(1, worker.slots) + record.failure_rate
+    wait_s = work.tokens / _READ_TOKENS_PER_S
+    return (
+        busy / max(1, worker.slots) + wait_s * _WAIT_COST + record.failure_rate
+    )
