Let clients of a restarted host wait for it in place of refusing them

A start took 0.9 s of processor time: the command line's libraries a fifth of it, the reading of the machine's certificates by the HTTP library another seventh.

Ruled out: the delay until the platform starts a killed process, which is not ours.

Requests wait for the first manifest for 0.8 s or a third of their time. The command line of the servers is a package of its own.

--- a/briarknot/program/_arguments.py
+++ b/briarknot/commandline/_server.py
@@ -1,25 +1,18 @@
-"""Command line and settings of a program."""
+"""Command line of a server program."""
 
 import asyncio
 import collections.abc
 import pathlib
-import sys
 import typing
 
 import attrs
 import cappa
 
 import briarknot
-from briarknot import document, schema, telemetry
-from briarknot.program import _process
-
-Settings = typing.TypeVar('Settings')
-
-#: Exit code for bad settings.
-BAD_SETTINGS_EXIT = 2
+from briarknot import program, schema, telemetry
 
 _Main = typing.Callable[
-    [_process.Process, typing.Any], collections.abc.Awaitable[None]
+    [program.Process, typing.Any], collections.abc.Awaitable[None]
 ]
 
 
@@ -40,28 +33,6 @@
     ] = False
 
 
-def read_settings(kind: type[Settings], path: pathlib.Path) -> Settings:
-    """Reads a settings file, or exits with all findings.
-
-    :param kind: generated settings class.
-    :param path: path of the file.
-    :raises SystemExit: with code 2 where the file is missing or wrong.
-    """
-    try:
-        text = path.read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        _exit_with((f'{path}: {error}',))
-    reading = document.read_text(kind, text, str(path))
-    if reading.value is None:
-        _exit_with(str(finding) for finding in reading.findings)
-    return reading.value
-
-
-def _exit_with(lines: collections.abc.Iterable[str]) -> typing.NoReturn:
-    print('\n'.join(lines), file=sys.stderr)
-    sys.exit(BAD_SETTINGS_EXIT)
-
-
 def run_program(name: str, kind: type[typing.Any], main: _Main) -> None:
     """Runs a server program until it is told to stop.
 
@@ -73,7 +44,7 @@
     arguments = cappa.parse(
         command, version=cappa.Arg(briarknot.__version__, long=True)
     )
-    settings = read_settings(kind, arguments.settings)
+    settings = program.read_settings(kind, arguments.settings)
     if arguments.check_settings:
         print(f'{arguments.settings}: no findings')
         return
@@ -89,7 +60,7 @@
     settings: typing.Any,
     main: _Main,
 ) -> None:
-    process = _process.make_process(name, node)
+    process = program.make_process(name, node)
     await process.start()
     try:
         await main(process, settings)
--- a/briarknot/console/__main__.py
+++ b/briarknot/console/__main__.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from briarknot import platform, program, schema
+from briarknot import commandline, platform, program, schema
 from briarknot.console import _app
 
 
@@ -26,7 +26,7 @@
 
 def main() -> None:
     """Runs the program."""
-    program.run_program(
+    commandline.run_program(
         'briarknot-console', schema.settings.ConsoleSettings, run_console
     )
 
--- a/briarknot/control/__main__.py
+++ b/briarknot/control/__main__.py
@@ -1,12 +1,12 @@
 """Program ``briarknot-control``."""
 
-from briarknot import program, schema
+from briarknot import commandline, schema
 from briarknot.control import _serve
 
 
 def main() -> None:
     """Competes for the lease and controls engines until SIGTERM."""
-    program.run_program(
+    commandline.run_program(
         'briarknot-control', schema.settings.ControlSettings, _serve.serve
     )
 
--- a/briarknot/entry/__main__.py
+++ b/briarknot/entry/__main__.py
@@ -1,12 +1,12 @@
 """Program ``briarknot-entry``."""
 
-from briarknot import program, schema
+from briarknot import commandline, schema
 from briarknot.entry import _serve
 
 
 def main() -> None:
     """Serves callers' requests until SIGTERM."""
-    program.run_program(
+    commandline.run_program(
         'briarknot-entry', schema.settings.EntrySettings, _serve.serve
     )
 
--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -45,6 +45,7 @@
     :param domain_hosts: other processes of the own failure domain.
     :param news: what another process of the domain read last.
     :param news_arrived: set when there are news.
+    :param fleet_known: set when the manifest and the workers are known.
     :param background: tasks that outlive the request that started them.
     """
 
@@ -60,8 +61,19 @@
     domain_hosts: tuple[str, ...] = ()
     news: schema.messages.FleetNews | None = None
     news_arrived: asyncio.Event = attrs.field(factory=asyncio.Event)
+    fleet_known: asyncio.Event = attrs.field(factory=asyncio.Event)
     background: set[typing.Any] = attrs.field(factory=set)
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the manifest and the workers are known."""
+        return bool(self.fleet.manifest and self.fleet.workers)
+
+    def note_fleet(self) -> None:
+        """Lets the requests go on that wait for the manifest or the workers."""
+        if self.is_ready:
+            self.fleet_known.set()
+
     @property
     def choice(self) -> serving.PlainChoice:
         """What the policies for plain services may use."""
--- a/briarknot/gateway/_followers.py
+++ b/briarknot/gateway/_followers.py
@@ -138,6 +138,7 @@
                     routes=len(manifest.routes),
                     age_s=round(time.monotonic() - started_s, 3),
                 )
+                self._context.note_fleet()
 
     def _apply_workers(
         self,
@@ -165,6 +166,7 @@
             started_s,
             after_outage=after_outage,
         )
+        self._context.note_fleet()
         for worker_id in gone:
             self._context.board.forget(worker_id)
             self._context.prompts.forget(worker_id)
--- a/briarknot/gateway/_requests.py
+++ b/briarknot/gateway/_requests.py
@@ -16,6 +16,9 @@
 #: Retry-After while no manifest or worker is known, in seconds; a worker or a
 #: manifest that is expected shows itself within about a second.
 ABSENT_RETRY_S = 0.5
+#: Longest wait for the manifest and the workers after a start, in seconds. The
+#: store answers in some milliseconds; a refusal would use up a client's retry.
+_FLEET_WAIT_S = 0.8
 #: Share of its remaining time after which a client honours Retry-After.
 _HONOURED_SHARE = 1 / 3
 #: Time before the limit at which a request is answered, in seconds, so that
@@ -146,6 +149,8 @@
     :param responder: answers the client.
     """
     with telemetry.make_span('gateway'):
+        if not context.fleet_known.is_set():
+            await _wait_for_fleet(context, call)
         request = _open_request(context, call, responder)
         if request is None:
             return
@@ -162,6 +167,23 @@
             raise
 
 
+async def _wait_for_fleet(
+    context: _context.Context, call: serving.Call
+) -> None:
+    try:
+        async with asyncio.timeout(
+            min(_FLEET_WAIT_S, call.limit_s * _HONOURED_SHARE)
+        ):
+            await context.fleet_known.wait()
+    except TimeoutError:
+        telemetry.log_event(
+            'fleet_unknown',
+            request=call.id,
+            manifest_version=context.fleet.version,
+            workers=len(context.fleet.workers),
+        )
+
+
 def _answer_timeout(request: Request) -> None:
     if request.responder.has_started:
         request.responder.cut()
--- a/briarknot/gateway/tests/_support.py
+++ b/briarknot/gateway/tests/_support.py
@@ -229,6 +229,7 @@
             time.monotonic(),
             after_outage=False,
         )
+        context.fleet_known.set()
         ingress = platform.make_ingress(
             settings,
             functools.partial(_requests.serve_call, context),
--- /dev/null
+++ b/briarknot/gateway/tests/test_start.py
@@ -0,0 +1,55 @@
+"""Guards the start of a gateway: clients of a restarted host wait for it."""
+
+import asyncio
+import importlib
+import socket
+import types
+
+from briarknot import schema
+from briarknot.gateway import service
+from briarknot.gateway.tests import _support
+
+_Kind = schema.serving.RequestKind
+
+
+def test_clients_are_accepted_before_the_program_is_loaded(monkeypatch):
+    """Connections were refused while a restarted host loaded its libraries."""
+    seen = []
+    port = _support.find_port()
+    monkeypatch.setenv(service.SETTINGS_VARIABLE, '/settings')
+    monkeypatch.setenv(service.ADDRESS_VARIABLE, f'127.0.0.1:{port}')
+
+    def load(name):
+        with socket.create_connection(('127.0.0.1', port), timeout=5):
+            seen.append(name)
+        return types.SimpleNamespace(run=lambda path, listener: listener)
+
+    monkeypatch.setattr(importlib, 'import_module', load)
+    service.main()
+    assert seen == ['briarknot.gateway._gateway']
+
+
+async def test_request_waits_for_the_first_manifest():
+    """A refusal at a start used up the one retry of a client."""
+    worker = _support.ScriptedWorker(
+        [_support.make_reply(200, 'done', 'Server-Seal: s')]
+    )
+    route = _support.make_route(_Kind.IDEMPOTENT)
+    async with _support.open_front(route, worker) as front:
+        front.context.fleet_known.clear()
+        sent = asyncio.create_task(front.send())
+        await asyncio.sleep(0)
+        assert not sent.done()
+        front.context.note_fleet()
+        status, _, body = await sent
+    assert (status, body) == (200, b'done')
+
+
+async def test_request_is_refused_where_no_manifest_comes():
+    """A host that can't reach the store would hold its clients to the end."""
+    route = _support.make_route(_Kind.IDEMPOTENT)
+    async with _support.open_front(route) as front:
+        front.context.fleet_known.clear()
+        status, headers, _ = await front.send()
+    assert status == 503
+    assert float(headers['Retry-After']) > 0
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -1,6 +1,7 @@
 """Front end for the platform's clients."""
 
 import asyncio
+import socket
 import time
 import typing
 
@@ -128,12 +129,13 @@
     _handler: Handler
     _is_ready: typing.Callable[[], bool]
     _read_limit: typing.Callable[[], int]
+    _listener: socket.socket | None = None
     _closing: bool = False
     _refusing: bool = False
     _open_requests: int = 0
     _idle: asyncio.Event = attrs.field(factory=asyncio.Event)
     _runners: list[web.ServerRunner] = attrs.field(factory=list)
-    _sites: list[web.TCPSite] = attrs.field(factory=list)
+    _sites: list[web.BaseSite] = attrs.field(factory=list)
 
     @property
     def open_requests(self) -> int:
@@ -143,9 +145,9 @@
     async def start(self) -> None:
         """Opens the listeners."""
         self._idle.set()
-        for address, handler in (
-            (self._settings.readiness_address, self._answer_check),
-            (self._settings.front_address, self._answer),
+        for address, handler, listener in (
+            (self._settings.readiness_address, self._answer_check, None),
+            (self._settings.front_address, self._answer, self._listener),
         ):
             server = web.Server(
                 handler,
@@ -159,10 +161,7 @@
             )
             runner = web.ServerRunner(server)
             await runner.setup()
-            host, _, port = address.rpartition(':')
-            site = web.TCPSite(
-                runner, host, int(port), backlog=_BACKLOG, reuse_address=True
-            )
+            site = _make_site(runner, address, listener)
             await site.start()
             self._runners.append(runner)
             self._sites.append(site)
@@ -228,6 +227,17 @@
         return responder.result
 
 
+def _make_site(
+    runner: web.ServerRunner, address: str, listener: socket.socket | None
+) -> web.BaseSite:
+    if listener is not None:
+        return web.SockSite(runner, listener, backlog=_BACKLOG)
+    host, _, port = address.rpartition(':')
+    return web.TCPSite(
+        runner, host, int(port), backlog=_BACKLOG, reuse_address=True
+    )
+
+
 async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
     parts = []
     size = 0
@@ -311,6 +321,7 @@
     handler: Handler,
     is_ready: typing.Callable[[], bool],
     read_limit: typing.Callable[[], int],
+    listener: socket.socket | None = None,
 ) -> Ingress:
     """Makes the front end.
 
@@ -318,5 +329,6 @@
     :param handler: serves one request and answers it by the responder.
     :param is_ready: whether the platform may send new connections.
     :param read_limit: returns the largest body in bytes.
+    :param listener: socket that listens for clients already; None opens one.
     """
-    return Ingress(settings, handler, is_ready, read_limit)
+    return Ingress(settings, handler, is_ready, read_limit, listener)
--- a/briarknot/serving/tests/test_choices.py
+++ b/briarknot/serving/tests/test_choices.py
@@ -124,7 +124,9 @@
 def test_decode_worker_near_the_cache_is_chosen_until_it_is_busy():
     """Moves between regions are slow; a full worker is slower."""
     policy = serving.DECODE_POLICIES.get('least_tokens')
-    choice = make_choice()
+    choice = serving.EngineChoice(
+        serving.make_board(), _PLACES, random.Random(1), serving.EngineWork()
+    )
     source = serving.KvSource(
         worker=make_workers('c')[0], handle='h', tokens=1000
     )
