Read the store in one process a domain, which tells all others

Two processes of each domain read it and told their own domain only. Besides, each process read for itself until it knew others, which took a period of six to twelve seconds after each start, as all processes start at the same time and the first read of the list of hosts shows few of them.

Change: one process a domain reads, and tells all processes, so that the readers of other domains cover its loss. The list of hosts is read a second time after 1.5 s.

--- a/briarknot/gateway/_followers.py
+++ b/briarknot/gateway/_followers.py
@@ -15,8 +15,8 @@
 #: the settings' time, which is three seconds at the least.
 _WORKERS_PERIOD_S = 0.8
 #: Processes of a failure domain that read the store; the others read it where
-#: these have news, or none for a while. Two bear the loss of one.
-_READERS = 2
+#: these or those of other domains have news, or none came for a while.
+_READERS = 1
 _READERS_KEY = 'readers'
 #: Longest wait for news; a reader's period and the way are shorter.
 _NEWS_S = 1.1
--- a/briarknot/gateway/_hosts.py
+++ b/briarknot/gateway/_hosts.py
@@ -10,6 +10,10 @@
 _TABLE = 'gateways'
 #: Period in which a process registers itself and reads the others.
 _PERIOD_S = 6.0
+#: Time from the first read to the second one, in seconds. All processes start
+#: within a second, so that the first read shows few of the others, and each
+#: process that knows no others reads the store for itself.
+_SECOND_READ_S = 1.5
 #: Processes that may register in a second; larger fleets do it less often.
 _HOSTS_PER_S = 6.0
 #: Periods without a change after which a process does not count any more.
@@ -47,8 +51,13 @@
             if not isinstance(page, platform.Unavailable):
                 self._note_rows(page.rows)
                 await self._register()
-            hosts = len(self._context.hosts)
-            await asyncio.sleep(max(_PERIOD_S, hosts / _HOSTS_PER_S))
+            await asyncio.sleep(self._choose_period())
+
+    def _choose_period(self) -> float:
+        if self._period == 1:
+            return _SECOND_READ_S
+        hosts = len(self._context.hosts)
+        return max(_PERIOD_S, hosts / _HOSTS_PER_S)
 
     async def _register(self) -> None:
         settings = self._context.settings
--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -53,7 +53,7 @@
                 )
 
     def send_news(self) -> None:
-        """Tells the processes of the domain what was just read."""
+        """Tells all other processes what was just read."""
         fleet = self._context.fleet
         data = schema.encode(
             schema.messages.FleetNews(
@@ -62,9 +62,8 @@
                 workers_digest=fleet.workers_digest,
             )
         )
-        for host in self._context.domain_hosts:
-            if host in self._context.hosts:
-                self._send_one(data, self._context.hosts[host])
+        for address in self._context.hosts.values():
+            self._send_one(data, address)
 
     async def send(self) -> None:
         """Sends the own work at engines to all others while there is some."""
--- a/briarknot/gateway/tests/test_followers.py
+++ b/briarknot/gateway/tests/test_followers.py
@@ -198,6 +198,15 @@
         await wait_until(lambda: len(fleet.workers) == 2)
 
 
+async def test_processes_that_start_together_know_each_other_soon():
+    """Each process read the store for itself until the next period."""
+    hosts = ('g1', 'g2', 'g3')
+    async with open_store() as store, follow(store, *hosts) as contexts:
+        await wait_until(
+            lambda: all(len(one.hosts) == 2 for one in contexts), 4
+        )
+
+
 async def test_few_processes_read_for_their_domain():
     """Each process of a large fleet would poll the store."""
     hosts = [f'g{number}' for number in range(8)]
