Let one process read the store for all, and tell what changed

Each change of the workers was read by every process, each failed call was repeated every 0.4 s by all, each domain had a reader of its own, and each host registered itself every 12 s. Ruled out: the readers' polls, which are a quarter.

Change: the first reader of all domains reads for the fleet; its news carry the changed workers and the version of the list. A process whose own reads fail goes on by the news. Hosts register before they read, and announce themselves, so that the second read at a start goes.

--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -7,7 +7,7 @@
 import attrs
 import prometheus_client
 
-from briarknot import platform, schema, serving
+from briarknot import platform, schema, serving, telemetry
 
 REQUESTS = prometheus_client.Counter(
     'briarknot_gateway_requests',
@@ -27,6 +27,20 @@
 #: Processes that share the budget before the first list of them was read; a
 #: larger number is the safer one.
 _ASSUMED_HOSTS = 16
+#: Processes that may start before the next count.
+_SPARE_HOSTS = 3
+
+
+@attrs.frozen
+class PeerHost:
+    """Another gateway process.
+
+    :param address: IP number and port for messages.
+    :param domain: its failure domain.
+    """
+
+    address: tuple[str, int]
+    domain: str
 
 
 @attrs.define(eq=False)
@@ -41,9 +55,8 @@
     :param calls: client of the workers.
     :param places: distances between failure domains.
     :param random_source: source of randomness.
-    :param hosts: addresses of the other processes by host.
-    :param domain_hosts: other processes of the own failure domain.
-    :param news: what another process of the domain read last.
+    :param hosts: the other processes by host.
+    :param news: what another process read last.
     :param news_arrived: set when there are news.
     :param fleet_known: set when the manifest and the workers are known.
     :param background: tasks that outlive the request that started them.
@@ -57,8 +70,7 @@
     calls: platform.WorkerCalls
     places: serving.Places
     random_source: random.Random = attrs.field(factory=random.Random)
-    hosts: dict[str, tuple[str, int]] = attrs.field(factory=dict)
-    domain_hosts: tuple[str, ...] = ()
+    hosts: dict[str, PeerHost] = attrs.field(factory=dict)
     news: schema.messages.FleetNews | None = None
     news_arrived: asyncio.Event = attrs.field(factory=asyncio.Event)
     fleet_known: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -69,6 +81,24 @@
         """Whether the manifest and the workers are known."""
         return bool(self.fleet.manifest and self.fleet.workers)
 
+    def set_hosts(self, hosts: dict[str, PeerHost]) -> None:
+        """Takes the other processes, and their number for the budget."""
+        hosts = {
+            host: peer
+            for host, peer in hosts.items()
+            if host != self.settings.host
+        }
+        if hosts.keys() != self.hosts.keys():
+            telemetry.log_event(
+                'hosts_changed',
+                hosts=len(hosts),
+                came=sorted(hosts.keys() - self.hosts.keys()),
+                went=sorted(self.hosts.keys() - hosts.keys()),
+            )
+        self.hosts = hosts
+        # A share of the budget must be safe also where more processes start.
+        self.budget.set_hosts(1 + len(hosts) + _SPARE_HOSTS)
+
     def note_fleet(self) -> None:
         """Lets the requests go on that wait for the manifest or the workers."""
         if self.is_ready:
--- a/briarknot/gateway/_followers.py
+++ b/briarknot/gateway/_followers.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from briarknot import platform, schema, serving, telemetry
-from briarknot.gateway import _context, _peers
+from briarknot import platform, schema, telemetry
+from briarknot.gateway import _context, _peers, _readers
 
 #: Longest wait for a changed manifest. A silent connection is noticed after
 #: it and the time limit of a call, within the time that a manifest may take.
@@ -14,16 +14,27 @@
 #: Period of reading the workers. A leaving worker must get no requests after
 #: the settings' time, which is three seconds at the least.
 _WORKERS_PERIOD_S = 0.8
-#: Processes of a failure domain that read the store; the others read it where
-#: these or those of other domains have news, or none came for a while.
-_READERS = 1
-_READERS_KEY = 'readers'
-#: Longest wait for news; a reader's period and the way are shorter.
-_NEWS_S = 1.1
+#: Time for which a change of the workers is told again; datagrams get lost.
+_TOLD_S = 2.5
+#: Age of the manifest at which a process stops to tell others that it is the
+#: newest: a wait for a change, and a call that takes long.
+_MANIFEST_AGE_S = 1.6
 #: Pause after a failed call to the store.
 _RETRY_S = 0.4
 
 
+@attrs.frozen
+class _Change:
+    """Change of a worker that others are told of.
+
+    :param seen_s: monotonic time at which it was seen.
+    :param worker: the worker; None where it is gone.
+    """
+
+    seen_s: float
+    worker: schema.serving.Worker | None
+
+
 @attrs.define(eq=False)
 class Followers:
     """Keeps the fleet of a process up to date."""
@@ -33,96 +44,146 @@
     _peers: _peers.Peers
     _is_away: bool = False
     _malformed: set[str] = attrs.field(factory=set)
+    _list_version: int = 0
+    _manifest_seen_s: float = float('-inf')
+    _changes: dict[str, _Change] = attrs.field(factory=dict)
 
     async def follow_manifest(self) -> None:
         """Follows the operators' manifest."""
-        version = await self._read_manifest()
+        version = 0
         while True:
-            if not self._is_reader() and await self._is_manifest_confirmed():
-                continue
-            started_s = time.monotonic()
-            page = await self._client.follow_table(
-                platform.MANIFEST_TABLE, version, _MANIFEST_WAIT_S
-            )
-            if isinstance(page, platform.HistoryLost):
-                telemetry.log_event('manifest_history_lost', after=version)
-                version = await self._read_manifest()
-            elif isinstance(page, platform.Unavailable):
-                await asyncio.sleep(_RETRY_S)
-                version = await self._read_manifest()
-            else:
-                version = page.version
-                self._apply_manifest(page.rows, started_s)
+            if not self._context.fleet.version:
+                version = await self._read_manifest(version)
+            elif self._is_leader:
+                version = await self._await_manifest(version)
+            elif not await self._is_manifest_confirmed():
+                version = await self._read_manifest(version)
 
     async def follow_workers(self) -> None:
         """Reads the list of workers again and again."""
         while True:
-            if not self._is_reader() and await self._is_list_confirmed():
+            if not self._is_leader and await self._is_list_confirmed():
                 continue
             started_s = time.monotonic()
             page = await self._client.read_table(platform.WORKERS_TABLE)
             if isinstance(page, platform.Unavailable):
                 self._note_outage(page.reason)
-                await asyncio.sleep(_RETRY_S)
+                await self._pause()
                 continue
+            self._list_version = page.version
             self._apply_workers(
                 page.rows, started_s, after_outage=self._note_return()
             )
-            if self._is_reader():
-                self._peers.send_news()
+            if _readers.rank_reader(self._context) is not None:
+                self._send_news()
+            if self._is_leader:
                 await asyncio.sleep(_WORKERS_PERIOD_S)
 
-    def _is_reader(self) -> bool:
-        """Returns whether this process reads the store for its domain."""
-        own = self._context.settings.host
-        hosts = {*self._context.domain_hosts, own}
-        ranked = serving.rank_names(_READERS_KEY, hosts)
-        return own in ranked[:_READERS]
+    @property
+    def _is_leader(self) -> bool:
+        """Whether this process reads the store for all others."""
+        return _readers.rank_reader(self._context) == 0
+
+    async def _pause(self) -> None:
+        """Waits after a failed call; others wait for news of the leader."""
+        if self._is_leader or not self._context.is_ready:
+            await asyncio.sleep(_RETRY_S)
 
     async def _is_manifest_confirmed(self) -> bool:
         """Waits for news, and returns whether the manifest is the newest."""
-        news = await self._wait_for_news()
+        news = await _readers.wait_for_news(self._context)
         if news is None:
             return False
-        return news.manifest_version <= self._context.fleet.version
+        if news.manifest_version > self._context.fleet.version:
+            return False
+        self._manifest_seen_s = time.monotonic()
+        return True
 
     async def _is_list_confirmed(self) -> bool:
         """Waits for news, and returns whether the workers are the same."""
-        news = await self._wait_for_news()
+        news = await _readers.wait_for_news(self._context)
+        if news is None:
+            return False
         fleet = self._context.fleet
-        if news is None or news.workers_digest != fleet.workers_digest:
+        if news.list_version <= self._list_version:
+            # The own list is newer than the news.
+            return True
+        if news.workers_digest != fleet.workers_digest:
+            self._apply_news(news)
+        if news.workers_digest != fleet.workers_digest:
             return False
+        self._list_version = news.list_version
         fleet.confirm_workers(time.monotonic())
-        return not self._is_away
-
-    async def _wait_for_news(self) -> schema.messages.FleetNews | None:
-        try:
-            async with asyncio.timeout(_NEWS_S):
-                await self._context.news_arrived.wait()
-        except TimeoutError:
-            return None
-        # Both followers wait for the same event; the next one is awaited anew.
-        await asyncio.sleep(0)
-        self._context.news_arrived.clear()
-        return self._context.news
-
-    async def _read_manifest(self) -> int:
-        """Reads the manifest until the store answers.
+        if self._is_away:
+            telemetry.log_event('store_bridged', by=news.host)
+            self._is_away = False
+        return True
+
+    def _send_news(self) -> None:
+        """Tells the other processes what was just read."""
+        now = time.monotonic()
+        if now - self._manifest_seen_s > _MANIFEST_AGE_S:
+            return
+        self._changes = {
+            worker_id: change
+            for worker_id, change in self._changes.items()
+            if now - change.seen_s < _TOLD_S
+        }
+        workers = [change.worker for change in self._changes.values()]
+        fleet = self._context.fleet
+        self._peers.send_news(
+            schema.messages.FleetNews(
+                host=self._context.settings.host,
+                manifest_version=fleet.version,
+                workers_digest=fleet.workers_digest,
+                list_version=self._list_version,
+                changed=tuple(one for one in workers if one is not None),
+                gone=tuple(
+                    worker_id
+                    for worker_id, change in self._changes.items()
+                    if change.worker is None
+                ),
+            )
+        )
 
+    async def _await_manifest(self, version: int) -> int:
+        """Waits for a change of the manifest.
+
+        :param version: version of the store after which changes are wanted.
+        :returns: the version after which the next ones are.
+        """
+        started_s = time.monotonic()
+        page = await self._client.follow_table(
+            platform.MANIFEST_TABLE, version, _MANIFEST_WAIT_S
+        )
+        if isinstance(page, platform.Page):
+            self._apply_manifest(page.rows, started_s)
+            return page.version
+        if isinstance(page, platform.HistoryLost):
+            telemetry.log_event('manifest_history_lost', after=version)
+        else:
+            await self._pause()
+        return await self._read_manifest(version)
+
+    async def _read_manifest(self, version: int) -> int:
+        """Reads the manifest.
+
+        :param version: version of the store of the last read.
         :returns: version of the store after which changes are wanted.
         """
-        while True:
-            started_s = time.monotonic()
-            page = await self._client.read_table(platform.MANIFEST_TABLE)
-            if not isinstance(page, platform.Unavailable):
-                self._apply_manifest(page.rows, started_s)
-                return page.version
-            self._note_outage(page.reason)
-            await asyncio.sleep(_RETRY_S)
+        started_s = time.monotonic()
+        page = await self._client.read_table(platform.MANIFEST_TABLE)
+        if isinstance(page, platform.Page):
+            self._apply_manifest(page.rows, started_s)
+            return page.version
+        self._note_outage(page.reason)
+        await self._pause()
+        return version
 
     def _apply_manifest(
         self, rows: tuple[platform.Row, ...], started_s: float
     ) -> None:
+        self._manifest_seen_s = time.monotonic()
         for row in rows:
             if row.key != platform.MANIFEST_KEY or row.deleted:
                 continue
@@ -166,17 +227,39 @@
             started_s,
             after_outage=after_outage,
         )
-        self._context.note_fleet()
+        self._note_changes(before, gone)
+
+    def _apply_news(self, news: schema.messages.FleetNews) -> None:
+        fleet = self._context.fleet
+        before = {one.id: one for one in fleet.workers}
+        gone = fleet.apply_changes(news.changed, news.gone)
+        self._note_changes(before, gone)
+
+    def _note_changes(
+        self,
+        before: dict[str, schema.serving.Worker],
+        gone: tuple[str, ...],
+    ) -> None:
+        """Logs what changed, and forgets what does not hold any more.
+
+        :param before: workers before the change.
+        :param gone: ids of workers that went.
+        """
+        context = self._context
+        context.note_fleet()
+        now = time.monotonic()
         for worker_id in gone:
-            self._context.board.forget(worker_id)
-            self._context.prompts.forget(worker_id)
+            context.board.forget(worker_id)
+            context.prompts.forget(worker_id)
+            self._changes[worker_id] = _Change(now, None)
             telemetry.log_event('worker_gone', worker=worker_id)
-        for worker in workers:
+        for worker in context.fleet.workers:
             old = before.get(worker.id)
             if old is not None and old.born_ms != worker.born_ms:
                 # A worker that started again knows nothing of before.
-                self._context.prompts.forget(worker.id)
+                context.prompts.forget(worker.id)
             if old is None or _is_changed(old, worker):
+                self._changes[worker.id] = _Change(now, worker)
                 telemetry.log_event(
                     'worker_changed',
                     worker=worker.id,
--- a/briarknot/gateway/_gateway.py
+++ b/briarknot/gateway/_gateway.py
@@ -67,8 +67,8 @@
         metrics = await _metrics.serve_metrics(
             settings.address, settings.metrics_port
         )
-        hosts = _hosts.make_hosts(self._context, self._client)
         peers = _peers.make_peers(self._context)
+        hosts = _hosts.make_hosts(self._context, self._client, peers)
         followers = _followers.make_followers(
             self._context, self._client, peers
         )
--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -32,15 +32,19 @@
     _context: _context.Context
     _socket: socket.socket
     _born_ms: int
+    _is_announced: bool = True
 
     async def receive(self) -> None:
         """Takes the messages of other processes."""
         loop = asyncio.get_running_loop()
         while True:
-            data = await loop.sock_recv(self._socket, _DATAGRAM_BYTES)
+            data, address = await loop.sock_recvfrom(
+                self._socket, _DATAGRAM_BYTES
+            )
             message = schema.decode(data)
             _MESSAGES.labels('received').inc()
             if isinstance(message, schema.messages.EngineWork):
+                self._note_host(message, address)
                 prompts = self._context.prompts
                 prompts.work.apply_peer(message, time.monotonic())
                 prompts.caches.apply_peer(message.parts)
@@ -52,36 +56,48 @@
                     'peer_message_malformed', message=repr(message)
                 )
 
-    def send_news(self) -> None:
-        """Tells all other processes what was just read."""
-        fleet = self._context.fleet
-        data = schema.encode(
-            schema.messages.FleetNews(
-                host=self._context.settings.host,
-                manifest_version=fleet.version,
-                workers_digest=fleet.workers_digest,
-            )
-        )
-        for address in self._context.hosts.values():
-            self._send_one(data, address)
+    def send_news(self, news: schema.messages.FleetNews) -> None:
+        """Tells all other processes what was just read.
+
+        :param news: what was read.
+        """
+        self._send_all(schema.encode(news))
+
+    def announce(self) -> None:
+        """Sends a message soon, also where there is no work to tell of."""
+        self._is_announced = False
 
     async def send(self) -> None:
         """Sends the own work at engines to all others while there is some."""
         sequence = 0
         was_idle = True
         while True:
-            hosts = tuple(self._context.hosts.values())
-            period_s = max(_PERIOD_S, len(hosts) / _MESSAGES_PER_S)
+            hosts = len(self._context.hosts)
+            period_s = max(_PERIOD_S, hosts / _MESSAGES_PER_S)
             await asyncio.sleep(period_s)
             work = self._context.prompts.work.own
             parts = self._context.prompts.caches.take_news()
-            if not work and not parts and was_idle:
+            if not work and not parts and was_idle and self._is_announced:
                 continue
             was_idle = not work
+            self._is_announced = True
             sequence += 1
-            data = schema.encode(self._make_message(work, parts, sequence))
-            for address in hosts:
-                self._send_one(data, address)
+            self._send_all(
+                schema.encode(self._make_message(work, parts, sequence))
+            )
+
+    def _note_host(
+        self, message: schema.messages.EngineWork, address: tuple[str, int]
+    ) -> None:
+        """Adds a process that started after the last read of the list."""
+        hosts = self._context.hosts
+        if message.host not in hosts:
+            peer = _context.PeerHost(address, message.domain)
+            self._context.set_hosts({**hosts, message.host: peer})
+
+    def _send_all(self, data: bytes) -> None:
+        for peer in self._context.hosts.values():
+            self._send_one(data, peer.address)
 
     def _send_one(self, data: bytes, address: tuple[str, int]) -> None:
         try:
@@ -104,6 +120,7 @@
             born_ms=self._born_ms,
             workers=work,
             parts=parts,
+            domain=self._context.settings.domain,
         )
 
 
--- a/briarknot/gateway/tests/test_followers.py
+++ b/briarknot/gateway/tests/test_followers.py
@@ -9,7 +9,7 @@
 import attrs
 
 from briarknot import platform, schema
-from briarknot.gateway import _context, _followers, _hosts, _peers
+from briarknot.gateway import _context, _followers, _hosts, _peers, _readers
 from briarknot.gateway.tests import _support
 from briarknot_standins import platform as standin
 from briarknot_standins import serving as standin_serving
@@ -112,10 +112,11 @@
             tasks.extend(
                 asyncio.ensure_future(duty())
                 for duty in (
-                    _hosts.make_hosts(context, client).follow,
+                    _hosts.make_hosts(context, client, peers).follow,
                     followers.follow_manifest,
                     followers.follow_workers,
                     peers.receive,
+                    peers.send,
                 )
             )
             contexts.append(context)
@@ -212,7 +213,7 @@
     hosts = [f'g{number}' for number in range(8)]
     async with open_store() as store, follow(store, *hosts) as contexts:
         await wait_until(
-            lambda: all(len(one.domain_hosts) == 8 for one in contexts), 20
+            lambda: all(len(one.hosts) == 7 for one in contexts), 20
         )
         before = (await store.read_stats())['reads']
         await asyncio.sleep(4)
@@ -221,6 +222,47 @@
         await wait_until(
             lambda: not any(one.fleet.list_usable('s') for one in contexts), 3
         )
-    # Eight processes that all read need 8 workers' lists and 8 manifests in
-    # about a second.
-    assert reads < 40
+    # One process needs 5 lists of workers and 4 manifests in that time; eight
+    # need 8 times as many.
+    assert reads < 15
+
+
+async def test_change_is_told_without_a_read_of_each_process():
+    """Each process of a large fleet read the whole list for each change."""
+    hosts = [f'g{number}' for number in range(8)]
+    async with open_store() as store, follow(store, *hosts) as contexts:
+        await wait_until(
+            lambda: all(len(one.hosts) == 7 for one in contexts), 20
+        )
+        await wait_until(
+            lambda: all(len(one.fleet.workers) == 1 for one in contexts)
+        )
+        before = (await store.read_stats())['reads']
+        await store.put('servers', 'w2', _WORKER)
+        await wait_until(
+            lambda: all(len(one.fleet.workers) == 2 for one in contexts)
+        )
+        await store.remove('servers', 'w1')
+        await wait_until(
+            lambda: all(len(one.fleet.workers) == 1 for one in contexts)
+        )
+        reads = (await store.read_stats())['reads'] - before
+    # Two changes at seven other processes would be 14 reads more.
+    assert reads < 12
+
+
+async def test_another_process_reads_when_the_reader_is_gone():
+    """The list of a whole fleet would stay as the lost reader had it."""
+    hosts = ('g1', 'g2', 'g3')
+    async with open_store() as store, follow(store, *hosts) as contexts:
+        await wait_until(
+            lambda: all(len(one.hosts) == 2 for one in contexts), 4
+        )
+        leader = next(one for one in contexts if _readers.rank_reader(one) == 0)
+        others = [one for one in contexts if one is not leader]
+        # Its messages reach nobody, as in a cut between hosts.
+        leader.hosts = {}
+        await store.put('servers', 'w1', {**_WORKER, 'state': 'draining'})
+        await wait_until(
+            lambda: not any(one.fleet.list_usable('s') for one in others), 3
+        )
--- a/briarknot/gateway/tests/test_peers.py
+++ b/briarknot/gateway/tests/test_peers.py
@@ -33,7 +33,8 @@
 async def test_prompts_of_others_are_seen_and_end():
     """All processes would send their prompts to the same busy worker."""
     first, second = make_peer_context('g1'), make_peer_context('g2')
-    first.hosts = {'g2': ('127.0.0.1', second.settings.peer_port)}
+    address = ('127.0.0.1', second.settings.peer_port)
+    first.hosts = {'g2': _context.PeerHost(address, 'a')}
     part = schema.serving.PromptPart(id='k', tokens=500)
     own = schema.serving.PromptPart(id='o', tokens=200)
     prompt = serving.Prompt(parts=(part, own), tokens=700, output_tokens=1)
@@ -53,6 +54,27 @@
             task.cancel()
 
 
+async def test_process_that_starts_announces_itself():
+    """Others would send it nothing until they read the list of hosts again."""
+    first, second = make_peer_context('g1'), make_peer_context('g2')
+    address = ('127.0.0.1', second.settings.peer_port)
+    first.hosts = {'g2': _context.PeerHost(address, 'a')}
+    peers = _peers.make_peers(first)
+    async with asyncio.TaskGroup() as group:
+        tasks = [
+            group.create_task(peers.send()),
+            group.create_task(_peers.make_peers(second).receive()),
+        ]
+        peers.announce()
+        async with asyncio.timeout(5):
+            while 'g1' not in second.hosts:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+        for task in tasks:
+            task.cancel()
+    port = first.settings.peer_port
+    assert second.hosts['g1'].address == ('127.0.0.1', port)
+
+
 async def wait_for_tokens(context, tokens):
     """Waits until a process knows of so many tokens at the worker."""
     async with asyncio.timeout(5):
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -4,6 +4,7 @@
 
 from briarknot.schema import _fields
 from briarknot.schema._generated import endpoints
+from briarknot.schema._generated import serving
 
 
 @attrs.frozen(kw_only=True)
@@ -357,6 +358,9 @@
         doc='Shared parts of prompts that were sent to engines since the message before.',
         default=(),
     )
+    domain: str = _fields.make_field(
+        doc='Failure domain of the process.', default=''
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -378,6 +382,18 @@
         minimum=0,
         default=0,
     )
+    list_version: int = _fields.make_field(
+        doc='Version of the store of which the list of workers is.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    changed: tuple[serving.Worker, ...] = _fields.make_field(
+        doc='Workers that came or changed in the last seconds.', default=()
+    )
+    gone: tuple[str, ...] = _fields.make_field(
+        doc='Ids of workers that went in the last seconds.', default=()
+    )
 
 
 #: One frame of a peer link.
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -2,6 +2,7 @@
 # Messages between the system's own processes.
 using A = import "annotations.capnp";
 using E = import "endpoints.capnp";
+using S = import "serving.capnp";
 
 struct PeerMessage $A.doc("One frame of a peer link.") {
   union {
@@ -137,10 +138,14 @@
   bornMs @2 :UInt64 $A.unit("ms") $A.doc("Start of the process; sequences begin anew with it.");
   workers @3 :List(WorkerWork) $A.doc("Engines with at least one prompt or generation.");
   parts @4 :List(CachedPart) $A.doc("Shared parts of prompts that were sent to engines since the message before.");
+  domain @5 :Text $A.doc("Failure domain of the process.");
 }
 
 struct FleetNews $A.doc("What a gateway process has just read from the store.") {
   host @0 :Text $A.doc("Host of the process.");
   manifestVersion @1 :UInt64 $A.doc("Version of the manifest.");
   workersDigest @2 :UInt64 $A.doc("Digest of the list of workers.");
+  listVersion @3 :UInt64 $A.doc("Version of the store of which the list of workers is.");
+  changed @4 :List(S.Worker) $A.doc("Workers that came or changed in the last seconds.");
+  gone @5 :List(Text) $A.doc("Ids of workers that went in the last seconds.");
 }
--- a/briarknot/serving/_fleet.py
+++ b/briarknot/serving/_fleet.py
@@ -115,6 +115,26 @@
         self._seen_s = now
         return tuple(gone)
 
+    def apply_changes(
+        self,
+        changed: tuple[schema.serving.Worker, ...],
+        gone: tuple[str, ...],
+    ) -> tuple[str, ...]:
+        """Takes what another process saw change in the list of workers.
+
+        :param changed: workers that came or changed.
+        :param gone: ids of workers that went.
+        :returns: those of the latter that were known.
+        """
+        self._workers.update({worker.id: worker for worker in changed})
+        for worker in changed:
+            self._missing.pop(worker.id, None)
+        known = tuple(one for one in gone if one in self._workers)
+        for worker_id in known:
+            del self._workers[worker_id]
+            self._missing.pop(worker_id, None)
+        return known
+
     def find_route(self, host: str, path: str) -> schema.serving.Route | None:
         """Finds the route of a request.
 
