Price the way to a worker and attention apart from its speed

Cause: the expected time of a prompt had no term for the way to another region, 0.12 s a call with a new connection, and none for attention over what is before a token. The measured slowdown of a worker took both, so that workers of other regions looked two to four times slower, and long prompts were underestimated.

Change: an overhead by distance, a work that grows with the context, and a slowdown learned from the time of reading alone.

--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -293,7 +293,7 @@
 
     worker: str = _fields.make_field(doc='Id of the worker.', default='')
     tokens: int = _fields.make_field(
-        doc='Prompt tokens that are still to be read.',
+        doc='Prompt tokens that are still to be read, those with much before them counted as more.',
         maximum=4294967295,
         minimum=0,
         unit='tokens',
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -121,7 +121,7 @@
 
 struct WorkerWork $A.doc("Work that a process has at an engine.") {
   worker @0 :Text $A.doc("Id of the worker.");
-  tokens @1 :UInt32 $A.unit("tokens") $A.doc("Prompt tokens that are still to be read.");
+  tokens @1 :UInt32 $A.unit("tokens") $A.doc("Prompt tokens that are still to be read, those with much before them counted as more.");
   streams @2 :UInt32 $A.doc("Generations that it runs.");
   streamTokens @3 :UInt32 $A.unit("tokens") $A.doc("KV cache that they take when they are complete.");
 }
--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -12,18 +12,15 @@
     _places,
     _plain_choice,
     _prompt_load,
+    _reading,
 )
 
 _Placement = _prompt_load.Placement
-_Stage = schema.serving.Stage
-#: Prompt tokens that a prefill worker reads in a second before its real speed
-#: is known; the deployments' engines read 56,000 and 61,000.
-_PREFILL_TOKENS_PER_S = 55000.0
-#: A decode worker reads a prompt at half the speed, as the platform says.
-_DECODE_SHARE = 0.5
-#: Time until the first token beside that of reading the prompt: a hand-over
-#: needs two calls and a transfer.
-_HAND_OVER_S = 0.06
+#: Time of a hand-over beside the call to the decode worker, in seconds: a
+#: transfer, and its queue.
+_HAND_OVER_S = 0.04
+#: Cost in seconds of work in another region, whose bytes are paid by volume.
+_REGION_S = 0.05
 #: Cost in seconds for each second that a decode worker reads a prompt, since
 #: the streams of other requests pause meanwhile.
 _INTERFERENCE = 0.5
@@ -121,27 +118,41 @@
     is_first_read: bool,
 ) -> _Placement:
     uncached = view.load.count_uncached(worker, prompt)
+    work = _reading.count_work(uncached, prompt.tokens)
     waiting = view.load.find_wait(worker, now)
-    reading_s = (uncached + waiting) / _find_speed(worker)
-    expected_s = reading_s * view.load.find_slowdown(worker)
+    overhead_s = _reading.find_overhead_s(_measure(view, worker))
+    reading_s = (work + waiting) / _reading.find_speed(worker.stage)
     own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
-    reread = 0 if is_first_read else max(0, uncached - own)
-    return _Placement(worker, expected_s, uncached, reread)
+    return _Placement(
+        reader=worker,
+        expected_s=overhead_s + reading_s * view.load.find_slowdown(worker),
+        uncached=uncached,
+        work=work,
+        reread=0 if is_first_read else max(0, uncached - own),
+        reading_s=reading_s,
+        overhead_s=overhead_s,
+    )
 
 
-def _find_speed(worker: schema.serving.Worker) -> float:
-    if worker.stage == _Stage.DECODE:
-        return _PREFILL_TOKENS_PER_S * _DECODE_SHARE
-    return _PREFILL_TOKENS_PER_S
+def _measure(
+    view: PlacementView, worker: schema.serving.Worker
+) -> _places.Distance:
+    return view.places.measure(view.places.domain, worker.domain)
 
 
 def _find_cost(view: PlacementView, placement: _Placement, now: float) -> float:
     reader = placement.reader
-    failures = view.board.find(reader.id).failure_rate
-    extra_s = _HAND_OVER_S
+    distance = _measure(view, reader)
+    cost_s = placement.expected_s + view.board.find(reader.id).failure_rate
+    cost_s += placement.reread / _reading.TOKENS_PER_S * _REREAD
+    if distance == _places.Distance.OTHER_REGION:
+        cost_s += _REGION_S
     if placement.is_direct:
+        speed = _reading.find_speed(reader.stage)
         waiting = view.load.find_wait(reader, now)
-        extra_s = _INTERFERENCE * placement.uncached / _find_speed(reader)
-        extra_s += _CROWDING * waiting / _find_speed(reader)
-    extra_s += placement.reread / _PREFILL_TOKENS_PER_S * _REREAD
-    return placement.expected_s + extra_s + failures
+        cost_s += _INTERFERENCE * placement.work / speed
+        cost_s += _CROWDING * waiting / speed
+    else:
+        # The decode worker is chosen near the reader.
+        cost_s += _HAND_OVER_S + _reading.find_call_s(distance)
+    return cost_s
--- a/briarknot/serving/_prompt_load.py
+++ b/briarknot/serving/_prompt_load.py
@@ -6,27 +6,35 @@
 from briarknot.serving import _calls, _engine_caches, _engine_work
 
 _Stage = schema.serving.Stage
-#: Shortest expectation that a measured time is compared with, in seconds: a
-#: call and a transfer take about as long for the shortest prompt.
-_SHORTEST_S = 0.06
+#: Shortest reading that a measured time is compared with, in seconds; the time
+#: of shorter ones is mostly that of calls and of waiting for a step.
+_SHORTEST_S = 0.05
 _SLOWDOWN_WEIGHT = 0.1
 _LARGEST_SLOWDOWN = 8.0
+_SMALLEST_SLOWDOWN = 0.5
 
 
-@attrs.frozen
+@attrs.frozen(kw_only=True)
 class Placement:
     """Where a prompt is read.
 
     :param reader: the worker; a decode worker generates the tokens too.
     :param expected_s: expected time until the prompt is read, in seconds.
     :param uncached: tokens that the worker probably has to read.
+    :param work: the work of reading them, in tokens without a context.
     :param reread: those of them that the prompt shares with others.
+    :param reading_s: time of reading it and what waits before it, in seconds,
+        at a worker of the usual speed.
+    :param overhead_s: expected time beside reading, in seconds.
     """
 
     reader: schema.serving.Worker
     expected_s: float
     uncached: int
+    work: int
     reread: int = 0
+    reading_s: float = 0
+    overhead_s: float = 0
 
     @property
     def is_direct(self) -> bool:
@@ -52,7 +60,7 @@
 
     def add(self, placement: Placement, prompt: _calls.Prompt) -> None:
         """Counts a prompt that is sent to its reader."""
-        self.work.add(placement.reader.id, tokens=placement.uncached)
+        self.work.add(placement.reader.id, tokens=placement.work)
         self.caches.note_prompt(placement.reader.id, prompt)
 
     def remove(
@@ -65,16 +73,14 @@
         :param is_read: whether it was read, so that the time tells something.
         """
         worker_id = placement.reader.id
-        self.work.add(worker_id, tokens=-placement.uncached)
+        self.work.add(worker_id, tokens=-placement.work)
         if not is_read:
             return
-        before = self._slowdowns.get(worker_id, 1.0)
-        seen = min(
-            _LARGEST_SLOWDOWN,
-            max(1.0, seconds / max(placement.expected_s, _SHORTEST_S)),
+        seen = (seconds - placement.overhead_s) / max(
+            placement.reading_s, _SHORTEST_S
         )
-        # The expectation contains the slowdown of that time.
-        target = min(_LARGEST_SLOWDOWN, before * seen) if seen > 1 else 1.0
+        target = min(_LARGEST_SLOWDOWN, max(_SMALLEST_SLOWDOWN, seen))
+        before = self._slowdowns.get(worker_id, 1.0)
         step = _SLOWDOWN_WEIGHT * (target - before)
         self._slowdowns[worker_id] = before + step
 
@@ -90,7 +96,7 @@
         return max(1, prompt.tokens - cached)
 
     def find_wait(self, worker: schema.serving.Worker, now: float) -> int:
-        """Estimates the tokens of all processes that wait at a worker.
+        """Estimates the work of all processes that waits at a worker.
 
         :param worker: the worker.
         :param now: monotonic time in seconds.
