Tell work to other regions by one process there, and more often

Cause: with 74 hosts each process told its work to all others every 1.2 s. Logs show prompts that were sent to a worker with a queue unknown to the sender (expected 0.8 s, taken 2.1 s), and the messages were about half of the bytes between regions.

Change: a message goes to the own region, and to one process of each other region, which forwards it. Two forward in turn, so that a lost one does not silence a region. The period is that of the neighbours, 0.17 s for 25 of them, and work that did not change is repeated every 0.6 s only.

--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -7,15 +7,21 @@
 import attrs
 import prometheus_client
 
-from briarknot import schema, telemetry
+from briarknot import schema, serving, telemetry
 from briarknot.gateway import _context
 
 #: Shortest period of messages. A prompt takes some hundred milliseconds to
 #: read, so that later news would come after it.
 _PERIOD_S = 0.15
-#: Messages that a process sends in a second at the most; with more peers the
-#: period grows, which keeps control traffic within 4 KB a second and region.
-_MESSAGES_PER_S = 60.0
+#: Messages that a process sends in a second at the most; with more peers in
+#: its region the period grows, which bounds the control traffic of a host.
+_MESSAGES_PER_S = 150.0
+#: Longest time between messages of work that does not change; peers drop what
+#: they have not heard of for 1.5 s.
+_REPEAT_S = 0.6
+#: Processes of another region that forward the messages of this one in turn,
+#: so that one that is gone loses every second message only.
+_FORWARDERS = 2
 _DATAGRAM_BYTES = 65536
 _MS_PER_S = 1000
 _MESSAGES = prometheus_client.Counter(
@@ -38,16 +44,16 @@
         """Takes the messages of other processes."""
         loop = asyncio.get_running_loop()
         while True:
-            data, address = await loop.sock_recvfrom(
-                self._socket, _DATAGRAM_BYTES
-            )
+            data = await loop.sock_recv(self._socket, _DATAGRAM_BYTES)
             message = schema.decode(data)
             _MESSAGES.labels('received').inc()
             if isinstance(message, schema.messages.EngineWork):
-                self._note_host(message, address)
+                self._note_host(message)
                 prompts = self._context.prompts
                 prompts.work.apply_peer(message, time.monotonic())
                 prompts.caches.apply_peer(message.parts)
+                if message.forward:
+                    self._forward(message)
             elif isinstance(message, schema.messages.FleetNews):
                 self._context.news = message
                 self._context.news_arrived.set()
@@ -68,30 +74,71 @@
         self._is_announced = False
 
     async def send(self) -> None:
-        """Sends the own work at engines to all others while there is some."""
+        """Tells all others of the own work at engines when it changes."""
         sequence = 0
-        was_idle = True
+        told: tuple[schema.messages.WorkerWork, ...] = ()
+        told_s = float('-inf')
         while True:
-            hosts = len(self._context.hosts)
-            period_s = max(_PERIOD_S, hosts / _MESSAGES_PER_S)
-            await asyncio.sleep(period_s)
+            neighbours = len(self._list_neighbours())
+            await asyncio.sleep(
+                max(_PERIOD_S, neighbours / _MESSAGES_PER_S),
+            )
             work = self._context.prompts.work.own
             parts = self._context.prompts.caches.take_news()
-            if not work and not parts and was_idle and self._is_announced:
+            is_late = work and time.monotonic() - told_s > _REPEAT_S
+            if work == told and not (parts or is_late) and self._is_announced:
                 continue
-            was_idle = not work
             self._is_announced = True
             sequence += 1
-            self._send_all(
-                schema.encode(self._make_message(work, parts, sequence))
-            )
+            told, told_s = work, time.monotonic()
+            self._send_work(self._make_message(work, parts, sequence))
+
+    def _send_work(self, message: schema.messages.EngineWork) -> None:
+        """Sends to the own region, and to one process of each other one.
+
+        Bytes between regions are paid by volume; the process there forwards
+        the message to its neighbours.
+        """
+        data = schema.encode(message)
+        for peer in self._list_neighbours():
+            self._send_one(data, peer.address)
+        data = schema.encode(attrs.evolve(message, forward=True))
+        place = message.sequence % _FORWARDERS
+        for hosts in self._list_far_regions():
+            ranked = serving.rank_names(message.host, hosts)
+            forwarder = ranked[min(place, len(ranked) - 1)]
+            self._send_one(data, self._context.hosts[forwarder].address)
+
+    def _forward(self, message: schema.messages.EngineWork) -> None:
+        data = schema.encode(attrs.evolve(message, forward=False))
+        for peer in self._list_neighbours():
+            self._send_one(data, peer.address)
 
-    def _note_host(
-        self, message: schema.messages.EngineWork, address: tuple[str, int]
-    ) -> None:
+    def _list_neighbours(self) -> list[_context.PeerHost]:
+        """Lists the other processes of the own region."""
+        own = self._context.settings.region
+        return [
+            peer
+            for peer in self._context.hosts.values()
+            if self._context.find_region(peer.domain) == own
+        ]
+
+    def _list_far_regions(self) -> list[list[str]]:
+        """Lists the hosts of each other region."""
+        own = self._context.settings.region
+        far: dict[str, list[str]] = {}
+        for host, peer in self._context.hosts.items():
+            region = self._context.find_region(peer.domain)
+            if region != own:
+                far.setdefault(region, []).append(host)
+        return list(far.values())
+
+    def _note_host(self, message: schema.messages.EngineWork) -> None:
         """Adds a process that started after the last read of the list."""
         hosts = self._context.hosts
-        if message.host not in hosts:
+        is_own = message.host == self._context.settings.host
+        if message.host not in hosts and message.port and not is_own:
+            address = (message.address, message.port)
             peer = _context.PeerHost(address, message.domain)
             self._context.set_hosts({**hosts, message.host: peer})
 
@@ -114,13 +161,16 @@
         parts: tuple[schema.messages.CachedPart, ...],
         sequence: int,
     ) -> schema.messages.EngineWork:
+        settings = self._context.settings
         return schema.messages.EngineWork(
-            host=self._context.settings.host,
+            host=settings.host,
             sequence=sequence,
             born_ms=self._born_ms,
             workers=work,
             parts=parts,
-            domain=self._context.settings.domain,
+            domain=settings.domain,
+            address=settings.address,
+            port=settings.peer_port,
         )
 
 
--- a/briarknot/gateway/tests/test_peers.py
+++ b/briarknot/gateway/tests/test_peers.py
@@ -15,12 +15,19 @@
 )
 
 
-def make_peer_context(host):
-    """Makes the state of one process, with a port of its own."""
+def make_peer_context(host, domain='a'):
+    """Makes the state of one process, with a port of its own.
+
+    Each failure domain is a region of its own.
+    """
     settings = schema.settings.GatewaySettings(
         host=host,
-        domain='a',
-        region='a',
+        domain=domain,
+        region=domain,
+        domains=tuple(
+            schema.settings.DomainRegion(domain=one, region=one)
+            for one in ('a', 'b')
+        ),
         address='127.0.0.1',
         front_address='127.0.0.1:0',
         readiness_address='127.0.0.1:0',
@@ -77,6 +84,40 @@
     assert second.hosts['g1'].address == ('127.0.0.1', port)
 
 
+async def test_work_reaches_another_region_by_one_process():
+    """Each process sent to all others, and the bytes between regions cost."""
+    first, second, third = (
+        make_peer_context(host, domain)
+        for host, domain in (('g1', 'a'), ('g2', 'b'), ('g3', 'b'))
+    )
+    contexts = (first, second, third)
+    for context in contexts:
+        for other in contexts:
+            address = ('127.0.0.1', other.settings.peer_port)
+            peer = _context.PeerHost(address, other.settings.domain)
+            if other is not context:
+                context.hosts[other.settings.host] = peer
+    placement = serving.Placement(
+        reader=_WORKER, expected_s=0.1, uncached=700, work=700
+    )
+    part = schema.serving.PromptPart(id='k', tokens=700)
+    prompt = serving.Prompt(parts=(part,), tokens=700, output_tokens=1)
+    async with asyncio.TaskGroup() as group:
+        tasks = [
+            group.create_task(duty)
+            for duty in (
+                _peers.make_peers(first).send(),
+                _peers.make_peers(second).receive(),
+                _peers.make_peers(third).receive(),
+            )
+        ]
+        first.prompts.add(placement, prompt)
+        await wait_for_tokens(second, 700)
+        await wait_for_tokens(third, 700)
+        for task in tasks:
+            task.cancel()
+
+
 async def wait_for_tokens(context, tokens):
     """Waits until a process knows of so many tokens at the worker."""
     async with asyncio.timeout(5):
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -361,6 +361,19 @@
     domain: str = _fields.make_field(
         doc='Failure domain of the process.', default=''
     )
+    forward: bool = _fields.make_field(
+        doc='Whether the receiver tells the others of its region.',
+        default=False,
+    )
+    address: str = _fields.make_field(
+        doc='IP number of the process.', default=''
+    )
+    port: int = _fields.make_field(
+        doc='Port of the process for messages.',
+        maximum=65535,
+        minimum=0,
+        default=0,
+    )
 
 
 @attrs.frozen(kw_only=True)
