Count prompts at decode workers only until they are read

Cause: a prompt that its decode worker reads itself was counted as waiting there until its stream ended, so that decode workers looked busier than they are.

Change: the count ends with the head of the answer, which comes with the first token; its time tells the speed of a decode worker too.

--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -87,11 +87,8 @@
         return False
     tried.append(worker.id)
     progress.sends += 1
-    with (
-        _prompts.count_prompt(context, request, direct),
-        _prompts.count_stream(context, request, worker),
-    ):
-        last = await _attempt(context, request, worker, source, relay)
+    with _prompts.count_stream(context, request, worker):
+        last = await _attempt(context, request, direct or worker, source, relay)
     progress.last = last
     if source is not None and last is None:
         context.prompts.caches.note_prompt(worker.id, request.call.prompt)
@@ -132,14 +129,21 @@
 async def _attempt(
     context: _context.Context,
     request: _requests.Request,
-    worker: schema.serving.Worker,
+    target: schema.serving.Worker | serving.Placement,
     source: serving.KvSource | None,
     relay: _stream.Relay,
 ) -> serving.Failed | None:
     """Sends a generation and relays its events.
 
+    :param context: state of the process.
+    :param request: the request.
+    :param target: the decode worker, or where it reads the prompt itself.
+    :param source: KV cache of the prompt.
+    :param relay: forwards the events.
     :returns: None where the client's answer is complete or its client left.
     """
+    placement = target if isinstance(target, serving.Placement) else None
+    worker = placement.reader if placement else target
     dispatch = serving.Dispatch(
         worker=worker,
         remaining_s=request.remaining_s(time.monotonic()),
@@ -148,13 +152,16 @@
         last_event=relay.resume_after,
     )
     with _attempts.open_attempt(context, worker) as attempt:
-        exchange = await _attempts.send_run(
-            context,
-            request,
-            attempt,
-            dispatch,
-            fresh=not request.route.resumable,
-        )
+        # A worker answers with its first token, when the prompt is read.
+        with _prompts.count_prompt(context, request, placement) as count:
+            exchange = await _attempts.send_run(
+                context,
+                request,
+                attempt,
+                dispatch,
+                fresh=not request.route.resumable,
+            )
+            count.is_read = not isinstance(exchange, serving.Failed)
         if isinstance(exchange, serving.Failed):
             return exchange
         try:
--- a/briarknot/gateway/_prompts.py
+++ b/briarknot/gateway/_prompts.py
@@ -5,6 +5,8 @@
 import time
 import typing
 
+import attrs
+
 from briarknot import schema, serving, telemetry
 from briarknot.gateway import _attempts, _context, _requests
 
@@ -45,26 +47,40 @@
     return None, None
 
 
+@attrs.define(eq=False)
+class PromptCount:
+    """A prompt that is counted at its reader.
+
+    :param is_read: whether the reader has read it.
+    """
+
+    is_read: bool = False
+
+
 @contextlib.contextmanager
 def count_prompt(
     context: _context.Context,
     request: _requests.Request,
     placement: serving.Placement | None,
-) -> typing.Iterator[None]:
-    """Counts a prompt that a decode worker reads itself, while it streams.
+) -> typing.Iterator[PromptCount]:
+    """Counts a prompt at its reader until it is read.
 
     :param context: state of the process.
     :param request: the request.
     :param placement: where the prompt is read; None where it was read before.
     """
+    count = PromptCount()
     if placement is None:
-        yield
+        yield count
         return
+    started_s = time.monotonic()
     context.prompts.add(placement, request.call.prompt)
     try:
-        yield
+        yield count
     finally:
-        context.prompts.remove(placement, 0, is_read=False)
+        context.prompts.remove(
+            placement, time.monotonic() - started_s, is_read=count.is_read
+        )
 
 
 @contextlib.contextmanager
@@ -99,18 +115,10 @@
         remaining_s=request.remaining_s(time.monotonic()),
         rank=request.route.rank,
     )
-    prompt = request.call.prompt
     with _attempts.open_attempt(context, placement.reader) as attempt:
-        result: serving.KvSource | serving.Failed | None = None
-        context.prompts.add(placement, prompt)
-        try:
+        with count_prompt(context, request, placement) as count:
             result = await context.calls.prefill(request.call, dispatch)
-        finally:
-            context.prompts.remove(
-                placement,
-                attempt.seconds,
-                is_read=isinstance(result, serving.KvSource),
-            )
+            count.is_read = isinstance(result, serving.KvSource)
         _attempts.note_result(
             request, attempt, 'prefill', result, context.fleet
         )
--- a/briarknot/gateway/tests/test_generation.py
+++ b/briarknot/gateway/tests/test_generation.py
@@ -1,6 +1,7 @@
 """Guards streams: whole events, resumes, and cuts that look like cuts."""
 
 import asyncio
+import time
 
 import aiohttp
 import pytest
@@ -175,3 +176,21 @@
     assert (status, read_data(body)) == (200, ['x'])
     assert 'kv-source' in workers[1].requests[0]
     assert 'kv-source' not in workers[1].requests[1]
+
+
+async def test_prompt_counts_at_its_worker_only_until_it_is_read():
+    """A decode worker looked busy with a prompt for as long as it streamed."""
+    events = _support.make_stream('x', end=False)
+    decode = _support.ScriptedWorker(
+        [_support.Reply(events.text, _support.SILENT, 0.2)], 'decode'
+    )
+    async with _support.open_front(make_stream_route(), decode) as front:
+        load = front.context.prompts
+        sent = asyncio.ensure_future(front.send(headers=_PROMPT))
+        await decode.wait_requests(1)
+        assert load.find_wait(decode.entry, time.monotonic())
+        async with asyncio.timeout(2):
+            while load.work.find(decode.entry.id, 0).tokens:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+        assert load.work.find(decode.entry.id, 0).streams == 1
+        sent.cancel()
