--- a/briarknot/gateway/service.py
+++ b/briarknot/gateway/service.py
@@ -6,6 +6,7 @@
 half a second and are not refused.
 """
 
+import gc
 import importlib
 import os
 import pathlib
@@ -24,7 +25,12 @@
     """Serves clients until SIGTERM."""
     host, _, port = os.environ[ADDRESS_VARIABLE].rpartition(':')
     listener = socket.create_server((host, int(port)), backlog=_BACKLOG)
+    # What a program imports stays, so that collections find nothing in it;
+    # they take a tenth of the time of a start.
+    gc.disable()
     gateway = importlib.import_module('briarknot.gateway._gateway')
+    gc.freeze()
+    gc.enable()
     gateway.run(pathlib.Path(os.environ[SETTINGS_VARIABLE]), listener)
 
 
