--- a/briarknot/gateway/_attempts.py
+++ b/briarknot/gateway/_attempts.py
@@ -35,17 +35,31 @@
 @contextlib.contextmanager
 def open_attempt(
     context: _context.Context,
+    request: _requests.Request,
     worker: schema.serving.Worker,
 ) -> typing.Iterator[Attempt]:
     """Counts an attempt against its worker while it runs.
 
     :param context: state of the process.
+    :param request: the request.
     :param worker: the worker.
     """
     record = context.board.find(worker.id)
     record.in_flight += 1
+    attempt = Attempt(worker, record, time.monotonic())
     try:
-        yield Attempt(worker, record, time.monotonic())
+        yield attempt
+    except asyncio.CancelledError:
+        # The client left, or the request's time is up.
+        telemetry.log_event(
+            'attempt_cancelled',
+            request=request.call.id,
+            worker=worker.id,
+            domain=worker.domain,
+            seconds=round(attempt.seconds, 4),
+            in_flight=record.in_flight,
+        )
+        raise
     finally:
         record.in_flight -= 1
 
--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -151,7 +151,7 @@
         source=source,
         last_event=relay.resume_after,
     )
-    with _attempts.open_attempt(context, worker) as attempt:
+    with _attempts.open_attempt(context, request, worker) as attempt:
         # A worker answers with its first token, when the prompt is read.
         with _prompts.count_prompt(context, request, placement) as count:
             exchange = await _attempts.send_run(
--- a/briarknot/gateway/_plain.py
+++ b/briarknot/gateway/_plain.py
@@ -81,7 +81,7 @@
     dispatch = serving.Dispatch(
         worker=worker, remaining_s=remaining_s, rank=request.route.rank
     )
-    with _attempts.open_attempt(context, worker) as attempt:
+    with _attempts.open_attempt(context, request, worker) as attempt:
         exchange = await _attempts.send_run(
             context,
             request,
--- a/briarknot/gateway/_prompts.py
+++ b/briarknot/gateway/_prompts.py
@@ -115,7 +115,7 @@
         remaining_s=request.remaining_s(time.monotonic()),
         rank=request.route.rank,
     )
-    with _attempts.open_attempt(context, placement.reader) as attempt:
+    with _attempts.open_attempt(context, request, placement.reader) as attempt:
         with count_prompt(context, request, placement) as count:
             result = await context.calls.prefill(request.call, dispatch)
             count.is_read = isinstance(result, serving.KvSource)
--- a/briarknot/gateway/tests/test_plain.py
+++ b/briarknot/gateway/tests/test_plain.py
@@ -5,7 +5,7 @@
 import aiohttp
 import pytest
 
-from briarknot import schema
+from briarknot import schema, telemetry
 from briarknot.gateway.tests import _support
 
 _Kind = schema.serving.RequestKind
@@ -222,3 +222,23 @@
     assert (first, status) == (200, 503)
     assert float(headers['Retry-After']) > 0
     assert len(worker.requests) == 1
+
+
+async def test_log_names_the_worker_of_a_request_that_timed_out(monkeypatch):
+    """The log told that a request had timed out, but not at which worker."""
+    events = []
+    monkeypatch.setattr(
+        telemetry,
+        'log_event',
+        lambda name, **inputs: events.append((name, inputs)),
+    )
+    worker = _support.ScriptedWorker([_support.Reply('', _support.HANG)])
+    route = _support.make_route(_Kind.NON_IDEMPOTENT, timeout_s=0.2)
+    async with _support.open_front(route, worker) as front:
+        status, _, _ = await front.send()
+    assert status == 504
+    cancelled = [
+        inputs for name, inputs in events if name == 'attempt_cancelled'
+    ]
+    assert [one['worker'] for one in cancelled] == [worker.entry.id]
+    assert cancelled[0]['request'] == 'q1'
