--- a/briarknot/gateway/_followers.py
+++ b/briarknot/gateway/_followers.py
@@ -62,7 +62,7 @@
     async def follow_workers(self) -> None:
         """Reads the list of workers again and again."""
         while True:
-            if not self._is_leader and await self._is_list_confirmed():
+            if self._may_wait and await self._is_list_confirmed():
                 continue
             started_s = time.monotonic()
             page = await self._client.read_table(platform.WORKERS_TABLE)
@@ -76,7 +76,7 @@
             )
             if _readers.rank_reader(self._context) is not None:
                 self._send_news()
-            if self._is_leader:
+            if not self._may_wait:
                 await asyncio.sleep(_WORKERS_PERIOD_S)
 
     @property
@@ -84,9 +84,14 @@
         """Whether this process reads the store for all others."""
         return _readers.rank_reader(self._context) == 0
 
+    @property
+    def _may_wait(self) -> bool:
+        """Whether this process may wait for what others read."""
+        return self._context.is_ready and not self._is_leader
+
     async def _pause(self) -> None:
         """Waits after a failed call; others wait for news of the leader."""
-        if self._is_leader or not self._context.is_ready:
+        if not self._may_wait:
             await asyncio.sleep(_RETRY_S)
 
     async def _is_manifest_confirmed(self) -> bool:
