Group the messages of gateways by failure domain, and register less often

Change: a message goes to the own failure domain, and to one process of each other domain; hosts register every 30 s or less often. Joining hosts announce themselves, so that only those that are gone are known for longer.

--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -81,10 +81,6 @@
         """Whether the manifest and the workers are known."""
         return bool(self.fleet.manifest and self.fleet.workers)
 
-    def find_region(self, domain: str) -> str:
-        """Returns the region of a failure domain; the own one if unknown."""
-        return self.places.regions.get(domain, self.settings.region)
-
     def set_hosts(self, hosts: dict[str, PeerHost]) -> None:
         """Takes the other processes, and their number for the budget."""
         hosts = {
--- a/briarknot/gateway/_hosts.py
+++ b/briarknot/gateway/_hosts.py
@@ -10,8 +10,8 @@
 _TABLE = 'gateways'
 #: Shortest period in which a process registers itself and reads the others.
 #: A process that starts announces itself to all, so that the period only
-#: bounds how long one that is gone is counted.
-_PERIOD_S = 12.0
+#: bounds how long one that is gone is counted; the calls are priced.
+_PERIOD_S = 30.0
 #: Pause after a failed call to the store.
 _RETRY_S = 2.0
 #: Processes that may register in a second; larger fleets do it less often,
--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -14,13 +14,13 @@
 #: read, so that later news would come after it.
 _PERIOD_S = 0.15
 #: Messages that a process sends in a second at the most; with more peers in
-#: its region the period grows, which bounds the control traffic of a host.
+#: its failure domain the period grows, which bounds the traffic of a host.
 _MESSAGES_PER_S = 150.0
 #: Longest time between messages of work that does not change; peers drop what
 #: they have not heard of for 1.5 s.
 _REPEAT_S = 0.6
-#: Processes of another region that forward the messages of this one in turn,
-#: so that one that is gone loses every second message only.
+#: Processes of another domain that forward the messages of this one in turn, so
+#: that one that is gone loses every second message only.
 _FORWARDERS = 2
 _DATAGRAM_BYTES = 65536
 _MS_PER_S = 1000
@@ -94,9 +94,9 @@
             self._send_work(self._make_message(work, parts, sequence))
 
     def _send_work(self, message: schema.messages.EngineWork) -> None:
-        """Sends to the own region, and to one process of each other one.
+        """Sends to the own failure domain, and to one process of each other.
 
-        Bytes between regions are paid by volume; the process there forwards
+        Bytes between domains are paid by volume; the process there forwards
         the message to its neighbours.
         """
         data = schema.encode(message)
@@ -104,7 +104,7 @@
             self._send_one(data, peer.address)
         data = schema.encode(attrs.evolve(message, forward=True))
         place = message.sequence % _FORWARDERS
-        for hosts in self._list_far_regions():
+        for hosts in self._list_other_domains():
             ranked = serving.rank_names(message.host, hosts)
             forwarder = ranked[min(place, len(ranked) - 1)]
             self._send_one(data, self._context.hosts[forwarder].address)
@@ -115,23 +115,18 @@
             self._send_one(data, peer.address)
 
     def _list_neighbours(self) -> list[_context.PeerHost]:
-        """Lists the other processes of the own region."""
-        own = self._context.settings.region
-        return [
-            peer
-            for peer in self._context.hosts.values()
-            if self._context.find_region(peer.domain) == own
-        ]
-
-    def _list_far_regions(self) -> list[list[str]]:
-        """Lists the hosts of each other region."""
-        own = self._context.settings.region
-        far: dict[str, list[str]] = {}
+        """Lists the other processes of the own failure domain."""
+        own = self._context.settings.domain
+        hosts = self._context.hosts.values()
+        return [peer for peer in hosts if peer.domain == own]
+
+    def _list_other_domains(self) -> list[list[str]]:
+        """Lists the hosts of each other failure domain."""
+        domains: dict[str, list[str]] = {}
         for host, peer in self._context.hosts.items():
-            region = self._context.find_region(peer.domain)
-            if region != own:
-                far.setdefault(region, []).append(host)
-        return list(far.values())
+            domains.setdefault(peer.domain, []).append(host)
+        domains.pop(self._context.settings.domain, None)
+        return list(domains.values())
 
     def _note_host(self, message: schema.messages.EngineWork) -> None:
         """Adds a process that started after the last read of the list."""
--- a/briarknot/gateway/tests/test_peers.py
+++ b/briarknot/gateway/tests/test_peers.py
@@ -84,8 +84,8 @@
     assert second.hosts['g1'].address == ('127.0.0.1', port)
 
 
-async def test_work_reaches_another_region_by_one_process():
-    """Each process sent to all others, and the bytes between regions cost."""
+async def test_work_reaches_another_domain_by_one_process():
+    """Each process sent to all others, and the bytes between domains cost."""
     first, second, third = (
         make_peer_context(host, domain)
         for host, domain in (('g1', 'a'), ('g2', 'b'), ('g3', 'b'))
@@ -97,6 +97,9 @@
             peer = _context.PeerHost(address, other.settings.domain)
             if other is not context:
                 context.hosts[other.settings.host] = peer
+    # What reaches the third process comes from the second one.
+    nowhere = ('127.0.0.1', _support.find_port())
+    first.hosts['g3'] = _context.PeerHost(nowhere, 'b')
     placement = serving.Placement(
         reader=_WORKER, expected_s=0.1, uncached=700, work=700
     )
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -362,7 +362,7 @@
         doc='Failure domain of the process.', default=''
     )
     forward: bool = _fields.make_field(
-        doc='Whether the receiver tells the others of its region.',
+        doc='Whether the receiver tells the others of its failure domain.',
         default=False,
     )
     address: str = _fields.make_field(
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -139,7 +139,7 @@
   workers @3 :List(WorkerWork) $A.doc("Engines with at least one prompt or generation.");
   parts @4 :List(CachedPart) $A.doc("Shared parts of prompts that were sent to engines since the message before.");
   domain @5 :Text $A.doc("Failure domain of the process.");
-  forward @6 :Bool $A.doc("Whether the receiver tells the others of its region.");
+  forward @6 :Bool $A.doc("Whether the receiver tells the others of its failure domain.");
   address @7 :Text $A.doc("IP number of the process.");
   port @8 :UInt16 $A.doc("Port of the process for messages.");
 }
