Let the shortest queue read where a first token would be late

Cause: prompts waited at the homes of their shared parts, 30,000 to 86,000 tokens behind others, while decode workers and other prefill workers had no queue. The cost of reading a shared part again outweighed any wait, whatever the target.

Change: the worker with the shortest queue of each stage is a candidate, and a first token that is expected after its target costs a second.

--- a/briarknot/gateway/_prompts.py
+++ b/briarknot/gateway/_prompts.py
@@ -144,16 +144,17 @@
     prompt = request.call.prompt
     if prompt is None:
         return None
+    now = time.monotonic()
     view = serving.PlacementView(
-        context.prompts,
-        context.board,
-        context.places,
-        list_calm(context, request, _Stage.PREFILL, tried),
-        list_calm(context, request, _Stage.DECODE, tried),
-    )
-    return serving.PLACEMENT_POLICIES.get(_PLACEMENT_POLICY)(
-        view, prompt, time.monotonic()
+        load=context.prompts,
+        board=context.board,
+        places=context.places,
+        prefills=list_calm(context, request, _Stage.PREFILL, tried),
+        decodes=list_calm(context, request, _Stage.DECODE, tried),
+        target_s=request.call.received_s + request.route.target_s - now,
     )
+    policy = serving.PLACEMENT_POLICIES.get(_PLACEMENT_POLICY)
+    return policy(view, prompt, now)
 
 
 def _log_placement(
--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -30,6 +30,15 @@
 #: Cost in seconds for each second that shared parts are read again: the
 #: prompts behind wait for it, and the part takes another one's place.
 _REREAD = 2.0
+#: Cost in seconds of a first token that is late for sure. Reading a shared part
+#: of usual length once more to be in time is worth it.
+_LATE_S = 1.0
+#: Shares of the target up to which a first token is expected in time, and from
+#: which it is expected late; measured times scatter around the expected ones.
+_SURELY_IN_TIME = 0.6
+_SURELY_LATE = 1.4
+#: Smallest target in seconds; less is left where it has passed.
+_SHORTEST_TARGET_S = 0.001
 #: Workers in the order of their homes that may read a prompt, beside those
 #: that hold its shared parts; further ones would read them once more each.
 _HOMES = 2
@@ -44,6 +53,7 @@
     :param places: distances.
     :param prefills: usable prefill workers.
     :param decodes: usable decode workers.
+    :param target_s: time until the first token is late, in seconds.
     """
 
     load: _prompt_load.PromptLoad
@@ -51,6 +61,7 @@
     places: _places.Places
     prefills: _plain_choice.Workers
     decodes: _plain_choice.Workers
+    target_s: float
 
 
 class PlacementPolicy(typing.Protocol):
@@ -95,14 +106,41 @@
     candidates = [
         _expect(view, worker, prompt, now, is_first_read=worker.id in homes)
         for workers in (view.prefills, view.decodes)
-        for rank, worker in enumerate(_rank(prompt, workers))
-        if rank < _HOMES or worker.id in holders
+        for worker in _list_readers(view, prompt, workers, holders, now)
     ]
     if not candidates:
         return None
     return min(candidates, key=lambda one: _find_cost(view, one, now))
 
 
+def _list_readers(
+    view: PlacementView,
+    prompt: _calls.Prompt,
+    workers: _plain_choice.Workers,
+    holders: set[str],
+    now: float,
+) -> _plain_choice.Workers:
+    """Lists the workers of a stage that may read a prompt.
+
+    Those are its homes, those that hold its shared parts, and the one where
+    least waits, as a part that all of them have a queue for is better read
+    once more.
+    """
+    found = [
+        worker
+        for rank, worker in enumerate(_rank(prompt, workers))
+        if rank < _HOMES or worker.id in holders
+    ]
+    idle = min(
+        workers,
+        key=lambda one: (view.load.find_wait(one, now), _measure(view, one)),
+        default=None,
+    )
+    if idle is not None and idle not in found:
+        found.append(idle)
+    return tuple(found)
+
+
 def _rank(
     prompt: _calls.Prompt, workers: _plain_choice.Workers
 ) -> _plain_choice.Workers:
@@ -147,6 +185,7 @@
     cost_s += placement.reread / _reading.TOKENS_PER_S * _REREAD
     if distance == _places.Distance.OTHER_REGION:
         cost_s += _REGION_S
+    first_token_s = placement.expected_s
     if placement.is_direct:
         speed = _reading.find_speed(reader.stage)
         waiting = view.load.find_wait(reader, now)
@@ -154,5 +193,18 @@
         cost_s += _CROWDING * waiting / speed
     else:
         # The decode worker is chosen near the reader.
-        cost_s += _HAND_OVER_S + _reading.find_call_s(distance)
-    return cost_s
+        hand_over_s = _HAND_OVER_S + _reading.find_call_s(distance)
+        cost_s += hand_over_s
+        first_token_s += hand_over_s
+    return cost_s + _LATE_S * _expect_late(first_token_s, view.target_s)
+
+
+def _expect_late(first_token_s: float, target_s: float) -> float:
+    """Returns the expected chance that a first token is late.
+
+    :param first_token_s: expected time of the first token, in seconds.
+    :param target_s: time until it is late, in seconds.
+    """
+    used = first_token_s / max(target_s, _SHORTEST_TARGET_S)
+    chance = (used - _SURELY_IN_TIME) / (_SURELY_LATE - _SURELY_IN_TIME)
+    return min(1.0, max(0.0, chance))
--- a/briarknot/serving/tests/test_choices.py
+++ b/briarknot/serving/tests/test_choices.py
@@ -73,14 +73,15 @@
     assert moved == {key for key in keys if before[key] == 'w0'}
 
 
-def make_view(prefills, decodes=()):
+def make_view(prefills, decodes=(), target_s=60):
     """Makes what the placement policies use."""
     return serving.PlacementView(
-        serving.make_prompt_load(),
-        serving.make_board(),
-        _PLACES,
-        tuple(prefills),
-        tuple(decodes),
+        load=serving.make_prompt_load(),
+        board=serving.make_board(),
+        places=_PLACES,
+        prefills=tuple(prefills),
+        decodes=tuple(decodes),
+        target_s=target_s,
     )
 
 
@@ -121,6 +122,23 @@
         assert placement.is_direct
 
 
+def test_part_is_read_once_more_where_its_holder_would_be_late():
+    """Prompts were late behind a queue while other workers were idle."""
+    policy = serving.PLACEMENT_POLICIES.get('predicted')
+    workers = make_workers(*'ababab', stage=_Stage.PREFILL)
+    prompt = make_prompt('k', shared=13000)
+    home = serving.rank_homes('k', workers)[0]
+    readers = []
+    for target_s in (60, 0.7):
+        view = make_view(workers, target_s=target_s)
+        for number, worker in enumerate(serving.rank_homes('k', workers)[:2]):
+            view.load.work.add(worker.id, tokens=30000 + number)
+        view.load.caches.note_prompt(home.id, prompt)
+        readers.append(policy(view, prompt, 0).reader)
+    assert readers[0] is home
+    assert readers[1] not in serving.rank_homes('k', workers)[:2]
+
+
 def test_short_prompt_is_read_near_the_client():
     """Short prompts went to homes in other regions and waited for the way."""
     policy = serving.PLACEMENT_POLICIES.get('predicted')
