--- a/briarknot/serving/_engine_choice.py
+++ b/briarknot/serving/_engine_choice.py
@@ -13,6 +13,7 @@
     _engine_work,
     _places,
     _plain_choice,
+    _reading,
 )
 
 #: Cost of fetching KV cache, as a share of a decode worker's slots that may be
@@ -25,8 +26,6 @@
 #: Cost of a second's prompts that wait at a decode worker, as a share of its
 #: slots: its streams are some three times slower while it reads them.
 _WAIT_COST = 0.5
-#: Prompt tokens that a decode worker reads in a second; a prior.
-_READ_TOKENS_PER_S = 27500.0
 _HASH_BYTES = 8
 
 Workers = _plain_choice.Workers
@@ -124,7 +123,7 @@
     busy = max(record.in_flight, work.streams)
     if load is not None:
         busy = max(busy, load.running + load.waiting)
-    wait_s = work.tokens / _READ_TOKENS_PER_S
+    wait_s = work.tokens / _reading.find_speed(worker.stage)
     return (
         busy / max(1, worker.slots) + wait_s * _WAIT_COST + record.failure_rate
     )
--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -207,4 +207,4 @@
     """
     used = first_token_s / max(target_s, _SHORTEST_TARGET_S)
     chance = (used - _SURELY_IN_TIME) / (_SURELY_LATE - _SURELY_IN_TIME)
-    return min(1.0, max(0.0, chance))
+    return min(1, max(0, chance))
--- a/briarknot/serving/tests/test_choices.py
+++ b/briarknot/serving/tests/test_choices.py
@@ -125,7 +125,7 @@
 def test_part_is_read_once_more_where_its_holder_would_be_late():
     """Prompts were late behind a queue while other workers were idle."""
     policy = serving.PLACEMENT_POLICIES.get('predicted')
-    workers = make_workers(*'ababab', stage=_Stage.PREFILL)
+    workers = make_workers('a', 'b', 'a', 'b', 'a', 'b', stage=_Stage.PREFILL)
     prompt = make_prompt('k', shared=13000)
     home = serving.rank_homes('k', workers)[0]
     readers = []
