Spare reading again while prompts wait at all engines

Cause: where all engines have queues, a prompt that reads a shared part once more to be in time makes those behind it late.

Change: the cost of reading again grows with the mean wait at the engines.

--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -30,6 +30,10 @@
 #: Cost in seconds for each second that shared parts are read again: the
 #: prompts behind wait for it, and the part takes another one's place.
 _REREAD = 2.0
+#: Part by which that cost grows for each second that prompts wait at the usual
+#: engine. Where all of them have queues, work that could be spared makes more
+#: prompts late than it saves.
+_REREAD_GROWTH_PER_S = 6.0
 #: Cost in seconds of a first token that is late for sure. Reading a shared part
 #: of usual length once more to be in time is worth it.
 _LATE_S = 1.0
@@ -110,7 +114,8 @@
     ]
     if not candidates:
         return None
-    return min(candidates, key=lambda one: _find_cost(view, one, now))
+    wait_s = _find_mean_wait(view, now)
+    return min(candidates, key=lambda one: _find_cost(view, one, wait_s, now))
 
 
 def _list_readers(
@@ -172,17 +177,36 @@
     )
 
 
+def _find_mean_wait(view: PlacementView, now: float) -> float:
+    """Returns the mean wait at all engines, in seconds."""
+    waits = [
+        view.load.find_wait(worker, now) / _reading.find_speed(worker.stage)
+        for worker in (*view.prefills, *view.decodes)
+    ]
+    return sum(waits) / max(1, len(waits))
+
+
 def _measure(
     view: PlacementView, worker: schema.serving.Worker
 ) -> _places.Distance:
     return view.places.measure(view.places.domain, worker.domain)
 
 
-def _find_cost(view: PlacementView, placement: _Placement, now: float) -> float:
+def _find_cost(
+    view: PlacementView, placement: _Placement, wait_s: float, now: float
+) -> float:
+    """Returns the cost of a placement in seconds.
+
+    :param view: what a policy may use.
+    :param placement: the placement.
+    :param wait_s: mean wait at all engines, in seconds.
+    :param now: monotonic time in seconds.
+    """
     reader = placement.reader
     distance = _measure(view, reader)
     cost_s = placement.expected_s + view.board.find(reader.id).failure_rate
-    cost_s += placement.reread / _reading.TOKENS_PER_S * _REREAD
+    reread_s = placement.reread / _reading.TOKENS_PER_S
+    cost_s += reread_s * _REREAD * (1 + _REREAD_GROWTH_PER_S * wait_s)
     if distance == _places.Distance.OTHER_REGION:
         cost_s += _REGION_S
     first_token_s = placement.expected_s
