--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -14,7 +14,7 @@
 #: read, so that later news would come after it.
 _PERIOD_S = 0.15
 #: Messages that a process gets in a second at the most. With more processes the
-#: period grows: 365 a second took half of a gateway's processor time.
+#: period grows, as each one takes a tenth of a millisecond to decode.
 _RECEIVED_PER_S = 150.0
 #: Longest time between messages of work that does not change; peers drop what
 #: they have not heard of for 1.5 s.
