Fetch shared parts from other engines and keep decode workers' streams moving

Change: a worker fetches the shared parts that it lacks from an engine that holds them, so that every prefill worker is a candidate; a part can be fetched once it is prefilled, and a prompt that was cancelled leaves none. The gap of streams beside prefill is learned from the process's own streams, and placements and the choice of the decode worker count the events that become late.

--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -111,14 +111,18 @@
             self.worker_records, self.topology, self.random_source
         )
 
-    @property
-    def decode_view(self) -> serving.DecodeView:
-        """Inputs of the policies for decode workers."""
+    def make_decode_view(self, event_gap_s: float) -> serving.DecodeView:
+        """Makes the inputs of the policies for decode workers.
+
+        :param event_gap_s: gap from which an event of the request is late, in
+            seconds; 0 for none.
+        """
         return serving.DecodeView(
             self.worker_records,
             self.topology,
             self.random_source,
-            self.prompt_load.work,
+            self.prompt_load,
+            event_gap_s,
         )
 
 
--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -94,7 +94,9 @@
         )
     progress.last = last
     if source is not None and last is None:
-        context.prompt_load.caches.record_prompt(worker.id, request.call.prompt)
+        context.prompt_load.caches.record_prompt(
+            worker.id, request.call.prompt, time.monotonic()
+        )
     if last is None or not last.not_run:
         # A worker that may have run the request has fetched the cache.
         progress.source = None
@@ -126,7 +128,8 @@
     if not workers:
         return None
     policy = serving.DECODE_POLICIES.get(_DECODE_POLICY)
-    return policy(context.decode_view, workers, source, time.monotonic())
+    view = context.make_decode_view(request.route.event_gap_s)
+    return policy(view, workers, source, time.monotonic())
 
 
 async def _attempt(
@@ -154,6 +157,7 @@
         rank=request.route.rank,
         source=source,
         last_event=relay.resume_after,
+        cache_holder=placement.cache_holder if placement else None,
     )
     with _attempts.open_attempt(context, request, worker) as attempt:
         # A worker answers with its first token, after the prefill.
@@ -169,12 +173,13 @@
         if isinstance(exchange, serving.Failed):
             return exchange
         try:
-            return await _relay(request, exchange, relay, attempt)
+            return await _relay(context, request, exchange, relay, attempt)
         finally:
             exchange.close()
 
 
 async def _relay(
+    context: _context.Context,
     request: _requests.Request,
     exchange: platform.Exchange,
     relay: _stream.Relay,
@@ -196,6 +201,9 @@
         request.route.resumable
         and request.attempts < request.route.max_attempts
     )
+    queued_s = context.prompt_load.get_queued_s(
+        attempt.worker, time.monotonic()
+    )
     failure = await relay.run(exchange, attempt.record if can_resume else None)
     if isinstance(failure, serving.Failed):
         attempt.record.record_failure(failure.kind, time.monotonic())
@@ -209,6 +217,10 @@
             seconds=round(attempt.seconds, 4),
         )
         return failure
+    if relay.longest_gap_s:
+        context.prompt_load.gaps.record(
+            attempt.worker.service, relay.longest_gap_s, queued_s
+        )
     _context.SECONDS.labels(request.route.kind.value).observe(
         relay.first_event_s - request.call.received_s
     )
@@ -218,6 +230,7 @@
         worker=attempt.worker.id,
         first_event_s=round(relay.first_event_s - request.call.received_s, 4),
         longest_gap_s=round(relay.longest_gap_s, 4),
+        queued_prefill_s=round(queued_s, 4),
     )
     return None
 
--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -51,7 +51,7 @@
                 self._record_host(message)
                 load = self._context.prompt_load
                 load.work.apply_peer_work(message, time.monotonic())
-                load.caches.record_parts(message.parts)
+                load.caches.record_parts(message.parts, time.monotonic())
                 if message.forward:
                     self._forward(message)
             elif isinstance(message, schema.messages.FleetUpdate):
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -74,13 +74,16 @@
         yield counted
         return
     started_s = time.monotonic()
-    context.prompt_load.add(placement, request.call.prompt)
+    context.prompt_load.add(placement, request.call.prompt, started_s)
     try:
         yield counted
     finally:
+        now = time.monotonic()
         context.prompt_load.remove(
             placement,
-            time.monotonic() - started_s,
+            request.call.prompt,
+            now,
+            now - started_s,
             is_prefilled=counted.is_prefilled,
         )
 
@@ -116,6 +119,7 @@
         worker=placement.prefill_worker,
         remaining_s=request.remaining_s(time.monotonic()),
         rank=request.route.rank,
+        cache_holder=placement.cache_holder,
     )
     with _attempts.open_attempt(
         context, request, placement.prefill_worker
@@ -156,7 +160,10 @@
         prefills=list_unblocked(context, request, _Stage.PREFILL, tried),
         decodes=list_unblocked(context, request, _Stage.DECODE, tried),
         target_s=request.call.received_s + request.route.target_s - now,
+        limits=request.service.engine,
+        event_gap_s=request.route.event_gap_s,
     )
+    context.prompt_load.caches.set_engine_limits(request.service.engine)
     policy = serving.PLACEMENT_POLICIES.get(_PLACEMENT_POLICY)
     return policy(view, prompt, now)
 
@@ -173,6 +180,10 @@
         stage=placement.prefill_worker.stage.value,
         expected_s=round(placement.expected_s, 4),
         uncached_tokens=placement.uncached,
+        fetched_tokens=placement.fetched_tokens,
+        cache_holder=(
+            placement.cache_holder.id if placement.cache_holder else ''
+        ),
         slowdown=round(
             context.prompt_load.get_slowdown(placement.prefill_worker), 2
         ),
--- a/briarknot/platform/_headers.py
+++ b/briarknot/platform/_headers.py
@@ -18,6 +18,8 @@
 URGENCY = 'Request-Urgency'
 STAGE = 'Serving-Stage'
 KV_SOURCE = 'Kv-Source'
+#: Address of a worker whose cached parts of the prompt are fetched first.
+KV_FETCH = 'Kv-Fetch'
 
 #: Headers to workers that only this system may set, in lower case.
 SYSTEM_HEADERS = frozenset(
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -303,6 +303,8 @@
         headers.append((_headers.URGENCY, str(urgency)))
     if dispatch.last_event:
         headers.append((_headers.LAST_EVENT, dispatch.last_event))
+    if dispatch.cache_holder is not None:
+        headers.append((_headers.KV_FETCH, dispatch.cache_holder.address))
     return headers
 
 
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -325,12 +325,19 @@
     worker: str = _fields.make_field(doc='Id of the worker.', default='')
     part: str = _fields.make_field(doc='Identity of the part.', default='')
     tokens: int = _fields.make_field(
-        doc='Length of the part.',
+        doc='Length of the part; 0 where the engine does not prefill it after all.',
         maximum=4294967295,
         minimum=0,
         unit='tokens',
         default=0,
     )
+    ready_in_ms: int = _fields.make_field(
+        doc="Expected time until it is in the engine's cache.",
+        maximum=4294967295,
+        minimum=0,
+        unit='ms',
+        default=0,
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -129,7 +129,8 @@
 struct CachedPart $A.doc("A shared part of prompts that an engine has prefilled or fetched.") {
   worker @0 :Text $A.doc("Id of the worker.");
   part @1 :Text $A.doc("Identity of the part.");
-  tokens @2 :UInt32 $A.unit("tokens") $A.doc("Length of the part.");
+  tokens @2 :UInt32 $A.unit("tokens") $A.doc("Length of the part; 0 where the engine does not prefill it after all.");
+  readyInMs @3 :UInt32 $A.unit("ms") $A.doc("Expected time until it is in the engine's cache.");
 }
 
 struct EngineWork $A.doc("Outstanding work of a gateway process at the engines.") {
--- a/briarknot/serving/_calls.py
+++ b/briarknot/serving/_calls.py
@@ -82,6 +82,8 @@
     :param rank: rank of the route.
     :param source: KV cache that the worker fetches first.
     :param last_event: id of the event after which the stream resumes.
+    :param cache_holder: worker from whose cache this one fetches the parts of
+        the prompt that it lacks; None for no fetch.
     """
 
     worker: schema.serving.Worker
@@ -89,6 +91,7 @@
     rank: int
     source: KvSource | None = None
     last_event: str = ''
+    cache_holder: schema.serving.Worker | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/serving/_engine_caches.py
+++ b/briarknot/serving/_engine_caches.py
@@ -7,34 +7,58 @@
 from briarknot import schema
 from briarknot.serving import _calls
 
-#: Assumed capacity of an engine for shared parts. Its KV cache also holds
-#: unshared parts and running streams; the caches of the deployments' engines
-#: hold 450,000 to 560,000 tokens.
-_ASSUMED_CAPACITY_TOKENS = 300_000
+#: Capacity of an engine of unknown size for shared parts, in tokens.
+_DEFAULT_CAPACITY_TOKENS = 300_000
+#: Share of an engine's KV cache that holds shared parts. The rest holds
+#: unshared parts and running streams.
+_SHARED_PARTS_SHARE = 0.7
+_MS_PER_S = 1000
 
 CachedPart = schema.messages.CachedPart
 
 
+@attrs.frozen
+class _Part:
+    """A part in a cache.
+
+    :param tokens: length of the part.
+    :param ready_s: monotonic time from which it can be fetched.
+    """
+
+    tokens: int
+    ready_s: float
+
+
 @attrs.define(eq=False)
 class _Cache:
     """LRU cache of the parts at one engine.
 
-    :param parts: tokens by part, least recently used first.
+    :param parts: parts by id, least recently used first.
     :param tokens: sum of the tokens.
     """
 
-    parts: collections.OrderedDict[str, int] = attrs.field(
+    parts: collections.OrderedDict[str, _Part] = attrs.field(
         factory=collections.OrderedDict
     )
     tokens: int = 0
 
-    def record(self, part_id: str, tokens: int) -> None:
+    def record(self, part_id: str, part: _Part, capacity_tokens: int) -> None:
         """Records the use of a part and evicts parts beyond the capacity."""
-        self.tokens += tokens - self.parts.pop(part_id, 0)
-        self.parts[part_id] = tokens
-        while self.tokens > _ASSUMED_CAPACITY_TOKENS and len(self.parts) > 1:
+        known = self.remove(part_id)
+        if known is not None and known.ready_s < part.ready_s:
+            part = attrs.evolve(part, ready_s=known.ready_s)
+        self.tokens += part.tokens
+        self.parts[part_id] = part
+        while self.tokens > capacity_tokens and len(self.parts) > 1:
             _, evicted = self.parts.popitem(last=False)
-            self.tokens -= evicted
+            self.tokens -= evicted.tokens
+
+    def remove(self, part_id: str) -> _Part | None:
+        """Removes a part, and returns it if it was there."""
+        part = self.parts.pop(part_id, None)
+        if part is not None:
+            self.tokens -= part.tokens
+        return part
 
 
 @attrs.define(eq=False)
@@ -43,25 +67,72 @@
 
     _caches: dict[str, _Cache] = attrs.field(factory=dict)
     _unsent: list[CachedPart] = attrs.field(factory=list)
+    _capacity_tokens: int = _DEFAULT_CAPACITY_TOKENS
+
+    def set_engine_limits(self, limits: schema.serving.EngineLimits) -> None:
+        """Sets the capacity of the caches.
 
-    def record_prompt(self, worker_id: str, prompt: _calls.Prompt) -> None:
+        :param limits: properties of the engines.
+        """
+        if limits.kv_tokens:
+            self._capacity_tokens = int(limits.kv_tokens * _SHARED_PARTS_SHARE)
+
+    def record_prompt(
+        self,
+        worker_id: str,
+        prompt: _calls.Prompt,
+        now: float,
+        ready_in_s: float = 0,
+    ) -> None:
         """Records that a prompt was sent to a worker.
 
         :param worker_id: id of the worker.
         :param prompt: the prompt; its last part is not shared.
+        :param now: monotonic time in seconds.
+        :param ready_in_s: expected time until it is prefilled, in seconds.
         """
         for part in prompt.parts[:-1]:
             cached = CachedPart(
-                worker=worker_id, part=part.id, tokens=part.tokens
+                worker=worker_id,
+                part=part.id,
+                tokens=part.tokens,
+                ready_in_ms=int(ready_in_s * _MS_PER_S),
             )
             self._unsent.append(cached)
-            self.record_parts((cached,))
+            self.record_parts((cached,), now)
+
+    def drop_pending_prompt(
+        self, worker_id: str, prompt: _calls.Prompt, now: float
+    ) -> None:
+        """Records that a worker did not prefill a prompt.
 
-    def record_parts(self, parts: tuple[CachedPart, ...]) -> None:
-        """Records parts that this or another process has sent to engines."""
+        Parts that it held before stay.
+
+        :param worker_id: id of the worker.
+        :param prompt: the prompt.
+        :param now: monotonic time in seconds.
+        """
+        cache = self._caches.get(worker_id) or _Cache()
+        for part in prompt.parts[:-1]:
+            known = cache.parts.get(part.id)
+            if known is not None and known.ready_s > now:
+                dropped = CachedPart(worker=worker_id, part=part.id)
+                self._unsent.append(dropped)
+                self.record_parts((dropped,), now)
+
+    def record_parts(self, parts: tuple[CachedPart, ...], now: float) -> None:
+        """Records parts that this or another process has sent to engines.
+
+        :param parts: the parts; those without tokens are removed.
+        :param now: monotonic time in seconds.
+        """
         for one in parts:
             cache = self._caches.setdefault(one.worker, _Cache())
-            cache.record(one.part, one.tokens)
+            if one.tokens:
+                part = _Part(one.tokens, now + one.ready_in_ms / _MS_PER_S)
+                cache.record(one.part, part, self._capacity_tokens)
+            else:
+                cache.remove(one.part)
 
     def take_unsent_parts(self) -> tuple[CachedPart, ...]:
         """Returns the parts that were not yet sent to other processes."""
@@ -69,19 +140,30 @@
         self._unsent.clear()
         return unsent
 
-    def count_cached(self, worker_id: str, prompt: _calls.Prompt) -> int:
+    def count_cached(
+        self,
+        worker_id: str,
+        prompt: _calls.Prompt,
+        ready_s: float | None = None,
+    ) -> int:
         """Estimates the tokens of a prompt that a worker has in its cache.
 
         :param worker_id: id of the worker.
         :param prompt: the prompt. A part can be reused only if all parts before
             it are cached too.
+        :param ready_s: monotonic time at which the parts must be prefilled, in
+            order to be fetched by another worker; None also counts those that
+            are prefilled before a prompt that is sent now.
         """
         cache = self._caches.get(worker_id)
         cached = 0
         if cache is None:
             return cached
         for part in prompt.parts[:-1]:
-            if part.id not in cache.parts:
+            known = cache.parts.get(part.id)
+            if known is None:
+                break
+            if ready_s is not None and known.ready_s > ready_s:
                 break
             cached += part.tokens
         return cached
--- a/briarknot/serving/_engine_choice.py
+++ b/briarknot/serving/_engine_choice.py
@@ -9,9 +9,9 @@
 from briarknot import registry, schema
 from briarknot.serving import (
     _calls,
-    _engine_work,
+    _lateness,
     _plain_choice,
-    _prefill_time,
+    _prompt_load,
     _topology,
     _worker_records,
 )
@@ -26,6 +26,8 @@
 #: Cost of a second of prefill queued at a decode worker, as a share of its
 #: slots: its streams are about three times slower while it prefills.
 _QUEUED_PREFILL_COST = 0.5
+#: Cost of events that are certainly late, as a share of a decode worker's slots.
+_LATE_EVENT_COST = 0.5
 _HASH_BYTES = 8
 
 Workers = _plain_choice.Workers
@@ -38,13 +40,15 @@
     :param worker_records: load and health of workers.
     :param topology: distances between failure domains.
     :param random_source: source of randomness.
-    :param work: work of all processes at the engines.
+    :param load: prompts and streams at the engines.
+    :param event_gap_s: gap from which an event is late, in seconds; 0 for none.
     """
 
     worker_records: _worker_records.WorkerRecords
     topology: _topology.Topology
     random_source: random.Random
-    work: _engine_work.EngineWork
+    load: _prompt_load.PromptLoad
+    event_gap_s: float = 0
 
 
 class DecodePolicy(typing.Protocol):
@@ -121,13 +125,19 @@
 ) -> float:
     record = view.worker_records.get(worker.id)
     load = record.get_load(now)
-    work = view.work.get_total(worker.id, now)
+    work = view.load.work.get_total(worker.id, now)
     busy = max(record.in_flight, work.streams)
     if load is not None:
         busy = max(busy, load.running + load.waiting)
-    wait_s = work.tokens / _prefill_time.get_prefill_speed(worker.stage)
+    wait_s = view.load.get_queued_s(worker, now)
+    late = 0
+    if view.event_gap_s:
+        late = _lateness.compute_late_probability(
+            view.load.gaps.estimate(worker.service, wait_s), view.event_gap_s
+        )
     return (
         busy / max(1, worker.slots)
         + wait_s * _QUEUED_PREFILL_COST
+        + late * _LATE_EVENT_COST
         + record.failure_rate
     )
--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -8,10 +8,12 @@
 from briarknot.serving import (
     _calls,
     _engine_choice,
+    _lateness,
     _plain_choice,
     _prefill_time,
     _prompt_load,
     _topology,
+    _transfers,
     _worker_records,
 )
 
@@ -37,14 +39,6 @@
 #: Cost of a first token that is certainly late. It is high enough that a shared
 #: part of usual length is recomputed to be in time.
 _LATE_COST_S = 1.0
-#: Shares of the target up to which a first token counts as certainly in time
-#: and from which it counts as late; measured times scatter around the expected
-#: ones.
-_IN_TIME_SHARE = 0.6
-_LATE_SHARE = 1.4
-#: Lower bound of the target, as the remaining time is negative when it has
-#: passed.
-_MIN_TARGET_S = 0.001
 #: Number of preferred workers that are candidates for a prompt besides its
 #: cache holders. Each further worker would have to recompute the shared parts.
 _PREFERRED_WORKERS = 2
@@ -60,6 +54,8 @@
     :param prefills: usable prefill workers.
     :param decodes: usable decode workers.
     :param target_s: remaining time until the first token is late, in seconds.
+    :param limits: properties of the engines.
+    :param event_gap_s: gap from which an event is late, in seconds; 0 for none.
     """
 
     load: _prompt_load.PromptLoad
@@ -68,6 +64,20 @@
     prefills: _plain_choice.Workers
     decodes: _plain_choice.Workers
     target_s: float
+    limits: schema.serving.EngineLimits = schema.serving.EngineLimits()
+    event_gap_s: float = 0
+
+
+@attrs.frozen
+class _Holder:
+    """An engine that holds shared parts of a prompt.
+
+    :param worker: the engine.
+    :param tokens: estimated tokens of the prompt in its cache.
+    """
+
+    worker: schema.serving.Worker
+    tokens: int
 
 
 class PlacementPolicy(typing.Protocol):
@@ -105,6 +115,7 @@
     recomputed shared parts, other regions, interference with decode, the KV
     transfer, and late first tokens.
     """
+    holders = _list_holders(view, prompt, now)
     shared = sum(part.tokens for part in prompt.parts[:-1])
     cache_holders = {
         worker.id
@@ -119,7 +130,12 @@
     preferred = {one.id for one in _rank(prompt, first_workers)[:1]}
     candidates = [
         _estimate_placement(
-            view, worker, prompt, now, is_first=worker.id in preferred
+            view,
+            worker,
+            prompt,
+            now,
+            holders=holders,
+            is_first=worker.id in preferred,
         )
         for workers in (view.prefills, view.decodes)
         for worker in _list_candidates(
@@ -134,6 +150,17 @@
     )
 
 
+def _list_holders(
+    view: PlacementView, prompt: _calls.Prompt, now: float
+) -> tuple[_Holder, ...]:
+    """Lists the engines from which shared parts of a prompt can be fetched."""
+    counts = (
+        _Holder(worker, view.load.caches.count_cached(worker.id, prompt, now))
+        for worker in (*view.prefills, *view.decodes)
+    )
+    return tuple(one for one in counts if one.tokens)
+
+
 def _list_candidates(
     view: PlacementView,
     prompt: _calls.Prompt,
@@ -145,8 +172,11 @@
 
     These are the preferred workers, the cache holders of its shared parts, and
     the worker with the shortest queue, as recomputing a part is better than
-    waiting when all others have long queues.
+    waiting when all others have long queues. Where the shared parts can be
+    fetched from a cache holder, all workers are candidates.
     """
+    if cache_holders and _transfers.is_known(view.limits):
+        return workers
     candidates = [
         worker
         for rank, worker in enumerate(_rank(prompt, workers))
@@ -177,13 +207,20 @@
     prompt: _calls.Prompt,
     now: float,
     *,
+    holders: tuple[_Holder, ...] = (),
     is_first: bool,
 ) -> _Placement:
-    uncached = view.load.count_uncached(worker, prompt)
+    cached = view.load.caches.count_cached(worker.id, prompt)
+    speed = _prefill_time.get_prefill_speed(worker.stage)
+    source, transfer_s = _choose_source(view, worker, cached, holders)
+    fetched = source.tokens - cached if source else 0
+    uncached = max(1, prompt.tokens - cached - fetched)
     work = _prefill_time.compute_work(uncached, prompt.tokens)
     waiting = view.load.get_queued_work(worker, now)
-    overhead_s = _prefill_time.get_overhead_s(_get_distance(view, worker))
-    prefill_s = (work + waiting) / _prefill_time.get_prefill_speed(worker.stage)
+    overhead_s = transfer_s + _prefill_time.get_overhead_s(
+        _get_distance(view, worker)
+    )
+    prefill_s = (work + waiting) / speed
     unshared = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
     return _Placement(
         prefill_worker=worker,
@@ -193,9 +230,47 @@
         recomputed_tokens=0 if is_first else max(0, uncached - unshared),
         prefill_s=prefill_s,
         overhead_s=overhead_s,
+        cache_holder=source.worker if source else None,
+        fetched_tokens=fetched,
     )
 
 
+def _choose_source(
+    view: PlacementView,
+    worker: schema.serving.Worker,
+    cached: int,
+    holders: tuple[_Holder, ...],
+) -> tuple[_Holder | None, float]:
+    """Chooses the engine from which a worker fetches shared parts.
+
+    :param view: input of the policy.
+    :param worker: the worker.
+    :param cached: tokens of the prompt in its cache.
+    :param holders: engines that hold shared parts.
+    :returns: the engine and the time of the transfer in seconds; None and 0
+        where prefilling the parts is as fast.
+    """
+    if not _transfers.is_known(view.limits):
+        return None, 0
+    speed = _prefill_time.get_prefill_speed(worker.stage)
+    gains = []
+    for index, one in enumerate(holders):
+        tokens = one.tokens - cached
+        if tokens <= 0 or one.worker.id == worker.id:
+            continue
+        distance = view.topology.compute_distance(
+            one.worker.domain, worker.domain
+        )
+        transfer_s = _transfers.compute_transfer_s(
+            tokens, view.limits, distance
+        )
+        gains.append((tokens / speed - transfer_s, -index, transfer_s))
+    gain_s, negative_index, transfer_s = max(gains, default=(0, 0, 0))
+    if gain_s <= 0:
+        return None, 0
+    return holders[-negative_index], transfer_s
+
+
 def _compute_mean_wait(view: PlacementView, now: float) -> float:
     """Returns the mean queueing time at all engines, in seconds."""
     waits = [
@@ -248,17 +323,36 @@
         transfer_s = _KV_TRANSFER_S + _prefill_time.get_call_s(distance)
         cost_s += transfer_s
         first_token_s += transfer_s
-    return cost_s + _LATE_COST_S * _compute_late_probability(
+    in_time = 1 - _lateness.compute_late_probability(
         first_token_s, view.target_s
     )
+    if placement.is_colocated and view.event_gap_s:
+        late_before, late_after = _compute_gap_probabilities(
+            view, placement, waiting
+        )
+        in_time *= 1 - late_after
+        streams = view.load.work.get_total(worker.id, now).streams
+        cost_s += _LATE_COST_S * streams * (late_after - late_before)
+    return cost_s + _LATE_COST_S * (1 - in_time)
 
 
-def _compute_late_probability(first_token_s: float, target_s: float) -> float:
-    """Returns the probability that a first token is late.
+def _compute_gap_probabilities(
+    view: PlacementView, placement: _Placement, waiting: int
+) -> tuple[float, float]:
+    """Returns how probable late events are at a decode worker.
 
-    :param first_token_s: expected time of the first token, in seconds.
-    :param target_s: remaining time until it is late, in seconds.
+    :param view: input of the policy.
+    :param placement: placement at the worker.
+    :param waiting: prefill work that is queued there, in tokens.
+    :returns: the probabilities without and with the prompt.
     """
-    used = first_token_s / max(target_s, _MIN_TARGET_S)
-    probability = (used - _IN_TIME_SHARE) / (_LATE_SHARE - _IN_TIME_SHARE)
-    return min(1, max(0, probability))
+    worker = placement.prefill_worker
+    speed = _prefill_time.get_prefill_speed(worker.stage)
+    before, after = (
+        _lateness.compute_late_probability(
+            view.load.gaps.estimate(worker.service, work / speed),
+            view.event_gap_s,
+        )
+        for work in (waiting, waiting + placement.work)
+    )
+    return before, after
--- a/briarknot/serving/_prompt_load.py
+++ b/briarknot/serving/_prompt_load.py
@@ -3,7 +3,13 @@
 import attrs
 
 from briarknot import schema
-from briarknot.serving import _calls, _engine_caches, _engine_work
+from briarknot.serving import (
+    _calls,
+    _engine_caches,
+    _engine_work,
+    _event_gaps,
+    _prefill_time,
+)
 
 _Stage = schema.serving.Stage
 #: Shorter prefills are not used to estimate the speed of a worker, as most of
@@ -27,6 +33,9 @@
     :param prefill_s: time of prefilling it and the queue before it, in seconds,
         at a worker of the usual speed.
     :param overhead_s: expected time without queueing and prefill, in seconds.
+    :param cache_holder: worker from whose cache it fetches the shared parts;
+        None for no fetch.
+    :param fetched_tokens: estimated tokens that it fetches.
     """
 
     prefill_worker: schema.serving.Worker
@@ -36,6 +45,8 @@
     recomputed_tokens: int = 0
     prefill_s: float = 0
     overhead_s: float = 0
+    cache_holder: schema.serving.Worker | None = None
+    fetched_tokens: int = 0
 
     @property
     def is_colocated(self) -> bool:
@@ -49,6 +60,7 @@
 
     :param work: work of all processes at the engines.
     :param caches: shared parts of prompts in the engines' caches.
+    :param gaps: gaps between the events of streams.
     """
 
     work: _engine_work.EngineWork = attrs.field(
@@ -57,25 +69,47 @@
     caches: _engine_caches.EngineCaches = attrs.field(
         factory=_engine_caches.make_engine_caches
     )
+    gaps: _event_gaps.EventGaps = attrs.field(
+        factory=_event_gaps.make_event_gaps
+    )
     _slowdowns: dict[str, float] = attrs.field(factory=dict)
 
-    def add(self, placement: Placement, prompt: _calls.Prompt) -> None:
-        """Adds a prompt that is sent to its prefill worker."""
+    def add(
+        self, placement: Placement, prompt: _calls.Prompt, now: float
+    ) -> None:
+        """Adds a prompt that is sent to its prefill worker.
+
+        :param placement: placement of the prompt.
+        :param prompt: the prompt.
+        :param now: monotonic time in seconds.
+        """
         self.work.add(placement.prefill_worker.id, tokens=placement.work)
-        self.caches.record_prompt(placement.prefill_worker.id, prompt)
+        self.caches.record_prompt(
+            placement.prefill_worker.id, prompt, now, placement.expected_s
+        )
 
     def remove(
-        self, placement: Placement, seconds: float, *, is_prefilled: bool
+        self,
+        placement: Placement,
+        prompt: _calls.Prompt,
+        now: float,
+        seconds: float,
+        *,
+        is_prefilled: bool,
     ) -> None:
         """Removes a prompt that its prefill worker has finished or failed.
 
         :param placement: placement of the prompt.
+        :param prompt: the prompt.
+        :param now: monotonic time in seconds.
         :param seconds: time from sending the prompt to its end.
         :param is_prefilled: whether it was prefilled; otherwise the time is
             ignored.
         """
         worker_id = placement.prefill_worker.id
         self.work.add(worker_id, tokens=-placement.work)
+        if not is_prefilled:
+            self.caches.drop_pending_prompt(worker_id, prompt, now)
         if not is_prefilled or placement.prefill_s < _MIN_PREFILL_S:
             return
         ratio = (seconds - placement.overhead_s) / placement.prefill_s
@@ -87,7 +121,7 @@
     def count_uncached(
         self, worker: schema.serving.Worker, prompt: _calls.Prompt
     ) -> int:
-        """Estimates the tokens of a prompt that a worker has to prefill.
+        """Estimates the tokens of a prompt that are not in a worker's cache.
 
         :param worker: the worker.
         :param prompt: the prompt.
@@ -103,6 +137,15 @@
         """
         return self.work.get_total(worker.id, now).tokens
 
+    def get_queued_s(self, worker: schema.serving.Worker, now: float) -> float:
+        """Returns the time of the prefill that is queued at a worker.
+
+        :param worker: the worker.
+        :param now: monotonic time in seconds.
+        """
+        work = self.get_queued_work(worker, now)
+        return work / _prefill_time.get_prefill_speed(worker.stage)
+
     def get_slowdown(self, worker: schema.serving.Worker) -> float:
         """Returns the ratio of measured to expected prefill time."""
         return self._slowdowns.get(worker.id, 1.0)
--- /dev/null
+++ b/briarknot/tests/stored_definitions/serving.capnp
@@ -0,0 +1,81 @@
+@0xaf4cb5d1a7e03c17;
+# The fleet as a gateway process sees it: manifest, routes, and workers.
+using A = import "annotations.capnp";
+
+enum RequestKind $A.doc("What may be repeated of a request.") {
+  idempotent @0 $A.doc("It may run more than once.");
+  nonIdempotent @1 $A.doc("It runs at most once.");
+  generation @2 $A.doc("It is answered by a stream of events; repeated only where its route is resumable.");
+}
+
+enum Stage $A.doc("Part of a generation that a worker takes.") {
+  none @0 $A.doc("The worker is a plain service.");
+  prefill @1 $A.doc("It reads prompts and hands over their KV cache.");
+  decode @2 $A.doc("It generates tokens.");
+}
+
+struct Destination $A.doc("A share of a route's requests.") {
+  service @0 :Text $A.doc("Service that runs them.");
+  weight @1 :Float64 $A.doc("Share relative to the route's other destinations.");
+}
+
+struct Route $A.doc("Where requests of one host and path prefix go.") {
+  name @0 :Text $A.doc("Name of the route.");
+  host @1 :Text $A.doc("Host of the requests.");
+  pathPrefix @2 :Text $A.doc("Start of the path, with a slash at both ends.");
+  kind @3 :RequestKind $A.doc("What may be repeated.");
+  timeoutS @4 :Float64 $A.unit("s") $A.doc("Longest time until the whole answer.");
+  targetS @5 :Float64 $A.unit("s") $A.doc("Latency target of the answer, or of the first event.");
+  rank @6 :UInt8 $A.doc("Urgency; 0 is the most urgent.");
+  destinations @7 :List(Destination) $A.doc("Services that run the requests.");
+  maxAttempts @8 :UInt8 $A.doc("Workers that may run one request.");
+  resumable @9 :Bool $A.doc("Whether a stream may go on at another worker.");
+  eventGapS @10 :Float64 $A.unit("s") $A.doc("Longest pause between events for an answer on time.");
+}
+
+struct EngineLimits $A.doc("What the engines of a service have in common.") {
+  slots @0 :UInt32 $A.doc("Requests that an engine runs at once.");
+  kvTokens @1 :UInt32 $A.unit("tokens") $A.doc("KV-cache memory of an engine.");
+  kvTokenBytes @2 :UInt32 $A.unit("bytes") $A.doc("KV cache of one token.");
+  linkBitsPerS @3 :Float64 $A.unit("bit/s") $A.doc("Speed of KV-cache transfers.");
+  handleTtlS @4 :Float64 $A.unit("s") $A.doc("Time for which a prefilled prompt is kept.");
+  switchS @5 :Float64 $A.unit("s") $A.doc("Time that a change of the stage takes after the running work.");
+}
+
+struct Service $A.doc("Interchangeable workers.") {
+  name @0 :Text $A.doc("Name of the service.");
+  maxConnections @1 :UInt32 $A.doc("Connections that a worker accepts from all hosts.");
+  hasEngines @2 :Bool $A.doc("Whether its workers are model engines.");
+  engine @3 :EngineLimits $A.doc("Limits of its engines.");
+}
+
+struct ClientLimits $A.doc("What a client may send.") {
+  headerBytes @0 :UInt32 $A.unit("bytes") $A.doc("Largest header section.");
+  bodyBytes @1 :UInt32 $A.unit("bytes") $A.doc("Largest body.");
+  headerTimeoutS @2 :Float64 $A.unit("s") $A.doc("Longest time to send the header section.");
+  idleTimeoutS @3 :Float64 $A.unit("s") $A.doc("Longest time that a connection stays idle.");
+}
+
+struct Manifest $A.doc("The operators' routes and services at one version.") {
+  version @0 :UInt64 $A.doc("Version; it only grows.");
+  routes @1 :List(Route) $A.doc("Routes.");
+  services @2 :List(Service) $A.doc("Services.");
+  limits @3 :ClientLimits $A.doc("Limits of clients.");
+}
+
+struct Worker $A.doc("A worker as it last registered itself.") {
+  id @0 :Text $A.doc("Identity, which a restart mostly changes.");
+  service @1 :Text $A.doc("Service that it belongs to.");
+  address @2 :Text $A.doc("IP number and port.");
+  domain @3 :Text $A.doc("Failure domain.");
+  slots @4 :UInt32 $A.doc("Requests that it runs at once.");
+  draining @5 :Bool $A.doc("Whether it is leaving.");
+  stage @6 :Stage $A.doc("Part of a generation that it takes.");
+  coldS @7 :Float64 $A.unit("s") $A.doc("Time for which it stays slow after its start.");
+  bornMs @8 :UInt64 $A.unit("ms") $A.doc("Unix time of its start; tells a restart under the same id.");
+}
+
+struct PromptPart $A.doc("A part of a prompt that requests may share.") {
+  id @0 :Text $A.doc("Identity of the part's text.");
+  tokens @1 :UInt32 $A.unit("tokens") $A.doc("Its length.");
+}
