Bound the memory and time of answers that never end

Cause: answers of workers and of the store were read without a limit. In tests, an endless body took 8 to 14 GB before the time limit of its route, an endless event the same way; interim answers and chunk extensions kept the parser busy until that limit. Endless lines, headers and trailers were bounded by the parser. Change: a connection closes when the head of an answer, with interim answers, exceeds 256 KiB, or an answer with its framing 64 MiB; whole bodies are bounded by 8 MiB (9 MiB for the store), events by 1 MiB. Each ends the attempt with a cause, and counts against the worker's health, as a body that breaks off now does for plain services.

--- a/briarknot/gateway/_gateway.py
+++ b/briarknot/gateway/_gateway.py
@@ -7,7 +7,6 @@
 import socket
 import time
 
-import aiohttp
 import attrs
 
 from briarknot import document, platform, program, schema, telemetry
@@ -163,7 +162,7 @@
     lines: telemetry.LogLineBuffer,
     listener: socket.socket | None,
 ) -> None:
-    async with aiohttp.ClientSession() as session:
+    async with platform.make_store_session() as session:
         client = platform.make_client(
             session, f'http://{settings.store_address}', _STORE_TIMEOUT_S
         )
--- a/briarknot/gateway/_plain.py
+++ b/briarknot/gateway/_plain.py
@@ -2,7 +2,7 @@
 
 import time
 
-from briarknot import platform, schema, serving
+from briarknot import platform, schema, serving, telemetry
 from briarknot.gateway import _attempts, _context, _requests
 
 _Kind = schema.serving.RequestKind
@@ -95,7 +95,18 @@
         )
         if isinstance(exchange, serving.Failed):
             return exchange
-        return await _read_answer(exchange)
+        answer = await _read_answer(exchange)
+        if isinstance(answer, serving.Failed):
+            attempt.record.record_failure(answer.kind, time.monotonic())
+            telemetry.log_event(
+                'answer_broken',
+                request=request.call.id,
+                worker=worker.id,
+                outcome=answer.kind.value,
+                reason=answer.reason,
+                seconds=round(attempt.seconds, 4),
+            )
+        return answer
 
 
 async def _read_answer(
--- a/briarknot/gateway/_stream.py
+++ b/briarknot/gateway/_stream.py
@@ -11,12 +11,17 @@
 _ID_FIELD = b'id:'
 #: Period of checking whether a worker has stopped sending.
 _SILENCE_CHECK_S = 0.3
+#: Longest event; an event holds a few tokens.
+_MAX_EVENT_BYTES = 1 << 20
 
 
 @attrs.define(eq=False)
 class Relay:
     """Forwards whole events, so that another run can resume after them.
 
+    A stream with long gaps is not cut before clients abandon it; one that sends
+    bytes without completing an event is.
+
     :param responder: answers the client.
     :param resume_after: last event that the client has.
     :param first_event_s: monotonic time of the first event.
@@ -27,7 +32,9 @@
     resume_after: str = ''
     first_event_s: float = 0
     longest_gap_s: float = 0
+    _max_silence_s: float = 0
     _latest_s: float = 0
+    _progress_s: float = 0
     _is_open: bool = False
 
     @property
@@ -50,6 +57,7 @@
         """
         partial_event = b''
         failure = None
+        self._progress_s = time.monotonic()
         is_end = False
         while not is_end:
             chunk = await self._read(exchange, record)
@@ -60,6 +68,12 @@
             events, partial_event = _split_events(
                 partial_event + chunk, is_end=is_end
             )
+            if len(partial_event) > _MAX_EVENT_BYTES:
+                failure = serving.Failed(
+                    kind=serving.FailureKind.FOREIGN,
+                    reason=f'event longer than {_MAX_EVENT_BYTES} bytes',
+                )
+                break
             if not await self._forward(exchange, events, is_end=is_end):
                 break
         return failure
@@ -69,21 +83,35 @@
         exchange: platform.Exchange,
         record: serving.WorkerRecord | None,
     ) -> bytes | serving.Failed:
-        if record is None:
-            return await exchange.read_some()
-        while True:
+        while not self._is_stalled(time.monotonic()):
             try:
                 async with asyncio.timeout(_SILENCE_CHECK_S):
                     chunk = await exchange.read_some()
             except TimeoutError:
-                if record.is_silent(time.monotonic()):
+                if record and record.is_silent(time.monotonic()):
                     return serving.Failed(
                         kind=serving.FailureKind.UNREACHABLE,
                         reason='the worker sends nothing on any stream',
                     )
                 continue
-            record.record_bytes(time.monotonic())
+            if record:
+                record.record_bytes(time.monotonic())
             return chunk
+        return serving.Failed(
+            kind=serving.FailureKind.TIMED_OUT,
+            reason=f'no event within {self._max_silence_s:.1f} s',
+        )
+
+    def _is_stalled(self, now: float) -> bool:
+        """Returns whether clients have abandoned the stream by now.
+
+        Bytes that complete no event don't count.
+
+        :param now: monotonic time in seconds.
+        """
+        if not self._max_silence_s:
+            return False
+        return now - self._progress_s > self._max_silence_s
 
     async def _forward(
         self, exchange: platform.Exchange, events: bytes, *, is_end: bool
@@ -104,6 +132,7 @@
         else:
             self.first_event_s = now
         self._latest_s = now
+        self._progress_s = now
         self.resume_after = _get_last_id(events) or self.resume_after
 
 
@@ -125,10 +154,14 @@
     return ''
 
 
-def make_relay(responder: platform.Responder, resume_after: str) -> Relay:
+def make_relay(
+    responder: platform.Responder, resume_after: str, max_silence_s: float = 0
+) -> Relay:
     """Makes a relay that has forwarded nothing.
 
     :param responder: answers the client.
     :param resume_after: last event that the client already has.
+    :param max_silence_s: time without an event after which clients abandon the
+        stream, in seconds; 0 where they don't.
     """
-    return Relay(responder, resume_after)
+    return Relay(responder, resume_after, max_silence_s=max_silence_s)
--- a/briarknot/platform/__init__.py
+++ b/briarknot/platform/__init__.py
@@ -14,6 +14,7 @@
     decode_worker,
 )
 from briarknot.platform._ingress import Ingress, Responder, make_ingress
+from briarknot.platform._sessions import make_store_session
 from briarknot.platform._values import (
     Committed,
     Conflict,
@@ -56,5 +57,6 @@
     'make_client',
     'make_ingress',
     'make_operation',
+    'make_store_session',
     'make_worker_calls',
 )
--- a/briarknot/platform/_client.py
+++ b/briarknot/platform/_client.py
@@ -9,7 +9,7 @@
 import prometheus_client
 import yarl
 
-from briarknot.platform import _values
+from briarknot.platform import _sessions, _values
 
 _CALLS = prometheus_client.Counter(
     'briarknot_platform_calls',
@@ -31,6 +31,8 @@
 _HOSTS_TABLE = 'hosts'
 #: Smallest text that sorts after a key, so that a range holds that key alone.
 _NEXT_KEY = '\x00'
+#: Longest answer: an object of 8 MiB, or 500 rows of 1 MB with their encoding.
+_MAX_BODY_BYTES = 9 << 20
 #: Sorts after every key that starts with the text before it.
 _LAST_KEY = '\U0010ffff'
 
@@ -260,7 +262,13 @@
                 data=body,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                return _check_answer(response.status, await response.read())
+                body = await _sessions.read_limited(
+                    response.content, _MAX_BODY_BYTES
+                )
+                if body is None:
+                    response.close()
+                    return _values.Unavailable('the answer does not end')
+                return _check_answer(response.status, body)
         except aiohttp.ClientConnectorError as error:
             return _values.Unavailable(str(error), may_have_applied=False)
         except (TimeoutError, aiohttp.ClientError) as error:
--- a/briarknot/platform/_sessions.py
+++ b/briarknot/platform/_sessions.py
@@ -1,9 +1,11 @@
-"""HTTP sessions for calls to workers, which detect silent connections."""
+"""HTTP sessions that detect silent connections and endless answers."""
 
 import asyncio
+import functools
 import socket
 
 import aiohttp
+from aiohttp import client_proto, http_exceptions
 
 #: A worker accepts or refuses a connection within the round trip to another
 #: region, 0.06 s. A lost SYN packet is retransmitted after 1 s, by when another
@@ -20,6 +22,11 @@
 _KEEPALIVE_PROBES = 2
 _SKIPPED_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
 _MAX_LINE_BYTES = 65536
+#: Longest head of an answer, with all interim answers before it.
+_MAX_HEAD_BYTES = 256 << 10
+#: Longest answer with its framing. A sound answer, or a stream within its time
+#: limit, is far shorter.
+_MAX_ANSWER_BYTES = 64 << 20
 
 
 def _make_socket(
@@ -44,6 +51,45 @@
     return made
 
 
+class _LimitedProtocol(client_proto.ResponseHandler):
+    """A connection that closes when an answer does not end.
+
+    The parser bounds lines and headers, but neither interim answers nor the
+    framing of a chunked body, which may go on until the connection is closed.
+    """
+
+    _received_bytes: int = 0
+    _limit_bytes: int = _MAX_HEAD_BYTES
+
+    def set_response_params(self, **parameters: object) -> None:
+        """Starts counting the bytes of the next answer."""
+        self.set_limit(_MAX_HEAD_BYTES)
+        super().set_response_params(**parameters)
+
+    def set_limit(self, limit_bytes: int) -> None:
+        """Sets the limit of the bytes that arrive from now on.
+
+        :param limit_bytes: the limit.
+        """
+        self._received_bytes = 0
+        self._limit_bytes = limit_bytes
+
+    def data_received(self, data: bytes) -> None:
+        """Counts and parses received bytes."""
+        self._received_bytes += len(data)
+        if self._received_bytes <= self._limit_bytes:
+            super().data_received(data)
+            return
+        error = http_exceptions.BadHttpMessage(
+            f'answer longer than {self._limit_bytes} bytes'
+        )
+        if self._payload is not None:
+            self._payload.set_exception(aiohttp.ClientPayloadError(str(error)))
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
+
 class Response(aiohttp.ClientResponse):
     """A response that knows how its connection ended."""
 
@@ -62,7 +108,45 @@
             # Only a body without a length awaits this future; otherwise
             # asyncio would log its exception as never retrieved.
             self.closed_connection.add_done_callback(_retrieve_exception)
-        return await super().start(connection)
+        protocol = connection.protocol
+        started = await super().start(connection)
+        if isinstance(protocol, _LimitedProtocol):
+            protocol.set_limit(_MAX_ANSWER_BYTES)
+        return started
+
+
+class _LimitedConnector(aiohttp.TCPConnector):
+    """Opens connections that close when an answer does not end."""
+
+    def __init__(self, **options: object) -> None:
+        super().__init__(**options)
+        self._factory = functools.partial(_LimitedProtocol, loop=self._loop)
+
+
+async def read_limited(
+    content: aiohttp.StreamReader, limit_bytes: int
+) -> bytes | None:
+    """Reads a whole body.
+
+    :param content: the body.
+    :param limit_bytes: longest body.
+    :returns: the body; None where it is longer.
+    """
+    parts = []
+    size = 0
+    async for part in content.iter_any():
+        size += len(part)
+        if size > limit_bytes:
+            return None
+        parts.append(part)
+    return b''.join(parts)
+
+
+def make_store_session() -> aiohttp.ClientSession:
+    """Makes a session for calls to the store; a running loop is needed."""
+    return aiohttp.ClientSession(
+        connector=_LimitedConnector(), response_class=Response
+    )
 
 
 def make_session(
@@ -74,7 +158,7 @@
     :param force_close: whether each request has a connection of its own.
     """
     options = {} if force_close else {'keepalive_timeout': _IDLE_TIMEOUT_S}
-    connector = aiohttp.TCPConnector(
+    connector = _LimitedConnector(
         limit=0,
         limit_per_host=connections,
         force_close=force_close,
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -17,6 +17,9 @@
 #: the worker's own statement that it did not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _MS_PER_S = 1000
+#: Longest body of an answer that is not a stream. Several are held at a time
+#: by hosts with 200 MB.
+_MAX_BODY_BYTES = 8 << 20
 #: Urgency levels of a worker for each rank of a route; prompts that another
 #: worker needs come first within their rank.
 _URGENCIES_PER_RANK = 3
@@ -41,15 +44,21 @@
         return self._answer
 
     async def read_whole(self) -> bytes | serving.Failed:
-        """Reads the whole body."""
+        """Reads the whole body, up to the longest one that is accepted."""
         parts = []
-        while True:
+        size = 0
+        while size <= _MAX_BODY_BYTES:
             part = await self.read_some()
             if isinstance(part, serving.Failed):
                 return part
             if not part:
                 return b''.join(parts)
             parts.append(part)
+            size += len(part)
+        return serving.Failed(
+            kind=serving.FailureKind.FOREIGN,
+            reason=f'body longer than {_MAX_BODY_BYTES} bytes',
+        )
 
     async def read_some(self) -> bytes | serving.Failed:
         """Reads the available part of the body; empty at its regular end."""
