Refuse prompts whose clients would leave, and end stalled streams

A stream whose worker sent bytes but no event stayed open until the time limit of its route. Change: the time that clients wait is decoded with the route. A prompt that is expected after 1.2 times that time is refused at once, with a Retry-After that spreads the returns over the time in which the queues shorten. A stream without a complete event for that time resumes elsewhere or is truncated; slow streams are not cut before.

--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -19,6 +19,12 @@
 #: Attempts to send one generation. After a rejection another worker is tried
 #: while the retry budget allows.
 _MAX_SENDS = 4
+#: A request is refused if its first event is expected after the time for which
+#: clients wait by this factor; expected times scatter.
+_HOPELESS_SHARE = 1.2
+#: Earliest return of a refused client, as a share of the time until the queues
+#: are expected to be short.
+_MIN_RETURN_SHARE = 0.5
 
 
 @attrs.define(eq=False)
@@ -45,9 +51,15 @@
     context: _context.Context, request: _requests.Request
 ) -> None:
     """Serves a request that is answered by a stream of events."""
-    relay = _stream.make_relay(request.responder, request.call.last_event)
+    relay = _stream.make_relay(
+        request.responder,
+        request.call.last_event,
+        request.route.max_silence_s,
+    )
     progress = _Progress()
     is_sent = True
+    if _refuse_hopeless(context, request):
+        return
     try:
         while is_sent and progress.sends < _MAX_SENDS:
             is_sent = await _send_once(context, request, relay, progress)
@@ -60,6 +72,35 @@
     _finish_failure(request, relay, progress.last)
 
 
+def _refuse_hopeless(
+    context: _context.Context, request: _requests.Request
+) -> bool:
+    """Refuses a request whose client will leave before its first event.
+
+    Its prompt would lengthen the queues of others for nothing.
+
+    :param context: state of the process.
+    :param request: the request, before its first attempt.
+    :returns: whether it was refused.
+    """
+    max_silence_s = request.route.max_silence_s
+    placement = _prefill.choose_placement(context, request, [])
+    if not placement or not max_silence_s:
+        return False
+    if placement.expected_s <= max_silence_s * _HOPELESS_SHARE:
+        return False
+    # Returns are spread over the time in which the queues become short.
+    wait_s = placement.expected_s - max_silence_s / 2
+    request.refuse(
+        _requests.UNAVAILABLE,
+        'target_unreachable',
+        wait_s * context.random_source.uniform(_MIN_RETURN_SHARE, 1),
+        expected_s=round(placement.expected_s, 3),
+        max_silence_s=max_silence_s,
+    )
+    return True
+
+
 async def _send_once(
     context: _context.Context,
     request: _requests.Request,
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -32,7 +32,7 @@
     """
     tried = list(excluded)
     for _ in range(_MAX_PREFILLS):
-        placement = _choose_placement(context, request, tried)
+        placement = choose_placement(context, request, tried)
         if placement is None:
             return None, None
         _log_placement(context, request, placement)
@@ -146,9 +146,16 @@
     return result.kind != serving.FailureKind.NOT_SENT
 
 
-def _choose_placement(
+def choose_placement(
     context: _context.Context, request: _requests.Request, tried: list[str]
 ) -> serving.Placement | None:
+    """Chooses the worker that prefills the prompt of a request.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param tried: workers to leave out.
+    :returns: the placement; None without a prompt or a usable worker.
+    """
     prompt = request.call.prompt
     if prompt is None:
         return None
--- a/briarknot/gateway/tests/_support.py
+++ b/briarknot/gateway/tests/_support.py
@@ -35,11 +35,15 @@
     :param text: text that it sends; ``{id}`` is replaced by the request's id.
     :param then: what it does with the connection afterwards.
     :param delay_s: time before it sends, in seconds.
+    :param later: texts that it sends afterwards, each after ``pause_s``.
+    :param pause_s: time before each of them, in seconds.
     """
 
     text: str
     then: str = KEEP
     delay_s: float = 0
+    later: tuple[str, ...] = ()
+    pause_s: float = 0
 
 
 def make_reply(status, body='', header='', then=KEEP):
@@ -116,6 +120,10 @@
                 await asyncio.sleep(reply.delay_s)
                 writer.write(self._fill_id(reply.text).encode())
                 await writer.drain()
+                for text in reply.later:
+                    await asyncio.sleep(reply.pause_s)
+                    writer.write(self._fill_id(text).encode())
+                    await writer.drain()
                 if reply.then == SILENT:
                     await reader.read()
                 if reply.then == RESET:
--- a/briarknot/platform/_decoding.py
+++ b/briarknot/platform/_decoding.py
@@ -27,6 +27,11 @@
 _STATES = {'ready': False, 'draining': True}
 #: Event gap of a route that states none; only its timeout applies then.
 _NO_GAP_MS = 0
+#: Clients abandon a stream without an event for the longest of two seconds, four
+#: times its latency target, and eight times its event gap.
+_MIN_SILENCE_S = 2.0
+_SILENCE_TARGETS = 4
+_SILENCE_GAPS = 8
 
 
 @attrs.frozen
@@ -85,18 +90,29 @@
 
 
 def _decode_route(tree: dict[str, typing.Any]) -> schema.serving.Route:
+    kind = _KINDS[tree['kind']]
+    target_s = tree.get('targetLatencyMs', tree['timeoutMs']) / _MS_PER_S
+    event_gap_s = tree.get('gapTargetMs', _NO_GAP_MS) / _MS_PER_S
+    max_silence_s = 0
+    if kind == schema.serving.RequestKind.GENERATION:
+        max_silence_s = max(
+            _MIN_SILENCE_S,
+            target_s * _SILENCE_TARGETS,
+            event_gap_s * _SILENCE_GAPS,
+        )
     return schema.serving.Route(
         name=tree['name'],
         host=tree['host'].lower(),
         path_prefix=tree['pathPrefix'],
-        kind=_KINDS[tree['kind']],
+        kind=kind,
         timeout_s=tree['timeoutMs'] / _MS_PER_S,
-        target_s=tree.get('targetLatencyMs', tree['timeoutMs']) / _MS_PER_S,
+        target_s=target_s,
         rank=tree.get('priority', 0),
         destinations=_decode_destinations(tree),
         max_attempts=tree.get('maxAttempts', 1),
         resumable=tree.get('resumable', False),
-        event_gap_s=tree.get('gapTargetMs', _NO_GAP_MS) / _MS_PER_S,
+        event_gap_s=event_gap_s,
+        max_silence_s=max_silence_s,
     )
 
 
--- a/briarknot/schema/_generated/serving.py
+++ b/briarknot/schema/_generated/serving.py
@@ -84,6 +84,11 @@
         unit='s',
         default=0.0,
     )
+    max_silence_s: float = _fields.make_field(
+        doc="Time without an event after which clients abandon an answer; 0 where they don't.",
+        unit='s',
+        default=0.0,
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/schema/definitions/serving.capnp
+++ b/briarknot/schema/definitions/serving.capnp
@@ -31,6 +31,7 @@
   maxAttempts @8 :UInt8 $A.doc("Largest number of workers that may run one request.");
   resumable @9 :Bool $A.doc("Whether a stream may be resumed at another worker.");
   eventGapS @10 :Float64 $A.unit("s") $A.doc("Longest gap between events of an answer that is on time.");
+  maxSilenceS @11 :Float64 $A.unit("s") $A.doc("Time without an event after which clients abandon an answer; 0 where they don't.");
 }
 
 struct EngineLimits $A.doc("Properties that all engines of a service share.") {
