Read the load of workers that report how long work takes

Change: the figure is decoded as the ratio of the work time to the usual time, and weighs less with its age and with the length of the work. Loads, deadlines and prompts that can't be decoded are logged, loads counted. The choice of a decode worker counts the streams that all processes report to each other, and no longer the workers' report, which is older.

--- a/briarknot/gateway/_attempts.py
+++ b/briarknot/gateway/_attempts.py
@@ -137,6 +137,7 @@
         )
         attempt.record.record_bytes(now)
     else:
+        attempt.record.record_load(result.load, now)
         attempt.record.record_answer(attempt.seconds, is_error=False)
     _context.ATTEMPTS.labels(call, outcome).inc()
     telemetry.log_event(
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -279,6 +279,8 @@
     try:
         return max(0.001, float(text) / _MS_PER_S)
     except ValueError:
+        if text:
+            telemetry.log_event('deadline_malformed', value=text[:100])
         return _DEFAULT_TIMEOUT_S
 
 
@@ -297,6 +299,7 @@
         )
     except ValueError:
         # The worker validates the header; without it no worker is preferred.
+        telemetry.log_event('prompt_malformed', token_counts=counts[:100])
         return None
     return serving.Prompt(
         parts=parts, tokens=tokens, output_tokens=output_tokens
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -1,16 +1,21 @@
 """Calls to workers: runs, prefills, and handles."""
 
-import contextlib
 import errno
 
 import aiohttp
 import attrs
 import orjson
+import prometheus_client
 import yarl
 
-from briarknot import serving
+from briarknot import serving, telemetry
 from briarknot.platform import _headers, _sessions
 
+_MALFORMED = prometheus_client.Counter(
+    'briarknot_platform_malformed',
+    'Parts of answers that could not be decoded.',
+    ('part',),
+)
 _OK = 200
 _MISDIRECTED = 421
 #: Statuses that imply that a request has not run. They are trusted only with
@@ -31,6 +36,11 @@
 )
 
 
+#: Work time that a worker reports while its host is not busy with other work.
+_USUAL_PERCENT = 100
+_MAX_LOGGED_TEXT = 100
+
+
 @attrs.define(eq=False)
 class Exchange:
     """A worker's answer whose body has not been read yet."""
@@ -267,11 +277,28 @@
 
 
 def _decode_load(response: aiohttp.ClientResponse) -> serving.Load | None:
-    text = response.headers.get(_headers.WORKER_LOAD, '')
-    with contextlib.suppress(ValueError):
-        running, waiting, slots = (int(part) for part in text.split(','))
-        return serving.Load(running=running, waiting=waiting, slots=slots)
-    return None
+    text = response.headers.get(_headers.WORKER_LOAD)
+    if text is None:
+        return None
+    try:
+        running, waiting, slots, *others = (
+            int(part) for part in text.split(',')
+        )
+        percent = others[0] if others else _USUAL_PERCENT
+        return serving.Load(
+            running=running,
+            waiting=waiting,
+            slots=slots,
+            work_time_ratio=max(0, percent) / _USUAL_PERCENT,
+        )
+    except ValueError:
+        _MALFORMED.labels('load').inc()
+        telemetry.log_event(
+            'load_malformed',
+            address=response.url.authority,
+            value=text[:_MAX_LOGGED_TEXT],
+        )
+        return None
 
 
 async def _read_handle(
@@ -291,6 +318,7 @@
             worker=dispatch.worker,
             handle=str(tree['kvHandle']),
             tokens=int(tree['tokens']),
+            load=exchange.answer.load,
         )
     except (KeyError, TypeError, ValueError) as error:
         return _make_failure(serving.FailureKind.FOREIGN, error)
--- a/briarknot/serving/_calls.py
+++ b/briarknot/serving/_calls.py
@@ -59,6 +59,23 @@
     last_event: str = ''
 
 
+@attrs.frozen(kw_only=True)
+class Load:
+    """Load that a worker reports in an answer.
+
+    :param running: running requests.
+    :param waiting: queued requests.
+    :param slots: requests that can run at the same time.
+    :param work_time_ratio: how long work takes at the worker at this moment, in
+        relation to the usual time; workers share their hosts with others.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    work_time_ratio: float = 1
+
+
 @attrs.frozen(kw_only=True)
 class KvSource:
     """KV cache of a prompt that can be fetched from a worker.
@@ -66,11 +83,13 @@
     :param worker: worker that holds it.
     :param handle: id of the KV cache at the worker.
     :param tokens: length in tokens.
+    :param load: load that the worker reported with it.
     """
 
     worker: schema.serving.Worker
     handle: str
     tokens: int
+    load: Load | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -94,20 +113,6 @@
     cache_holder: schema.serving.Worker | None = None
 
 
-@attrs.frozen(kw_only=True)
-class Load:
-    """Load that a worker reports in an answer.
-
-    :param running: running requests.
-    :param waiting: queued requests.
-    :param slots: requests that can run at the same time.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-
-
 class FailureKind(enum.StrEnum):
     """How an attempt failed."""
 
--- a/briarknot/serving/_engine_choice.py
+++ b/briarknot/serving/_engine_choice.py
@@ -127,8 +127,6 @@
     load = record.get_load(now)
     work = view.load.work.get_total(worker.id, now)
     busy = max(record.in_flight, work.streams)
-    if load is not None:
-        busy = max(busy, load.running + load.waiting)
     wait_s = view.load.get_queued_s(worker, now)
     late = 0
     if view.event_gap_s:
--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -221,10 +221,14 @@
         _get_distance(view, worker)
     )
     prefill_s = (work + waiting) / speed
+    ratio = view.worker_records.get(worker.id).get_work_time_ratio(
+        now, prefill_s
+    )
     unshared = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
     return _Placement(
         prefill_worker=worker,
-        expected_s=overhead_s + prefill_s * view.load.get_slowdown(worker),
+        expected_s=overhead_s
+        + prefill_s * view.load.get_slowdown(worker) * ratio,
         uncached=uncached,
         work=work,
         recomputed_tokens=0 if is_first else max(0, uncached - unshared),
--- a/briarknot/serving/_worker_records.py
+++ b/briarknot/serving/_worker_records.py
@@ -1,5 +1,7 @@
 """Load and health of each worker, as this process observes them."""
 
+import math
+
 import attrs
 
 from briarknot.serving import _calls
@@ -23,6 +25,9 @@
 #: Older load reports are ignored: engines report some hundred milliseconds
 #: late, and a batch turns over within a second.
 _MAX_LOAD_AGE_S = 1.0
+#: Time after which the reported work time has lost most of its weight. Other
+#: work on a worker's host comes and goes within some hundred milliseconds.
+_RATIO_DECAY_S = 0.3
 
 
 @attrs.define(eq=False)
@@ -53,6 +58,24 @@
             return None
         return self._load
 
+    def get_work_time_ratio(self, now: float, work_s: float = 0) -> float:
+        """Returns the expected ratio of the time of work to the usual time.
+
+        The reported ratio changes many times a second, so that its weight
+        falls with its age and with the length of the work.
+
+        :param now: monotonic time in seconds.
+        :param work_s: usual time of the work, in seconds.
+        """
+        if self._load is None:
+            return 1
+        age = (now - self._load_reported_s) / _RATIO_DECAY_S
+        weight = math.exp(-age)
+        length = work_s / _RATIO_DECAY_S
+        if length:
+            weight *= -math.expm1(-length) / length
+        return 1 + weight * (self._load.work_time_ratio - 1)
+
     def is_blocked(self, now: float) -> bool:
         """Returns whether the worker must not get requests now.
 
