Change the stages of engines, and tell started processes what caches hold

Cause: the share of prefill workers was fixed. A restarted process knew no cache, and had shared parts prefilled again. Change: the leader of the store readers plans stages by the queues of the last 1.5 s and keeps decode workers for the most streams of the last 6 s. It gives orders only while a grant of the store is valid: the grant carries a fencing number, ends after 3 s, suspension included, and another process gets one 10 s later at the earliest. The other processes learn which engines change, and send them nothing meanwhile. Two processes of a domain send the known contents of the caches to one that starts. Fetched parts cost by volume and distance.

--- a/briarknot/authority/__init__.py
+++ b/briarknot/authority/__init__.py
@@ -1,6 +1,11 @@
 """Authority over engines: lease, process deadline, and orders."""
 
 from briarknot.authority._lease import Lease, make_lease
+from briarknot.authority._order_grants import (
+    NotGranted,
+    OrderGrant,
+    acquire_grant,
+)
 from briarknot.authority._orders import (
     Orders,
     RowConflict,
@@ -23,11 +28,14 @@
     'Accepted',
     'Lease',
     'NoAnswer',
+    'NotGranted',
+    'OrderGrant',
     'Orders',
     'ProcessTimer',
     'Refused',
     'RowConflict',
     'Transport',
+    'acquire_grant',
     'VersionedOrder',
     'fetch_engine_state',
     'make_lease',
--- /dev/null
+++ b/briarknot/authority/_order_grants.py
@@ -0,0 +1,102 @@
+"""Authority to give orders for a moment, granted by a row in the store.
+
+Orders to engines are rare, so that no lease is held between them. Each grant
+increases the fencing number. A process is granted the authority only if that of
+another one has ended long enough ago that orders of both can't alternate.
+"""
+
+import time
+
+import attrs
+
+from briarknot import platform, schema, sentinels, telemetry
+
+_TABLE = 'grants'
+#: Time for which orders may be sent after a grant.
+_VALID_S = 3.0
+#: Time from a grant to one of another process. It exceeds the time in which
+#: orders are sent by more than the platform's lease of three seconds.
+_OTHER_HOLDER_S = 10.0
+
+
+@attrs.frozen
+class NotGranted(sentinels.Sentinel):
+    """Sentinel for an authority that was not granted.
+
+    :param reason: why.
+    """
+
+    reason: str
+
+
+@attrs.frozen
+class OrderGrant:
+    """Authority to give orders.
+
+    :param holder: process that has it.
+    :param fence: fencing number.
+    """
+
+    holder: str
+    fence: int
+    _valid_until_s: float
+
+    @property
+    def is_valid(self) -> bool:
+        """Whether orders may still be sent.
+
+        Time during which the host was suspended counts.
+        """
+        return _read_clock() < self._valid_until_s
+
+
+async def acquire_grant(
+    client: platform.Client, name: str, holder: str
+) -> OrderGrant | NotGranted:
+    """Acquires the authority to give orders.
+
+    :param client: client of the store.
+    :param name: what the orders concern.
+    :param holder: this process.
+    """
+    started_s = _read_clock()
+    page = await client.read_row_page(_TABLE, name)
+    if isinstance(page, platform.Unavailable):
+        return NotGranted(page.reason)
+    row = page.rows[0] if page.rows else None
+    known = _decode_row(row)
+    if isinstance(known, NotGranted):
+        return known
+    age_s = page.store_s - known.granted_s
+    if known.holder not in {'', holder} and age_s < _OTHER_HOLDER_S:
+        return NotGranted(f'{known.holder} had it {age_s:.1f} s ago')
+    granted = schema.records.GrantRow(
+        holder=holder, fence=known.fence + 1, granted_s=page.store_s
+    )
+    result = await client.commit(
+        platform.Operation(
+            _TABLE,
+            name,
+            schema.to_plain(granted),
+            row.version if row else None,
+        )
+    )
+    if not isinstance(result, platform.Committed):
+        return NotGranted(f'the write was not confirmed: {result!r}')
+    telemetry.log_event('orders_granted', scope=name, fence=granted.fence)
+    return OrderGrant(holder, granted.fence, started_s + _VALID_S)
+
+
+def _decode_row(
+    row: platform.Row | None,
+) -> schema.records.GrantRow | NotGranted:
+    if row is None:
+        return schema.records.GrantRow()
+    try:
+        return schema.from_plain(schema.records.GrantRow, row.value)
+    except (AttributeError, TypeError, ValueError) as error:
+        return NotGranted(f'unreadable row: {error}')
+
+
+def _read_clock() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/briarknot/gateway/_gateway.py
+++ b/briarknot/gateway/_gateway.py
@@ -18,6 +18,7 @@
     _peers,
     _plain,
     _requests,
+    _stage_orders,
     _store_sync,
 )
 
@@ -42,6 +43,7 @@
     _settings_path: pathlib.Path
     _context: _context.Context
     _client: platform.Client
+    _orders: platform.EngineOrders
     _lines: telemetry.LogLineBuffer
     _listener: socket.socket | None = None
     _settings_text: str = ''
@@ -71,6 +73,9 @@
         store_sync = _store_sync.make_store_sync(
             self._context, self._client, peers
         )
+        stage_orders = _stage_orders.make_stage_orders(
+            self._context, self._client, self._orders, store_sync
+        )
         tasks = [
             loop.create_task(program.run_background_task(name, task))
             for name, task in (
@@ -79,6 +84,7 @@
                 ('hosts', host_list.sync),
                 ('peer_news', peers.receive),
                 ('own_news', peers.broadcast_work),
+                ('stages', stage_orders.run),
                 ('settings', self._watch_settings),
                 ('log', self._flush_lines),
             )
@@ -162,13 +168,17 @@
     lines: telemetry.LogLineBuffer,
     listener: socket.socket | None,
 ) -> None:
-    async with platform.make_store_session() as session:
+    async with (
+        platform.make_store_session() as session,
+        platform.make_order_session() as order_session,
+    ):
         client = platform.make_client(
             session, f'http://{settings.store_address}', _STORE_TIMEOUT_S
         )
         calls = platform.make_worker_calls()
         context = _context.make_context(settings, calls)
-        await Gateway(path, context, client, lines, listener).serve()
+        orders = platform.make_engine_orders(order_session)
+        await Gateway(path, context, client, orders, lines, listener).serve()
 
 
 def read_settings(path: pathlib.Path) -> schema.settings.GatewaySettings:
--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -22,6 +22,10 @@
 #: Processes of another domain that take turns in forwarding the messages of
 #: this one, so that the loss of one costs only every second message.
 _FORWARDERS_PER_DOMAIN = 2
+#: Processes that tell one that has just started what the engines' caches hold.
+_INFORMERS = 2
+#: Cached parts in a datagram; each takes about 50 bytes.
+_PARTS_PER_DATAGRAM = 300
 _DATAGRAM_BYTES = 65536
 _MS_PER_S = 1000
 _MESSAGES = prometheus_client.Counter(
@@ -39,6 +43,8 @@
     _socket: socket.socket
     _born_ms: int
     _is_announced: bool = True
+    _sequence: int = 0
+    _known_starts: dict[str, int] = attrs.field(factory=dict)
 
     async def receive(self) -> None:
         """Receives and applies the messages of other processes."""
@@ -49,12 +55,16 @@
             _MESSAGES.labels('received').inc()
             if isinstance(message, schema.messages.EngineWork):
                 self._record_host(message)
+                self._inform_started(message)
                 load = self._context.prompt_load
                 load.work.apply_peer_work(message, time.monotonic())
                 load.caches.record_parts(message.parts, time.monotonic())
                 if message.forward:
                     self._forward(message)
             elif isinstance(message, schema.messages.FleetUpdate):
+                self._context.fleet.set_changing(
+                    message.changing, time.monotonic()
+                )
                 self._context.fleet_update = message
                 self._context.fleet_update_received.set()
             else:
@@ -75,7 +85,6 @@
 
     async def broadcast_work(self) -> None:
         """Sends this process's work at engines to all others on a change."""
-        sequence = 0
         sent_work: tuple[schema.messages.WorkerWork, ...] = ()
         sent_s = float('-inf')
         while True:
@@ -91,9 +100,9 @@
             ):
                 continue
             self._is_announced = True
-            sequence += 1
+            self._sequence += 1
             sent_work, sent_s = work, time.monotonic()
-            self._send_work(self._make_message(work, parts, sequence))
+            self._send_work(self._make_message(work, parts))
 
     def _send_work(self, message: schema.messages.EngineWork) -> None:
         """Sends to the domain peers, and to one process of each other domain.
@@ -139,6 +148,43 @@
             peer = _context.PeerHost(address, message.domain)
             self._context.set_peer_hosts({**hosts, message.host: peer})
 
+    def _inform_started(self, message: schema.messages.EngineWork) -> None:
+        """Sends the contents of the engines' caches to a process that started.
+
+        Two processes of its domain do, so that the loss of one does no harm.
+        Without it the process would have shared parts prefilled again.
+        """
+        is_known = self._known_starts.get(message.host) == message.born_ms
+        self._known_starts[message.host] = message.born_ms
+        peer = self._context.peer_hosts.get(message.host)
+        if is_known or peer is None:
+            return
+        local = self._context.settings.host
+        domains = {
+            local: self._context.settings.domain,
+            **{
+                host: other.domain
+                for host, other in self._context.peer_hosts.items()
+            },
+        }
+        del domains[message.host]
+        near = [
+            host for host, domain in domains.items() if domain == peer.domain
+        ]
+        informers = serving.rank_names(message.host, near or domains)
+        if local not in informers[:_INFORMERS]:
+            return
+        parts = self._context.prompt_load.caches.list_parts(time.monotonic())
+        work = self._context.prompt_load.work.local
+        for start in range(0, len(parts), _PARTS_PER_DATAGRAM):
+            batch = parts[start : start + _PARTS_PER_DATAGRAM]
+            data = schema.encode(self._make_message(work, batch))
+            self._send_one(data, peer.address)
+        if parts:
+            telemetry.log_event(
+                'started_host_informed', peer=message.host, parts=len(parts)
+            )
+
     def _send_all(self, data: bytes) -> None:
         for peer in self._context.peer_hosts.values():
             self._send_one(data, peer.address)
@@ -156,12 +202,11 @@
         self,
         work: tuple[schema.messages.WorkerWork, ...],
         parts: tuple[schema.messages.CachedPart, ...],
-        sequence: int,
     ) -> schema.messages.EngineWork:
         settings = self._context.settings
         return schema.messages.EngineWork(
             host=settings.host,
-            sequence=sequence,
+            sequence=self._sequence,
             born_ms=self._born_ms,
             workers=work,
             parts=parts,
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -216,7 +216,7 @@
     now = time.monotonic()
     untried = tuple(
         one
-        for one in context.fleet.list_usable(request.service.name, stage)
+        for one in context.fleet.list_usable(request.service.name, stage, now)
         if one.id not in tried
     )
     unblocked = tuple(
--- a/briarknot/planning/__init__.py
+++ b/briarknot/planning/__init__.py
@@ -19,18 +19,32 @@
     RoleChange,
     Snapshot,
 )
+from briarknot.planning._stages import (
+    STAGE_PLANNERS,
+    NoStageChange,
+    StageChange,
+    StagedEngine,
+    StagePlanner,
+    StageSnapshot,
+)
 
 __all__ = (
     'PLANNERS',
+    'STAGE_PLANNERS',
     'Demand',
     'DemandTracker',
     'EngineState',
     'NoChange',
+    'NoStageChange',
     'Planner',
     'PlannerOptions',
     'PoolDemand',
     'RoleChange',
     'Snapshot',
+    'StageChange',
+    'StagePlanner',
+    'StageSnapshot',
+    'StagedEngine',
     'make_demand_tracker',
     'make_planner',
 )
--- /dev/null
+++ b/briarknot/planning/tests/test_stages.py
@@ -0,0 +1,121 @@
+"""Pattern: the mix of prompts and answers shifts between two stages.
+
+Long prompts queue at prefill workers while decode workers have room, or long
+answers fill the decode workers.
+"""
+
+import itertools
+
+import pytest
+
+from briarknot import planning, schema
+
+_Stage = schema.serving.Stage
+_PERIOD_S = 0.25
+
+
+def make_engines(prefills, decodes, *, queued_s=0, streams=0):
+    """Makes engines of two stages, in turn in three domains."""
+    stages = (
+        *itertools.repeat(_Stage.PREFILL, prefills),
+        *itertools.repeat(_Stage.DECODE, decodes),
+    )
+    return tuple(
+        planning.StagedEngine(
+            id=f'e{index:02}',
+            domain='abc'[index % 3],
+            stage=stage,
+            queued_s=queued_s if stage == _Stage.PREFILL else 0,
+            streams=streams if stage == _Stage.DECODE else 0,
+            stream_tokens=streams * 5000 if stage == _Stage.DECODE else 0,
+        )
+        for index, stage in enumerate(stages)
+    )
+
+
+def plan(planner, engines, *, start_s=0, seconds=3):
+    """Feeds a constant load; returns the first change with its time, or None."""
+    snapshot = planning.StageSnapshot(
+        engines=engines, slots=64, kv_tokens=600_000
+    )
+    for step in range(int(seconds / _PERIOD_S)):
+        now = start_s + step * _PERIOD_S
+        change = planner.plan(snapshot, now)
+        if change:
+            return now, change
+    return None
+
+
+def make_planner(name='queue_pressure'):
+    """Makes a planner without history."""
+    return planning.STAGE_PLANNERS.get(name)()
+
+
+def test_wave_of_long_prompts_turns_an_idle_decode_worker():
+    """Prompts waited 0.4 s beside decode workers with 7 streams each."""
+    engines = make_engines(3, 3, queued_s=0.4, streams=7)
+    time_s, change = plan(make_planner(), engines)
+    assert change.stage == _Stage.PREFILL
+    assert len(change.engines) == 1
+    assert time_s < 2
+
+
+def test_fixed_stages_change_nothing():
+    """Baseline of comparisons."""
+    engines = make_engines(3, 3, queued_s=5, streams=7)
+    assert plan(make_planner('static'), engines) is None
+
+
+def test_short_wave_changes_nothing():
+    """A change takes longer than the wave, and costs the engine's work."""
+    planner = make_planner()
+    busy = make_engines(3, 3, queued_s=0.4, streams=7)
+    idle = make_engines(3, 3, streams=7)
+    for start_s in range(0, 60, 6):
+        assert plan(planner, idle, start_s=start_s, seconds=5.5) is None
+        assert plan(planner, busy, start_s=start_s + 5.5, seconds=0.5) is None
+
+
+@pytest.mark.parametrize(
+    ('prefills', 'decodes', 'streams'), [(1, 2, 1), (3, 3, 50), (4, 2, 1)]
+)
+def test_needed_decode_workers_stay(prefills, decodes, streams):
+    """The loss of one of two decode workers stops half of all answers."""
+    engines = make_engines(prefills, decodes, queued_s=2, streams=streams)
+    assert plan(make_planner(), engines) is None
+
+
+def test_streams_of_the_last_seconds_count():
+    """Between two bursts of streams, decode workers seemed to be idle."""
+    planner = make_planner()
+    burst = make_engines(3, 3, queued_s=0.4, streams=50)
+    quiet = make_engines(3, 3, queued_s=0.4, streams=1)
+    assert plan(planner, burst) is None
+    assert plan(planner, quiet, start_s=3, seconds=2) is None
+
+
+def test_large_fleet_turns_several_engines_of_several_domains():
+    """One engine at a time took minutes to follow the mix."""
+    engines = make_engines(21, 38, queued_s=0.5, streams=5)
+    _, change = plan(make_planner(), engines)
+    domains = {one.domain for one in engines if one.id in change.engines}
+    assert len(change.engines) == 7
+    assert domains == set('abc')
+
+
+def test_full_decode_workers_get_a_spare_prefill_worker():
+    """Answers waited for slots while prefill workers were idle."""
+    engines = make_engines(4, 2, streams=60)
+    _, change = plan(make_planner(), engines)
+    assert change.stage == _Stage.DECODE
+    assert len(change.engines) == 1
+
+
+def test_next_change_waits_for_the_effect_of_the_last():
+    """Stages oscillated, as the queues follow a change only after seconds."""
+    planner = make_planner()
+    engines = make_engines(3, 5, queued_s=0.4, streams=3)
+    time_s, _ = plan(planner, engines)
+    planner.record_change(time_s)
+    assert plan(planner, engines, start_s=time_s, seconds=4) is None
+    assert plan(planner, engines, start_s=time_s + 4, seconds=4)
--- a/briarknot/platform/__init__.py
+++ b/briarknot/platform/__init__.py
@@ -13,6 +13,14 @@
     decode_manifest,
     decode_worker,
 )
+from briarknot.platform._engine_orders import (
+    EngineOrders,
+    OrderOutcome,
+    StageOrder,
+    Unreported,
+    make_engine_orders,
+    make_order_session,
+)
 from briarknot.platform._ingress import Ingress, Responder, make_ingress
 from briarknot.platform._sessions import make_store_session
 from briarknot.platform._values import (
@@ -40,6 +48,7 @@
     'Client',
     'Committed',
     'Conflict',
+    'EngineOrders',
     'Exchange',
     'HistoryLost',
     'Host',
@@ -47,16 +56,21 @@
     'Malformed',
     'Missing',
     'Operation',
+    'OrderOutcome',
     'Page',
     'Responder',
     'Row',
+    'StageOrder',
     'Unavailable',
+    'Unreported',
     'WorkerCalls',
     'decode_manifest',
     'decode_worker',
     'make_client',
+    'make_engine_orders',
     'make_ingress',
     'make_operation',
+    'make_order_session',
     'make_store_session',
     'make_worker_calls',
 )
--- a/briarknot/platform/_client.py
+++ b/briarknot/platform/_client.py
@@ -21,6 +21,7 @@
     'Duration of calls to the platform.',
     ('operation',),
 )
+_MS_PER_S = 1000
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
@@ -66,11 +67,22 @@
         :param table: table.
         :param key: key.
         """
-        page = await self._read_page(table, key, f'{key}{_NEXT_KEY}')
+        page = await self.read_row_page(table, key)
         if isinstance(page, _values.Unavailable):
             return page
         return page.rows[0] if page.rows else _values.Missing()
 
+    async def read_row_page(
+        self, table: str, key: str
+    ) -> _values.Page | _values.Unavailable:
+        """Reads a row together with the store's clock.
+
+        :param table: table.
+        :param key: key.
+        :returns: a page with at most one row.
+        """
+        return await self._read_page(table, key, f'{key}{_NEXT_KEY}')
+
     async def scan_rows(
         self, table: str, prefix: str = ''
     ) -> tuple[_values.Row, ...] | _values.Unavailable:
@@ -298,6 +310,7 @@
         tuple(_decode_row(row) for row in tree['rows']),
         tree['ver'],
         more=tree.get('morePages', False),
+        store_s=tree.get('nowMs', 0) / _MS_PER_S,
     )
 
 
--- a/briarknot/platform/_sessions.py
+++ b/briarknot/platform/_sessions.py
@@ -142,10 +142,16 @@
     return b''.join(parts)
 
 
-def make_store_session() -> aiohttp.ClientSession:
-    """Makes a session for calls to the store; a running loop is needed."""
+def make_store_session(timeout_s: float = 0) -> aiohttp.ClientSession:
+    """Makes a session for calls to the store; a running loop is needed.
+
+    :param timeout_s: time limit of a call without one of its own, in seconds; 0
+        for none.
+    """
     return aiohttp.ClientSession(
-        connector=_LimitedConnector(), response_class=Response
+        connector=_LimitedConnector(),
+        response_class=Response,
+        timeout=aiohttp.ClientTimeout(total=timeout_s or None),
     )
 
 
--- a/briarknot/platform/_values.py
+++ b/briarknot/platform/_values.py
@@ -30,11 +30,13 @@
     :param rows: rows as they were read, or as they changed.
     :param version: version of the store after which a feed continues.
     :param more: whether there are further rows.
+    :param store_s: time of the store's steady clock, in seconds.
     """
 
     rows: tuple[Row, ...]
     version: int
     more: bool = False
+    store_s: float = 0
 
 
 @attrs.frozen
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -417,6 +417,10 @@
     gone: tuple[str, ...] = _fields.make_field(
         doc='Ids of workers that were removed in the last seconds.', default=()
     )
+    changing: tuple[str, ...] = _fields.make_field(
+        doc='Ids of engines that change their stage and accept no requests.',
+        default=(),
+    )
 
 
 #: One frame of a peer link.
--- a/briarknot/schema/_generated/records.py
+++ b/briarknot/schema/_generated/records.py
@@ -158,6 +158,28 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class GrantRow:
+    """The latest authority to give orders to the engines of a service."""
+
+    __schema__ = 'records'
+
+    holder: str = _fields.make_field(
+        doc='Host of the process that was granted it.', default=''
+    )
+    fence: int = _fields.make_field(
+        doc='Fencing number; increases with each grant.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    granted_s: float = _fields.make_field(
+        doc="Time of the grant by the store's steady clock.",
+        unit='s',
+        default=0.0,
+    )
+
+
 @attrs.frozen(kw_only=True)
 class OrderRow:
     """The latest order to an engine."""
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -152,4 +152,5 @@
   listVersion @3 :UInt64 $A.doc("Store version of the list of workers.");
   changed @4 :List(S.Worker) $A.doc("Workers that were added or changed in the last seconds.");
   gone @5 :List(Text) $A.doc("Ids of workers that were removed in the last seconds.");
+  changing @6 :List(Text) $A.doc("Ids of engines that change their stage and accept no requests.");
 }
--- a/briarknot/schema/definitions/records.capnp
+++ b/briarknot/schema/definitions/records.capnp
@@ -58,6 +58,12 @@
   renewal @3 :UInt64 $A.doc("Number of the write, unique for the holder.");
 }
 
+struct GrantRow $A.doc("The latest authority to give orders to the engines of a service.") {
+  holder @0 :Text $A.doc("Host of the process that was granted it.");
+  fence @1 :UInt64 $A.doc("Fencing number; increases with each grant.");
+  grantedS @2 :Float64 $A.unit("s") $A.doc("Time of the grant by the store's steady clock.");
+}
+
 struct OrderRow $A.doc("The latest order to an engine.") {
   order @0 :E.Order $A.doc("The order.");
   phase @1 :OrderPhase $A.doc("Progress.");
--- a/briarknot/serving/_engine_caches.py
+++ b/briarknot/serving/_engine_caches.py
@@ -140,6 +140,22 @@
         self._unsent.clear()
         return unsent
 
+    def list_parts(self, now: float) -> tuple[CachedPart, ...]:
+        """Lists all parts, least recently used first, for another process.
+
+        :param now: monotonic time in seconds.
+        """
+        return tuple(
+            CachedPart(
+                worker=worker_id,
+                part=part_id,
+                tokens=part.tokens,
+                ready_in_ms=max(0, int((part.ready_s - now) * _MS_PER_S)),
+            )
+            for worker_id, cache in self._caches.items()
+            for part_id, part in cache.parts.items()
+        )
+
     def count_cached(
         self,
         worker_id: str,
--- a/briarknot/serving/_engine_choice.py
+++ b/briarknot/serving/_engine_choice.py
@@ -124,7 +124,6 @@
     view: DecodeView, worker: schema.serving.Worker, now: float
 ) -> float:
     record = view.worker_records.get(worker.id)
-    load = record.get_load(now)
     work = view.load.work.get_total(worker.id, now)
     busy = max(record.in_flight, work.streams)
     wait_s = view.load.get_queued_s(worker, now)
--- a/briarknot/serving/_fleet.py
+++ b/briarknot/serving/_fleet.py
@@ -1,6 +1,8 @@
 """Manifest in force and known workers of a process."""
 
+import math
 import random
+import typing
 
 import attrs
 import xxhash
@@ -10,6 +12,9 @@
 #: Live workers that are missing from the list after an outage of the store
 #: register again within this time: the platform guarantees about two seconds.
 _REREGISTRATION_S = 2.2
+#: Time for which an engine is left out after the last word that it changes its
+#: stage. The leader repeats it about every 0.8 s.
+_CHANGE_MEMORY_S = 2.0
 
 
 @attrs.define(eq=False)
@@ -22,6 +27,7 @@
     _missing_since_s: dict[str, float] = attrs.field(factory=dict)
     _routes: dict[str, list[schema.serving.Route]] = attrs.field(factory=dict)
     _services: dict[str, schema.serving.Service] = attrs.field(factory=dict)
+    _changing_until_s: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def manifest(self) -> schema.serving.Manifest | None:
@@ -135,6 +141,20 @@
             self._missing_since_s.pop(worker_id, None)
         return known
 
+    def set_changing(
+        self, worker_ids: typing.Iterable[str], now: float
+    ) -> None:
+        """Records that engines change their stage and accept no requests.
+
+        It is forgotten unless it is repeated, so that the engines are used
+        again if the process that knows of the change is lost.
+
+        :param worker_ids: ids of the engines.
+        :param now: monotonic time in seconds.
+        """
+        for worker_id in worker_ids:
+            self._changing_until_s[worker_id] = now + _CHANGE_MEMORY_S
+
     def find_route(self, host: str, path: str) -> schema.serving.Route | None:
         """Finds the route of a request.
 
@@ -154,11 +174,14 @@
         self,
         service: str,
         stage: schema.serving.Stage = schema.serving.Stage.NONE,
+        now: float = math.inf,
     ) -> tuple[schema.serving.Worker, ...]:
         """Lists the workers that accept new requests.
 
         :param service: name of the service.
         :param stage: stage of the workers.
+        :param now: monotonic time in seconds; engines that change their stage
+            at this time are left out.
         """
         return tuple(
             worker
@@ -166,6 +189,7 @@
             if worker.service == service
             and worker.stage == stage
             and not worker.draining
+            and self._changing_until_s.get(worker.id, 0) <= now
         )
 
     def _is_kept(
--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -316,6 +316,13 @@
     )
     if distance == _topology.Distance.OTHER_REGION:
         cost_s += _OTHER_REGION_COST_S
+    holder = placement.cache_holder
+    if holder is not None:
+        cost_s += _transfers.compute_cost_s(
+            placement.fetched_tokens,
+            view.limits,
+            view.topology.compute_distance(holder.domain, worker.domain),
+        )
     first_token_s = placement.expected_s
     if placement.is_colocated:
         speed = _prefill_time.get_prefill_speed(worker.stage)
--- a/briarknot/serving/_plain_choice.py
+++ b/briarknot/serving/_plain_choice.py
@@ -90,6 +90,8 @@
     )
     return (
         _NETWORK_COST_S[distance]
-        + answer_s * record.get_work_time_ratio(now, answer_s) * (1 + busy / slots)
+        + answer_s
+        * record.get_work_time_ratio(now, answer_s)
+        * (1 + busy / slots)
         + record.failure_rate * _FAILURE_COST_S
     )
