Add up the work of large fleets by relays

Cause: each process sent its work to all others, in a period that grew with the fleet. Change: in fleets of more than 23 processes each one reports to two relays of its domain every 0.15 s. Relays send the sum of the fleet to their domain and exchange sums of domains; a process subtracts its own earlier report and counts its present work. Any process that gets reports is a relay, and one that sends no sums is passed over, so that no election is needed. A process that was suspended forgets what it knew. Parts are reported once in 5 s and from 256 tokens on. In large fleets the list of hosts is read again 2 s to 4 s after a start, because announcements of many processes at once are lost.

--- a/briarknot/gateway/_gateway.py
+++ b/briarknot/gateway/_gateway.py
@@ -84,6 +84,7 @@
                 ('hosts', host_list.sync),
                 ('peer_news', peers.receive),
                 ('own_news', peers.broadcast_work),
+                ('relay', peers.relay_work),
                 ('stages', stage_orders.run),
                 ('settings', self._watch_settings),
                 ('log', self._flush_lines),
--- a/briarknot/gateway/_hosts.py
+++ b/briarknot/gateway/_hosts.py
@@ -12,6 +12,11 @@
 #: A starting process announces itself to all, so the period only bounds how
 #: long a stopped one is counted. Calls to the store are billed.
 _MIN_PERIOD_S = 30.0
+#: Largest number of other processes whose announcements at a common start all
+#: arrive.
+_MAX_SMALL_FLEET = 22
+#: Shortest and longest time from the first read of the list to the second one.
+_SECOND_READ_S = (2.0, 4.0)
 #: Pause after a failed call to the store.
 _RETRY_S = 2.0
 #: Limit of the registrations per second of all processes. Larger fleets register
@@ -62,9 +67,23 @@
                 # its version is known now.
                 await self._register()
             self._peers.announce()
+            is_large = len(self._context.peer_hosts) > _MAX_SMALL_FLEET
+            if self._period == 1 and is_large:
+                await self._read_after_start()
             hosts = len(self._context.peer_hosts)
             await asyncio.sleep(max(_MIN_PERIOD_S, hosts / _MAX_HOSTS_PER_S))
 
+    async def _read_after_start(self) -> None:
+        """Reads the list again once processes that started together are in it.
+
+        Announcements are lost when hundreds of processes send them at once.
+        """
+        delay_s = self._context.random_source.uniform(*_SECOND_READ_S)
+        await asyncio.sleep(delay_s)
+        page = await self._client.read_table(_TABLE)
+        if not isinstance(page, platform.Unavailable):
+            self._apply_rows(page.rows)
+
     async def _register(self) -> bool:
         settings = self._context.settings
         known = self._last_changes.get(settings.host)
--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -3,19 +3,30 @@
 import asyncio
 import socket
 import time
+import typing
 
 import attrs
 import prometheus_client
 
-from briarknot import schema, serving, telemetry
-from briarknot.gateway import _context
+from briarknot import registry, schema, serving, telemetry
+from briarknot.gateway import _context, _work_relays
 
-#: Shortest period of messages. The prefill of a prompt takes a few hundred
-#: milliseconds, so a later message would arrive after its end.
-_MIN_PERIOD_S = 0.15
-#: Limit of the messages that a process receives per second. With more processes
-#: the period grows, because decoding one message takes 0.1 ms.
-_MAX_RECEIVED_PER_S = 150.0
+#: Period of reports. The prefill of a prompt takes a few hundred milliseconds,
+#: so a later message would arrive after its end.
+_PERIOD_S = 0.15
+#: Largest number of processes that report to all others. In a larger fleet
+#: relays add up the work, since decoding a message takes 0.1 ms.
+_MAX_DIRECT_HOSTS = 22
+#: Messages that a relay sends per second to its domain.
+_MAX_SENT_PER_S = 200.0
+#: Period of sums for the relays of other domains; traffic between domains is
+#: billed by volume.
+_DOMAIN_PERIOD_S = 0.3
+#: Time after the last report, or sum of another domain, at which a relay stops.
+_MAX_RELAY_IDLE_S = 2.0
+#: A longer pause of the relay task means that the process was suspended, and
+#: what it knows of others is outdated.
+_MAX_SUSPENSION_S = 1.0
 #: Longest time between messages while the work does not change; peers drop
 #: work that has not been reported for 1.5 s.
 _MAX_SILENCE_S = 0.6
@@ -34,6 +45,11 @@
     ('direction',),
 )
 
+#: Apply received messages, by the name of their class.
+HANDLERS: registry.Registry[typing.Callable[..., None]] = registry.Registry(
+    'peer_message'
+)
+
 
 @attrs.define(eq=False)
 class Peers:
@@ -42,9 +58,18 @@
     _context: _context.Context
     _socket: socket.socket
     _born_ms: int
+    _relays: _work_relays.WorkRelays
+    _sums: serving.WorkSums
     _is_announced: bool = True
     _sequence: int = 0
     _known_starts: dict[str, int] = attrs.field(factory=dict)
+    _reported_s: float = float('-inf')
+    _domain_work_s: float = float('-inf')
+
+    @property
+    def _is_direct(self) -> bool:
+        """Whether the fleet is so small that processes need no relays."""
+        return len(self._context.peer_hosts) <= _MAX_DIRECT_HOSTS
 
     async def receive(self) -> None:
         """Receives and applies the messages of other processes."""
@@ -53,45 +78,36 @@
             data = await loop.sock_recv(self._socket, _DATAGRAM_BYTES)
             message = schema.decode(data)
             _MESSAGES.labels('received').inc()
-            if isinstance(message, schema.messages.EngineWork):
-                self._record_host(message)
-                self._inform_started(message)
-                load = self._context.prompt_load
-                load.work.apply_peer_work(message, time.monotonic())
-                load.caches.record_parts(message.parts, time.monotonic())
-                if message.forward:
-                    self._forward(message)
-            elif isinstance(message, schema.messages.FleetUpdate):
-                self._context.fleet.set_changing(
-                    message.changing, time.monotonic()
-                )
-                self._context.fleet_update = message
-                self._context.fleet_update_received.set()
-            else:
+            handler = HANDLERS.get(type(message).__name__)
+            if isinstance(handler, registry.UnknownName):
                 telemetry.log_event(
                     'peer_message_malformed', message=repr(message)
                 )
+                continue
+            handler(self, message, time.monotonic())
 
     def send_fleet_update(self, update: schema.messages.FleetUpdate) -> None:
         """Sends the result of a store read to all other processes.
 
         :param update: manifest version and workers as they were read.
         """
-        self._send_all(schema.encode(update))
+        data = schema.encode(update)
+        for peer in self._context.peer_hosts.values():
+            self._send_one(data, peer.address)
 
     def announce(self) -> None:
         """Makes the next message due even if there is no work to report."""
         self._is_announced = False
 
     async def broadcast_work(self) -> None:
-        """Sends this process's work at engines to all others on a change."""
+        """Sends this process's work at engines to the others on a change."""
         sent_work: tuple[schema.messages.WorkerWork, ...] = ()
         sent_s = float('-inf')
         while True:
-            hosts = len(self._context.peer_hosts)
-            await asyncio.sleep(max(_MIN_PERIOD_S, hosts / _MAX_RECEIVED_PER_S))
-            work = self._context.prompt_load.work.local
-            parts = self._context.prompt_load.caches.take_unsent_parts()
+            await asyncio.sleep(_PERIOD_S)
+            load = self._context.prompt_load
+            work = load.work.local
+            parts = load.caches.take_unsent_parts()
             is_repeat_due = work and time.monotonic() - sent_s > _MAX_SILENCE_S
             if (
                 work == sent_work
@@ -99,12 +115,141 @@
                 and self._is_announced
             ):
                 continue
-            self._is_announced = True
-            self._sequence += 1
             sent_work, sent_s = work, time.monotonic()
-            self._send_work(self._make_message(work, parts))
+            message = self._make_report(parts)
+            if self._is_direct or not self._is_announced:
+                self._send_to_all(message)
+            if not self._is_direct:
+                self._report(message, sent_s)
+            self._is_announced = True
+
+    async def relay_work(self) -> None:
+        """Sends sums of the work while processes report to this one.
+
+        The sums of other domains alone are sent on within the domain only;
+        otherwise the relays of idle domains would keep each other active.
+        """
+        domain_sent_s = float('-inf')
+        woke_s = _read_clock()
+        while True:
+            near = self._list_domain_peers()
+            await asyncio.sleep(max(_PERIOD_S / 2, len(near) / _MAX_SENT_PER_S))
+            suspended_s, woke_s = woke_s, _read_clock()
+            if woke_s - suspended_s > _MAX_SUSPENSION_S:
+                self._forget_peers(woke_s - suspended_s)
+            now = time.monotonic()
+            has_reports = now - self._reported_s < _MAX_RELAY_IDLE_S
+            if has_reports or now - self._domain_work_s < _MAX_RELAY_IDLE_S:
+                self._send_fleet_work(near, now)
+            if has_reports and now - domain_sent_s >= _DOMAIN_PERIOD_S:
+                domain_sent_s = now
+                self._send_domain_work(now)
+
+    @HANDLERS.register('EngineWork')
+    def apply_work(
+        self, message: schema.messages.EngineWork, now: float
+    ) -> None:
+        """Applies a report, an announcement, or the contents of caches.
+
+        :param message: the message.
+        :param now: monotonic time in seconds.
+        """
+        self._record_host(message)
+        self._inform_started(message)
+        load = self._context.prompt_load
+        load.caches.record_parts(message.parts, now)
+        if message.domain == self._context.settings.domain:
+            self._sums.apply_report(message, now)
+            if message.to_relay:
+                self._reported_s = now
+        else:
+            load.work.apply_peer_work(message, now)
+        if message.forward:
+            data = schema.encode(attrs.evolve(message, forward=False))
+            for peer in self._list_domain_peers():
+                self._send_one(data, peer.address)
+
+    @HANDLERS.register('DomainWork')
+    def apply_domain_work(
+        self, message: schema.messages.DomainWork, now: float
+    ) -> None:
+        """Applies the sum of another domain.
+
+        :param message: the sum.
+        :param now: monotonic time in seconds.
+        """
+        self._domain_work_s = now
+        self._relays.record_domain_work(message.relay, message.domain, now)
+        self._sums.apply_domain_work(message, now)
+        self._context.prompt_load.caches.record_parts(message.parts, now)
+
+    @HANDLERS.register('FleetWork')
+    def apply_fleet_work(
+        self, message: schema.messages.FleetWork, now: float
+    ) -> None:
+        """Applies the sum of the fleet.
 
-    def _send_work(self, message: schema.messages.EngineWork) -> None:
+        :param message: the sum.
+        :param now: monotonic time in seconds.
+        """
+        self._relays.record_sum(message.relay)
+        load = self._context.prompt_load
+        load.work.apply_fleet_work(message, self._context.settings.host, now)
+        load.caches.record_parts(message.parts, now)
+
+    @HANDLERS.register('FleetUpdate')
+    def apply_fleet_update(
+        self, message: schema.messages.FleetUpdate, now: float
+    ) -> None:
+        """Applies what another process has read from the store.
+
+        :param message: the update.
+        :param now: monotonic time in seconds.
+        """
+        self._context.fleet.set_changing(message.changing, now)
+        self._context.fleet_update = message
+        self._context.fleet_update_received.set()
+
+    def _report(self, message: schema.messages.EngineWork, now: float) -> None:
+        """Reports the work to the relays of the domain."""
+        data = schema.encode(attrs.evolve(message, to_relay=True))
+        for relay in self._relays.choose(now):
+            if relay == self._context.settings.host:
+                self._sums.add_parts(message.parts)
+                self._reported_s = now
+            else:
+                self._send_one(data, self._context.peer_hosts[relay].address)
+                self._relays.record_report(relay, now)
+
+    def _send_fleet_work(
+        self, near: list[_context.PeerHost], now: float
+    ) -> None:
+        self._sequence += 1
+        work = self._context.prompt_load.work
+        work.record_report(self._sequence)
+        message = self._sums.make_fleet_work(self._sequence, now)
+        work.apply_fleet_work(message, self._context.settings.host, now)
+        data = schema.encode(message)
+        for peer in near:
+            self._send_one(data, peer.address)
+
+    def _send_domain_work(self, now: float) -> None:
+        message = self._sums.make_domain_work(now)
+        data = schema.encode(message)
+        for domain, hosts in self._list_other_domains().items():
+            relay = self._relays.choose_for_domain(
+                domain, hosts, message.sequence, now
+            )
+            peer = self._context.peer_hosts.get(relay)
+            if peer is not None:
+                self._send_one(data, peer.address)
+
+    def _forget_peers(self, seconds: float) -> None:
+        telemetry.log_event('peer_work_outdated', suspended_s=round(seconds, 2))
+        self._context.prompt_load.work.forget_peers()
+        self._sums.clear()
+
+    def _send_to_all(self, message: schema.messages.EngineWork) -> None:
         """Sends to the domain peers, and to one process of each other domain.
 
         Traffic between domains is billed by volume; the receiving process
@@ -115,29 +260,24 @@
             self._send_one(data, peer.address)
         data = schema.encode(attrs.evolve(message, forward=True))
         index = message.sequence % _FORWARDERS_PER_DOMAIN
-        for hosts in self._list_other_domains():
+        for hosts in self._list_other_domains().values():
             ranked = serving.rank_names(message.host, hosts)
             forwarder = ranked[min(index, len(ranked) - 1)]
             self._send_one(data, self._context.peer_hosts[forwarder].address)
 
-    def _forward(self, message: schema.messages.EngineWork) -> None:
-        data = schema.encode(attrs.evolve(message, forward=False))
-        for peer in self._list_domain_peers():
-            self._send_one(data, peer.address)
-
     def _list_domain_peers(self) -> list[_context.PeerHost]:
         """Lists the other processes of the local failure domain."""
         domain = self._context.settings.domain
         hosts = self._context.peer_hosts.values()
         return [peer for peer in hosts if peer.domain == domain]
 
-    def _list_other_domains(self) -> list[list[str]]:
+    def _list_other_domains(self) -> dict[str, list[str]]:
         """Lists the hosts of each other failure domain."""
         domains: dict[str, list[str]] = {}
         for host, peer in self._context.peer_hosts.items():
             domains.setdefault(peer.domain, []).append(host)
         domains.pop(self._context.settings.domain, None)
-        return list(domains.values())
+        return domains
 
     def _record_host(self, message: schema.messages.EngineWork) -> None:
         """Adds a process that started after the list of hosts was read."""
@@ -175,20 +315,15 @@
         if local not in informers[:_INFORMERS]:
             return
         parts = self._context.prompt_load.caches.list_parts(time.monotonic())
-        work = self._context.prompt_load.work.local
         for start in range(0, len(parts), _PARTS_PER_DATAGRAM):
             batch = parts[start : start + _PARTS_PER_DATAGRAM]
-            data = schema.encode(self._make_message(work, batch))
+            data = schema.encode(self._make_report(batch))
             self._send_one(data, peer.address)
         if parts:
             telemetry.log_event(
                 'started_host_informed', peer=message.host, parts=len(parts)
             )
 
-    def _send_all(self, data: bytes) -> None:
-        for peer in self._context.peer_hosts.values():
-            self._send_one(data, peer.address)
-
     def _send_one(self, data: bytes, address: tuple[str, int]) -> None:
         try:
             self._socket.sendto(data, address)
@@ -198,17 +333,18 @@
         else:
             _MESSAGES.labels('sent').inc()
 
-    def _make_message(
-        self,
-        work: tuple[schema.messages.WorkerWork, ...],
-        parts: tuple[schema.messages.CachedPart, ...],
+    def _make_report(
+        self, parts: tuple[schema.messages.CachedPart, ...]
     ) -> schema.messages.EngineWork:
         settings = self._context.settings
+        self._sequence += 1
         return schema.messages.EngineWork(
             host=settings.host,
             sequence=self._sequence,
             born_ms=self._born_ms,
-            workers=work,
+            workers=self._context.prompt_load.work.record_report(
+                self._sequence
+            ),
             parts=parts,
             domain=settings.domain,
             address=settings.address,
@@ -216,6 +352,11 @@
         )
 
 
+def _read_clock() -> float:
+    """Reads a clock that includes the time of suspension of the host."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def make_peers(context: _context.Context) -> Peers:
     """Opens the socket for the messages of peers.
 
@@ -225,4 +366,13 @@
     opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     opened.setblocking(False)
     opened.bind((settings.address, settings.peer_port))
-    return Peers(context, opened, int(time.time() * _MS_PER_S))
+    born_ms = int(time.time() * _MS_PER_S)
+    return Peers(
+        context,
+        opened,
+        born_ms,
+        _work_relays.make_work_relays(context),
+        serving.make_work_sums(
+            settings.host, settings.domain, born_ms, context.prompt_load.work
+        ),
+    )
--- a/briarknot/gateway/tests/test_stage_orders.py
+++ b/briarknot/gateway/tests/test_stage_orders.py
@@ -136,7 +136,7 @@
         load_prefill(contexts)
         await stores.wait_until(lambda: any(one.orders for one in engines), 10)
         await asyncio.sleep(1)
-    orders = sum((one.orders for one in engines), [])
+        orders = sum((one.orders for one in engines), [])
     assert len(orders) == 1
     assert orders[0]['op'] == 'stage'
     assert orders[0]['stage'] == 'prefill'
@@ -175,7 +175,7 @@
         await engines[0].store.set_faults(down=True)
         load_prefill(contexts)
         await asyncio.sleep(4)
-    assert not any(one.orders for one in engines)
+        assert not any(one.orders for one in engines)
 
 
 async def test_unreadable_report_prevents_the_order(monkeypatch):
@@ -185,7 +185,7 @@
             one.accepted = 'many'
         load_prefill(contexts)
         await asyncio.sleep(3)
-    assert not any(one.orders for one in engines)
+        assert not any(one.orders for one in engines)
 
 
 async def test_started_process_learns_the_contents_of_caches():
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -383,6 +383,100 @@
         minimum=0,
         default=0,
     )
+    to_relay: bool = _fields.make_field(
+        doc='Whether the receiver adds up the work of its failure domain.',
+        default=False,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class DomainWork:
+    """Sum of the work of the gateway processes of a failure domain, sent between relays."""
+
+    __schema__ = 'messages'
+
+    domain: str = _fields.make_field(doc='The failure domain.', default='')
+    relay: str = _fields.make_field(
+        doc='Host of the process that added it up.', default=''
+    )
+    born_ms: int = _fields.make_field(
+        doc='Start of that process; sequence numbers restart with it.',
+        maximum=18446744073709551615,
+        minimum=0,
+        unit='ms',
+        default=0,
+    )
+    sequence: int = _fields.make_field(
+        doc='Increases with each message of a process; a lower one is outdated.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    workers: tuple[WorkerWork, ...] = _fields.make_field(
+        doc='Engines with work.', default=()
+    )
+    parts: tuple[CachedPart, ...] = _fields.make_field(
+        doc="Shared parts that the domain's processes reported since the previous message.",
+        default=(),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class IncludedReport:
+    """A report that is part of a sum."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(
+        doc='Host of the process that reported.', default=''
+    )
+    sequence: int = _fields.make_field(
+        doc='Sequence number of its report.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class FleetWork:
+    """Sum of the work of all gateway processes, sent by a relay to its failure domain."""
+
+    __schema__ = 'messages'
+
+    relay: str = _fields.make_field(
+        doc='Host of the process that added it up.', default=''
+    )
+    born_ms: int = _fields.make_field(
+        doc='Start of that process; sequence numbers restart with it.',
+        maximum=18446744073709551615,
+        minimum=0,
+        unit='ms',
+        default=0,
+    )
+    sequence: int = _fields.make_field(
+        doc='Increases with each message of a process; a lower one is outdated.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    workers: tuple[WorkerWork, ...] = _fields.make_field(
+        doc='Engines with work.', default=()
+    )
+    parts: tuple[CachedPart, ...] = _fields.make_field(
+        doc='Shared parts that were reported since the previous message.',
+        default=(),
+    )
+    included: tuple[IncludedReport, ...] = _fields.make_field(
+        doc="Reports of the domain's processes that are part of the sum.",
+        default=(),
+    )
+    domains: int = _fields.make_field(
+        doc='Number of other failure domains whose work is part of the sum.',
+        maximum=65535,
+        minimum=0,
+        default=0,
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -441,6 +535,8 @@
     | EngineCache
     | EngineWork
     | FleetUpdate
+    | DomainWork
+    | FleetWork
 )
 
 #: Names of the members of PeerMessage in the schema.
@@ -461,4 +557,6 @@
     EngineCache: 'engineCache',
     EngineWork: 'engineWork',
     FleetUpdate: 'fleetNews',
+    DomainWork: 'domainWork',
+    FleetWork: 'fleetWork',
 }
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -22,6 +22,8 @@
     engineCache @13 :EngineCache;
     engineWork @14 :EngineWork;
     fleetNews @15 :FleetUpdate;
+    domainWork @16 :DomainWork;
+    fleetWork @17 :FleetWork;
   }
 }
 
@@ -143,6 +145,31 @@
   forward @6 :Bool $A.doc("Whether the receiver forwards the message to its domain peers.");
   address @7 :Text $A.doc("IP number of the process.");
   port @8 :UInt16 $A.doc("Port on which the process receives messages.");
+  toRelay @9 :Bool $A.doc("Whether the receiver adds up the work of its failure domain.");
+}
+
+struct DomainWork $A.doc("Sum of the work of the gateway processes of a failure domain, sent between relays.") {
+  domain @0 :Text $A.doc("The failure domain.");
+  relay @1 :Text $A.doc("Host of the process that added it up.");
+  bornMs @2 :UInt64 $A.unit("ms") $A.doc("Start of that process; sequence numbers restart with it.");
+  sequence @3 :UInt64 $A.doc("Increases with each message of a process; a lower one is outdated.");
+  workers @4 :List(WorkerWork) $A.doc("Engines with work.");
+  parts @5 :List(CachedPart) $A.doc("Shared parts that the domain's processes reported since the previous message.");
+}
+
+struct IncludedReport $A.doc("A report that is part of a sum.") {
+  host @0 :Text $A.doc("Host of the process that reported.");
+  sequence @1 :UInt64 $A.doc("Sequence number of its report.");
+}
+
+struct FleetWork $A.doc("Sum of the work of all gateway processes, sent by a relay to its failure domain.") {
+  relay @0 :Text $A.doc("Host of the process that added it up.");
+  bornMs @1 :UInt64 $A.unit("ms") $A.doc("Start of that process; sequence numbers restart with it.");
+  sequence @2 :UInt64 $A.doc("Increases with each message of a process; a lower one is outdated.");
+  workers @3 :List(WorkerWork) $A.doc("Engines with work.");
+  parts @4 :List(CachedPart) $A.doc("Shared parts that were reported since the previous message.");
+  included @5 :List(IncludedReport) $A.doc("Reports of the domain's processes that are part of the sum.");
+  domains @6 :UInt16 $A.doc("Number of other failure domains whose work is part of the sum.");
 }
 
 struct FleetUpdate $A.doc("State of the fleet that a gateway process has just read from the store.") {
--- a/briarknot/serving/__init__.py
+++ b/briarknot/serving/__init__.py
@@ -36,6 +36,7 @@
 )
 from briarknot.serving._retry_budget import RetryBudget, make_retry_budget
 from briarknot.serving._topology import Distance, Topology
+from briarknot.serving._work_sums import WorkSums, make_work_sums
 from briarknot.serving._worker_records import (
     WorkerRecord,
     WorkerRecords,
@@ -66,12 +67,14 @@
     'PromptLoad',
     'RetryBudget',
     'Topology',
+    'WorkSums',
     'WorkerRecord',
     'WorkerRecords',
     'choose_destination',
     'make_fleet',
     'make_prompt_load',
     'make_retry_budget',
+    'make_work_sums',
     'make_worker_records',
     'rank_names',
     'rank_workers',
--- a/briarknot/serving/_engine_caches.py
+++ b/briarknot/serving/_engine_caches.py
@@ -13,6 +13,11 @@
 #: unshared parts and running streams.
 _SHARED_PARTS_SHARE = 0.7
 _MS_PER_S = 1000
+#: Shorter parts are not reported to other processes: their prefill takes a few
+#: milliseconds.
+_MIN_REPORTED_TOKENS = 256
+#: Period of repeated reports of a part that an engine holds.
+_REPORT_PERIOD_S = 5.0
 
 CachedPart = schema.messages.CachedPart
 
@@ -68,6 +73,7 @@
     _caches: dict[str, _Cache] = attrs.field(factory=dict)
     _unsent: list[CachedPart] = attrs.field(factory=list)
     _capacity_tokens: int = _DEFAULT_CAPACITY_TOKENS
+    _reported_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
 
     def set_engine_limits(self, limits: schema.serving.EngineLimits) -> None:
         """Sets the capacity of the caches.
@@ -98,9 +104,26 @@
                 tokens=part.tokens,
                 ready_in_ms=int(ready_in_s * _MS_PER_S),
             )
-            self._unsent.append(cached)
+            if self._is_report_due(cached, now):
+                self._unsent.append(cached)
             self.record_parts((cached,), now)
 
+    def _is_report_due(self, part: CachedPart, now: float) -> bool:
+        """Returns whether other processes must be told of a use of a part.
+
+        They need to know where it is, and only roughly how recently it was used.
+        """
+        if part.tokens < _MIN_REPORTED_TOKENS:
+            return False
+        key = (part.worker, part.part)
+        cache = self._caches.get(part.worker)
+        is_held = cache is not None and part.part in cache.parts
+        reported_s = self._reported_s.get(key, float('-inf'))
+        if is_held and now - reported_s < _REPORT_PERIOD_S:
+            return False
+        self._reported_s[key] = now
+        return True
+
     def drop_pending_prompt(
         self, worker_id: str, prompt: _calls.Prompt, now: float
     ) -> None:
@@ -176,6 +199,10 @@
         if cache is None:
             return cached
         for part in prompt.parts[:-1]:
+            if part.tokens < _MIN_REPORTED_TOKENS:
+                # Its prefill takes no time that matters for a choice.
+                cached += part.tokens
+                continue
             known = cache.parts.get(part.id)
             if known is None:
                 break
