Send shared parts directly in large fleets, and choose engines by chance

A relay that knew more domains, but fewer processes, was preferred. And all choosers took the first of the engines that looked idle: in a test without a network, 50 of 50 prompts of 195 processes went to one of 20. Change: shared parts go directly to the processes of the domain and once a second to other domains; sums carry work only, and the one that contains most processes is used. Among nearly equal engines a process chooses by chance, with a spread that grows with the fleet. The socket of the messages has a module of its own.

--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -126,6 +126,7 @@
             self.random_source,
             self.prompt_load,
             event_gap_s,
+            1 + len(self.peer_hosts),
         )
 
 
--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -262,14 +262,17 @@
         context.prompt_load.gaps.record(
             attempt.worker.service, relay.longest_gap_s, queued_s
         )
-    _context.SECONDS.labels(request.route.kind.value).observe(
-        relay.first_event_s - request.call.received_s
-    )
+    inputs = {}
+    if relay.first_event_s:
+        # A stream that resumes after its last event has none.
+        first_s = relay.first_event_s - request.call.received_s
+        _context.SECONDS.labels(request.route.kind.value).observe(first_s)
+        inputs['first_event_s'] = round(first_s, 4)
     request.log_end(
         'completed',
         status=_OK,
         worker=attempt.worker.id,
-        first_event_s=round(relay.first_event_s - request.call.received_s, 4),
+        **inputs,
         longest_gap_s=round(relay.longest_gap_s, 4),
         queued_prefill_s=round(queued_s, 4),
     )
--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -1,15 +1,13 @@
 """Messages between gateway processes: work at engines and fleet updates."""
 
 import asyncio
-import socket
 import time
 import typing
 
 import attrs
-import prometheus_client
 
 from briarknot import registry, schema, serving, telemetry
-from briarknot.gateway import _context, _work_relays
+from briarknot.gateway import _context, _peer_socket, _work_relays
 
 #: Period of reports. The prefill of a prompt takes a few hundred milliseconds,
 #: so a later message would arrive after its end.
@@ -22,6 +20,8 @@
 #: Period of sums for the relays of other domains; traffic between domains is
 #: billed by volume.
 _DOMAIN_PERIOD_S = 0.3
+#: Period of sending shared parts to other domains of a large fleet.
+_FAR_PARTS_PERIOD_S = 1.0
 #: Time after the last report, or sum of another domain, at which a relay stops.
 _MAX_RELAY_IDLE_S = 2.0
 #: A longer pause of the relay task means that the process was suspended, and
@@ -37,14 +37,7 @@
 _INFORMERS = 2
 #: Cached parts in a datagram; each takes about 50 bytes.
 _PARTS_PER_DATAGRAM = 300
-_DATAGRAM_BYTES = 65536
 _MS_PER_S = 1000
-_MESSAGES = prometheus_client.Counter(
-    'briarknot_gateway_peer_messages',
-    'Messages between gateway processes by direction.',
-    ('direction',),
-)
-
 #: Apply received messages, by the name of their class.
 HANDLERS: registry.Registry[typing.Callable[..., None]] = registry.Registry(
     'peer_message'
@@ -56,7 +49,7 @@
     """Sends and receives messages over UDP; lost messages are not resent."""
 
     _context: _context.Context
-    _socket: socket.socket
+    _socket: _peer_socket.PeerSocket
     _born_ms: int
     _relays: _work_relays.WorkRelays
     _sums: serving.WorkSums
@@ -65,6 +58,8 @@
     _known_starts: dict[str, int] = attrs.field(factory=dict)
     _reported_s: float = float('-inf')
     _domain_work_s: float = float('-inf')
+    _far_parts: list[schema.messages.CachedPart] = attrs.field(factory=list)
+    _far_sent_s: float = float('-inf')
 
     @property
     def _is_direct(self) -> bool:
@@ -73,11 +68,8 @@
 
     async def receive(self) -> None:
         """Receives and applies the messages of other processes."""
-        loop = asyncio.get_running_loop()
         while True:
-            data = await loop.sock_recv(self._socket, _DATAGRAM_BYTES)
-            message = schema.decode(data)
-            _MESSAGES.labels('received').inc()
+            message = schema.decode(await self._socket.receive())
             handler = HANDLERS.get(type(message).__name__)
             if isinstance(handler, registry.UnknownName):
                 telemetry.log_event(
@@ -93,7 +85,7 @@
         """
         data = schema.encode(update)
         for peer in self._context.peer_hosts.values():
-            self._send_one(data, peer.address)
+            self._socket.send(data, peer.address)
 
     def announce(self) -> None:
         """Makes the next message due even if there is no work to report."""
@@ -119,7 +111,7 @@
             message = self._make_report(parts)
             if self._is_direct or not self._is_announced:
                 self._send_to_all(message)
-            if not self._is_direct:
+            else:
                 self._report(message, sent_s)
             self._is_announced = True
 
@@ -132,7 +124,7 @@
         domain_sent_s = float('-inf')
         woke_s = _read_clock()
         while True:
-            near = self._list_domain_peers()
+            near = self._socket.list_near()
             await asyncio.sleep(max(_PERIOD_S / 2, len(near) / _MAX_SENT_PER_S))
             suspended_s, woke_s = woke_s, _read_clock()
             if woke_s - suspended_s > _MAX_SUSPENSION_S:
@@ -166,8 +158,8 @@
             load.work.apply_peer_work(message, now)
         if message.forward:
             data = schema.encode(attrs.evolve(message, forward=False))
-            for peer in self._list_domain_peers():
-                self._send_one(data, peer.address)
+            for peer in self._socket.list_near():
+                self._socket.send(data, peer.address)
 
     @HANDLERS.register('DomainWork')
     def apply_domain_work(
@@ -181,7 +173,6 @@
         self._domain_work_s = now
         self._relays.record_domain_work(message.relay, message.domain, now)
         self._sums.apply_domain_work(message, now)
-        self._context.prompt_load.caches.record_parts(message.parts, now)
 
     @HANDLERS.register('FleetWork')
     def apply_fleet_work(
@@ -193,9 +184,9 @@
         :param now: monotonic time in seconds.
         """
         self._relays.record_sum(message.relay)
-        load = self._context.prompt_load
-        load.work.apply_fleet_work(message, self._context.settings.host, now)
-        load.caches.record_parts(message.parts, now)
+        self._context.prompt_load.work.apply_fleet_work(
+            message, self._context.settings.host, now
+        )
 
     @HANDLERS.register('FleetUpdate')
     def apply_fleet_update(
@@ -211,15 +202,33 @@
         self._context.fleet_update_received.set()
 
     def _report(self, message: schema.messages.EngineWork, now: float) -> None:
-        """Reports the work to the relays of the domain."""
+        """Reports the work to the relays of the domain.
+
+        Shared parts go to all domain peers directly, and to other domains later
+        and together: they are most of the bytes, and relays on slow links could
+        not send them to a whole domain.
+
+        :param message: the report.
+        :param now: monotonic time in seconds.
+        """
         data = schema.encode(attrs.evolve(message, to_relay=True))
-        for relay in self._relays.choose(now):
+        relays = self._relays.choose(now)
+        for relay in relays:
             if relay == self._context.settings.host:
-                self._sums.add_parts(message.parts)
                 self._reported_s = now
             else:
-                self._send_one(data, self._context.peer_hosts[relay].address)
+                self._socket.send(data, self._context.peer_hosts[relay].address)
                 self._relays.record_report(relay, now)
+        if message.parts:
+            data = schema.encode(message)
+            for host, peer in self._context.peer_hosts.items():
+                if peer.domain == message.domain and host not in relays:
+                    self._socket.send(data, peer.address)
+        self._far_parts.extend(message.parts)
+        if self._far_parts and now - self._far_sent_s >= _FAR_PARTS_PERIOD_S:
+            self._far_sent_s = now
+            self._send_far(attrs.evolve(message, parts=tuple(self._far_parts)))
+            self._far_parts.clear()
 
     def _send_fleet_work(
         self, near: list[_context.PeerHost], now: float
@@ -231,18 +240,18 @@
         work.apply_fleet_work(message, self._context.settings.host, now)
         data = schema.encode(message)
         for peer in near:
-            self._send_one(data, peer.address)
+            self._socket.send(data, peer.address)
 
     def _send_domain_work(self, now: float) -> None:
         message = self._sums.make_domain_work(now)
         data = schema.encode(message)
-        for domain, hosts in self._list_other_domains().items():
+        for domain, hosts in self._socket.list_far().items():
             relay = self._relays.choose_for_domain(
                 domain, hosts, message.sequence, now
             )
             peer = self._context.peer_hosts.get(relay)
             if peer is not None:
-                self._send_one(data, peer.address)
+                self._socket.send(data, peer.address)
 
     def _forget_peers(self, seconds: float) -> None:
         telemetry.log_event('peer_work_outdated', suspended_s=round(seconds, 2))
@@ -256,28 +265,18 @@
         forwards the message to its domain peers.
         """
         data = schema.encode(message)
-        for peer in self._list_domain_peers():
-            self._send_one(data, peer.address)
+        for peer in self._socket.list_near():
+            self._socket.send(data, peer.address)
+        self._send_far(message)
+
+    def _send_far(self, message: schema.messages.EngineWork) -> None:
+        """Sends to one process of each other domain, which forwards it."""
         data = schema.encode(attrs.evolve(message, forward=True))
         index = message.sequence % _FORWARDERS_PER_DOMAIN
-        for hosts in self._list_other_domains().values():
+        for hosts in self._socket.list_far().values():
             ranked = serving.rank_names(message.host, hosts)
             forwarder = ranked[min(index, len(ranked) - 1)]
-            self._send_one(data, self._context.peer_hosts[forwarder].address)
-
-    def _list_domain_peers(self) -> list[_context.PeerHost]:
-        """Lists the other processes of the local failure domain."""
-        domain = self._context.settings.domain
-        hosts = self._context.peer_hosts.values()
-        return [peer for peer in hosts if peer.domain == domain]
-
-    def _list_other_domains(self) -> dict[str, list[str]]:
-        """Lists the hosts of each other failure domain."""
-        domains: dict[str, list[str]] = {}
-        for host, peer in self._context.peer_hosts.items():
-            domains.setdefault(peer.domain, []).append(host)
-        domains.pop(self._context.settings.domain, None)
-        return domains
+            self._socket.send(data, self._context.peer_hosts[forwarder].address)
 
     def _record_host(self, message: schema.messages.EngineWork) -> None:
         """Adds a process that started after the list of hosts was read."""
@@ -318,21 +317,12 @@
         for start in range(0, len(parts), _PARTS_PER_DATAGRAM):
             batch = parts[start : start + _PARTS_PER_DATAGRAM]
             data = schema.encode(self._make_report(batch))
-            self._send_one(data, peer.address)
+            self._socket.send(data, peer.address)
         if parts:
             telemetry.log_event(
                 'started_host_informed', peer=message.host, parts=len(parts)
             )
 
-    def _send_one(self, data: bytes, address: tuple[str, int]) -> None:
-        try:
-            self._socket.sendto(data, address)
-        except OSError:
-            # The next message carries the same state.
-            _MESSAGES.labels('failed').inc()
-        else:
-            _MESSAGES.labels('sent').inc()
-
     def _make_report(
         self, parts: tuple[schema.messages.CachedPart, ...]
     ) -> schema.messages.EngineWork:
@@ -358,18 +348,15 @@
 
 
 def make_peers(context: _context.Context) -> Peers:
-    """Opens the socket for the messages of peers.
+    """Opens the socket for messages, and makes what sends and applies them.
 
     :param context: state of the process.
     """
     settings = context.settings
-    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    opened.setblocking(False)
-    opened.bind((settings.address, settings.peer_port))
     born_ms = int(time.time() * _MS_PER_S)
     return Peers(
         context,
-        opened,
+        _peer_socket.open_peer_socket(context),
         born_ms,
         _work_relays.make_work_relays(context),
         serving.make_work_sums(
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -169,6 +169,8 @@
         target_s=request.call.received_s + request.route.target_s - now,
         limits=request.service.engine,
         event_gap_s=request.route.event_gap_s,
+        random_source=context.random_source,
+        processes=1 + len(context.peer_hosts),
     )
     context.prompt_load.caches.set_engine_limits(request.service.engine)
     policy = serving.PLACEMENT_POLICIES.get(_PLACEMENT_POLICY)
--- a/briarknot/gateway/tests/test_stage_orders.py
+++ b/briarknot/gateway/tests/test_stage_orders.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 
 import attrs
 from aiohttp import web
 
 from briarknot import platform, schema
-from briarknot.gateway import _peers, _stage_orders
+from briarknot.gateway import _stage_orders
 from briarknot.gateway.tests import test_store_sync as stores
 from briarknot_standins import serving as standin_serving
 
@@ -121,7 +122,7 @@
 
 
 def _open_socket():
-    return _peers.socket.socket(_peers.socket.AF_INET, _peers.socket.SOCK_DGRAM)
+    return socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
 
 
 def load_prefill(contexts):
--- a/briarknot/gateway/tests/test_work_relays.py
+++ b/briarknot/gateway/tests/test_work_relays.py
@@ -9,7 +9,12 @@
 import pytest
 
 from briarknot import schema, serving
-from briarknot.gateway import _context, _peers, _work_relays
+from briarknot.gateway import (
+    _context,
+    _peer_socket,
+    _peers,
+    _work_relays,
+)
 from briarknot.gateway.tests import test_peers as peers_tests
 from briarknot.gateway.tests import test_store_sync as stores
 
@@ -102,7 +107,7 @@
     async with open_nodes(monkeypatch) as nodes:
         sent = []
         monkeypatch.setattr(
-            _peers.Peers, '_send_one', lambda *call: sent.append(call)
+            _peer_socket.PeerSocket, 'send', lambda *call: sent.append(call)
         )
         await asyncio.sleep(1)
         assert not sent
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -415,9 +415,11 @@
     workers: tuple[WorkerWork, ...] = _fields.make_field(
         doc='Engines with work.', default=()
     )
-    parts: tuple[CachedPart, ...] = _fields.make_field(
-        doc="Shared parts that the domain's processes reported since the previous message.",
-        default=(),
+    processes: int = _fields.make_field(
+        doc='Number of processes whose work is part of the sum.',
+        maximum=65535,
+        minimum=0,
+        default=0,
     )
 
 
@@ -463,16 +465,12 @@
     workers: tuple[WorkerWork, ...] = _fields.make_field(
         doc='Engines with work.', default=()
     )
-    parts: tuple[CachedPart, ...] = _fields.make_field(
-        doc='Shared parts that were reported since the previous message.',
-        default=(),
-    )
     included: tuple[IncludedReport, ...] = _fields.make_field(
         doc="Reports of the domain's processes that are part of the sum.",
         default=(),
     )
-    domains: int = _fields.make_field(
-        doc='Number of other failure domains whose work is part of the sum.',
+    processes: int = _fields.make_field(
+        doc='Number of processes whose work is part of the sum.',
         maximum=65535,
         minimum=0,
         default=0,
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -154,7 +154,7 @@
   bornMs @2 :UInt64 $A.unit("ms") $A.doc("Start of that process; sequence numbers restart with it.");
   sequence @3 :UInt64 $A.doc("Increases with each message of a process; a lower one is outdated.");
   workers @4 :List(WorkerWork) $A.doc("Engines with work.");
-  parts @5 :List(CachedPart) $A.doc("Shared parts that the domain's processes reported since the previous message.");
+  processes @5 :UInt16 $A.doc("Number of processes whose work is part of the sum.");
 }
 
 struct IncludedReport $A.doc("A report that is part of a sum.") {
@@ -167,9 +167,8 @@
   bornMs @1 :UInt64 $A.unit("ms") $A.doc("Start of that process; sequence numbers restart with it.");
   sequence @2 :UInt64 $A.doc("Increases with each message of a process; a lower one is outdated.");
   workers @3 :List(WorkerWork) $A.doc("Engines with work.");
-  parts @4 :List(CachedPart) $A.doc("Shared parts that were reported since the previous message.");
-  included @5 :List(IncludedReport) $A.doc("Reports of the domain's processes that are part of the sum.");
-  domains @6 :UInt16 $A.doc("Number of other failure domains whose work is part of the sum.");
+  included @4 :List(IncludedReport) $A.doc("Reports of the domain's processes that are part of the sum.");
+  processes @5 :UInt16 $A.doc("Number of processes whose work is part of the sum.");
 }
 
 struct FleetUpdate $A.doc("State of the fleet that a gateway process has just read from the store.") {
--- a/briarknot/serving/_engine_caches.py
+++ b/briarknot/serving/_engine_caches.py
@@ -13,9 +13,6 @@
 #: unshared parts and running streams.
 _SHARED_PARTS_SHARE = 0.7
 _MS_PER_S = 1000
-#: Shorter parts are not reported to other processes: their prefill takes a few
-#: milliseconds.
-_MIN_REPORTED_TOKENS = 256
 #: Period of repeated reports of a part that an engine holds.
 _REPORT_PERIOD_S = 5.0
 
@@ -113,8 +110,6 @@
 
         They need to know where it is, and only roughly how recently it was used.
         """
-        if part.tokens < _MIN_REPORTED_TOKENS:
-            return False
         key = (part.worker, part.part)
         cache = self._caches.get(part.worker)
         is_held = cache is not None and part.part in cache.parts
@@ -199,10 +194,6 @@
         if cache is None:
             return cached
         for part in prompt.parts[:-1]:
-            if part.tokens < _MIN_REPORTED_TOKENS:
-                # Its prefill takes no time that matters for a choice.
-                cached += part.tokens
-                continue
             known = cache.parts.get(part.id)
             if known is None:
                 break
--- a/briarknot/serving/_engine_choice.py
+++ b/briarknot/serving/_engine_choice.py
@@ -9,6 +9,7 @@
 from briarknot import registry, schema
 from briarknot.serving import (
     _calls,
+    _chance,
     _lateness,
     _plain_choice,
     _prompt_load,
@@ -28,6 +29,9 @@
 _QUEUED_PREFILL_COST = 0.5
 #: Cost of events that are certainly late, as a share of a decode worker's slots.
 _LATE_EVENT_COST = 0.5
+#: Difference in load that divides the probability of a choice by e, as a share
+#: of a decode worker's slots.
+_LOAD_SPREAD = 0.02
 _HASH_BYTES = 8
 
 Workers = _plain_choice.Workers
@@ -42,6 +46,7 @@
     :param random_source: source of randomness.
     :param load: prompts and streams at the engines.
     :param event_gap_s: gap from which an event is late, in seconds; 0 for none.
+    :param processes: processes that choose on the same late picture.
     """
 
     worker_records: _worker_records.WorkerRecords
@@ -49,6 +54,7 @@
     random_source: random.Random
     load: _prompt_load.PromptLoad
     event_gap_s: float = 0
+    processes: int = 1
 
 
 class DecodePolicy(typing.Protocol):
@@ -107,17 +113,18 @@
     """Chooses the worker with the lowest sum of load and KV transfer cost."""
     start = source.worker.domain if source else view.topology.domain
     costs = [
-        (
-            _compute_load(view, worker, now)
-            + _KV_TRANSFER_COST[
-                view.topology.compute_distance(start, worker.domain)
-            ],
-            view.random_source.random(),
-            worker,
-        )
+        _compute_load(view, worker, now)
+        + _KV_TRANSFER_COST[
+            view.topology.compute_distance(start, worker.domain)
+        ]
         for worker in workers
     ]
-    return min(costs, key=lambda cost: cost[:2])[-1]
+    return _chance.choose_near_cheapest(
+        workers,
+        costs,
+        _LOAD_SPREAD * _chance.compute_share(view.processes),
+        view.random_source,
+    )
 
 
 def _compute_load(
--- a/briarknot/serving/_engine_work.py
+++ b/briarknot/serving/_engine_work.py
@@ -43,7 +43,7 @@
 
     :param version: start of the relay and sequence number of its message.
     :param received_s: monotonic time at which it was received.
-    :param coverage: number of domains and processes that are part of it.
+    :param processes: number of processes whose work is part of it.
     :param work: work by worker id.
     :param included: sequence number of the local report that is part of it; 0
         for none.
@@ -51,7 +51,7 @@
 
     version: tuple[int, int]
     received_s: float
-    coverage: tuple[int, int]
+    processes: int
     work: Work
     included: int
 
@@ -161,7 +161,7 @@
             self._sums[message.relay] = _FleetSum(
                 version,
                 now,
-                (message.domains, len(included)),
+                message.processes,
                 {one.worker: one for one in message.workers},
                 sequence,
             )
@@ -238,7 +238,9 @@
             if now - one.received_s < _MAX_SUM_AGE_S
         ]
         return max(
-            recent, key=lambda one: (one.coverage, one.received_s), default=None
+            recent,
+            key=lambda one: (one.processes, one.received_s),
+            default=None,
         )
 
 
--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -1,5 +1,6 @@
 """Policies that choose the engine that prefills a prompt."""
 
+import random
 import typing
 
 import attrs
@@ -7,6 +8,7 @@
 from briarknot import registry, schema
 from briarknot.serving import (
     _calls,
+    _chance,
     _engine_choice,
     _lateness,
     _plain_choice,
@@ -39,6 +41,10 @@
 #: Cost of a first token that is certainly late. It is high enough that a shared
 #: part of usual length is recomputed to be in time.
 _LATE_COST_S = 1.0
+#: Difference in cost that divides the probability of a choice by e. It is a
+#: fraction of the prefill time of a usual prompt, which others may have sent
+#: since the last sum of their work.
+_COST_SPREAD_S = 0.015
 #: Number of preferred workers that are candidates for a prompt besides its
 #: cache holders. Each further worker would have to recompute the shared parts.
 _PREFERRED_WORKERS = 2
@@ -56,6 +62,8 @@
     :param target_s: remaining time until the first token is late, in seconds.
     :param limits: properties of the engines.
     :param event_gap_s: gap from which an event is late, in seconds; 0 for none.
+    :param random_source: source of randomness.
+    :param processes: processes that choose on the same late picture.
     """
 
     load: _prompt_load.PromptLoad
@@ -66,6 +74,8 @@
     target_s: float
     limits: schema.serving.EngineLimits = schema.serving.EngineLimits()
     event_gap_s: float = 0
+    random_source: random.Random = attrs.field(factory=random.Random)
+    processes: int = 1
 
 
 @attrs.frozen
@@ -145,8 +155,16 @@
     if not candidates:
         return None
     wait_s = _compute_mean_wait(view, now)
-    return min(
-        candidates, key=lambda one: _compute_cost(view, one, wait_s, now)
+    costs = [_compute_cost(view, one, wait_s, now) for one in candidates]
+    cheapest = candidates[costs.index(min(costs))]
+    if cheapest.prefill_worker.id in preferred:
+        # All processes must have a new part computed by the same worker.
+        return cheapest
+    return _chance.choose_near_cheapest(
+        candidates,
+        costs,
+        _COST_SPREAD_S * _chance.compute_share(view.processes),
+        view.random_source,
     )
 
 
--- a/briarknot/serving/_work_sums.py
+++ b/briarknot/serving/_work_sums.py
@@ -14,8 +14,6 @@
 #: Older sums of another domain are left out.
 _MAX_DOMAIN_AGE_S = 2.0
 
-CachedPart = schema.messages.CachedPart
-
 
 @attrs.frozen
 class _DomainSum:
@@ -24,11 +22,13 @@
     :param version: start of the relay and sequence number of its message.
     :param received_s: monotonic time at which it was received.
     :param work: work by worker id.
+    :param processes: number of processes whose work is part of it.
     """
 
     version: tuple[int, int]
     received_s: float
     work: _engine_work.Work
+    processes: int
 
 
 @attrs.define(eq=False)
@@ -41,8 +41,6 @@
     _work: _engine_work.EngineWork
     _domains: dict[tuple[str, str], _DomainSum] = attrs.field(factory=dict)
     _sequence: int = 0
-    _domain_parts: list[CachedPart] = attrs.field(factory=list)
-    _fleet_parts: list[CachedPart] = attrs.field(factory=list)
 
     def apply_report(
         self, message: schema.messages.EngineWork, now: float
@@ -53,15 +51,6 @@
         :param now: monotonic time in seconds.
         """
         self._work.apply_peer_work(message, now)
-        self.add_parts(message.parts)
-
-    def add_parts(self, parts: tuple[CachedPart, ...]) -> None:
-        """Adds shared parts that a process of the domain has reported.
-
-        :param parts: the parts.
-        """
-        self._domain_parts.extend(parts)
-        self._fleet_parts.extend(parts)
 
     def apply_domain_work(
         self, message: schema.messages.DomainWork, now: float
@@ -72,13 +61,14 @@
             relay is known.
         :param now: monotonic time in seconds.
         """
-        self._fleet_parts.extend(message.parts)
         key = (message.domain, message.relay)
         version = (message.born_ms, message.sequence)
         known = self._domains.get(key)
         if known is None or known.version < version:
             work = {one.worker: one for one in message.workers}
-            self._domains[key] = _DomainSum(version, now, work)
+            self._domains[key] = _DomainSum(
+                version, now, work, message.processes
+            )
 
     def make_domain_work(self, now: float) -> schema.messages.DomainWork:
         """Makes the sum of the domain for relays of other domains.
@@ -86,15 +76,14 @@
         :param now: monotonic time in seconds.
         """
         self._sequence += 1
-        parts = tuple(self._domain_parts)
-        self._domain_parts.clear()
+        work, included = self._sum_domain(now)
         return schema.messages.DomainWork(
             domain=self._domain,
             relay=self._host,
             born_ms=self._born_ms,
             sequence=self._sequence,
-            workers=tuple(self._sum_domain(now)[0].values()),
-            parts=parts,
+            workers=tuple(work.values()),
+            processes=1 + len(included),
         )
 
     def make_fleet_work(
@@ -112,26 +101,22 @@
         total = _engine_work.sum_work(
             (work, *(one.work for one in domains.values()))
         )
-        parts = tuple(self._fleet_parts)
-        self._fleet_parts.clear()
         return schema.messages.FleetWork(
             relay=self._host,
             born_ms=self._born_ms,
             sequence=self._sequence,
             workers=tuple(total.values()),
-            parts=parts,
             included=tuple(
                 schema.messages.IncludedReport(host=host, sequence=sequence)
                 for host, sequence in included.items()
             ),
-            domains=len(domains),
+            processes=len(included)
+            + sum(one.processes for one in domains.values()),
         )
 
     def clear(self) -> None:
         """Forgets what was received, after a suspension of the process."""
         self._domains.clear()
-        self._domain_parts.clear()
-        self._fleet_parts.clear()
 
     def _sum_domain(
         self, now: float
