Tell changes of stages apart from reads of the store

Words of engines that change their stage travelled in the updates on the store. A leader that the store had turned away went on sending them for 1.6 s, so that the other store readers waited that much longer before they read the manifest themselves. Change: these words are a message of their own, which says nothing about the store. The test of the message would have failed before, as the message did not exist.

--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -59,8 +59,6 @@
     :param fleet_update: latest update that another process sent.
     :param fleet_update_received: set when an update arrives.
     :param fleet_known: set when the manifest and the workers are known.
-    :param changing_engines: ids of engines to which this process has given an
-        order to change their stage.
     :param background_tasks: tasks that outlive the request that started them.
     """
 
@@ -76,7 +74,6 @@
     fleet_update: schema.messages.FleetUpdate | None = None
     fleet_update_received: asyncio.Event = attrs.field(factory=asyncio.Event)
     fleet_known: asyncio.Event = attrs.field(factory=asyncio.Event)
-    changing_engines: set[str] = attrs.field(factory=set)
     background_tasks: set[typing.Any] = attrs.field(factory=set)
 
     @property
--- a/briarknot/gateway/_gateway.py
+++ b/briarknot/gateway/_gateway.py
@@ -74,7 +74,7 @@
             self._context, self._client, peers
         )
         stage_orders = _stage_orders.make_stage_orders(
-            self._context, self._client, self._orders, store_sync
+            self._context, self._client, self._orders, peers
         )
         tasks = [
             loop.create_task(program.run_background_task(name, task))
--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -87,6 +87,18 @@
         for peer in self._context.peer_hosts.values():
             self._socket.send(data, peer.address)
 
+    def send_stage_changes(self, engines: tuple[str, ...]) -> None:
+        """Tells all other processes which engines change their stage.
+
+        :param engines: ids of the engines.
+        """
+        message = schema.messages.StageChanges(
+            host=self._context.settings.host, engines=engines
+        )
+        data = schema.encode(message)
+        for peer in self._context.peer_hosts.values():
+            self._socket.send(data, peer.address)
+
     def announce(self) -> None:
         """Makes the next message due even if there is no work to report."""
         self._is_announced = False
@@ -197,10 +209,20 @@
         :param message: the update.
         :param now: monotonic time in seconds.
         """
-        self._context.fleet.set_changing(message.changing, now)
         self._context.fleet_update = message
         self._context.fleet_update_received.set()
 
+    @HANDLERS.register('StageChanges')
+    def apply_stage_changes(
+        self, message: schema.messages.StageChanges, now: float
+    ) -> None:
+        """Leaves out engines that change their stage.
+
+        :param message: the engines.
+        :param now: monotonic time in seconds.
+        """
+        self._context.fleet.set_changing(message.engines, now)
+
     def _report(self, message: schema.messages.EngineWork, now: float) -> None:
         """Reports the work to the relays of the domain.
 
--- a/briarknot/gateway/_stage_orders.py
+++ b/briarknot/gateway/_stage_orders.py
@@ -10,7 +10,7 @@
 import attrs
 
 from briarknot import authority, planning, platform, schema, telemetry
-from briarknot.gateway import _context, _store_readers, _store_sync
+from briarknot.gateway import _context, _peers, _store_readers
 
 _Stage = schema.serving.Stage
 _POLICY = 'queue_pressure'
@@ -34,8 +34,9 @@
     _context: _context.Context
     _client: platform.Client
     _orders: platform.EngineOrders
-    _store_sync: _store_sync.StoreSync
+    _peers: _peers.Peers
     _planners: dict[str, planning.StagePlanner] = attrs.field(factory=dict)
+    _changing: set[str] = attrs.field(factory=set)
 
     async def run(self) -> None:
         """Plans and changes stages until it is cancelled."""
@@ -76,7 +77,7 @@
         try:
             await self._change(service, change)
         finally:
-            self._context.changing_engines.clear()
+            self._changing.clear()
             planner.record_change(time.monotonic())
 
     def _make_snapshot(
@@ -120,7 +121,7 @@
         if isinstance(grant, authority.NotGranted):
             telemetry.log_event('orders_not_granted', reason=grant.reason)
             return
-        self._context.changing_engines.update(change.engines)
+        self._changing.update(change.engines)
         self._announce()
         await asyncio.sleep(_NOTICE_S)
         outcomes = await asyncio.gather(
@@ -128,7 +129,7 @@
         )
         for engine, outcome in zip(engines, outcomes, strict=True):
             if outcome == platform.OrderOutcome.REFUSED:
-                self._context.changing_engines.discard(engine.id)
+                self._changing.discard(engine.id)
         await self._wait_for_stage(change.stage, service.engine.switch_s)
 
     async def _order(
@@ -167,7 +168,7 @@
     async def _wait_for_stage(self, stage: _Stage, switch_s: float) -> None:
         """Waits until the engines are listed with their next stage."""
         end_s = time.monotonic() + switch_s + _MAX_DRAIN_S
-        changing = self._context.changing_engines
+        changing = self._changing
         while changing and time.monotonic() < end_s:
             await asyncio.sleep(_REPEAT_S)
             stages = {one.id: one.stage for one in self._context.fleet.workers}
@@ -178,10 +179,8 @@
 
     def _announce(self) -> None:
         """Sends all processes the engines that accept no requests."""
-        self._context.fleet.set_changing(
-            self._context.changing_engines, time.monotonic()
-        )
-        self._store_sync.send_update()
+        self._context.fleet.set_changing(self._changing, time.monotonic())
+        self._peers.send_stage_changes(tuple(self._changing))
 
 
 def _read_clock() -> float:
@@ -193,13 +192,13 @@
     context: _context.Context,
     client: platform.Client,
     orders: platform.EngineOrders,
-    store_sync: _store_sync.StoreSync,
+    peers: _peers.Peers,
 ) -> StageOrders:
     """Makes the task that changes stages.
 
     :param context: state of the process.
     :param client: client of the store.
     :param orders: sends the orders.
-    :param store_sync: tells the other processes which engines change.
+    :param peers: tells the other processes which engines change.
     """
-    return StageOrders(context, client, orders, store_sync)
+    return StageOrders(context, client, orders, peers)
--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -77,7 +77,7 @@
                 page.rows, started_s, after_outage=self._record_recovery()
             )
             if _store_readers.get_reader_rank(self._context) is not None:
-                self.send_update()
+                self._send_update()
             if not self._uses_peer_updates:
                 await asyncio.sleep(_WORKERS_PERIOD_S)
 
@@ -131,7 +131,7 @@
             self._is_store_unavailable = False
         return True
 
-    def send_update(self) -> None:
+    def _send_update(self) -> None:
         """Sends the result of the last read to the other processes."""
         now = time.monotonic()
         if now - self._manifest_confirmed_s > _MAX_MANIFEST_AGE_S:
@@ -155,7 +155,6 @@
                     for worker_id, change in self._changes.items()
                     if change.worker is None
                 ),
-                changing=tuple(self._context.changing_engines),
             )
         )
 
--- a/briarknot/gateway/tests/test_stage_orders.py
+++ b/briarknot/gateway/tests/test_stage_orders.py
@@ -105,26 +105,21 @@
 
 @attrs.define(eq=False)
 class _Sender:
-    """Sends updates as the store synchronization of a process does."""
+    """Sends which engines change their stage as a process does."""
 
     context: object
 
-    def send_update(self):
-        """Sends which engines change their stage to the other processes."""
-        update = schema.messages.FleetUpdate(
-            host=self.context.settings.host,
-            changing=tuple(self.context.changing_engines),
-        )
-        data = schema.encode(update)
-        with contextlib.closing(_open_socket()) as sender:
+    def send_stage_changes(self, engines):
+        """Sends the engines to the other processes."""
+        message = schema.messages.StageChanges(host='g', engines=engines)
+        data = schema.encode(message)
+        with contextlib.closing(
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        ) as sender:
             for peer in self.context.peer_hosts.values():
                 sender.sendto(data, peer.address)
 
 
-def _open_socket():
-    return socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-
-
 def load_prefill(contexts):
     """Lets prompts queue at the prefill worker."""
     for context in contexts:
@@ -189,6 +184,26 @@
         assert not any(one.orders for one in engines)
 
 
+async def test_word_of_a_change_does_not_confirm_the_manifest():
+    """A leader that the store had turned away kept an old manifest in force.
+
+    Its words of changes counted as reads of the store, so that no other process
+    read it for seconds.
+    """
+    async with open_fleet(hosts=('g1', 'g2')) as (_, contexts):
+        first, second = contexts
+        await stores.wait_until(lambda: 'g2' in first.peer_hosts, 10)
+
+        def count_usable():
+            now = time.monotonic()
+            return len(second.fleet.list_usable('lm', _Stage.DECODE, now))
+
+        _Sender(first).send_stage_changes(('d1',))
+        await stores.wait_until(lambda: count_usable() == 2)
+        update = second.fleet_update
+        assert update is None or update.host != 'g'
+
+
 async def test_started_process_learns_the_contents_of_caches():
     """A restarted process had shared parts prefilled again for the whole day."""
     async with contextlib.AsyncExitStack() as stack:
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -477,6 +477,19 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class StageChanges:
+    """Engines to which a gateway process has given an order. It says nothing about the store."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(doc='Host of the process.', default='')
+    engines: tuple[str, ...] = _fields.make_field(
+        doc='Ids of engines that change their stage and accept no requests.',
+        default=(),
+    )
+
+
 @attrs.frozen(kw_only=True)
 class FleetUpdate:
     """State of the fleet that a gateway process has just read from the store."""
@@ -509,10 +522,6 @@
     gone: tuple[str, ...] = _fields.make_field(
         doc='Ids of workers that were removed in the last seconds.', default=()
     )
-    changing: tuple[str, ...] = _fields.make_field(
-        doc='Ids of engines that change their stage and accept no requests.',
-        default=(),
-    )
 
 
 #: One frame of a peer link.
@@ -535,6 +544,7 @@
     | FleetUpdate
     | DomainWork
     | FleetWork
+    | StageChanges
 )
 
 #: Names of the members of PeerMessage in the schema.
@@ -557,4 +567,5 @@
     FleetUpdate: 'fleetNews',
     DomainWork: 'domainWork',
     FleetWork: 'fleetWork',
+    StageChanges: 'stageChanges',
 }
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -24,6 +24,7 @@
     fleetNews @15 :FleetUpdate;
     domainWork @16 :DomainWork;
     fleetWork @17 :FleetWork;
+    stageChanges @18 :StageChanges;
   }
 }
 
@@ -171,6 +172,11 @@
   processes @5 :UInt16 $A.doc("Number of processes whose work is part of the sum.");
 }
 
+struct StageChanges $A.doc("Engines to which a gateway process has given an order. It says nothing about the store.") {
+  host @0 :Text $A.doc("Host of the process.");
+  engines @1 :List(Text) $A.doc("Ids of engines that change their stage and accept no requests.");
+}
+
 struct FleetUpdate $A.doc("State of the fleet that a gateway process has just read from the store.") {
   host @0 :Text $A.doc("Host of the process.");
   manifestVersion @1 :UInt64 $A.doc("Version of the manifest.");
@@ -178,5 +184,4 @@
   listVersion @3 :UInt64 $A.doc("Store version of the list of workers.");
   changed @4 :List(S.Worker) $A.doc("Workers that were added or changed in the last seconds.");
   gone @5 :List(Text) $A.doc("Ids of workers that were removed in the last seconds.");
-  changing @6 :List(Text) $A.doc("Ids of engines that change their stage and accept no requests.");
 }
