--- a/briarknot/planning/_stages.py
+++ b/briarknot/planning/_stages.py
@@ -24,8 +24,9 @@
 #: Share of the decode workers' slots or KV cache from which more of them are
 #: needed.
 _MIN_USE_FOR_DECODE = 0.7
-#: Decode workers that are left at least, also as a share of all engines.
-_MIN_DECODE_WORKERS = 2
+#: Decode workers that are left at least, also as a share of all engines. With two
+#: of them the loss of one halves the room of all answers.
+_MIN_DECODE_WORKERS = 3
 _MIN_DECODE_SHARE = 0.3
 #: Share of the decode workers that change their stage at the same time.
 _MAX_CHANGE_SHARE = 0.2
