Give each scripted worker its own replies, and close its connections

test_prompt_is_prefilled_again_if_its_cache_is_lost failed on arm64 with status 504 after 4.5 s, in each run.

Cause: a fault of the test. Two scripted workers shared one list with one reply. The second one had no reply left, and its handler failed. Python 3.11.6, which this machine has, leaves the connection of a failed handler open (StreamReaderProtocol.connection_made adds no callback to the task), so the gateway waited until the deadline of the request. Where the connection is closed the gateway sends the request to the next worker and the test passes, without having tested a second rejection. The choice of workers is the same on both machines; the version of Python differs, not the architecture.

That the other machine has a later Python is inferred, not seen.

Change: a worker copies its script, so that each of the two decode workers rejects the request once, as the test says. Connections of scripted workers are closed before the event loop ends, as writers that were collected later ended the report of a failed test with an internal error of the test runner.

--- a/briarknot/gateway/tests/_support.py
+++ b/briarknot/gateway/tests/_support.py
@@ -81,7 +81,8 @@
 class ScriptedWorker:
     """Answers requests in the order of its script."""
 
-    script: list
+    # A copy, as tests give several workers the same script.
+    script: list = attrs.field(converter=list)
     stage: str = 'none'
     port: int = 0
     requests: list = attrs.field(factory=list)
@@ -204,6 +205,27 @@
             return response.status, response.headers, await response.read()
 
 
+async def _serve_worker(stack, worker):
+    """Serves a worker, and closes its connections before the loop ends.
+
+    Python 3.11.6 leaves a connection open whose handler has failed. A writer
+    that is collected after its loop has ended breaks the report of a failed
+    test.
+    """
+
+    async def answer(reader, writer):
+        stack.callback(writer.close)
+        try:
+            await worker.answer(reader, writer)
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(answer, '127.0.0.1')
+    stack.push_async_callback(server.wait_closed)
+    stack.callback(server.close)
+    worker.port = server.sockets[0].getsockname()[1]
+
+
 @contextlib.asynccontextmanager
 async def open_gateway(route, *workers, hosts=1):
     """Runs a gateway with one route to the given workers."""
@@ -219,10 +241,7 @@
     )
     async with contextlib.AsyncExitStack() as stack:
         for worker in workers:
-            server = await asyncio.start_server(worker.answer, '127.0.0.1')
-            stack.push_async_callback(server.wait_closed)
-            stack.callback(server.close)
-            worker.port = server.sockets[0].getsockname()[1]
+            await _serve_worker(stack, worker)
         calls = platform.make_worker_calls()
         context = _context.make_context(settings, calls)
         context.budget.set_hosts(hosts)
