Log the parts of prompts, and whether a worker ended as an answer began

Log lines could not tell a part that crashes workers from overload after other crashes: they named neither the parts of a prompt nor what became of the worker of a broken stream.

prompt_placed names the shared parts.

--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -8,6 +8,7 @@
 from briarknot.gateway import (
     _attempts,
     _context,
+    _crashes,
     _prefill,
     _requests,
     _stream,
@@ -212,11 +213,19 @@
             )
             counted.is_prefilled = not isinstance(exchange, serving.Failed)
         if isinstance(exchange, serving.Failed):
+            await _crashes.record_broken_start(
+                context, request, worker, exchange
+            )
             return exchange
         try:
-            return await _relay(context, request, exchange, relay, attempt)
+            failure = await _relay(context, request, exchange, relay, attempt)
         finally:
             exchange.close()
+        if failure is not None and relay.is_starting:
+            await _crashes.record_broken_start(
+                context, request, worker, failure
+            )
+        return failure
 
 
 async def _relay(
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -187,6 +187,7 @@
         request=request.call.id,
         worker=placement.prefill_worker.id,
         stage=placement.prefill_worker.stage.value,
+        shared_parts=request.call.prompt.list_shared(),
         expected_s=round(placement.expected_s, 4),
         uncached_tokens=placement.uncached,
         fetched_tokens=placement.fetched_tokens,
--- a/briarknot/gateway/_stream.py
+++ b/briarknot/gateway/_stream.py
@@ -1,6 +1,7 @@
 """Relays the events of one or more runs as one stream."""
 
 import asyncio
+import math
 import time
 
 import attrs
@@ -11,6 +12,9 @@
 _ID_FIELD = b'id:'
 #: Period of checking whether a worker has stopped sending.
 _SILENCE_CHECK_S = 0.3
+#: Time from the first event of a run until it no longer counts as starting.
+#: Its worker may send an event and end; the connection breaks soon after.
+_START_S = 0.25
 #: Longest event; an event holds a few tokens.
 _MAX_EVENT_BYTES = 1 << 20
 
@@ -36,6 +40,15 @@
     _latest_s: float = 0
     _progress_s: float = 0
     _is_open: bool = False
+    _run_started_s: float = 0
+
+    @property
+    def is_starting(self) -> bool:
+        """Whether the latest run sent no event until a moment before its end.
+
+        A run that makes its worker end does so as its answer begins.
+        """
+        return time.monotonic() - self._run_started_s < _START_S
 
     @property
     def has_started(self) -> bool:
@@ -58,6 +71,7 @@
         partial_event = b''
         failure = None
         self._progress_s = time.monotonic()
+        self._run_started_s = math.inf
         is_end = False
         while not is_end:
             chunk = await self._read(exchange, record)
@@ -127,6 +141,7 @@
 
     def _record_events(self, events: bytes) -> None:
         now = time.monotonic()
+        self._run_started_s = min(now, self._run_started_s)
         if self.first_event_s:
             self.longest_gap_s = max(self.longest_gap_s, now - self._latest_s)
         else:
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -1,5 +1,6 @@
 """Calls to workers: runs, prefills, and handles."""
 
+import asyncio
 import errno
 
 import aiohttp
@@ -8,7 +9,7 @@
 import prometheus_client
 import yarl
 
-from briarknot import serving, telemetry
+from briarknot import schema, serving, telemetry
 from briarknot.platform import _headers, _sessions
 
 _MALFORMED = prometheus_client.Counter(
@@ -29,6 +30,9 @@
 #: worker needs come first within their rank.
 _URGENCIES_PER_RANK = 3
 _LEAST_URGENT = 9
+#: Time limit of checking whether a worker's process has ended, in seconds: the
+#: same as that of opening a connection for a request.
+_CHECK_TIMEOUT_S = 0.5
 #: Errors while a connection is opened, before any byte of a request is sent.
 _NOT_SENT_ERRORS = (
     aiohttp.ClientConnectorError,
@@ -181,6 +185,27 @@
         except (TimeoutError, aiohttp.ClientError, OSError):
             return False
 
+    async def has_ended(self, worker: schema.serving.Worker) -> bool:
+        """Returns whether a worker refuses connections, as its process ended.
+
+        :param worker: the worker.
+        :returns: False where it accepts one, or where its host can't be
+            reached, which says nothing about the process.
+        """
+        host, _, port = worker.address.rpartition(':')
+        try:
+            async with asyncio.timeout(_CHECK_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (TimeoutError, OSError) as error:
+            telemetry.log_event(
+                'worker_check_failed', worker=worker.id, reason=repr(error)
+            )
+            return False
+        writer.close()
+        return False
+
     async def close(self) -> None:
         """Closes all connections."""
         await self._reused.close()
--- a/briarknot/serving/_calls.py
+++ b/briarknot/serving/_calls.py
@@ -29,6 +29,10 @@
             return self.parts[-2].id
         return self.parts[0].id if self.parts else ''
 
+    def list_shared(self) -> tuple[str, ...]:
+        """Lists the ids of the parts that other requests may share."""
+        return tuple(part.id for part in self.parts[:-1])
+
 
 @attrs.frozen(kw_only=True)
 class Call:
