--- a/briarknot/gateway/tests/_support.py
+++ b/briarknot/gateway/tests/_support.py
@@ -85,6 +85,7 @@
     script: list = attrs.field(converter=list)
     stage: str = 'none'
     port: int = 0
+    server: asyncio.Server | None = None
     requests: list = attrs.field(factory=list)
     request_arrived: asyncio.Condition = attrs.field(factory=asyncio.Condition)
     disconnected: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -224,6 +225,7 @@
     stack.push_async_callback(server.wait_closed)
     stack.callback(server.close)
     worker.port = server.sockets[0].getsockname()[1]
+    worker.server = server
 
 
 @contextlib.asynccontextmanager
--- a/briarknot/gateway/tests/test_endless_answers.py
+++ b/briarknot/gateway/tests/test_endless_answers.py
@@ -50,6 +50,7 @@
     block: bytes
     stage: str = 'none'
     port: int = 0
+    server: asyncio.Server | None = None
     sent_bytes: int = 0
     closed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
