Resume a stream that ends inside an event

Callers saw a stream that had broken off end as a complete one, with a part of an event at its end, where the worker's answer has no length and its connection was closed, or where its chunks end inside an event.

Cause: at the end of an answer, bytes without the end of an event were forwarded as if they were a whole event. An end inside an event now counts as broken off; a resumable stream goes on after its last whole event, any other is truncated.

The two cases of test_stream_that_ends_inside_an_event_is_resumed failed before with ['x'] in place of ['x', 'y'].

--- a/briarknot/gateway/_stream.py
+++ b/briarknot/gateway/_stream.py
@@ -88,15 +88,21 @@
                 failure = chunk
                 break
             is_end = not chunk
-            events, partial_event = _split_events(
-                partial_event + chunk, is_end=is_end
-            )
+            events, partial_event = _split_events(partial_event + chunk)
             if len(partial_event) > _MAX_EVENT_BYTES:
                 failure = serving.Failed(
                     kind=serving.FailureKind.FOREIGN,
                     reason=f'event longer than {_MAX_EVENT_BYTES} bytes',
                 )
                 break
+            if is_end and partial_event.strip():
+                failure = serving.Failed(
+                    kind=serving.FailureKind.BROKEN,
+                    reason='the stream ends inside an event',
+                )
+                break
+            if is_end:
+                events += partial_event
             if not await self._forward(exchange, events, is_end=is_end):
                 break
         return failure
@@ -163,10 +169,8 @@
         self.resume_after = _get_last_id(events) or self.resume_after
 
 
-def _split_events(data: bytes, *, is_end: bool) -> tuple[bytes, bytes]:
+def _split_events(data: bytes) -> tuple[bytes, bytes]:
     """Splits bytes into whole events and the start of the next one."""
-    if is_end:
-        return data, b''
     end = data.rfind(_EVENT_END)
     if end < 0:
         return b'', data
