Never take the second copy of a refusal for that of another request

Clients would be told "not run" for requests that a worker was running, where a faulty worker writes a refusal once more on a kept connection; with a stream that may not be repeated, a second worker could run it.

Cause, two gaps. A refusal without the id of its request was trusted. A refusal with the id was trusted on a connection on which the same request had been refused before: a decode worker that lacks a KV cache gets the same request again, to prefill the prompt itself.

Change: a refusal counts only with the id of its request, and the connection is closed after each refusal, also where it has no body and is already back in its pool.

Tests: of test_second_copy_of_a_refusal_is_no_promise the two late cases without an id, and test_second_copy_of_a_refusal_starts_no_second_run, failed before with 503; closing the response alone did not help in the latter.

--- a/briarknot/platform/_sessions.py
+++ b/briarknot/platform/_sessions.py
@@ -95,6 +95,7 @@
 
     #: Set when the connection is closed, with an exception after a reset.
     closed_connection: asyncio.Future | None = None
+    _used_protocol: client_proto.ResponseHandler | None = None
 
     async def start(
         self, connection: aiohttp.connector.Connection
@@ -109,11 +110,21 @@
             # asyncio would log its exception as never retrieved.
             self.closed_connection.add_done_callback(_retrieve_exception)
         protocol = connection.protocol
+        self._used_protocol = protocol
         started = await super().start(connection)
         if isinstance(protocol, _LimitedProtocol):
             protocol.set_limit(_MAX_ANSWER_BYTES)
         return started
 
+    def close_connection(self) -> None:
+        """Closes the connection, also if it has been returned to its pool.
+
+        That of an answer without a body is returned with its head.
+        """
+        self.close()
+        if self._used_protocol is not None:
+            self._used_protocol.close()
+
 
 class _LimitedConnector(aiohttp.TCPConnector):
     """Opens connections that close when an answer does not end."""
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -245,10 +245,9 @@
 ) -> Exchange | serving.Failed:
     failure = _classify_failure(call, response)
     if failure is not None:
-        if failure.not_run:
-            response.release()
-        else:
-            response.close()
+        # A faulty worker may send a refusal twice; the second one would count
+        # for the next request on the connection, which may be the same one.
+        response.close_connection()
         return failure
     answer = serving.Answer(
         status=response.status,
@@ -270,6 +269,13 @@
             kind=serving.FailureKind.FOREIGN,
             reason=f'the answer is for request {echoed}',
         )
+    is_refusal = status == _MISDIRECTED or _headers.NOT_EXECUTED in headers
+    if is_refusal and echoed is None and call.id:
+        return serving.Failed(
+            kind=serving.FailureKind.FOREIGN,
+            reason=f'status {status} names no request',
+            load=load,
+        )
     if status == _MISDIRECTED:
         return serving.Failed(
             kind=serving.FailureKind.WRONG_WORKER,
