--- a/briarknot/gateway/tests/_support.py
+++ b/briarknot/gateway/tests/_support.py
@@ -18,6 +18,7 @@
     _plain,
     _requests,
 )
+from briarknot_standins import launcher
 
 _SERVING = schema.serving
 SEAL = 'Server-Seal: s\r\n'
@@ -165,10 +166,8 @@
 
 
 def find_port():
-    """Finds a free port on the loopback interface."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Finds a free port that no other test run uses meanwhile."""
+    return launcher.choose_port()
 
 
 def make_route(kind, **changes):
