Refuse no sound requests for the trials of crashing parts

Causes: with one crash against a first part, which most requests of a route share, they all started one after the other. And requests that were starting at a worker that crashed in the trial of a quarantined part counted as suspects of that crash.

Change: a first part at a single crash is not tried one by one. A trial without a result is repeated after 1 s and others wait up to 3 s. Three crashes of a part without an answer explain these crashes for all keys that were at fewer. A single crash is remembered for 60 s in place of 600 s.

--- a/briarknot/gateway/_crashes.py
+++ b/briarknot/gateway/_crashes.py
@@ -14,9 +14,12 @@
     ('worker_ended',),
 )
 _HASH_BYTES = 16
-#: Longest wait for the result of another request that tries the same part. A
-#: trial lasts as long as a KV transfer and the start of an answer.
-_MAX_TRIAL_WAIT_S = 1.5
+#: Longest wait for the result of other requests that try the same part, one
+#: after the other. A trial lasts as long as a KV transfer and the start of an
+#: answer.
+_MAX_TRIAL_WAIT_S = 3.0
+#: Period of checking whether a trial has ended without a result.
+_TRIAL_CHECK_S = 0.2
 
 
 def check_admission(
@@ -85,7 +88,7 @@
                 reason='the trial of another request has no result',
                 retry_after_s=_requests.DEFAULT_RETRY_AFTER_S,
             )
-        await context.quarantine_changed.wait(end_s - now)
+        await context.quarantine_changed.wait(min(_TRIAL_CHECK_S, end_s - now))
 
 
 def refuse_quarantined(
--- a/briarknot/serving/_crash_quarantine.py
+++ b/briarknot/serving/_crash_quarantine.py
@@ -18,6 +18,8 @@
 
 #: Crashes of different workers from which a key is quarantined.
 _CRASH_LIMIT = 2
+#: Crashes of a key, without an answer, from which it explains them all.
+_ESTABLISHED_CRASHES = 3
 #: A crash does not count against a key that had an answer this long before it
 #: or at any time after it: parts that many requests share are starting at every
 #: worker at any time.
@@ -25,13 +27,16 @@
 #: Time without requests after the second crash. It doubles with each further
 #: one, so that a quarantine lasts at most about as long again as its cause.
 _FIRST_BLOCK_S = 10.0
-#: Time after which a trial without a result is repeated: a prefill and the start
-#: of an answer.
+#: Time after which the trial of a quarantined key is repeated if it has no
+#: result: a prefill and the start of an answer.
 _TRIAL_S = 3.0
+#: The same for a suspected key, whose prompt has been prefilled.
+_SUSPECT_TRIAL_S = 1.0
 #: Retry-After of a request that waited for the trial of another one.
 _TRIAL_RETRY_S = 0.5
-#: Time for which evidence is kept at least.
+#: Time for which a quarantined key, and one at a single crash, is remembered.
 _MEMORY_S = 600.0
+_SUSPECT_MEMORY_S = 60.0
 #: Time for which the answer that cleared a key is sent to other processes.
 _CLEARED_MEMORY_S = 30.0
 _MAX_RECORDS = 1000
@@ -120,15 +125,21 @@
         """Time without requests after the latest crash."""
         return _FIRST_BLOCK_S * 2 ** max(0, len(self.counted) - _CRASH_LIMIT)
 
-    def is_on_trial(self, now: float) -> bool:
-        """Returns whether a trial has started and has no result yet."""
-        latest_s = max(self.last_crash_s, self.success_s, now - _TRIAL_S)
+    def is_on_trial(self, now: float, trial_s: float) -> bool:
+        """Returns whether a trial has started and has no result yet.
+
+        :param now: monotonic time in seconds.
+        :param trial_s: longest time of a trial in seconds.
+        """
+        latest_s = max(self.last_crash_s, self.success_s, now - trial_s)
         return self.trial_s > latest_s
 
     def is_expired(self, now: float) -> bool:
         """Returns whether the evidence is too old to matter."""
         if self.counted:
-            kept_s = max(_MEMORY_S, 2 * self.block_s)
+            kept_s = _SUSPECT_MEMORY_S
+            if len(self.counted) >= _CRASH_LIMIT:
+                kept_s = max(_MEMORY_S, 2 * self.block_s)
             return now - self.last_crash_s > kept_s
         return now - max(self.last_crash_s, self.success_s) > _CLEARED_MEMORY_S
 
@@ -148,6 +159,7 @@
         factory=collections.OrderedDict
     )
     _changed: dict[str, None] = attrs.field(factory=dict)
+    _established: tuple[frozenset[str], ...] | None = None
 
     def check(
         self, keys: tuple[str, ...], now: float
@@ -163,21 +175,24 @@
         on_trial = []
         for key in keys:
             record = self._get(key, now)
-            if record is None or not record.counted:
-                continue
-            if len(record.counted) < _CRASH_LIMIT:
-                suspected.append(key)
-            elif not self._is_explained(record):
+            crashes = len(self._count(record)) if record else 0
+            if crashes >= _CRASH_LIMIT and not self._is_explained(record):
                 on_trial.append(key)
                 end_s = record.last_crash_s + record.block_s
-                if now < end_s or record.is_on_trial(now):
+                if now < end_s or record.is_on_trial(now, _TRIAL_S):
                     return _make_refusal(key, record, end_s - now)
+            elif 0 < crashes < _CRASH_LIMIT and not record.is_first:
+                # Requests with the same first part would queue for trials.
+                suspected.append(key)
         if on_trial:
             return OnTrial(tuple(on_trial))
         if suspected:
             return Suspected(
                 tuple(suspected),
-                any(self._records[one].is_on_trial(now) for one in suspected),
+                any(
+                    self._records[one].is_on_trial(now, _SUSPECT_TRIAL_S)
+                    for one in suspected
+                ),
             )
         return Clear()
 
@@ -228,7 +243,7 @@
             key
             for key, record in records.items()
             if record
-            and len(record.counted) >= _CRASH_LIMIT
+            and len(self._count(record)) >= _CRASH_LIMIT
             and not self._is_explained(record)
         )
         for key in quarantined or keys:
@@ -237,6 +252,7 @@
             if len(record.crashes) < _MAX_CRASHES:
                 record.crashes.setdefault(worker, now)
             self._changed[key] = None
+        self._established = None
 
     def record_success(
         self, shared: tuple[str, ...], others: tuple[str, ...], now: float
@@ -259,6 +275,7 @@
                 if record.counted:
                     self._changed[key] = None
                 record.success_s = now
+                self._established = None
 
     def take_changed(self, now: float) -> tuple[CrashRecord, ...]:
         """Returns the records that changed here since the last call.
@@ -290,7 +307,7 @@
         return tuple(
             one
             for one in self.list_records(now)
-            if len(self._records[one.key].counted) >= _CRASH_LIMIT
+            if len(self._count(self._records[one.key])) >= _CRASH_LIMIT
         )
 
     def merge(
@@ -323,6 +340,7 @@
             if is_cleared_here and one.crashes:
                 outdated.append(self._export(one.key, now))
             record.success_s = max(record.success_s, success_s)
+        self._established = None
         return tuple(outdated)
 
     def _get(self, key: str, now: float) -> _Record | None:
@@ -339,6 +357,27 @@
             self._records.popitem(last=False)
         return record
 
+    def _count(self, record: _Record) -> frozenset[str]:
+        """Returns the workers whose crashes count against a key.
+
+        Other requests are starting at a worker that crashes in the trial of a
+        quarantined key; that crash says nothing about them.
+
+        :param record: evidence on the key.
+        """
+        if self._established is None:
+            self._established = tuple(
+                one.counted
+                for one in self._records.values()
+                if len(one.counted) >= _ESTABLISHED_CRASHES
+                and not self._is_explained(one)
+            )
+        counted = record.counted
+        for crashes in self._established:
+            if len(crashes) > len(record.counted):
+                counted -= crashes
+        return counted
+
     def _is_explained(self, record: _Record) -> bool:
         """Returns whether other keys explain the crashes of a key better.
 
--- a/briarknot/serving/tests/test_crash_quarantine.py
+++ b/briarknot/serving/tests/test_crash_quarantine.py
@@ -142,6 +142,31 @@
     assert isinstance(quarantine.check(keys, now + 0.4), serving.Clear)
 
 
+def test_crash_in_the_trial_of_a_deadly_part_blames_no_other_request():
+    """A sound request was refused, as two trials ended the workers it was at."""
+    quarantine = serving.make_crash_quarantine()
+    sound = make_keys('b', 'rare', number=0)
+    for number in (1, 2):
+        for part in ('d1', 'd2'):
+            keys = make_keys('a', part, number=number)
+            crash(quarantine, f'{part} w{number}', keys, now=number)
+    for part in ('d1', 'd2'):
+        keys = make_keys('a', part, number=3)
+        crash(quarantine, f'{part} w3', keys, sound, now=20)
+    assert not is_refused(quarantine, sound, 20.5)
+    for part in ('d1', 'd2'):
+        assert is_refused(quarantine, make_keys('a', part, number=4), 20.5)
+
+
+def test_requests_with_a_suspected_first_part_do_not_wait_for_each_other():
+    """Each crash made all requests of a route start one after the other."""
+    quarantine = serving.make_crash_quarantine()
+    crash(quarantine, 'w1', make_keys('a', 'b', number=1), now=0)
+    quarantine.start_trial(make_keys('a', 'b', number=1), 0.1)
+    result = quarantine.check(make_keys('a', 'c', number=2), 0.2)
+    assert isinstance(result, serving.Clear)
+
+
 def test_quarantine_ends_at_most_as_long_after_its_cause_as_that_lasted():
     """A part was refused although it had stopped crashing workers long ago."""
     for duration_s in (22.0, 100.0, 600.0):
