Send evidence on crashes while calls to the store take long

One task sent the evidence and wrote it to the store, so that a store that did not answer would delay news of a second crash by up to a second; and a process that started in an outage did nothing else until its first read had failed. Sending and storing are two tasks now, and the first read happens before that of the manifest.

--- a/briarknot/gateway/_gateway.py
+++ b/briarknot/gateway/_gateway.py
@@ -80,13 +80,18 @@
         stage_orders = _stage_orders.make_stage_orders(
             self._context, self._client, self._orders, peers
         )
-        # What is quarantined is known before the manifest makes it ready.
-        await quarantine_sync.load()
+
+        async def follow_store() -> None:
+            # What is quarantined is known before the manifest makes it ready.
+            await quarantine_sync.load()
+            await store_sync.sync_manifest()
+
         tasks = [
             loop.create_task(program.run_background_task(name, task))
             for name, task in (
-                ('manifest', store_sync.sync_manifest),
-                ('quarantine', quarantine_sync.run),
+                ('manifest', follow_store),
+                ('quarantine', quarantine_sync.send),
+                ('quarantine_row', quarantine_sync.store),
                 ('workers', store_sync.sync_workers),
                 ('hosts', host_list.sync),
                 ('peer_news', peers.receive),
--- a/briarknot/gateway/_quarantine_sync.py
+++ b/briarknot/gateway/_quarantine_sync.py
@@ -6,6 +6,7 @@
 is quarantined; a process reads it when it starts.
 """
 
+import asyncio
 import time
 
 import attrs
@@ -44,21 +45,31 @@
         self._merge_row(page)
         self._stored = self._summarize()
 
-    async def run(self) -> None:
-        """Sends new evidence, and repeats all of it."""
+    async def send(self) -> None:
+        """Sends new evidence at once, and repeats all of it."""
+        quarantine = self._context.quarantine
         repeated_s = float('-inf')
         while True:
-            quarantine = self._context.quarantine
-            self._send_to_all(quarantine.take_changed(time.monotonic()))
             now = time.monotonic()
+            self._send_to_all(quarantine.take_changed(now))
             if now - repeated_s >= _PERIOD_S:
                 repeated_s = now
                 self._repeat(quarantine.list_records(now))
-                if not self._is_loaded:
-                    await self.load()
-                await self._store()
             await self._context.quarantine_changed.wait(_PERIOD_S)
 
+    async def store(self) -> None:
+        """Stores what is quarantined while this process is the leader.
+
+        Calls to the store may take long; the evidence is sent meanwhile.
+        """
+        while True:
+            if not self._is_loaded:
+                await self.load()
+            is_leader = _store_readers.get_reader_rank(self._context) == 0
+            if is_leader and self._summarize() != self._stored:
+                await self._store()
+            await asyncio.sleep(_PERIOD_S)
+
     def _send_to_all(
         self, records: tuple[schema.records.CrashRecord, ...]
     ) -> None:
@@ -106,11 +117,7 @@
             self._peers.send(message, hosts)
 
     async def _store(self) -> None:
-        """Stores what is quarantined, if this process is the leader."""
-        if _store_readers.get_reader_rank(self._context) != 0:
-            return
-        if self._summarize() == self._stored:
-            return
+        """Merges the stored evidence, and stores what is quarantined."""
         page = await self._client.read_row_page(_TABLE, _KEY)
         if isinstance(page, platform.Unavailable):
             return
--- a/briarknot/gateway/tests/test_store_sync.py
+++ b/briarknot/gateway/tests/test_store_sync.py
@@ -147,7 +147,8 @@
                     store_sync.sync_workers,
                     peers.receive,
                     peers.broadcast_work,
-                    quarantine_sync.run,
+                    quarantine_sync.send,
+                    quarantine_sync.store,
                 )
             )
             contexts.append(context)
