Store what is quarantined from any process, and remember answers of all requests

Only the leader among the store readers stored what is quarantined. One whose host was removed for good stays listed for up to 90 s, in which a restart of all processes would have lost it. Up to four processes store it, one after the other, each 2 s after the one before it has not. test_another_process_stores_where_the_ first_can_not failed before (the first client's store is unreachable).

The time of the last answer was kept for parts only, so that a plain request which many clients send was blamed when two workers crashed at once. It is kept for requests too. test_request_that_many_clients_send_is_not_blamed_for_two_crashes.

Further tests, which passed at once: a worker that sends one event and ends; plain requests that end workers, of both kinds; and streams that break off while their workers go on, whose parts are served.

--- a/briarknot/gateway/_crashes.py
+++ b/briarknot/gateway/_crashes.py
@@ -152,9 +152,7 @@
     :param context: state of the process.
     :param request: the request.
     """
-    keys = _list_keys(request)
-    now = time.monotonic()
-    context.quarantine.record_success(keys[:-1], keys[-1:], now)
+    context.quarantine.record_success(_list_keys(request), time.monotonic())
     if request.trial_keys:
         telemetry.log_event(
             'trial_succeeded', request=request.call.id, keys=request.trial_keys
--- a/briarknot/gateway/_quarantine_sync.py
+++ b/briarknot/gateway/_quarantine_sync.py
@@ -2,17 +2,18 @@
 
 New evidence goes to all processes at once. While there is any, each process
 repeats it to a few others, so that one that missed a message, was suspended or
-was cut off has it within seconds. The leader among the store readers stores what
-is quarantined; a process reads it when it starts.
+was cut off has it within seconds. One process stores what is quarantined, and
+others do so where it has not; a process reads it when it starts.
 """
 
 import asyncio
+import math
 import time
 
 import attrs
 
 from briarknot import platform, schema, serving, telemetry
-from briarknot.gateway import _context, _peers, _store_readers
+from briarknot.gateway import _context, _peers
 
 _TABLE = 'quarantine'
 _KEY = 'gateways'
@@ -20,6 +21,11 @@
 _PERIOD_S = 1.0
 #: Processes of the local domain that get it in each period.
 _NEAR_RECEIVERS = 2
+#: Processes that store what is quarantined, one after the other, and the time
+#: that each gives the one before it. A process that has ended is listed for
+#: more than a minute.
+_WRITERS = 4
+_WRITER_DELAY_S = 2.0
 #: Records in a datagram; each takes up to about 700 bytes.
 _RECORDS_PER_DATAGRAM = 60
 _Quarantine = schema.records.QuarantineRow
@@ -58,18 +64,26 @@
             await self._context.quarantine_changed.wait(_PERIOD_S)
 
     async def store(self) -> None:
-        """Stores what is quarantined while this process is the leader.
+        """Stores what is quarantined, if no other process has.
 
         Calls to the store may take long; the evidence is sent meanwhile.
         """
+        stored_s = time.monotonic()
         while True:
             if not self._is_loaded:
                 await self.load()
-            is_leader = _store_readers.get_reader_rank(self._context) == 0
-            if is_leader and self._summarize() != self._stored:
+            now = time.monotonic()
+            if self._summarize() == self._stored:
+                stored_s = now
+            elif now - stored_s >= self._get_writer_delay_s():
                 await self._store()
             await asyncio.sleep(_PERIOD_S)
 
+    def _get_writer_delay_s(self) -> float:
+        hosts = (self._context.settings.host, *self._context.peer_hosts)
+        rank = serving.rank_names(_KEY, hosts).index(hosts[0])
+        return rank * _WRITER_DELAY_S if rank < _WRITERS else math.inf
+
     def _send_to_all(
         self, records: tuple[schema.records.CrashRecord, ...]
     ) -> None:
@@ -117,12 +131,15 @@
             self._peers.send(message, hosts)
 
     async def _store(self) -> None:
-        """Merges the stored evidence, and stores what is quarantined."""
+        """Stores what is quarantined, unless the stored row is the same."""
         page = await self._client.read_row_page(_TABLE, _KEY)
         if isinstance(page, platform.Unavailable):
             return
         self._merge_row(page)
         summary = self._summarize()
+        if summary == _summarize(_decode_row(page).evidence):
+            self._stored = summary
+            return
         row = page.rows[0] if page.rows else None
         stored = _Quarantine(
             store_s=page.store_s,
@@ -146,21 +163,31 @@
 
     def _merge_row(self, page: platform.Page) -> None:
         """Merges the stored evidence, whose ages count from its writing."""
-        if not page.rows:
-            return
-        try:
-            row = schema.from_plain(_Quarantine, page.rows[0].value)
-        except (AttributeError, TypeError, ValueError) as error:
-            telemetry.log_event('quarantine_malformed', reason=str(error))
-            return
+        row = _decode_row(page)
         written_s = time.monotonic() - max(0, page.store_s - row.store_s)
         self._context.quarantine.merge(row.evidence, written_s)
 
     def _summarize(self) -> frozenset[tuple[str, int]]:
-        quarantined = self._context.quarantine.list_quarantined(
-            time.monotonic()
+        return _summarize(
+            self._context.quarantine.list_quarantined(time.monotonic())
         )
-        return frozenset((one.key, len(one.crashes)) for one in quarantined)
+
+
+def _decode_row(page: platform.Page) -> _Quarantine:
+    if not page.rows:
+        return _Quarantine()
+    try:
+        return schema.from_plain(_Quarantine, page.rows[0].value)
+    except (AttributeError, TypeError, ValueError) as error:
+        telemetry.log_event('quarantine_malformed', reason=str(error))
+        return _Quarantine()
+
+
+def _summarize(
+    records: tuple[schema.records.CrashRecord, ...],
+) -> frozenset[tuple[str, int]]:
+    """Summarizes which keys are quarantined, and by how many crashes."""
+    return frozenset((one.key, len(one.crashes)) for one in records)
 
 
 @_peers.HANDLERS.register('CrashRecords')
--- a/briarknot/serving/_crash_quarantine.py
+++ b/briarknot/serving/_crash_quarantine.py
@@ -254,28 +254,23 @@
             self._changed[key] = None
         self._established = None
 
-    def record_success(
-        self, shared: tuple[str, ...], others: tuple[str, ...], now: float
-    ) -> None:
+    def record_success(self, keys: tuple[str, ...], now: float) -> None:
         """Records that a request was answered.
 
-        :param shared: keys that many requests have; the time is kept for them
-            in any case.
-        :param others: keys for which it is kept if they are suspected.
+        :param keys: keys of the request.
         :param now: monotonic time in seconds.
         """
-        for key in shared:
+        for key in keys:
             self._successes[key] = now
             self._successes.move_to_end(key)
-        while len(self._successes) > _MAX_SUCCESSES:
-            self._successes.popitem(last=False)
-        for key in (*shared, *others):
             record = self._records.get(key)
             if record is not None:
                 if record.counted:
                     self._changed[key] = None
                 record.success_s = now
                 self._established = None
+        while len(self._successes) > _MAX_SUCCESSES:
+            self._successes.popitem(last=False)
 
     def take_changed(self, now: float) -> tuple[CrashRecord, ...]:
         """Returns the records that changed here since the last call.
@@ -440,7 +435,7 @@
     >>> quarantine = make_crash_quarantine()
     >>> for worker in ('w1', 'w2'):
     ...     quarantine.record_crash(worker, ('a', 'b'), now=0)
-    >>> quarantine.record_success(('a',), (), now=1)
+    >>> quarantine.record_success(('a',), now=1)
     >>> quarantine.check(('a', 'c'), now=2)
     Clear()
     >>> bool(quarantine.check(('a', 'b'), now=2))
