Keep the last worker from trials of suspected parts, and try one after the other

Change: a crash is known at all processes at once, and for 4 s, while it may still be listed, its worker is left out and counts as down. A trial that could end the last worker of several waits; after 3 s the request is refused. Each process now gives those before it, in an order by hash, 0.3 s each.

An answer that is no protocol counts as broken off too, as a worker may end in the middle of its head.

--- a/briarknot/gateway/_crashes.py
+++ b/briarknot/gateway/_crashes.py
@@ -13,32 +13,48 @@
     'Answers that broke off as they began, by whether the worker had ended.',
     ('worker_ended',),
 )
+_Stage = schema.serving.Stage
 _HASH_BYTES = 16
 #: Longest wait for the result of other requests that try the same part, one
 #: after the other. A trial lasts as long as a KV transfer and the start of an
 #: answer.
 _MAX_TRIAL_WAIT_S = 3.0
 #: Period of checking whether a trial has ended without a result.
-_TRIAL_CHECK_S = 0.2
+_TRIAL_CHECK_S = 0.1
+#: Time that each process gives the one before it to start a trial for which both
+#: have waited. It exceeds the check's period and the latency between regions.
+_TURN_S = 0.3
+_MAX_TURNS = 8
+
+
+#: Failures after which a worker may have ended as it began an answer.
+_BROKEN_KINDS = frozenset(
+    (serving.FailureKind.BROKEN, serving.FailureKind.FOREIGN)
+)
 
 
 def check_admission(
-    context: _context.Context, request: _requests.Request
+    context: _context.Context,
+    request: _requests.Request,
+    stage: schema.serving.Stage = _Stage.NONE,
 ) -> bool:
     """Refuses a request whose parts make workers crash.
 
     :param context: state of the process.
     :param request: the request, before it is sent to any worker.
+    :param stage: stage of the workers that run it.
     :returns: whether it may be sent to a worker.
     """
-    result = check_quarantine(context, request)
+    result = check_quarantine(context, request, stage)
     if result is not None:
         refuse_quarantined(request, result)
     return result is None
 
 
 def check_quarantine(
-    context: _context.Context, request: _requests.Request
+    context: _context.Context,
+    request: _requests.Request,
+    stage: schema.serving.Stage = _Stage.NONE,
 ) -> serving.Quarantined | None:
     """Returns why a request must not be sent to a worker.
 
@@ -47,10 +63,13 @@
 
     :param context: state of the process.
     :param request: the request.
+    :param stage: stage of the workers that run it.
     :returns: None where it may be sent.
     """
     result = context.quarantine.check(_list_keys(request), time.monotonic())
     if isinstance(result, serving.OnTrial):
+        if not request.trial_keys and _is_last_worker(context, request, stage):
+            return _make_delay(result.keys[0], 'no worker can be spared')
         _start_trial(context, request, result.keys)
     if isinstance(result, serving.Quarantined):
         return None if _is_tried(context, request, result.key) else result
@@ -58,18 +77,22 @@
 
 
 async def wait_for_trial(
-    context: _context.Context, request: _requests.Request
+    context: _context.Context,
+    request: _requests.Request,
+    stage: schema.serving.Stage = _Stage.NONE,
 ) -> serving.Quarantined | None:
     """Waits while another request tries a suspected part of this one.
 
+    It also waits while its trial could end the last worker.
+
     :param context: state of the process.
     :param request: the request, before it is sent to a worker that runs it.
+    :param stage: stage of the workers that run it.
     :returns: None where it may be sent.
     """
     keys = _list_keys(request)
-    end_s = time.monotonic() + min(
-        _MAX_TRIAL_WAIT_S, request.remaining_s(time.monotonic())
-    )
+    turn_s = time.monotonic()
+    end_s = turn_s + min(_MAX_TRIAL_WAIT_S, request.remaining_s(turn_s))
     while True:
         now = time.monotonic()
         result = context.quarantine.check(keys, now)
@@ -78,15 +101,18 @@
         if isinstance(result, serving.Quarantined):
             is_tried = _is_tried(context, request, result.key)
             return None if is_tried else result
-        is_waiting = isinstance(result, serving.Suspected) and result.in_trial
-        if not is_waiting or request.trial_keys:
+        is_waiting = _is_last_worker(context, request, stage) or (
+            isinstance(result, serving.Suspected) and result.in_trial
+        )
+        if is_waiting:
+            # Requests that wait at several processes must not all start.
+            turn_s = now + _compute_turn_s(context, result.keys[0])
+        if request.trial_keys or (now >= turn_s and not is_waiting):
             _start_trial(context, request, result.keys)
             return None
         if now >= end_s:
-            return serving.Quarantined(
-                key=result.keys[0],
-                reason='the trial of another request has no result',
-                retry_after_s=_requests.DEFAULT_RETRY_AFTER_S,
+            return _make_delay(
+                result.keys[0], 'no trial has a result, or no worker is spare'
             )
         await context.quarantine_changed.wait(min(_TRIAL_CHECK_S, end_s - now))
 
@@ -120,7 +146,7 @@
     :param worker: the worker.
     :param failure: how the attempt failed.
     """
-    if failure.kind != serving.FailureKind.BROKEN:
+    if failure.kind not in _BROKEN_KINDS:
         return
     broken_s = time.monotonic()
     has_ended = await context.calls.has_ended(worker)
@@ -138,9 +164,7 @@
     )
     if has_ended:
         request.trial_keys = ()
-        context.quarantine.record_crash(
-            f'{worker.id} {worker.born_ms}', keys, broken_s
-        )
+        context.quarantine.record_crash(_name_start(worker), keys, broken_s)
         context.quarantine_changed.notify()
 
 
@@ -172,6 +196,50 @@
         context.quarantine_changed.notify()
 
 
+def is_down(
+    context: _context.Context, worker: schema.serving.Worker, now: float
+) -> bool:
+    """Returns whether a listed worker is known to have crashed.
+
+    :param context: state of the process.
+    :param worker: the worker.
+    :param now: monotonic time in seconds.
+    """
+    return context.quarantine.is_down(_name_start(worker), now)
+
+
+def _compute_turn_s(context: _context.Context, key: str) -> float:
+    """Returns how long after others this process may try a key."""
+    host = context.settings.host
+    hosts = serving.rank_names(key, (host, *context.peer_hosts))
+    return _TURN_S * min(hosts.index(host), _MAX_TURNS)
+
+
+def _is_last_worker(
+    context: _context.Context,
+    request: _requests.Request,
+    stage: schema.serving.Stage,
+) -> bool:
+    """Returns whether only one of several workers is left, or none."""
+    now = time.monotonic()
+    listed = context.fleet.list_usable(request.service.name, stage, now)
+    up = [one for one in listed if not is_down(context, one, now)]
+    return len(listed) > 1 and len(up) <= 1
+
+
+def _name_start(worker: schema.serving.Worker) -> str:
+    """Names a worker and its start; a restart may keep the id."""
+    return f'{worker.id} {worker.born_ms}'
+
+
+def _make_delay(key: str, reason: str) -> serving.Quarantined:
+    return serving.Quarantined(
+        key=key,
+        reason=f'{key}: {reason}',
+        retry_after_s=_requests.DEFAULT_RETRY_AFTER_S,
+    )
+
+
 def _is_tried(
     context: _context.Context, request: _requests.Request, key: str
 ) -> bool:
--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -62,7 +62,7 @@
     )
     progress = _Progress()
     is_sent = True
-    if not _crashes.check_admission(context, request):
+    if not _crashes.check_admission(context, request, _Stage.DECODE):
         return
     if _refuse_hopeless(context, request):
         _crashes.end_trial(context, request)
@@ -124,7 +124,9 @@
     :returns: whether it was sent to a worker.
     """
     tried = progress.tried
-    progress.quarantined = _crashes.check_quarantine(context, request)
+    progress.quarantined = _crashes.check_quarantine(
+        context, request, _Stage.DECODE
+    )
     if progress.quarantined is not None:
         return False
     source, colocated = progress.source, None
@@ -133,7 +135,9 @@
             context, request, tried + progress.failed_sources
         )
         progress.source = source
-    progress.quarantined = await _crashes.wait_for_trial(context, request)
+    progress.quarantined = await _crashes.wait_for_trial(
+        context, request, _Stage.DECODE
+    )
     if progress.quarantined is not None:
         return False
     worker = _choose_decode(context, request, source, tried)
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -8,7 +8,7 @@
 import attrs
 
 from briarknot import schema, serving, telemetry
-from briarknot.gateway import _attempts, _context, _requests
+from briarknot.gateway import _attempts, _context, _crashes, _requests
 
 _Stage = schema.serving.Stage
 _PLACEMENT_POLICY = 'predicted'
@@ -226,6 +226,7 @@
         one
         for one in untried
         if not context.worker_records.get(one.id).is_blocked(now)
+        and not _crashes.is_down(context, one, now)
     )
     return unblocked or untried
 
--- a/briarknot/gateway/tests/test_crashing_parts.py
+++ b/briarknot/gateway/tests/test_crashing_parts.py
@@ -1,13 +1,16 @@
 """Tests prompts with a part that makes each worker end that answers them."""
 
+import asyncio
 import contextlib
 import itertools
+import time
 
 import aiohttp
 import attrs
 import pytest
 
-from briarknot import schema
+from briarknot import schema, serving
+from briarknot.gateway import _context, _crashes, _requests
 from briarknot.gateway.tests import _support
 
 _Kind = schema.serving.RequestKind
@@ -111,3 +114,69 @@
     sent = [one for worker in workers for one in worker.requests]
     assert len(sent) <= _MAX_SENT
     assert status == 200
+
+
+async def test_trial_does_not_end_the_last_worker():
+    """The trial of a suspected part left no worker for any request."""
+    workers = make_workers(2)
+    route = _support.make_route(_Kind.GENERATION, resumable=True)
+    async with _support.open_gateway(route, *workers) as gateway:
+        await send(gateway, 1, 'aa', _DEADLY)
+        assert await send(gateway, 2, 'aa', 'bb') == 200
+    assert count_sent(workers, _DEADLY) == 1
+
+
+def make_waiting(host, other):
+    """Makes a process at which a part is in trial, and a request with it."""
+    settings = schema.settings.GatewaySettings(host=host, domain='a')
+    context = _context.make_context(settings, calls=None)
+    context.peer_hosts = {other: _context.PeerHost(('', 0), 'a')}
+    keys = ('part aa', f'part {_DEADLY}', f'request {host}')
+    now = time.monotonic()
+    context.quarantine.record_crash('w', keys[:2], now)
+    context.quarantine.start_trial(keys[:2], now + 0.01)
+    context.quarantine.take_changed(now)
+    call = serving.Call(
+        id=host,
+        host='h',
+        method='POST',
+        path='/',
+        headers=(),
+        body=b'',
+        received_s=now,
+        timeout_s=9,
+    )
+    route = _support.make_route(_Kind.GENERATION)
+    service = schema.serving.Service(name='s')
+    request = _requests.Request(call, route, service, None, now + 9, keys=keys)
+    return context, request
+
+
+async def exchange_late(first, second):
+    """Sends new evidence of two processes to each other with a latency."""
+    while True:
+        now = time.monotonic()
+        sent = [(second, first.take_changed(now))]
+        sent.append((first, second.take_changed(now)))
+        await asyncio.sleep(0.06)
+        for receiver, records in sent:
+            receiver.merge(records, now)
+
+
+async def test_processes_that_waited_try_a_part_one_after_the_other():
+    """Requests that waited at four gateways ended three workers at once."""
+    waiting = [make_waiting('g1', 'g2'), make_waiting('g2', 'g1')]
+    evidence = [context.quarantine for context, _ in waiting]
+    exchanges = [asyncio.ensure_future(exchange_late(*evidence))]
+    tasks = [
+        asyncio.ensure_future(_crashes.wait_for_trial(context, request))
+        for context, request in waiting
+    ]
+    done, pending = await asyncio.wait(
+        tasks, timeout=10, return_when=asyncio.FIRST_COMPLETED
+    )
+    assert len(done) == 1
+    still_pending = (await asyncio.wait(pending, timeout=0.4))[1]
+    assert len(still_pending) == 1
+    for task in (*exchanges, *tasks):
+        task.cancel()
--- a/briarknot/serving/_crash_quarantine.py
+++ b/briarknot/serving/_crash_quarantine.py
@@ -39,6 +39,9 @@
 _SUSPECT_MEMORY_S = 60.0
 #: Time for which the answer that cleared a key is sent to other processes.
 _CLEARED_MEMORY_S = 30.0
+#: Time after its crash in which a worker may still be listed: its entry expires
+#: after three heartbeat periods of about a second.
+_LISTED_S = 4.0
 _MAX_RECORDS = 1000
 _MAX_SUCCESSES = 20000
 _MAX_CRASHES = 16
@@ -160,6 +163,9 @@
     )
     _changed: dict[str, None] = attrs.field(factory=dict)
     _established: tuple[frozenset[str], ...] | None = None
+    _crashed_s: collections.OrderedDict[str, float] = attrs.field(
+        factory=collections.OrderedDict
+    )
 
     def check(
         self, keys: tuple[str, ...], now: float
@@ -196,6 +202,14 @@
             )
         return Clear()
 
+    def is_down(self, worker: str, now: float) -> bool:
+        """Returns whether a worker has crashed a moment ago.
+
+        :param worker: the worker and its start.
+        :param now: monotonic time in seconds.
+        """
+        return now - self._crashed_s.get(worker, _NEVER) < _LISTED_S
+
     def start_trial(self, keys: tuple[str, ...], now: float) -> None:
         """Records that a request tries suspected or quarantined keys.
 
@@ -238,6 +252,7 @@
         :param keys: keys of the request.
         :param now: monotonic time in seconds.
         """
+        self._record_down(worker, now)
         records = {key: self._get(key, now) for key in keys}
         quarantined = tuple(
             key
@@ -328,6 +343,7 @@
                 crashed_s = now - crash.age_ms / _MS_PER_S
                 known_s = record.crashes.get(crash.worker, math.inf)
                 record.crashes[crash.worker] = min(known_s, crashed_s)
+                self._record_down(crash.worker, crashed_s)
             success_s = _compute_time(one.success_age_ms, now)
             is_cleared_here = (
                 record.success_s > success_s and not record.counted
@@ -338,6 +354,11 @@
         self._established = None
         return tuple(outdated)
 
+    def _record_down(self, worker: str, crashed_s: float) -> None:
+        self._crashed_s.setdefault(worker, crashed_s)
+        if len(self._crashed_s) > _MAX_RECORDS:
+            self._crashed_s.popitem(last=False)
+
     def _get(self, key: str, now: float) -> _Record | None:
         record = self._records.get(key)
         if record is not None and record.is_expired(now):
