Split the evidence on a key and the results of a check from the quarantine

Its class keeps the decisions; the evidence on one key with its merging is in _crash_records.py, the results in _quarantine_results.py.

--- a/briarknot/serving/__init__.py
+++ b/briarknot/serving/__init__.py
@@ -17,11 +17,7 @@
     Prompt,
 )
 from briarknot.serving._crash_quarantine import (
-    Clear,
     CrashQuarantine,
-    OnTrial,
-    Quarantined,
-    Suspected,
     make_crash_quarantine,
 )
 from briarknot.serving._engine_choice import (
@@ -42,6 +38,12 @@
     PromptLoad,
     make_prompt_load,
 )
+from briarknot.serving._quarantine_results import (
+    Clear,
+    OnTrial,
+    Quarantined,
+    Suspected,
+)
 from briarknot.serving._retry_budget import RetryBudget, make_retry_budget
 from briarknot.serving._topology import Distance, Topology
 from briarknot.serving._work_sums import WorkSums, make_work_sums
--- a/briarknot/serving/_crash_quarantine.py
+++ b/briarknot/serving/_crash_quarantine.py
@@ -10,23 +10,16 @@
 import collections
 import collections.abc
 import itertools
-import math
 
 import attrs
 
-from briarknot import schema, sentinels
+from briarknot import schema
+from briarknot.serving import _crash_records, _quarantine_results
 
-#: Crashes of different workers from which a key is quarantined.
-_CRASH_LIMIT = 2
+_CRASH_LIMIT = _crash_records.CRASH_LIMIT
+_NEVER = _crash_records.NEVER
 #: Crashes of a key, without an answer, from which it explains them all.
 _ESTABLISHED_CRASHES = 3
-#: A crash does not count against a key that had an answer this long before it
-#: or at any time after it: parts that many requests share are starting at every
-#: worker at any time.
-_SOUND_S = 1.0
-#: Time without requests after the second crash. It doubles with each further
-#: one, so that a quarantine lasts at most about as long again as its cause.
-_FIRST_BLOCK_S = 10.0
 #: Time after which the trial of a quarantined key is repeated if it has no
 #: result: a prefill and the start of an answer.
 _TRIAL_S = 3.0
@@ -34,128 +27,28 @@
 _SUSPECT_TRIAL_S = 1.0
 #: Retry-After of a request that waited for the trial of another one.
 _TRIAL_RETRY_S = 0.5
-#: Time for which a quarantined key, and one at a single crash, is remembered.
-_MEMORY_S = 600.0
-_SUSPECT_MEMORY_S = 60.0
-#: Time for which the answer that cleared a key is sent to other processes.
-_CLEARED_MEMORY_S = 30.0
 #: Time after its crash in which a worker may still be listed: its entry expires
 #: after three heartbeat periods of about a second.
 _LISTED_S = 4.0
 _MAX_RECORDS = 1000
 _MAX_SUCCESSES = 20000
 _MAX_CRASHES = 16
-_NEVER = -math.inf
-_MS_PER_S = 1000
-#: Age of what has never happened.
-_NO_AGE_MS = -1
 
 CrashRecord = schema.records.CrashRecord
 
 
-@attrs.frozen
-class Clear:
-    """No key of a request is suspected."""
-
-
-@attrs.frozen
-class Suspected:
-    """A key was starting at one crash; one request at a time may try it.
-
-    :param keys: suspected keys of the request.
-    :param in_trial: whether another request tries one of them.
-    """
-
-    keys: tuple[str, ...]
-    in_trial: bool
-
-
-@attrs.frozen
-class OnTrial:
-    """The quarantine of a key is over if this request succeeds.
-
-    :param keys: quarantined keys of the request.
-    """
-
-    keys: tuple[str, ...]
-
-
-@attrs.frozen(kw_only=True)
-class Quarantined(sentinels.Sentinel):
-    """Sentinel for a request that must not be sent to a worker.
-
-    :param reason: sentence with the figures, for the log.
-    :param key: the key that is quarantined.
-    :param retry_after_s: time until one request may try it, in seconds.
-    """
-
-    reason: str
-    key: str
-    retry_after_s: float
-
-
-@attrs.define(eq=False)
-class _Record:
-    """Evidence on one key.
-
-    :param crashes: time of each worker's crash, by worker.
-    :param success_s: time of the latest answer that went on.
-    :param trial_s: start of the latest trial.
-    :param is_first: whether it is the first part of prompts.
-    """
-
-    crashes: dict[str, float] = attrs.field(factory=dict)
-    success_s: float = _NEVER
-    trial_s: float = _NEVER
-    is_first: bool = False
-
-    @property
-    def counted(self) -> frozenset[str]:
-        """Workers whose crashes count against the key."""
-        return frozenset(
-            worker
-            for worker, crashed_s in self.crashes.items()
-            if crashed_s > self.success_s + _SOUND_S
-        )
-
-    @property
-    def last_crash_s(self) -> float:
-        """Time of the latest crash."""
-        return max(self.crashes.values(), default=_NEVER)
-
-    @property
-    def block_s(self) -> float:
-        """Time without requests after the latest crash."""
-        return _FIRST_BLOCK_S * 2 ** max(0, len(self.counted) - _CRASH_LIMIT)
-
-    def is_on_trial(self, now: float, trial_s: float) -> bool:
-        """Returns whether a trial has started and has no result yet.
-
-        :param now: monotonic time in seconds.
-        :param trial_s: longest time of a trial in seconds.
-        """
-        latest_s = max(self.last_crash_s, self.success_s, now - trial_s)
-        return self.trial_s > latest_s
-
-    def is_expired(self, now: float) -> bool:
-        """Returns whether the evidence is too old to matter."""
-        if self.counted:
-            kept_s = _SUSPECT_MEMORY_S
-            if len(self.counted) >= _CRASH_LIMIT:
-                kept_s = max(_MEMORY_S, 2 * self.block_s)
-            return now - self.last_crash_s > kept_s
-        return now - max(self.last_crash_s, self.success_s) > _CLEARED_MEMORY_S
-
-
 @attrs.define(eq=False)
 class CrashQuarantine:
     """Evidence of this process and of others, by key.
 
     A key names a part of prompts or a request. Callers pass the keys of a
     request in order, the first part of its prompt first.
+
+    Established crashes are those that one key explains; they are computed after
+    each change.
     """
 
-    _records: collections.OrderedDict[str, _Record] = attrs.field(
+    _records: collections.OrderedDict[str, _crash_records.Record] = attrs.field(
         factory=collections.OrderedDict
     )
     _successes: collections.OrderedDict[str, float] = attrs.field(
@@ -169,14 +62,14 @@
 
     def check(
         self, keys: tuple[str, ...], now: float
-    ) -> Clear | Suspected | OnTrial | Quarantined:
+    ) -> _quarantine_results.Result:
         """Returns whether a request may be sent to a worker.
 
         :param keys: keys of the request.
         :param now: monotonic time in seconds.
         """
         if not self._records:
-            return Clear()
+            return _quarantine_results.Clear()
         suspected = []
         on_trial = []
         for key in keys:
@@ -191,16 +84,16 @@
                 # Requests with the same first part would queue for trials.
                 suspected.append(key)
         if on_trial:
-            return OnTrial(tuple(on_trial))
+            return _quarantine_results.OnTrial(tuple(on_trial))
         if suspected:
-            return Suspected(
+            return _quarantine_results.Suspected(
                 tuple(suspected),
                 any(
                     self._records[one].is_on_trial(now, _SUSPECT_TRIAL_S)
                     for one in suspected
                 ),
             )
-        return Clear()
+        return _quarantine_results.Clear()
 
     def is_down(self, worker: str, now: float) -> bool:
         """Returns whether a worker has crashed a moment ago.
@@ -295,7 +188,9 @@
         keys = tuple(self._changed)
         self._changed.clear()
         return tuple(
-            self._export(key, now) for key in keys if self._get(key, now)
+            self._records[key].export(key, now)
+            for key in keys
+            if self._get(key, now)
         )
 
     def list_records(self, now: float) -> tuple[CrashRecord, ...]:
@@ -304,7 +199,7 @@
         :param now: monotonic time in seconds.
         """
         return tuple(
-            self._export(key, now)
+            self._records[key].export(key, now)
             for key in tuple(self._records)
             if self._get(key, now)
         )
@@ -325,9 +220,6 @@
     ) -> tuple[CrashRecord, ...]:
         """Merges the records of another process, or stored ones.
 
-        The earliest time of a crash and the latest time of an answer count, so
-        that a message that was delayed does not renew a quarantine.
-
         :param records: the records.
         :param now: monotonic time in seconds.
         :returns: records that the other process does not know to be cleared.
@@ -335,22 +227,15 @@
         outdated = []
         for one in records:
             record = self._get(one.key, now) or self._add(one.key)
-            record.is_first = record.is_first or one.is_first
-            record.trial_s = max(
-                record.trial_s, _compute_time(one.trial_age_ms, now)
-            )
-            for crash in one.crashes:
-                crashed_s = now - crash.age_ms / _MS_PER_S
-                known_s = record.crashes.get(crash.worker, math.inf)
-                record.crashes[crash.worker] = min(known_s, crashed_s)
-                self._record_down(crash.worker, crashed_s)
-            success_s = _compute_time(one.success_age_ms, now)
+            success_s = _crash_records.compute_time(one.success_age_ms, now)
             is_cleared_here = (
                 record.success_s > success_s and not record.counted
             )
+            record.merge(one, now)
+            for crash in one.crashes:
+                self._record_down(crash.worker, record.crashes[crash.worker])
             if is_cleared_here and one.crashes:
-                outdated.append(self._export(one.key, now))
-            record.success_s = max(record.success_s, success_s)
+                outdated.append(record.export(one.key, now))
         self._established = None
         return tuple(outdated)
 
@@ -359,21 +244,23 @@
         if len(self._crashed_s) > _MAX_RECORDS:
             self._crashed_s.popitem(last=False)
 
-    def _get(self, key: str, now: float) -> _Record | None:
+    def _get(self, key: str, now: float) -> _crash_records.Record | None:
         record = self._records.get(key)
         if record is not None and record.is_expired(now):
             del self._records[key]
             return None
         return record
 
-    def _add(self, key: str) -> _Record:
-        record = _Record(success_s=self._successes.get(key, _NEVER))
+    def _add(self, key: str) -> _crash_records.Record:
+        record = _crash_records.Record(
+            success_s=self._successes.get(key, _NEVER)
+        )
         self._records[key] = record
         if len(self._records) > _MAX_RECORDS:
             self._records.popitem(last=False)
         return record
 
-    def _count(self, record: _Record) -> frozenset[str]:
+    def _count(self, record: _crash_records.Record) -> frozenset[str]:
         """Returns the workers whose crashes count against a key.
 
         Other requests are starting at a worker that crashes in the trial of a
@@ -394,7 +281,7 @@
                 counted -= crashes
         return counted
 
-    def _is_explained(self, record: _Record) -> bool:
+    def _is_explained(self, record: _crash_records.Record) -> bool:
         """Returns whether other keys explain the crashes of a key better.
 
         One or two of them were starting at all of these crashes, and their last
@@ -415,35 +302,12 @@
         pairs = itertools.combinations_with_replacement(others, 2)
         return any(counted <= (one | two) for one, two in pairs)
 
-    def _export(self, key: str, now: float) -> CrashRecord:
-        record = self._records[key]
-        return CrashRecord(
-            key=key,
-            crashes=tuple(
-                schema.records.WorkerCrash(
-                    worker=worker, age_ms=_compute_age(crashed_s, now)
-                )
-                for worker, crashed_s in record.crashes.items()
-            ),
-            success_age_ms=_compute_age(record.success_s, now),
-            trial_age_ms=_compute_age(record.trial_s, now),
-            is_first=record.is_first,
-        )
-
-
-def _compute_age(time_s: float, now: float) -> int:
-    if time_s == _NEVER:
-        return _NO_AGE_MS
-    return max(0, round((now - time_s) * _MS_PER_S))
-
-
-def _compute_time(age_ms: int, now: float) -> float:
-    return _NEVER if age_ms < 0 else now - age_ms / _MS_PER_S
-
 
-def _make_refusal(key: str, record: _Record, remaining_s: float) -> Quarantined:
+def _make_refusal(
+    key: str, record: _crash_records.Record, remaining_s: float
+) -> _quarantine_results.Quarantined:
     workers = ', '.join(sorted(record.counted))
-    return Quarantined(
+    return _quarantine_results.Quarantined(
         key=key,
         reason=f'{key} was starting at the crashes of {workers}',
         retry_after_s=max(remaining_s, _TRIAL_RETRY_S),
