Let a request wait for a trial for half of its time at most

A request with little time left waited for the trial of another one until its deadline, and its client had no time to come back. Found in review; test_request_does_not_wait_for_a_trial_until_its_deadline fails with the whole remaining time.

--- a/briarknot/gateway/_crashes.py
+++ b/briarknot/gateway/_crashes.py
@@ -19,14 +19,15 @@
 #: after the other. A trial lasts as long as a KV transfer and the start of an
 #: answer.
 _MAX_TRIAL_WAIT_S = 3.0
+#: Share of its remaining time for which a request waits, so that its client has
+#: time to come back.
+_MAX_WAIT_SHARE = 0.5
 #: Period of checking whether a trial has ended without a result.
 _TRIAL_CHECK_S = 0.1
 #: Time that each process gives the one before it to start a trial for which both
 #: have waited. It exceeds the check's period and the latency between regions.
 _TURN_S = 0.3
 _MAX_TURNS = 8
-
-
 #: Failures after which a worker may have ended as it began an answer.
 _BROKEN_KINDS = frozenset(
     (serving.FailureKind.BROKEN, serving.FailureKind.FOREIGN)
@@ -92,7 +93,8 @@
     """
     keys = _list_keys(request)
     turn_s = time.monotonic()
-    end_s = turn_s + min(_MAX_TRIAL_WAIT_S, request.remaining_s(turn_s))
+    remaining_s = request.remaining_s(turn_s)
+    end_s = turn_s + min(_MAX_TRIAL_WAIT_S, remaining_s * _MAX_WAIT_SHARE)
     while True:
         now = time.monotonic()
         result = context.quarantine.check(keys, now)
--- a/briarknot/gateway/tests/test_crashing_parts.py
+++ b/briarknot/gateway/tests/test_crashing_parts.py
@@ -180,3 +180,13 @@
     assert len(still_pending) == 1
     for task in (*exchanges, *tasks):
         task.cancel()
+
+
+async def test_request_does_not_wait_for_a_trial_until_its_deadline():
+    """A refused client had no time left to come back."""
+    context, request = make_waiting('g1', 'g2')
+    request.deadline_s = time.monotonic() + 2
+    context.quarantine.start_trial(request.keys, time.monotonic() + 2)
+    result = await _crashes.wait_for_trial(context, request)
+    assert isinstance(result, serving.Quarantined)
+    assert round(request.remaining_s(time.monotonic())) == 1
