Store evidence that processes learned before their first read of the store

Processes that all started in an outage of the store, and learned of a crashing part from each other, took it for stored at their first read, so that no one wrote it and the next restart would lose it. Found in review. test_what_was_learned_before_the_first_read_is_stored failed before: no row within 20 s.

--- a/briarknot/gateway/_quarantine_sync.py
+++ b/briarknot/gateway/_quarantine_sync.py
@@ -49,7 +49,8 @@
             return
         self._is_loaded = True
         self._merge_row(page)
-        self._stored = self._summarize()
+        # Others may have sent more meanwhile than the row holds.
+        self._stored = _summarize(_decode_row(page).evidence)
 
     async def send(self) -> None:
         """Sends new evidence at once, and repeats all of it."""
--- a/briarknot/gateway/tests/test_quarantine_sync.py
+++ b/briarknot/gateway/tests/test_quarantine_sync.py
@@ -4,8 +4,8 @@
 import contextlib
 import time
 
-from briarknot import serving
-from briarknot.gateway import _quarantine_sync
+from briarknot import platform, serving
+from briarknot.gateway import _context, _quarantine_sync
 from briarknot.gateway.tests import test_store_sync as stores
 
 _KEYS = ('part a', 'part dd', 'request 1')
@@ -95,6 +95,20 @@
         await wait_for_row(store, bool)
 
 
+async def test_what_was_learned_before_the_first_read_is_stored():
+    """Processes that all started in an outage took their evidence for stored."""
+    async with contextlib.AsyncExitStack() as stack:
+        store = await stack.enter_async_context(stores.open_store())
+        client = platform.make_client(store.session, store.url, 1)
+        context = _context.make_context(stores.make_settings('g', 'a'), None)
+        record_crashes(context)
+        sync = _quarantine_sync.make_quarantine_sync(context, client, None)
+        await sync.load()
+        task = asyncio.ensure_future(sync.store())
+        stack.callback(task.cancel)
+        await wait_for_row(store, bool)
+
+
 async def test_another_process_stores_where_the_first_can_not():
     """What was quarantined was not stored if one process could not write."""
     async with contextlib.AsyncExitStack() as stack:
