--- a/briarknot/gateway/_crashes.py
+++ b/briarknot/gateway/_crashes.py
@@ -70,7 +70,7 @@
     result = context.quarantine.check(_list_keys(request), time.monotonic())
     if isinstance(result, serving.OnTrial):
         if not request.trial_keys and _is_last_worker(context, request, stage):
-            return _make_delay(result.keys[0], 'no worker can be spared')
+            return _make_delay(result.keys[0], 'only one worker is available')
         _start_trial(context, request, result.keys)
     if isinstance(result, serving.Quarantined):
         return None if _is_tried(context, request, result.key) else result
@@ -114,7 +114,8 @@
             return None
         if now >= end_s:
             return _make_delay(
-                result.keys[0], 'no trial has a result, or no worker is spare'
+                result.keys[0],
+                'no trial has a result, or only one worker is available',
             )
         await context.quarantine_changed.wait(min(_TRIAL_CHECK_S, end_s - now))
 
@@ -173,7 +174,7 @@
 def record_success(
     context: _context.Context, request: _requests.Request
 ) -> None:
-    """Records that the answer of a request goes on.
+    """Records that the answer of a request has begun well, or is complete.
 
     :param context: state of the process.
     :param request: the request.
--- a/briarknot/schema/_generated/records.py
+++ b/briarknot/schema/_generated/records.py
@@ -462,7 +462,7 @@
         doc='Crashes at which requests with it were starting.', default=()
     )
     success_age_ms: int = _fields.make_field(
-        doc='Time since the latest answer that went on; -1 for none.',
+        doc='Time since the latest successful answer; -1 for none.',
         maximum=9223372036854775807,
         minimum=-9223372036854775808,
         unit='ms',
--- a/briarknot/schema/definitions/records.capnp
+++ b/briarknot/schema/definitions/records.capnp
@@ -150,7 +150,7 @@
 struct CrashRecord $A.doc("Evidence that a part of prompts, or a request, makes workers crash.") {
   key @0 :Text $A.doc("Names the part or the request.");
   crashes @1 :List(WorkerCrash) $A.doc("Crashes at which requests with it were starting.");
-  successAgeMs @2 :Int64 = -1 $A.unit("ms") $A.doc("Time since the latest answer that went on; -1 for none.");
+  successAgeMs @2 :Int64 = -1 $A.unit("ms") $A.doc("Time since the latest successful answer; -1 for none.");
   trialAgeMs @3 :Int64 = -1 $A.unit("ms") $A.doc("Time since the start of the latest trial; -1 for none.");
   isFirst @4 :Bool $A.doc("Whether it is the first part of prompts.");
 }
--- a/briarknot/serving/_crash_quarantine.py
+++ b/briarknot/serving/_crash_quarantine.py
@@ -2,7 +2,7 @@
 
 A worker may crash whenever it begins an answer on a certain part of a prompt, or
 on a certain request. The requests that were starting at a worker when it crashed
-are evidence against their parts; an answer that goes on is evidence for them.
+are evidence against their parts; a successful answer is evidence for them.
 Processes exchange this evidence as records, which they merge by worker and time,
 so that the order and the loss of messages don't matter.
 """
--- a/briarknot/serving/_crash_records.py
+++ b/briarknot/serving/_crash_records.py
@@ -1,4 +1,4 @@
-"""Evidence on one key: crashes of workers, and answers that went on."""
+"""Evidence on one key: crashes of workers, and successful answers."""
 
 import math
 
@@ -33,7 +33,7 @@
     """Evidence on one key.
 
     :param crashes: time of each worker's crash, by worker.
-    :param success_s: time of the latest answer that went on.
+    :param success_s: time of the latest successful answer.
     :param trial_s: start of the latest trial.
     :param is_first: whether it is the first part of prompts.
     """
--- a/briarknot/serving/tests/test_crash_quarantine.py
+++ b/briarknot/serving/tests/test_crash_quarantine.py
@@ -30,7 +30,7 @@
 
 
 def succeed(quarantine, keys, now):
-    """Records an answer that went on."""
+    """Records a successful answer."""
     quarantine.record_success(keys, now)
 
 
