Log the limits that workers name in their answers

The limit is decoded with the load of an answer, and worker_limit_changed is logged when it changes. An unreadable limit is logged and changes nothing.

No decision changes with this commit.

--- a/briarknot/gateway/_attempts.py
+++ b/briarknot/gateway/_attempts.py
@@ -97,7 +97,7 @@
             kind=serving.FailureKind.TIMED_OUT,
             reason=f'no answer within {timeout_s:.2f} s',
         )
-    record_result(request, attempt, 'run', result, context.fleet)
+    record_result(context, request, attempt, 'run', result)
     if isinstance(result, serving.Failed) and result.not_run:
         request.may_have_run = ran_before
         request.attempts -= 1
@@ -107,29 +107,31 @@
 
 
 def record_result(
+    context: _context.Context,
     request: _requests.Request,
     attempt: Attempt,
     call: str,
     result: typing.Any,
-    fleet: serving.Fleet,
 ) -> None:
     """Logs the result of an attempt and updates its worker's record.
 
+    :param context: state of the process.
     :param request: the request.
     :param attempt: the attempt.
     :param call: ``run`` or ``prefill``.
     :param result: exchange, KV source, or failure.
-    :param fleet: workers, whose age is logged.
     """
     now = time.monotonic()
     outcome = 'answered'
     inputs = {}
+    stated = result
     if isinstance(result, serving.Failed):
         outcome = result.kind.value
         inputs['reason'] = result.reason
         attempt.record.record_failure(result.kind, now)
         attempt.record.record_load(result.load, now)
     elif isinstance(result, platform.Exchange):
+        stated = result.answer
         inputs['status'] = result.answer.status
         attempt.record.record_load(result.answer.load, now)
         attempt.record.record_answer(
@@ -139,6 +141,7 @@
     else:
         attempt.record.record_load(result.load, now)
         attempt.record.record_answer(attempt.seconds, is_error=False)
+    _record_backpressure(context, attempt, stated.backpressure)
     _context.ATTEMPTS.labels(call, outcome).inc()
     telemetry.log_event(
         'attempt_ended',
@@ -150,7 +153,23 @@
         seconds=round(attempt.seconds, 4),
         in_flight=attempt.record.in_flight,
         failure_rate=round(attempt.record.failure_rate, 3),
-        workers_age_s=round(fleet.workers_age_s(now), 2),
-        manifest_version=fleet.version,
+        workers_age_s=round(context.fleet.workers_age_s(now), 2),
+        manifest_version=context.fleet.version,
         **inputs,
     )
+
+
+def _record_backpressure(
+    context: _context.Context,
+    attempt: Attempt,
+    backpressure: serving.Backpressure | None,
+) -> None:
+    worker = attempt.worker
+    if context.worker_limits.record_answer(worker, backpressure):
+        telemetry.log_event(
+            'worker_limit_changed',
+            worker=worker.id,
+            domain=worker.domain,
+            limit_per_s=context.worker_limits.get(worker),
+            in_flight=attempt.record.in_flight,
+        )
--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -61,6 +61,7 @@
     :param fleet_known: set when the manifest and the workers are known.
     :param quarantine: evidence on what makes workers crash.
     :param quarantine_changed: notified when the evidence changes.
+    :param worker_limits: limits that workers have named.
     :param background_tasks: tasks that outlive the request that started them.
     """
 
@@ -80,6 +81,9 @@
         factory=serving.make_crash_quarantine
     )
     quarantine_changed: program.Signal = attrs.field(factory=program.Signal)
+    worker_limits: serving.WorkerLimits = attrs.field(
+        factory=serving.make_worker_limits
+    )
     background_tasks: set[typing.Any] = attrs.field(factory=set)
 
     @property
--- a/briarknot/gateway/_crashes.py
+++ b/briarknot/gateway/_crashes.py
@@ -167,7 +167,9 @@
     )
     if has_ended:
         request.trial_keys = ()
-        context.quarantine.record_crash(_name_start(worker), keys, broken_s)
+        context.quarantine.record_crash(
+            serving.name_start(worker), keys, broken_s
+        )
         context.quarantine_changed.notify()
 
 
@@ -208,7 +210,7 @@
     :param worker: the worker.
     :param now: monotonic time in seconds.
     """
-    return context.quarantine.is_down(_name_start(worker), now)
+    return context.quarantine.is_down(serving.name_start(worker), now)
 
 
 def _compute_turn_s(context: _context.Context, key: str) -> float:
@@ -230,11 +232,6 @@
     return len(listed) > 1 and len(up) <= 1
 
 
-def _name_start(worker: schema.serving.Worker) -> str:
-    """Names a worker and its start; a restart may keep the id."""
-    return f'{worker.id} {worker.born_ms}'
-
-
 def _make_delay(key: str, reason: str) -> serving.Quarantined:
     return serving.Quarantined(
         key=key,
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -127,9 +127,7 @@
         with count_prompt(context, request, placement) as counted:
             result = await context.calls.prefill(request.call, dispatch)
             counted.is_prefilled = isinstance(result, serving.KvSource)
-        _attempts.record_result(
-            request, attempt, 'prefill', result, context.fleet
-        )
+        _attempts.record_result(context, request, attempt, 'prefill', result)
     if not _counts_as_send(request, result):
         request.refund_send(context.budget)
     return result
--- a/briarknot/platform/_headers.py
+++ b/briarknot/platform/_headers.py
@@ -10,6 +10,8 @@
 EXPECTED_WORKER = 'Expect-Instance'
 #: Running and waiting requests and slots of the answering worker.
 WORKER_LOAD = 'Instance-Load'
+#: Requests per second that the answering worker takes from all machines.
+WORKER_LIMIT = 'Server-Limit'
 #: Prompt tokens and the largest number of output tokens.
 TOKEN_COUNTS = 'Token-Counts'
 PROMPT_PARTS = 'Prompt-Prefix'
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import math
 
 import aiohttp
 import attrs
@@ -253,6 +254,7 @@
         status=response.status,
         headers=_filter_headers(response),
         load=_decode_load(response),
+        backpressure=_decode_backpressure(response),
     )
     return Exchange(answer, response)
 
@@ -276,6 +278,7 @@
             reason=f'status {status} names no request',
             load=load,
         )
+    backpressure = _decode_backpressure(response)
     if status == _MISDIRECTED:
         return serving.Failed(
             kind=serving.FailureKind.WRONG_WORKER,
@@ -287,12 +290,14 @@
             kind=serving.FailureKind.REJECTED,
             reason=f'status {status}',
             load=load,
+            backpressure=backpressure,
         )
     if status in _NOT_RUN_STATUSES:
         return serving.Failed(
             kind=serving.FailureKind.BROKEN,
             reason=f'status {status} without a statement that it did not run',
             load=load,
+            backpressure=backpressure,
         )
     return None
 
@@ -332,6 +337,27 @@
         return None
 
 
+def _decode_backpressure(
+    response: aiohttp.ClientResponse,
+) -> serving.Backpressure | None:
+    text = response.headers.get(_headers.WORKER_LIMIT)
+    if text is None:
+        return serving.Backpressure()
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        limit_per_s = math.nan
+    if math.isfinite(limit_per_s) and limit_per_s >= 0:
+        return serving.Backpressure(limit_per_s=limit_per_s)
+    _MALFORMED.labels('limit').inc()
+    telemetry.log_event(
+        'limit_malformed',
+        address=response.url.authority,
+        value=text[:_MAX_LOGGED_TEXT],
+    )
+    return None
+
+
 async def _read_handle(
     exchange: Exchange, dispatch: serving.Dispatch
 ) -> serving.KvSource | serving.Failed:
@@ -339,6 +365,8 @@
         return serving.Failed(
             kind=serving.FailureKind.BROKEN,
             reason=f'prefill answered {exchange.answer.status}',
+            load=exchange.answer.load,
+            backpressure=exchange.answer.backpressure,
         )
     body = await exchange.read_whole()
     if isinstance(body, serving.Failed):
@@ -350,6 +378,7 @@
             handle=str(tree['kvHandle']),
             tokens=int(tree['tokens']),
             load=exchange.answer.load,
+            backpressure=exchange.answer.backpressure,
         )
     except (KeyError, TypeError, ValueError) as error:
         return _make_failure(serving.FailureKind.FOREIGN, error)
--- a/briarknot/serving/__init__.py
+++ b/briarknot/serving/__init__.py
@@ -4,6 +4,7 @@
 encoding, so that any front end and any endpoint protocol can use them.
 """
 
+from briarknot.serving._backpressure import Backpressure
 from briarknot.serving._calls import (
     NOT_RUN_KINDS,
     Answer,
@@ -47,6 +48,11 @@
 from briarknot.serving._retry_budget import RetryBudget, make_retry_budget
 from briarknot.serving._topology import Distance, Topology
 from briarknot.serving._work_sums import WorkSums, make_work_sums
+from briarknot.serving._worker_limits import (
+    WorkerLimits,
+    make_worker_limits,
+    name_start,
+)
 from briarknot.serving._worker_records import (
     WorkerRecord,
     WorkerRecords,
@@ -59,6 +65,7 @@
     'PLACEMENT_POLICIES',
     'PLAIN_POLICIES',
     'Answer',
+    'Backpressure',
     'Call',
     'Clear',
     'CrashQuarantine',
@@ -83,6 +90,7 @@
     'Suspected',
     'Topology',
     'WorkSums',
+    'WorkerLimits',
     'WorkerRecord',
     'WorkerRecords',
     'choose_destination',
@@ -91,7 +99,9 @@
     'make_prompt_load',
     'make_retry_budget',
     'make_work_sums',
+    'make_worker_limits',
     'make_worker_records',
+    'name_start',
     'rank_names',
     'rank_workers',
 )
--- a/briarknot/serving/_calls.py
+++ b/briarknot/serving/_calls.py
@@ -5,8 +5,10 @@
 import attrs
 
 from briarknot import schema, sentinels
+from briarknot.serving import _backpressure
 
 Header = tuple[str, str]
+Backpressure = _backpressure.Backpressure
 
 
 @attrs.frozen(kw_only=True)
@@ -88,12 +90,14 @@
     :param handle: id of the KV cache at the worker.
     :param tokens: length in tokens.
     :param load: load that the worker reported with it.
+    :param backpressure: what the worker stated about the requests it wants.
     """
 
     worker: schema.serving.Worker
     handle: str
     tokens: int
     load: Load | None = None
+    backpressure: Backpressure | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -149,11 +153,14 @@
     :param kind: how the attempt failed.
     :param reason: details for the log.
     :param load: load that the worker reported.
+    :param backpressure: what the worker stated about the requests it wants;
+        None where it answered nothing that can be read.
     """
 
     kind: FailureKind
     reason: str
     load: Load | None = None
+    backpressure: Backpressure | None = None
 
     @property
     def not_run(self) -> bool:
@@ -169,9 +176,11 @@
     :param headers: headers for the client.
     :param body: complete body; empty if the answer is a stream.
     :param load: load that the worker reported.
+    :param backpressure: what the worker stated about the requests it wants.
     """
 
     status: int
     headers: tuple[Header, ...]
     body: bytes = b''
     load: Load | None = None
+    backpressure: Backpressure | None = None
