--- a/briarknot/gateway/tests/_support.py
+++ b/briarknot/gateway/tests/_support.py
@@ -15,6 +15,7 @@
 from briarknot.gateway import (  # noqa: F401
     _context,
     _generation,
+    _peers,
     _plain,
     _requests,
 )
@@ -230,19 +231,68 @@
 @contextlib.asynccontextmanager
 async def open_gateway(route, *workers, hosts=1):
     """Runs a gateway with one route to the given workers."""
+    async with contextlib.AsyncExitStack() as stack:
+        for worker in workers:
+            await _serve_worker(stack, worker)
+        yield await stack.enter_async_context(
+            _run_gateway(route, workers, hosts=hosts)
+        )
+
+
+@contextlib.asynccontextmanager
+async def open_gateways(route, *workers, count):
+    """Runs gateways that send each other messages, with the same workers."""
+    async with contextlib.AsyncExitStack() as stack:
+        for worker in workers:
+            await _serve_worker(stack, worker)
+        gateways = [
+            await stack.enter_async_context(
+                _run_gateway(route, workers, hosts=count, host=f'g{number}')
+            )
+            for number in range(count)
+        ]
+        hosts = {
+            one.context.settings.host: _context.PeerHost(
+                ('127.0.0.1', one.context.settings.peer_port), 'a'
+            )
+            for one in gateways
+        }
+        for one in gateways:
+            one.context.set_peer_hosts(hosts)
+            await stack.enter_async_context(_run_peers(one.context))
+        yield gateways
+
+
+@contextlib.asynccontextmanager
+async def _run_peers(context):
+    """Runs the tasks that exchange messages with other processes."""
+    peers = _peers.make_peers(context)
+    tasks = [
+        asyncio.create_task(one)
+        for one in (peers.receive(), peers.broadcast_work())
+    ]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+
+
+@contextlib.asynccontextmanager
+async def _run_gateway(route, workers, *, hosts, host='g'):
     port = find_port()
     settings = schema.settings.GatewaySettings(
-        host='g',
+        host=host,
         domain='a',
         region='a',
         address='127.0.0.1',
         front_address=f'127.0.0.1:{port}',
         readiness_address=f'127.0.0.1:{find_port()}',
         store_address='127.0.0.1:1',
+        peer_port=find_port(),
     )
     async with contextlib.AsyncExitStack() as stack:
-        for worker in workers:
-            await _serve_worker(stack, worker)
         calls = platform.make_worker_calls()
         context = _context.make_context(settings, calls)
         context.budget.set_hosts(hosts)
