Issue permits for requests to workers that name a limit

A worker in need names how many requests a second it takes from all gateways together.

Cause: the choice of workers did not know limits, and nothing divided them among the gateways. Each send to such a worker needs a permit now. One process issues them, the first in a common order that prefers the worker's own domain; others take its place when it is no longer heard. Single permits serve any number of gateways, also where the limit is below it; shares of a rate can't. The policies add the wait for a turn to the expected time, urgent requests and long prompts come first, and prompts are not prefilled in vain where all workers that run them have limits.

--- a/briarknot/gateway/_attempts.py
+++ b/briarknot/gateway/_attempts.py
@@ -165,11 +165,14 @@
     backpressure: serving.Backpressure | None,
 ) -> None:
     worker = attempt.worker
-    if context.worker_limits.record_answer(worker, backpressure):
+    now = time.monotonic()
+    start = serving.name_start(worker)
+    limits = context.permits.limits
+    if limits.record_answer(start, backpressure, attempt.started_s, now):
         telemetry.log_event(
             'worker_limit_changed',
             worker=worker.id,
             domain=worker.domain,
-            limit_per_s=context.worker_limits.get(worker),
+            limit_per_s=limits.get(start, now),
             in_flight=attempt.record.in_flight,
         )
--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import random
+import time
 import typing
 
 import attrs
 import prometheus_client
 
 from briarknot import platform, program, schema, serving, telemetry
+from briarknot.gateway import _pending_answers
 
 REQUESTS = prometheus_client.Counter(
     'briarknot_gateway_requests',
@@ -31,6 +33,13 @@
 _SPARE_HOSTS = 3
 
 
+SendMessage = typing.Callable[[typing.Any, tuple[str, ...]], None]
+
+
+def _drop_message(message: typing.Any, hosts: tuple[str, ...]) -> None:
+    """Sends nothing, in a process that exchanges no messages."""
+
+
 @attrs.frozen
 class PeerHost:
     """Another gateway process.
@@ -54,6 +63,7 @@
     :param budget: retries that this process may send.
     :param calls: client of the workers.
     :param topology: distances between failure domains.
+    :param permits: limits that workers have named, and permits to send to them.
     :param random_source: source of randomness.
     :param peer_hosts: the other gateway processes by host.
     :param fleet_update: latest update that another process sent.
@@ -61,7 +71,8 @@
     :param fleet_known: set when the manifest and the workers are known.
     :param quarantine: evidence on what makes workers crash.
     :param quarantine_changed: notified when the evidence changes.
-    :param worker_limits: limits that workers have named.
+    :param permit_answers: answers of other processes that issue permits.
+    :param send_message: sends a message to other processes, by their hosts.
     :param background_tasks: tasks that outlive the request that started them.
     """
 
@@ -72,6 +83,7 @@
     budget: serving.RetryBudget
     calls: platform.WorkerCalls
     topology: serving.Topology
+    permits: serving.SendPermits
     random_source: random.Random = attrs.field(factory=random.Random)
     peer_hosts: dict[str, PeerHost] = attrs.field(factory=dict)
     fleet_update: schema.messages.FleetUpdate | None = None
@@ -81,9 +93,10 @@
         factory=serving.make_crash_quarantine
     )
     quarantine_changed: program.Signal = attrs.field(factory=program.Signal)
-    worker_limits: serving.WorkerLimits = attrs.field(
-        factory=serving.make_worker_limits
+    permit_answers: _pending_answers.PendingAnswers = attrs.field(
+        factory=_pending_answers.PendingAnswers
     )
+    send_message: SendMessage = _drop_message
     background_tasks: set[typing.Any] = attrs.field(factory=set)
 
     @property
@@ -106,6 +119,12 @@
                 removed=sorted(self.peer_hosts.keys() - hosts.keys()),
             )
         self.peer_hosts = hosts
+        self.permits.set_domains(
+            {
+                self.settings.host: self.settings.domain,
+                **{host: peer.domain for host, peer in hosts.items()},
+            }
+        )
         # The share of the budget must stay safe when more processes start.
         self.budget.set_hosts(1 + len(hosts) + _SPARE_HOSTS)
 
@@ -114,18 +133,28 @@
         if self.is_ready:
             self.fleet_known.set()
 
-    @property
-    def plain_view(self) -> serving.PlainView:
-        """Inputs of the policies for plain services."""
+    def make_plain_view(
+        self, turn_waits_s: dict[str, float]
+    ) -> serving.PlainView:
+        """Makes the inputs of the policies for plain services.
+
+        :param turn_waits_s: times until limits of workers allow a request.
+        """
         return serving.PlainView(
-            self.worker_records, self.topology, self.random_source
+            self.worker_records,
+            self.topology,
+            self.random_source,
+            turn_waits_s,
         )
 
-    def make_decode_view(self, event_gap_s: float) -> serving.DecodeView:
+    def make_decode_view(
+        self, event_gap_s: float, turn_waits_s: dict[str, float]
+    ) -> serving.DecodeView:
         """Makes the inputs of the policies for decode workers.
 
         :param event_gap_s: gap from which an event of the request is late, in
             seconds; 0 for none.
+        :param turn_waits_s: times until limits of workers allow a request.
         """
         return serving.DecodeView(
             self.worker_records,
@@ -134,6 +163,7 @@
             self.prompt_load,
             event_gap_s,
             1 + len(self.peer_hosts),
+            turn_waits_s,
         )
 
 
@@ -159,4 +189,7 @@
         ),
         calls=calls,
         topology=serving.Topology(settings.domain, regions),
+        permits=serving.make_send_permits(
+            settings.host, settings.domain, time.monotonic()
+        ),
     )
--- a/briarknot/gateway/_gateway.py
+++ b/briarknot/gateway/_gateway.py
@@ -14,6 +14,7 @@
     _context,
     _generation,
     _hosts,
+    _limit_sync,
     _metrics,
     _peers,
     _plain,
@@ -92,6 +93,10 @@
                 ('manifest', follow_store),
                 ('quarantine', quarantine_sync.send),
                 ('quarantine_row', quarantine_sync.store),
+                (
+                    'limits',
+                    _limit_sync.make_limit_sync(self._context, peers).send,
+                ),
                 ('workers', store_sync.sync_workers),
                 ('hosts', host_list.sync),
                 ('peer_news', peers.receive),
--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -12,6 +12,7 @@
     _generation_attempts,
     _prefill,
     _requests,
+    _send_permits,
     _stream,
 )
 
@@ -77,7 +78,7 @@
         _crashes.end_trial(context, request)
         if progress.source is not None:
             _prefill.free_in_background(context, progress.source)
-    _finish_failure(request, relay, progress)
+    _finish_failure(context, request, relay, progress)
 
 
 def _refuse_hopeless(
@@ -130,6 +131,8 @@
     if progress.quarantined is not None:
         return False
     source, colocated = progress.source, None
+    if not await _send_permits.admit(context, request, _Stage.DECODE):
+        return False
     if source is None:
         source, colocated = await _prefill.prefill_prompt(
             context, request, tried + progress.failed_sources
@@ -140,8 +143,13 @@
     )
     if progress.quarantined is not None:
         return False
-    worker = _choose_decode(context, request, source, tried)
-    if colocated is not None:
+    if colocated is None:
+        worker = await _send_permits.choose_permitted(
+            context,
+            request,
+            functools.partial(_choose_decode, context, request, source, tried),
+        )
+    else:
         worker = colocated.prefill_worker
     if worker is None or not request.try_acquire_send(context.budget):
         return False
@@ -198,16 +206,21 @@
     request: _requests.Request,
     source: serving.KvSource | None,
     tried: list[str],
+    excluded: list[str],
 ) -> schema.serving.Worker | None:
-    workers = _prefill.list_unblocked(context, request, _Stage.DECODE, tried)
+    workers = _prefill.list_unblocked(
+        context, request, _Stage.DECODE, tried + excluded
+    )
     if not workers:
         return None
     policy = serving.DECODE_POLICIES.get(_DECODE_POLICY)
-    view = context.make_decode_view(request.route.event_gap_s)
+    waits_s = _send_permits.list_waits_s(context, request)
+    view = context.make_decode_view(request.route.event_gap_s, waits_s)
     return policy(view, workers, source, time.monotonic())
 
 
 def _finish_failure(
+    context: _context.Context,
     request: _requests.Request,
     relay: _stream.Relay,
     progress: _Progress,
@@ -224,10 +237,12 @@
             'endpoint_failed',
             reason=last.reason if last else '',
         )
-    else:
+    elif last is not None:
         request.refuse(
             _requests.UNAVAILABLE,
-            'no_capacity' if last else 'no_endpoint',
+            'no_capacity',
             _requests.DEFAULT_RETRY_AFTER_S,
-            reason=last.reason if last else '',
+            reason=last.reason,
         )
+    else:
+        _send_permits.refuse_unsent(context, request, _Stage.DECODE)
--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -106,6 +106,18 @@
         """Makes the next message due even if there is no work to report."""
         self._is_announced = False
 
+    def record_host(self, message: typing.Any) -> None:
+        """Adds a process that started after the list of hosts was read.
+
+        :param message: message of the process, with its address.
+        """
+        hosts = self._context.peer_hosts
+        is_local = message.host == self._context.settings.host
+        if message.host not in hosts and message.port and not is_local:
+            address = (message.address, message.port)
+            peer = _context.PeerHost(address, message.domain)
+            self._context.set_peer_hosts({**hosts, message.host: peer})
+
     async def broadcast_work(self) -> None:
         """Sends this process's work at engines to the others on a change."""
         sent_work: tuple[schema.messages.WorkerWork, ...] = ()
@@ -161,7 +173,7 @@
         :param message: the message.
         :param now: monotonic time in seconds.
         """
-        self._record_host(message)
+        self.record_host(message)
         self._inform_started(message)
         load = self._context.prompt_load
         load.caches.record_parts(message.parts, now)
@@ -281,6 +293,7 @@
     def _forget_peers(self, seconds: float) -> None:
         telemetry.log_event('peer_work_outdated', suspended_s=round(seconds, 2))
         self._context.prompt_load.work.forget_peers()
+        self._context.permits.forget_issued()
         self._sums.clear()
 
     def _send_to_all(self, message: schema.messages.EngineWork) -> None:
@@ -303,15 +316,6 @@
             forwarder = ranked[min(index, len(ranked) - 1)]
             self._socket.send(data, self._context.peer_hosts[forwarder].address)
 
-    def _record_host(self, message: schema.messages.EngineWork) -> None:
-        """Adds a process that started after the list of hosts was read."""
-        hosts = self._context.peer_hosts
-        is_local = message.host == self._context.settings.host
-        if message.host not in hosts and message.port and not is_local:
-            address = (message.address, message.port)
-            peer = _context.PeerHost(address, message.domain)
-            self._context.set_peer_hosts({**hosts, message.host: peer})
-
     def _inform_started(self, message: schema.messages.EngineWork) -> None:
         """Sends the contents of the engines' caches to a process that started.
 
@@ -379,7 +383,7 @@
     """
     settings = context.settings
     born_ms = int(time.time() * _MS_PER_S)
-    return Peers(
+    peers = Peers(
         context,
         _peer_socket.open_peer_socket(context),
         born_ms,
@@ -388,3 +392,5 @@
             settings.host, settings.domain, born_ms, context.prompt_load.work
         ),
     )
+    context.send_message = peers.send
+    return peers
--- a/briarknot/gateway/_plain.py
+++ b/briarknot/gateway/_plain.py
@@ -1,9 +1,16 @@
 """Serves requests to plain services."""
 
+import functools
 import time
 
 from briarknot import platform, schema, serving, telemetry
-from briarknot.gateway import _attempts, _context, _crashes, _requests
+from briarknot.gateway import (
+    _attempts,
+    _context,
+    _crashes,
+    _requests,
+    _send_permits,
+)
 
 _Kind = schema.serving.RequestKind
 _POLICY = 'least_cost'
@@ -53,7 +60,11 @@
         if quarantined is not None:
             _crashes.refuse_quarantined(request, quarantined)
             return
-        worker = _choose(context, request, tried)
+        worker = await _send_permits.choose_permitted(
+            context,
+            request,
+            functools.partial(_choose, context, request, tried),
+        )
         if worker is None or not request.try_acquire_send(context.budget):
             break
         tried.append(worker.id)
@@ -65,15 +76,20 @@
             break
         if request.attempts >= request.route.max_attempts:
             break
-    _finish(request, last, len(tried))
+    _finish(context, request, last, len(tried))
 
 
 def _choose(
-    context: _context.Context, request: _requests.Request, tried: list[str]
+    context: _context.Context,
+    request: _requests.Request,
+    tried: list[str],
+    excluded: list[str],
 ) -> schema.serving.Worker | None:
     now = time.monotonic()
     usable = context.fleet.list_usable(request.service.name)
-    untried = tuple(one for one in usable if one.id not in tried)
+    untried = tuple(
+        one for one in usable if one.id not in tried and one.id not in excluded
+    )
     unblocked = tuple(
         one
         for one in untried
@@ -82,7 +98,9 @@
     if not untried:
         return None
     policy = serving.PLAIN_POLICIES.get(_POLICY)
-    return policy(context.plain_view, unblocked or untried, now)
+    waits_s = _send_permits.list_waits_s(context, request)
+    view = context.make_plain_view(waits_s)
+    return policy(view, unblocked or untried, now)
 
 
 async def _attempt(
@@ -149,6 +167,7 @@
 
 
 def _finish(
+    context: _context.Context,
     request: _requests.Request,
     last: serving.Answer | serving.Failed | None,
     sends: int,
@@ -162,12 +181,7 @@
         return
     inputs = {'sends': sends}
     if last is None:
-        request.refuse(
-            _requests.UNAVAILABLE,
-            'no_endpoint',
-            _requests.DEFAULT_RETRY_AFTER_S,
-            **inputs,
-        )
+        _send_permits.refuse_unsent(context, request, **inputs)
     elif request.may_have_run:
         status = _requests.BAD_GATEWAY
         if last.kind == serving.FailureKind.TIMED_OUT:
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -2,13 +2,20 @@
 
 import asyncio
 import contextlib
+import functools
 import time
 import typing
 
 import attrs
 
 from briarknot import schema, serving, telemetry
-from briarknot.gateway import _attempts, _context, _crashes, _requests
+from briarknot.gateway import (
+    _attempts,
+    _context,
+    _crashes,
+    _requests,
+    _send_permits,
+)
 
 _Stage = schema.serving.Stage
 _PLACEMENT_POLICY = 'predicted'
@@ -32,7 +39,11 @@
     """
     tried = list(excluded)
     for _ in range(_MAX_PREFILLS):
-        placement = choose_placement(context, request, tried)
+        placement = await _send_permits.choose_permitted(
+            context,
+            request,
+            functools.partial(_choose_other, context, request, tried),
+        )
         if placement is None:
             return None, None
         _log_placement(context, request, placement)
@@ -169,12 +180,22 @@
         event_gap_s=request.route.event_gap_s,
         random_source=context.random_source,
         processes=1 + len(context.peer_hosts),
+        turn_waits_s=_send_permits.list_waits_s(context, request),
     )
     context.prompt_load.caches.set_engine_limits(request.service.engine)
     policy = serving.PLACEMENT_POLICIES.get(_PLACEMENT_POLICY)
     return policy(view, prompt, now)
 
 
+def _choose_other(
+    context: _context.Context,
+    request: _requests.Request,
+    tried: list[str],
+    excluded: list[str],
+) -> serving.Placement | None:
+    return choose_placement(context, request, tried + excluded)
+
+
 def _log_placement(
     context: _context.Context,
     request: _requests.Request,
--- a/briarknot/gateway/_quarantine_sync.py
+++ b/briarknot/gateway/_quarantine_sync.py
@@ -13,14 +13,12 @@
 import attrs
 
 from briarknot import platform, schema, serving, telemetry
-from briarknot.gateway import _context, _peers
+from briarknot.gateway import _context, _gossip, _peers
 
 _TABLE = 'quarantine'
 _KEY = 'gateways'
 #: Period of repeating the evidence to other processes.
 _PERIOD_S = 1.0
-#: Processes of the local domain that get it in each period.
-_NEAR_RECEIVERS = 2
 #: Processes that store what is quarantined, one after the other, and the time
 #: that each gives the one before it. A process that has ended is listed for
 #: more than a minute.
@@ -97,27 +95,9 @@
             self._send(records, tuple(self._context.peer_hosts))
 
     def _repeat(self, records: tuple[schema.records.CrashRecord, ...]) -> None:
-        """Sends all evidence to a few processes.
-
-        One process of each domain also sends it to one of each other domain.
-        """
-        if not records:
-            return
-        settings = self._context.settings
-        chosen = []
-        domains: dict[str, list[str]] = {settings.domain: []}
-        for host, peer in self._context.peer_hosts.items():
-            domains.setdefault(peer.domain, []).append(host)
-        near = domains.pop(settings.domain)
-        chosen.extend(self._sample(near, _NEAR_RECEIVERS))
-        if serving.rank_names(_KEY, (settings.host, *near))[0] == settings.host:
-            for hosts in domains.values():
-                chosen.extend(self._sample(hosts, 1))
-        self._send(records, tuple(chosen))
-
-    def _sample(self, hosts: list[str], count: int) -> list[str]:
-        source = self._context.random_source
-        return source.sample(hosts, min(count, len(hosts)))
+        """Sends all evidence to a few processes."""
+        if records:
+            self._send(records, _gossip.choose_receivers(self._context, _KEY))
 
     def _send(
         self,
--- a/briarknot/gateway/_requests.py
+++ b/briarknot/gateway/_requests.py
@@ -25,6 +25,11 @@
 #: the answer reaches the client in time.
 _ANSWER_MARGIN_S = 0.02
 
+#: Length of prompts that come before others at prefill workers with a limit, and
+#: ranks by which shorter ones come later.
+_LONG_PROMPT_TOKENS = 2000
+_SHORT_PROMPT_RANKS = 4
+
 
 @attrs.define(eq=False)
 class Request:
@@ -40,6 +45,8 @@
     :param counted_sends: times that it was sent to workers, as the retry
         budget counts them.
     :param has_prefill: whether a worker has prefilled its prompt.
+    :param is_admitted: whether it may be prefilled although all workers that can
+        run it have limits.
     :param keys: what the quarantine knows it by; empty before the first check.
     :param trial_keys: suspected keys that it tries for other requests too.
     :param trial_s: monotonic time at which it began to.
@@ -54,6 +61,7 @@
     may_have_run: bool = False
     counted_sends: int = 0
     has_prefill: bool = False
+    is_admitted: bool = False
     keys: tuple[str, ...] = ()
     trial_keys: tuple[str, ...] = ()
     trial_s: float = 0
@@ -81,6 +89,19 @@
         if self.counted_sends:
             budget.refund(self.service.name)
 
+    def get_permit_rank(self, stage: schema.serving.Stage) -> int:
+        """Returns its rank for permits to send it to workers with a limit.
+
+        Long prompts come first at prefill workers, since a short one can be
+        prefilled by a decode worker without delaying its streams.
+
+        :param stage: stage of the workers.
+        """
+        if stage == schema.serving.Stage.PREFILL and self.call.prompt:
+            is_long = self.call.prompt.tokens >= _LONG_PROMPT_TOKENS
+            return 0 if is_long else self.route.rank + _SHORT_PROMPT_RANKS
+        return 0 if self.is_admitted else self.route.rank
+
     def remaining_s(self, now: float) -> float:
         """Returns the time until it must be answered."""
         return self.deadline_s - now
--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -262,6 +262,7 @@
         now = time.monotonic()
         for worker_id in removed:
             context.worker_records.remove(worker_id)
+            context.permits.remove_worker(before[worker_id])
             context.prompt_load.remove_worker(worker_id)
             self._changes[worker_id] = _Change(now, None)
             telemetry.log_event('worker_removed', worker=worker_id)
--- a/briarknot/gateway/tests/_support.py
+++ b/briarknot/gateway/tests/_support.py
@@ -15,6 +15,7 @@
 from briarknot.gateway import (  # noqa: F401
     _context,
     _generation,
+    _limit_sync,
     _peers,
     _plain,
     _requests,
@@ -269,7 +270,11 @@
     peers = _peers.make_peers(context)
     tasks = [
         asyncio.create_task(one)
-        for one in (peers.receive(), peers.broadcast_work())
+        for one in (
+            peers.receive(),
+            peers.broadcast_work(),
+            _limit_sync.make_limit_sync(context, peers).send(),
+        )
     ]
     try:
         yield
--- a/briarknot/platform/tests/test_limit_header.py
+++ b/briarknot/platform/tests/test_limit_header.py
@@ -1,6 +1,7 @@
 """Tests the limits that workers in need name in their answers."""
 
 import logging
+import time
 
 import pytest
 
@@ -21,7 +22,8 @@
         for _ in headers:
             status, _, _ = await gateway.send('GET')
             assert status == 200
-        return gateway.context.worker_limits.get(worker.entry)
+        permits = gateway.context.permits
+        return permits.get_limit(worker.entry, time.monotonic())
 
 
 @pytest.mark.parametrize(
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -537,6 +537,137 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class LimitRecord:
+    """What a worker has stated about the requests that it takes from all gateway processes together."""
+
+    __schema__ = 'messages'
+
+    worker: str = _fields.make_field(
+        doc='Id of the worker, and its start.', default=''
+    )
+    is_limited: bool = _fields.make_field(
+        doc='Whether it named a limit; false where it named one before and no longer does.',
+        default=False,
+    )
+    per_s: float = _fields.make_field(doc='The limit.', unit='1/s', default=0.0)
+    age_ms: int = _fields.make_field(
+        doc='Time since the statement.',
+        maximum=4294967295,
+        minimum=0,
+        unit='ms',
+        default=0,
+    )
+    since_ms: int = _fields.make_field(
+        doc='Time since the worker first named a limit without an end between.',
+        maximum=4294967295,
+        minimum=0,
+        unit='ms',
+        default=0,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class LimitRecords:
+    """Limits of workers that a gateway process knows of."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(doc='Host of the process.', default='')
+    domain: str = _fields.make_field(
+        doc='Failure domain of the process.', default=''
+    )
+    address: str = _fields.make_field(
+        doc='IP number of the process.', default=''
+    )
+    port: int = _fields.make_field(
+        doc='Port on which the process receives messages.',
+        maximum=65535,
+        minimum=0,
+        default=0,
+    )
+    limits: tuple[LimitRecord, ...] = _fields.make_field(
+        doc='The limits, as they are merged by each receiver.', default=()
+    )
+
+
+@attrs.frozen(kw_only=True)
+class PermitRequest:
+    """Requests a permit to send one request to a worker that has named a limit."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(doc='Host of the process.', default='')
+    domain: str = _fields.make_field(
+        doc='Failure domain of the process.', default=''
+    )
+    address: str = _fields.make_field(
+        doc='IP number of the process.', default=''
+    )
+    port: int = _fields.make_field(
+        doc='Port on which the process receives messages.',
+        maximum=65535,
+        minimum=0,
+        default=0,
+    )
+    number: int = _fields.make_field(
+        doc='Number of the message; the answer repeats it.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    worker: str = _fields.make_field(doc='Id of the worker.', default='')
+    limit: LimitRecord = _fields.make_field(
+        doc='Its limit, as far as the process knows.',
+        default=attrs.Factory(lambda: LimitRecord()),
+    )
+    max_wait_ms: int = _fields.make_field(
+        doc='Longest time for which the request waits for its turn.',
+        maximum=4294967295,
+        minimum=0,
+        unit='ms',
+        default=0,
+    )
+    rank: int = _fields.make_field(
+        doc='Urgency of the request; 0 is the most urgent.',
+        maximum=255,
+        minimum=0,
+        default=0,
+    )
+    is_start: bool = _fields.make_field(
+        doc='Whether the request is to be prefilled first, and gets a permit to be sent later.',
+        default=False,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class PermitAnswer:
+    """Answers a request for a permit."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(
+        doc='Host of the process that issues the permits.', default=''
+    )
+    number: int = _fields.make_field(
+        doc='Number of the request.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    is_granted: bool = _fields.make_field(
+        doc='Whether the request may be sent when its turn comes.',
+        default=False,
+    )
+    wait_ms: int = _fields.make_field(
+        doc='Time until its turn, or until another attempt may be granted.',
+        maximum=4294967295,
+        minimum=0,
+        unit='ms',
+        default=0,
+    )
+
+
 #: One frame of a peer link.
 PeerMessage = (
     Hello
@@ -559,6 +690,9 @@
     | FleetWork
     | StageChanges
     | CrashRecords
+    | LimitRecords
+    | PermitRequest
+    | PermitAnswer
 )
 
 #: Names of the members of PeerMessage in the schema.
@@ -583,4 +717,7 @@
     FleetWork: 'fleetWork',
     StageChanges: 'stageChanges',
     CrashRecords: 'crashRecords',
+    LimitRecords: 'limitRecords',
+    PermitRequest: 'permitRequest',
+    PermitAnswer: 'permitAnswer',
 }
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -27,6 +27,9 @@
     fleetWork @17 :FleetWork;
     stageChanges @18 :StageChanges;
     crashRecords @19 :CrashRecords;
+    limitRecords @20 :LimitRecords;
+    permitRequest @21 :PermitRequest;
+    permitAnswer @22 :PermitAnswer;
   }
 }
 
@@ -192,3 +195,39 @@
   host @0 :Text $A.doc("Host of the process.");
   evidence @1 :List(R.CrashRecord) $A.doc("The evidence, as it is merged by each receiver.");
 }
+
+struct LimitRecord $A.doc("What a worker has stated about the requests that it takes from all gateway processes together.") {
+  worker @0 :Text $A.doc("Id of the worker, and its start.");
+  isLimited @1 :Bool $A.doc("Whether it named a limit; false where it named one before and no longer does.");
+  perS @2 :Float64 $A.unit("1/s") $A.doc("The limit.");
+  ageMs @3 :UInt32 $A.unit("ms") $A.doc("Time since the statement.");
+  sinceMs @4 :UInt32 $A.unit("ms") $A.doc("Time since the worker first named a limit without an end between.");
+}
+
+struct LimitRecords $A.doc("Limits of workers that a gateway process knows of.") {
+  host @0 :Text $A.doc("Host of the process.");
+  domain @1 :Text $A.doc("Failure domain of the process.");
+  address @2 :Text $A.doc("IP number of the process.");
+  port @3 :UInt16 $A.doc("Port on which the process receives messages.");
+  limits @4 :List(LimitRecord) $A.doc("The limits, as they are merged by each receiver.");
+}
+
+struct PermitRequest $A.doc("Requests a permit to send one request to a worker that has named a limit.") {
+  host @0 :Text $A.doc("Host of the process.");
+  domain @1 :Text $A.doc("Failure domain of the process.");
+  address @2 :Text $A.doc("IP number of the process.");
+  port @3 :UInt16 $A.doc("Port on which the process receives messages.");
+  number @4 :UInt64 $A.doc("Number of the message; the answer repeats it.");
+  worker @5 :Text $A.doc("Id of the worker.");
+  limit @6 :LimitRecord $A.doc("Its limit, as far as the process knows.");
+  maxWaitMs @7 :UInt32 $A.unit("ms") $A.doc("Longest time for which the request waits for its turn.");
+  rank @8 :UInt8 $A.doc("Urgency of the request; 0 is the most urgent.");
+  isStart @9 :Bool $A.doc("Whether the request is to be prefilled first, and gets a permit to be sent later.");
+}
+
+struct PermitAnswer $A.doc("Answers a request for a permit.") {
+  host @0 :Text $A.doc("Host of the process that issues the permits.");
+  number @1 :UInt64 $A.doc("Number of the request.");
+  isGranted @2 :Bool $A.doc("Whether the request may be sent when its turn comes.");
+  waitMs @3 :UInt32 $A.unit("ms") $A.doc("Time until its turn, or until another attempt may be granted.");
+}
--- a/briarknot/serving/__init__.py
+++ b/briarknot/serving/__init__.py
@@ -46,6 +46,13 @@
     Suspected,
 )
 from briarknot.serving._retry_budget import RetryBudget, make_retry_budget
+from briarknot.serving._send_permits import (
+    Need,
+    NotPermitted,
+    Permit,
+    SendPermits,
+    make_send_permits,
+)
 from briarknot.serving._topology import Distance, Topology
 from briarknot.serving._work_sums import WorkSums, make_work_sums
 from briarknot.serving._worker_limits import (
@@ -79,7 +86,10 @@
     'Header',
     'KvSource',
     'Load',
+    'Need',
+    'NotPermitted',
     'OnTrial',
+    'Permit',
     'Placement',
     'PlacementView',
     'PlainView',
@@ -87,6 +97,7 @@
     'PromptLoad',
     'Quarantined',
     'RetryBudget',
+    'SendPermits',
     'Suspected',
     'Topology',
     'WorkSums',
@@ -98,6 +109,7 @@
     'make_fleet',
     'make_prompt_load',
     'make_retry_budget',
+    'make_send_permits',
     'make_work_sums',
     'make_worker_limits',
     'make_worker_records',
--- a/briarknot/serving/_engine_choice.py
+++ b/briarknot/serving/_engine_choice.py
@@ -27,6 +27,9 @@
 #: Cost of a second of prefill queued at a decode worker, as a share of its
 #: slots: its streams are about three times slower while it prefills.
 _QUEUED_PREFILL_COST = 0.5
+#: Cost of a second until a worker's limit allows the request, as a share of its
+#: slots. The stream starts later by that time, where others only slow it down.
+_TURN_WAIT_COST = 1.0
 #: Cost of events that are certainly late, as a share of a decode worker's slots.
 _LATE_EVENT_COST = 0.5
 #: Difference in load that divides the probability of a choice by e, as a share
@@ -47,6 +50,8 @@
     :param load: prompts and streams at the engines.
     :param event_gap_s: gap from which an event is late, in seconds; 0 for none.
     :param processes: processes that choose on the same late picture.
+    :param turn_waits_s: time until another request may be sent to a worker, by
+        the ids of the workers that have a limit.
     """
 
     worker_records: _worker_records.WorkerRecords
@@ -55,6 +60,7 @@
     load: _prompt_load.PromptLoad
     event_gap_s: float = 0
     processes: int = 1
+    turn_waits_s: typing.Mapping[str, float] = attrs.field(factory=dict)
 
 
 class DecodePolicy(typing.Protocol):
@@ -144,4 +150,5 @@
         + wait_s * _QUEUED_PREFILL_COST
         + late * _LATE_EVENT_COST
         + record.failure_rate
+        + view.turn_waits_s.get(worker.id, 0) * _TURN_WAIT_COST
     )
--- a/briarknot/serving/_fleet.py
+++ b/briarknot/serving/_fleet.py
@@ -170,6 +170,10 @@
         """Finds a service by its name."""
         return self._services.get(name)
 
+    def find_worker(self, worker_id: str) -> schema.serving.Worker | None:
+        """Finds a known worker by its id."""
+        return self._workers.get(worker_id)
+
     def list_usable(
         self,
         service: str,
--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -26,6 +26,11 @@
 #: Cost of prefill in another region; traffic between regions is billed by
 #: volume.
 _OTHER_REGION_COST_S = 0.05
+#: Cost of a turn at a worker with a limit of requests, and the work of a prompt in
+#: tokens for which it falls by half. Short prompts leave the turns to long ones,
+#: which take more work off other workers.
+_TURN_COST_S = 0.5
+_TURN_TOKENS = 2000
 #: Cost in seconds per second of prefill at a decode worker, which pauses the
 #: streams of other requests.
 _INTERFERENCE_FACTOR = 0.5
@@ -64,6 +69,8 @@
     :param event_gap_s: gap from which an event is late, in seconds; 0 for none.
     :param random_source: source of randomness.
     :param processes: processes that choose on the same late picture.
+    :param turn_waits_s: time until another request may be sent to a worker, by
+        the ids of the workers that have a limit.
     """
 
     load: _prompt_load.PromptLoad
@@ -76,6 +83,7 @@
     event_gap_s: float = 0
     random_source: random.Random = attrs.field(factory=random.Random)
     processes: int = 1
+    turn_waits_s: typing.Mapping[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -246,7 +254,8 @@
     return _Placement(
         prefill_worker=worker,
         expected_s=overhead_s
-        + prefill_s * view.load.get_slowdown(worker) * ratio,
+        + prefill_s * view.load.get_slowdown(worker) * ratio
+        + view.turn_waits_s.get(worker.id, 0),
         uncached=uncached,
         work=work,
         recomputed_tokens=0 if is_first else max(0, uncached - unshared),
@@ -334,6 +343,8 @@
     )
     if distance == _topology.Distance.OTHER_REGION:
         cost_s += _OTHER_REGION_COST_S
+    if worker.id in view.turn_waits_s:
+        cost_s += _TURN_COST_S / (1 + placement.work / _TURN_TOKENS)
     holder = placement.cache_holder
     if holder is not None:
         cost_s += _transfers.compute_cost_s(
--- a/briarknot/serving/_plain_choice.py
+++ b/briarknot/serving/_plain_choice.py
@@ -31,11 +31,14 @@
     :param worker_records: load and health of workers.
     :param topology: distances between failure domains.
     :param random_source: source of randomness.
+    :param turn_waits_s: time until another request may be sent to a worker, by
+        the ids of the workers that have a limit.
     """
 
     worker_records: _worker_records.WorkerRecords
     topology: _topology.Topology
     random_source: random.Random
+    turn_waits_s: typing.Mapping[str, float] = attrs.field(factory=dict)
 
 
 class PlainPolicy(typing.Protocol):
@@ -94,4 +97,5 @@
         * record.get_work_time_ratio(now, answer_s)
         * (1 + busy / slots)
         + record.failure_rate * _FAILURE_COST_S
+        + view.turn_waits_s.get(worker.id, 0)
     )
