Log the era of the store, and updates that count as outdated

Log lines named no era and no version of the store, so that updates which gateways ignore after a restore could not be told from changes that the leader missed. The client reads Store-Era from all answers. The stand-in store can be restored from a copy, sends its era, and answers 410 to a feed from a version that it doesn't have.

No decision changes.

--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -119,6 +119,13 @@
         fleet = self._context.fleet
         if update.list_version <= self._list_version:
             # The local list is at least as new as that of the update.
+            if update.workers_digest != fleet.workers_digest:
+                telemetry.log_event(
+                    'fleet_update_outdated',
+                    peer=update.host,
+                    list_version=update.list_version,
+                    known_version=self._list_version,
+                )
             return True
         if update.workers_digest != fleet.workers_digest:
             self._apply_update(update)
--- a/briarknot/platform/_client.py
+++ b/briarknot/platform/_client.py
@@ -9,6 +9,7 @@
 import prometheus_client
 import yarl
 
+from briarknot import telemetry
 from briarknot.platform import _sessions, _values
 
 _CALLS = prometheus_client.Counter(
@@ -30,6 +31,8 @@
 _REFUSED = frozenset((403, 429, 503, 507))
 #: Table of the list of live and leaving hosts.
 _HOSTS_TABLE = 'hosts'
+#: Header with the number of times that the store was restored from a copy.
+_ERA = 'Store-Era'
 #: Smallest text that sorts after a key, so that a range holds that key alone.
 _NEXT_KEY = '\x00'
 #: Longest answer: an object of 8 MiB, or 500 rows of 1 MB with their encoding.
@@ -58,6 +61,16 @@
     _session: aiohttp.ClientSession
     _url: str
     _timeout_s: float
+    _era: int = 0
+
+    @property
+    def era(self) -> int:
+        """Era of the store in its latest answer; 0 before the first.
+
+        It rises when the store comes back from a copy. Versions and rows of an
+        earlier era say nothing about those of a later one.
+        """
+        return self._era
 
     async def read_row(
         self, table: str, key: str
@@ -274,6 +287,7 @@
                 data=body,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
+                self._record_era(response.headers.get(_ERA, ''))
                 body = await _sessions.read_limited(
                     response.content, _MAX_BODY_BYTES
                 )
@@ -286,6 +300,15 @@
         except (TimeoutError, aiohttp.ClientError) as error:
             return _values.Unavailable(f'{type(error).__name__}: {error}')
 
+    def _record_era(self, text: str) -> None:
+        if not text.isdigit():
+            return
+        if self._era and int(text) > self._era:
+            telemetry.log_event(
+                'store_restored', era=int(text), era_before=self._era
+            )
+        self._era = max(self._era, int(text))
+
 
 def _make_url(base: str, path: str) -> yarl.URL:
     # The path is already quoted; quoting it again would change keys.
--- a/briarknot_standins/platform/_app.py
+++ b/briarknot_standins/platform/_app.py
@@ -19,6 +19,7 @@
 _PAGE_ROWS = 500
 _PAGE_NAMES = 1000
 _FEED_PERIOD_S = 0.01
+_ERA_HEADER = 'Store-Era'
 _WRITE_METHODS = frozenset(('POST', 'PUT', 'DELETE'))
 
 
@@ -33,13 +34,28 @@
     :param config: configuration; its port is not used here.
     """
     app = web.Application(
-        middlewares=[_apply_faults], client_max_size=_MAX_BODY_BYTES
+        middlewares=[_add_era, _apply_faults], client_max_size=_MAX_BODY_BYTES
     )
     app[_PLATFORM] = _state.Platform(config)
     app.add_routes(routes)
     return app
 
 
+@web.middleware
+async def _add_era(
+    request: web.Request, handler: typing.Callable
+) -> web.StreamResponse:
+    tables = request.app[_PLATFORM].tables
+    try:
+        response = await handler(request)
+    except web.HTTPException as error:
+        error.headers[_ERA_HEADER] = str(tables.era)
+        raise
+    if not response.prepared:
+        response.headers[_ERA_HEADER] = str(tables.era)
+    return response
+
+
 @web.middleware
 async def _apply_faults(
     request: web.Request, handler: typing.Callable
@@ -249,6 +265,20 @@
     return serving.respond({})
 
 
+@routes.post('/copy')
+async def save_copy(request: web.Request) -> web.Response:
+    """Copies all tables."""
+    request.app[_PLATFORM].tables.save_copy()
+    return serving.respond({})
+
+
+@routes.post('/restore')
+async def restore_copy(request: web.Request) -> web.Response:
+    """Returns to the copy, as after the loss of what was written since."""
+    request.app[_PLATFORM].tables.restore_copy()
+    return serving.respond({})
+
+
 @routes.get('/stats')
 async def read_stats(request: web.Request) -> web.Response:
     """Returns the counters."""
--- a/briarknot_standins/platform/_store.py
+++ b/briarknot_standins/platform/_store.py
@@ -119,6 +119,14 @@
     _version: int = attrs.field(default=0, init=False)
     _changes: list[Change] = attrs.field(factory=list, init=False)
     _dropped_version: int = attrs.field(default=0, init=False)
+    _copy: dict[tuple[str, str], Row] = attrs.field(factory=dict, init=False)
+    _copied_version: int = attrs.field(default=0, init=False)
+    _era: int = attrs.field(default=1, init=False)
+
+    @property
+    def era(self) -> int:
+        """Number that rises when the tables are restored from a copy."""
+        return self._era
 
     @property
     def version(self) -> int:
@@ -151,12 +159,12 @@
         return {key: row for key, row in rows.items() if row is not None}
 
     def list_changes(self, table: str, after: int) -> list[Change] | None:
-        """Returns the changes of a table, or None where they were dropped.
+        """Returns the changes of a table, or None where they are not known.
 
         :param table: table.
         :param after: version after which changes are returned.
         """
-        if after < self._dropped_version:
+        if not self._dropped_version <= after <= self._version:
             return None
         return [
             change
@@ -169,6 +177,23 @@
         self._changes.clear()
         self._dropped_version = self._version
 
+    def save_copy(self) -> None:
+        """Copies all rows."""
+        self._copied_version = self._version
+        rows = {key: self.read(*key) for key in self._rows}
+        self._copy = {key: row for key, row in rows.items() if row is not None}
+
+    def restore_copy(self) -> None:
+        """Returns to the copy; versions after it are given out again."""
+        self._era += 1
+        self._version = self._copied_version
+        self._changes = [
+            one for one in self._changes if one.row.version <= self._version
+        ]
+        missing = Row(None, self._version)
+        for key, history in self._rows.items():
+            history.set(self._copy.get(key, missing))
+
     def find_conflicts(self, expected: list[Expected]) -> list[int]:
         """Returns the indices of rows without their expected version.
 
--- a/briarknot_standins/serving.py
+++ b/briarknot_standins/serving.py
@@ -13,7 +13,9 @@
 from briarknot import schema
 
 HOST = '127.0.0.1'
-CONTROL_PATHS = frozenset(('/faults', '/forget', '/runs', '/stats'))
+CONTROL_PATHS = frozenset(
+    ('/copy', '/faults', '/forget', '/restore', '/runs', '/stats')
+)
 
 # Tests do not depend on open connections being finished; a longer wait would
 # only delay them.
