Compare versions of the list of workers within an era only

Cause: an update counted as outdated if its version of the store was lower than that of the own list. The position in the history of the store is its era and the version now; updates carry both.

test_workers_are_followed_after_versions_went_back failed before.

--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -37,6 +37,18 @@
     worker: schema.serving.Worker | None
 
 
+@attrs.frozen(order=True)
+class _Position:
+    """Moment in the history of the store.
+
+    :param era: era of the store.
+    :param version: version within the era.
+    """
+
+    era: int = 0
+    version: int = 0
+
+
 @attrs.define(eq=False)
 class StoreSync:
     """Keeps the fleet of a process up to date."""
@@ -46,7 +58,7 @@
     _peers: _peers.Peers
     _is_store_unavailable: bool = False
     _malformed: set[str] = attrs.field(factory=set)
-    _list_version: int = 0
+    _list_position: _Position = _Position()
     _manifest_confirmed_s: float = float('-inf')
     _changes: dict[str, _Change] = attrs.field(factory=dict)
 
@@ -72,7 +84,7 @@
                 self._record_outage(page.reason)
                 await self._pause()
                 continue
-            self._list_version = page.version
+            self._list_position = _Position(page.era, page.version)
             self._apply_workers(
                 page.rows, started_s, after_outage=self._record_recovery()
             )
@@ -117,21 +129,27 @@
         if update is None:
             return False
         fleet = self._context.fleet
-        if update.list_version <= self._list_version:
+        known = self._list_position
+        # A process of an earlier build states no era.
+        era = update.store_era or known.era
+        position = _Position(era, update.list_version)
+        if position <= known:
             # The local list is at least as new as that of the update.
             if update.workers_digest != fleet.workers_digest:
                 telemetry.log_event(
                     'fleet_update_outdated',
                     peer=update.host,
-                    list_version=update.list_version,
-                    known_version=self._list_version,
+                    era=position.era,
+                    list_version=position.version,
+                    known_era=known.era,
+                    known_version=known.version,
                 )
             return True
         if update.workers_digest != fleet.workers_digest:
             self._apply_update(update)
         if update.workers_digest != fleet.workers_digest:
             return False
-        self._list_version = update.list_version
+        self._list_position = position
         fleet.confirm_workers(time.monotonic())
         if self._is_store_unavailable:
             telemetry.log_event('fleet_confirmed_by_peer', peer=update.host)
@@ -155,7 +173,8 @@
                 host=self._context.settings.host,
                 manifest_version=fleet.version,
                 workers_digest=fleet.workers_digest,
-                list_version=self._list_version,
+                list_version=self._list_position.version,
+                store_era=self._list_position.era,
                 changed=tuple(one for one in workers if one is not None),
                 gone=tuple(
                     worker_id
--- a/briarknot/platform/_client.py
+++ b/briarknot/platform/_client.py
@@ -43,10 +43,11 @@
 
 @attrs.frozen
 class _Answer:
-    """Status and body of an answer."""
+    """Status and body of an answer, and the era that it states."""
 
     status: int
     body: bytes
+    era: int = 0
 
 
 @attrs.define
@@ -128,7 +129,7 @@
             rows.extend(page.rows)
             version = page.version if version is None else version
             if not page.more or not page.rows:
-                return _values.Page(tuple(rows), version)
+                return _values.Page(tuple(rows), version, era=page.era)
             start = f'{page.rows[-1].key}{_NEXT_KEY}'
 
     async def watch_table(
@@ -153,7 +154,7 @@
             return answer
         if answer.status == _GONE:
             return _values.HistoryLost()
-        return _decode_page(answer.body)
+        return _decode_page(answer)
 
     async def commit(
         self, *operations: _values.Operation
@@ -256,7 +257,7 @@
         answer = await self._call('read_rows', 'GET', f'/v1/rows-get?{query}')
         if isinstance(answer, _values.Unavailable):
             return answer
-        return _decode_page(answer.body)
+        return _decode_page(answer)
 
     async def _call(
         self,
@@ -287,27 +288,28 @@
                 data=body,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                self._record_era(response.headers.get(_ERA, ''))
+                era = self._record_era(response.headers.get(_ERA, ''))
                 body = await _sessions.read_limited(
                     response.content, _MAX_BODY_BYTES
                 )
                 if body is None:
                     response.close()
                     return _values.Unavailable('the answer does not end')
-                return _check_answer(response.status, body)
+                return _check_answer(response.status, body, era)
         except aiohttp.ClientConnectorError as error:
             return _values.Unavailable(str(error), may_have_applied=False)
         except (TimeoutError, aiohttp.ClientError) as error:
             return _values.Unavailable(f'{type(error).__name__}: {error}')
 
-    def _record_era(self, text: str) -> None:
+    def _record_era(self, text: str) -> int:
         if not text.isdigit():
-            return
+            return 0
         if self._era and int(text) > self._era:
             telemetry.log_event(
                 'store_restored', era=int(text), era_before=self._era
             )
         self._era = max(self._era, int(text))
+        return int(text)
 
 
 def _make_url(base: str, path: str) -> yarl.URL:
@@ -327,13 +329,14 @@
     return base64.b64encode(orjson.dumps(value)).decode()
 
 
-def _decode_page(body: bytes) -> _values.Page:
-    tree = orjson.loads(body)
+def _decode_page(answer: _Answer) -> _values.Page:
+    tree = orjson.loads(answer.body)
     return _values.Page(
         tuple(_decode_row(row) for row in tree['rows']),
         tree['ver'],
         more=tree.get('morePages', False),
         store_s=tree.get('nowMs', 0) / _MS_PER_S,
+        era=answer.era,
     )
 
 
@@ -379,9 +382,11 @@
     )
 
 
-def _check_answer(status: int, body: bytes) -> _Answer | _values.Unavailable:
+def _check_answer(
+    status: int, body: bytes, era: int
+) -> _Answer | _values.Unavailable:
     if status in {_OK, _NOT_FOUND, _GONE, _CONFLICT}:
-        return _Answer(status, body)
+        return _Answer(status, body, era)
     return _values.Unavailable(
         f'the platform answered {status}',
         may_have_applied=status not in _REFUSED,
--- a/briarknot/platform/_values.py
+++ b/briarknot/platform/_values.py
@@ -31,12 +31,15 @@
     :param version: version of the store after which a feed continues.
     :param more: whether there are further rows.
     :param store_s: time of the store's steady clock, in seconds.
+    :param era: era of the store; 0 if it states none. Versions of different eras
+        can't be compared.
     """
 
     rows: tuple[Row, ...]
     version: int
     more: bool = False
     store_s: float = 0
+    era: int = 0
 
 
 @attrs.frozen
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -523,6 +523,12 @@
     gone: tuple[str, ...] = _fields.make_field(
         doc='Ids of workers that were removed in the last seconds.', default=()
     )
+    store_era: int = _fields.make_field(
+        doc="Era of the store; versions of different eras can't be compared. 0 if it is not known.",
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -189,6 +189,7 @@
   listVersion @3 :UInt64 $A.doc("Store version of the list of workers.");
   changed @4 :List(S.Worker) $A.doc("Workers that were added or changed in the last seconds.");
   gone @5 :List(Text) $A.doc("Ids of workers that were removed in the last seconds.");
+  storeEra @6 :UInt64 $A.doc("Era of the store; versions of different eras can't be compared. 0 if it is not known.");
 }
 
 struct CrashRecords $A.doc("Evidence of a gateway process on parts of prompts, and on requests, that make workers crash.") {
