Read the manifest again when the era of the store has risen

A manifest that was written after a restore was never in force if the versions had passed that of the last feed by the next call: the feed goes on after a version that stands for other content now.

--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -58,6 +58,7 @@
     _peers: _peers.Peers
     _is_store_unavailable: bool = False
     _malformed: set[str] = attrs.field(factory=set)
+    _manifest_era: int = 0
     _list_position: _Position = _Position()
     _manifest_confirmed_s: float = float('-inf')
     _changes: dict[str, _Change] = attrs.field(factory=dict)
@@ -194,10 +195,11 @@
         page = await self._client.watch_table(
             platform.MANIFEST_TABLE, version, _MANIFEST_WAIT_S
         )
-        if isinstance(page, platform.Page):
+        if isinstance(page, platform.Page) and page.era == self._manifest_era:
             self._apply_manifest(page.rows, started_s)
             return page.version
-        if isinstance(page, platform.HistoryLost):
+        if isinstance(page, (platform.Page, platform.HistoryLost)):
+            # The version may stand for other content in a later era.
             telemetry.log_event('manifest_history_lost', after=version)
         else:
             await self._pause()
@@ -212,6 +214,7 @@
         started_s = time.monotonic()
         page = await self._client.read_table(platform.MANIFEST_TABLE)
         if isinstance(page, platform.Page):
+            self._manifest_era = page.era
             self._apply_manifest(page.rows, started_s)
             return page.version
         self._record_outage(page.reason)
