Keep leaving workers out where a copy of the store says they are ready

After a restore, a worker that had said that it leaves was used again until it wrote its entry once more.

Cause: the list of workers was replaced by what was read. A leaving worker never accepts requests again before its next start, so that a process remembers the starts of leaving workers and marks them in each list and update. test_leaving_worker_is_not_used_again failed before. The name of a worker's start has its own module.

--- a/briarknot/serving/__init__.py
+++ b/briarknot/serving/__init__.py
@@ -58,13 +58,13 @@
 from briarknot.serving._worker_limits import (
     WorkerLimits,
     make_worker_limits,
-    name_start,
 )
 from briarknot.serving._worker_records import (
     WorkerRecord,
     WorkerRecords,
     make_worker_records,
 )
+from briarknot.serving._worker_starts import name_start
 
 __all__ = (
     'DECODE_POLICIES',
--- a/briarknot/serving/_fleet.py
+++ b/briarknot/serving/_fleet.py
@@ -1,5 +1,6 @@
 """Manifest in force and known workers of a process."""
 
+import collections
 import math
 import random
 import typing
@@ -8,6 +9,7 @@
 import xxhash
 
 from briarknot import schema
+from briarknot.serving import _worker_starts
 
 #: Live workers that are missing from the list after an outage of the store
 #: register again within this time: the platform guarantees about two seconds.
@@ -15,6 +17,8 @@
 #: Time for which an engine is left out after the last word that it changes its
 #: stage. The leader repeats it about every 0.8 s.
 _CHANGE_MEMORY_S = 2.0
+#: Starts of leaving workers that are remembered.
+_MAX_LEAVING = 1000
 
 
 @attrs.define(eq=False)
@@ -28,6 +32,9 @@
     _routes: dict[str, list[schema.serving.Route]] = attrs.field(factory=dict)
     _services: dict[str, schema.serving.Service] = attrs.field(factory=dict)
     _changing_until_s: dict[str, float] = attrs.field(factory=dict)
+    _leaving: collections.OrderedDict[str, None] = attrs.field(
+        factory=collections.OrderedDict
+    )
 
     @property
     def manifest(self) -> schema.serving.Manifest | None:
@@ -107,7 +114,7 @@
             the store, so that entries of live workers may have expired.
         :returns: ids of removed workers.
         """
-        listed = {worker.id: worker for worker in workers}
+        listed = {worker.id: self._mark_leaving(worker) for worker in workers}
         removed = []
         for worker_id, worker in self._workers.items():
             if worker_id in listed:
@@ -132,7 +139,9 @@
         :param removed: ids of removed workers.
         :returns: ids of removed workers that were known.
         """
-        self._workers.update({worker.id: worker for worker in changed})
+        self._workers.update(
+            {worker.id: self._mark_leaving(worker) for worker in changed}
+        )
         for worker in changed:
             self._missing_since_s.pop(worker.id, None)
         known = tuple(one for one in removed if one in self._workers)
@@ -196,6 +205,23 @@
             and self._changing_until_s.get(worker.id, 0) <= now
         )
 
+    def _mark_leaving(
+        self, worker: schema.serving.Worker
+    ) -> schema.serving.Worker:
+        """Returns a worker as leaving if it has been before.
+
+        A leaving worker never accepts requests again until it is restarted. An
+        entry that says so comes from a copy of the store.
+        """
+        start = _worker_starts.name_start(worker)
+        if worker.draining:
+            self._leaving[start] = None
+            if len(self._leaving) > _MAX_LEAVING:
+                self._leaving.popitem(last=False)
+        elif start in self._leaving:
+            return attrs.evolve(worker, draining=True)
+        return worker
+
     def _is_kept(
         self, worker: schema.serving.Worker, now: float, *, after_outage: bool
     ) -> bool:
--- a/briarknot/serving/_send_permits.py
+++ b/briarknot/serving/_send_permits.py
@@ -15,7 +15,11 @@
 import attrs
 
 from briarknot import schema, sentinels
-from briarknot.serving import _engine_choice, _worker_limits
+from briarknot.serving import (
+    _engine_choice,
+    _worker_limits,
+    _worker_starts,
+)
 
 #: Processes that may issue the permits of a worker.
 _ISSUERS = 3
@@ -164,7 +168,7 @@
         :param worker: the worker.
         :param now: monotonic time in seconds.
         """
-        return self._limits.get(_worker_limits.name_start(worker), now)
+        return self._limits.get(_worker_starts.name_start(worker), now)
 
     def list_issuers(
         self, worker: schema.serving.Worker, now: float
@@ -276,7 +280,7 @@
         :param retry_s: time after which another attempt may be granted.
         :param now: monotonic time in seconds.
         """
-        start = _worker_limits.name_start(worker)
+        start = _worker_starts.name_start(worker)
         turns_s = self._turns_s.setdefault(start, {})
         turns_s[need.rank, need.is_start] = now + retry_s
 
@@ -298,7 +302,7 @@
         """
         if self.get_limit(worker, now) is None:
             return 0
-        turns_s = self._turns_s.get(_worker_limits.name_start(worker), {})
+        turns_s = self._turns_s.get(_worker_starts.name_start(worker), {})
         return max(0, turns_s.get((rank, is_start), now) - now)
 
     def remove_worker(self, worker: schema.serving.Worker) -> None:
@@ -306,7 +310,7 @@
 
         :param worker: the worker.
         """
-        start = _worker_limits.name_start(worker)
+        start = _worker_starts.name_start(worker)
         self._issuers.pop(start, None)
         self._starts.pop(start, None)
         self._turns_s.pop(start, None)
@@ -347,7 +351,7 @@
         now: float,
     ) -> _Issuer:
         issuers = self._starts if need.is_start else self._issuers
-        start = _worker_limits.name_start(worker)
+        start = _worker_starts.name_start(worker)
         issuer = issuers.get(start)
         if issuer is None:
             is_inherited = (
--- a/briarknot/serving/_worker_limits.py
+++ b/briarknot/serving/_worker_limits.py
@@ -191,14 +191,6 @@
     return abs(after - before) > _MIN_CHANGE * before
 
 
-def name_start(worker: schema.serving.Worker) -> str:
-    """Names a worker and its start; a restart may keep the id.
-
-    :param worker: the worker.
-    """
-    return f'{worker.id} {worker.born_ms}'
-
-
 def make_worker_limits() -> WorkerLimits:
     """Makes the limits of a process that knows none.
 
