Leave removed workers out while the store may hold their old entries

After a restore, a worker that had left got requests again until its entry expired, and its address may belong to another one by then.

Cause: each entry that was read counted as that of a live worker.

--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -59,6 +59,7 @@
     _is_store_unavailable: bool = False
     _malformed: set[str] = attrs.field(factory=set)
     _manifest_era: int = 0
+    _list_era: int = 0
     _list_position: _Position = _Position()
     _manifest_confirmed_s: float = float('-inf')
     _changes: dict[str, _Change] = attrs.field(factory=dict)
@@ -85,6 +86,7 @@
                 self._record_outage(page.reason)
                 await self._pause()
                 continue
+            self._record_era(page.era, started_s)
             self._list_position = _Position(page.era, page.version)
             self._apply_workers(
                 page.rows, started_s, after_outage=self._record_recovery()
@@ -146,6 +148,7 @@
                     known_version=known.version,
                 )
             return True
+        self._record_era(position.era, time.monotonic())
         if update.workers_digest != fleet.workers_digest:
             self._apply_update(update)
         if update.workers_digest != fleet.workers_digest:
@@ -157,6 +160,12 @@
             self._is_store_unavailable = False
         return True
 
+    def _record_era(self, era: int, now: float) -> None:
+        """Records the era of the store that a list comes from."""
+        if self._list_era and era > self._list_era:
+            self._context.fleet.record_restore(now)
+        self._list_era = max(self._list_era, era)
+
     def _send_update(self) -> None:
         """Sends the result of the last read to the other processes."""
         now = time.monotonic()
@@ -273,7 +282,9 @@
     def _apply_update(self, update: schema.messages.FleetUpdate) -> None:
         fleet = self._context.fleet
         before = {one.id: one for one in fleet.workers}
-        removed = fleet.apply_changes(update.changed, update.gone)
+        removed = fleet.apply_changes(
+            update.changed, update.gone, time.monotonic()
+        )
         self._record_changes(before, removed)
 
     def _record_changes(
--- a/briarknot/gateway/tests/test_plain.py
+++ b/briarknot/gateway/tests/test_plain.py
@@ -270,7 +270,7 @@
         entry = attrs.evolve(
             worker.entry, id='unresponsive', address=f'127.0.0.1:{port}'
         )
-        gateway.context.fleet.apply_changes((entry,), ())
+        gateway.context.fleet.apply_changes((entry,), (), now=0)
         _support.get_worker_record(gateway.context, worker).in_flight = 1
         async with asyncio.timeout(_MAX_FAILOVER_S):
             status, _, _ = await gateway.send()
--- a/briarknot/serving/_fleet.py
+++ b/briarknot/serving/_fleet.py
@@ -17,8 +17,11 @@
 #: Time for which an engine is left out after the last word that it changes its
 #: stage. The leader repeats it about every 0.8 s.
 _CHANGE_MEMORY_S = 2.0
-#: Starts of leaving workers that are remembered.
-_MAX_LEAVING = 1000
+#: Starts of leaving and of removed workers that are remembered.
+_MAX_STARTS = 1000
+#: Time after the restore of the store from a copy after which an entry belongs to
+#: a live worker: others expire after three heartbeat periods of about a second.
+_RESTORED_S = 5.0
 
 
 @attrs.define(eq=False)
@@ -35,6 +38,10 @@
     _leaving: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
+    _removed_s: collections.OrderedDict[str, float] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    _restored_s: float = float('-inf')
 
     @property
     def manifest(self) -> schema.serving.Manifest | None:
@@ -114,7 +121,11 @@
             the store, so that entries of live workers may have expired.
         :returns: ids of removed workers.
         """
-        listed = {worker.id: self._mark_leaving(worker) for worker in workers}
+        listed = {
+            worker.id: self._mark_leaving(worker)
+            for worker in workers
+            if not self._is_resurrected(worker, now)
+        }
         removed = []
         for worker_id, worker in self._workers.items():
             if worker_id in listed:
@@ -123,7 +134,7 @@
                 listed[worker_id] = worker
             else:
                 removed.append(worker_id)
-                self._missing_since_s.pop(worker_id, None)
+                self._record_removed(worker, now)
         self._workers = listed
         self._confirmed_s = now
         return tuple(removed)
@@ -132,24 +143,36 @@
         self,
         changed: tuple[schema.serving.Worker, ...],
         removed: tuple[str, ...],
+        now: float,
     ) -> tuple[str, ...]:
         """Applies changes of the list that another process has read.
 
         :param changed: workers that were added or changed.
         :param removed: ids of removed workers.
+        :param now: monotonic time in seconds.
         :returns: ids of removed workers that were known.
         """
         self._workers.update(
-            {worker.id: self._mark_leaving(worker) for worker in changed}
+            {
+                worker.id: self._mark_leaving(worker)
+                for worker in changed
+                if not self._is_resurrected(worker, now)
+            }
         )
         for worker in changed:
             self._missing_since_s.pop(worker.id, None)
         known = tuple(one for one in removed if one in self._workers)
         for worker_id in known:
-            del self._workers[worker_id]
-            self._missing_since_s.pop(worker_id, None)
+            self._record_removed(self._workers.pop(worker_id), now)
         return known
 
+    def record_restore(self, now: float) -> None:
+        """Records that the store was restored from a copy.
+
+        :param now: monotonic time in seconds.
+        """
+        self._restored_s = now
+
     def set_changing(
         self, worker_ids: typing.Iterable[str], now: float
     ) -> None:
@@ -205,6 +228,26 @@
             and self._changing_until_s.get(worker.id, 0) <= now
         )
 
+    def _record_removed(
+        self, worker: schema.serving.Worker, now: float
+    ) -> None:
+        self._missing_since_s.pop(worker.id, None)
+        self._removed_s[_worker_starts.name_start(worker)] = now
+        if len(self._removed_s) > _MAX_STARTS:
+            self._removed_s.popitem(last=False)
+
+    def _is_resurrected(
+        self, worker: schema.serving.Worker, now: float
+    ) -> bool:
+        """Returns whether an entry may be from the copy of a restored store only.
+
+        Its worker was removed before the restore.
+        """
+        if now - self._restored_s > _RESTORED_S:
+            return False
+        removed_s = self._removed_s.get(_worker_starts.name_start(worker))
+        return removed_s is not None and removed_s < self._restored_s
+
     def _mark_leaving(
         self, worker: schema.serving.Worker
     ) -> schema.serving.Worker:
@@ -216,7 +259,7 @@
         start = _worker_starts.name_start(worker)
         if worker.draining:
             self._leaving[start] = None
-            if len(self._leaving) > _MAX_LEAVING:
+            if len(self._leaving) > _MAX_STARTS:
                 self._leaving.popitem(last=False)
         elif start in self._leaving:
             return attrs.evolve(worker, draining=True)
--- a/briarknot/serving/tests/test_fleet.py
+++ b/briarknot/serving/tests/test_fleet.py
@@ -120,5 +120,5 @@
         fleet.apply_workers(before, 0, after_outage=False)
     sender.apply_workers(after, 1, after_outage=False)
     assert receiver.workers_digest != sender.workers_digest
-    assert receiver.apply_changes(after[1:], ('c', 'unknown')) == ('c',)
+    assert receiver.apply_changes(after[1:], ('c', 'unknown'), 0) == ('c',)
     assert receiver.workers_digest == sender.workers_digest
