Follow changes of the list of workers that no write has caused

A worker whose entry was missing after an outage was dropped by the leader after 2.2 s, and never by the other gateways.

Cause: an update of the same version of the store counted as known. The leader's list also changes by time, without a write. An update of the same version whose digest differs is applied now. test_worker_that_does_not_come_back_is_dropped_by_all failed before, at the end of the test for workers that the copy lacks.

--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -136,9 +136,10 @@
         # A process of an earlier build states no era.
         era = update.store_era or known.era
         position = _Position(era, update.list_version)
-        if position <= known:
+        is_same = update.workers_digest == fleet.workers_digest
+        if position < known or (position == known and is_same):
             # The local list is at least as new as that of the update.
-            if update.workers_digest != fleet.workers_digest:
+            if not is_same:
                 telemetry.log_event(
                     'fleet_update_outdated',
                     peer=update.host,
@@ -149,7 +150,7 @@
                 )
             return True
         self._record_era(position.era, time.monotonic())
-        if update.workers_digest != fleet.workers_digest:
+        if not is_same:
             self._apply_update(update)
         if update.workers_digest != fleet.workers_digest:
             return False
--- a/briarknot/gateway/tests/test_restored_store.py
+++ b/briarknot/gateway/tests/test_restored_store.py
@@ -149,7 +149,16 @@
         await stores.wait_until(lambda: is_known(contexts, 'w2'))
         await post(store, '/restore')
         await hold(lambda: is_known(contexts, 'w2'), 1.2)
-        await stores.wait_until(lambda: is_unused(contexts, 'w2'), 5)
+
+
+async def test_worker_that_does_not_come_back_is_dropped_by_all():
+    """The leader dropped it later than it read the list; others kept it."""
+    async with run_gateways('g1', 'g2') as (store, contexts):
+        await post(store, '/copy')
+        await store.put('servers', 'w2', stores._WORKER)
+        await stores.wait_until(lambda: is_known(contexts, 'w2'))
+        await post(store, '/restore')
+        await stores.wait_until(lambda: is_unused(contexts, 'w2'), 6)
 
 
 async def test_process_is_registered_again_after_its_row_was_lost(monkeypatch):
