Keep live workers that the copy of a restored store lacks

After a restore that interrupted no call, workers that had registered since the copy were dropped until they wrote their entries again.

Cause: missing entries were kept for 2.2 s only after a failed call.

--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -86,10 +86,11 @@
                 self._record_outage(page.reason)
                 await self._pause()
                 continue
-            self._record_era(page.era, started_s)
+            is_restored = self._record_era(page.era, started_s)
+            is_recovered = self._record_recovery()
             self._list_position = _Position(page.era, page.version)
             self._apply_workers(
-                page.rows, started_s, after_outage=self._record_recovery()
+                page.rows, started_s, after_outage=is_restored or is_recovered
             )
             if _store_readers.get_reader_rank(self._context) is not None:
                 self._send_update()
@@ -161,11 +162,18 @@
             self._is_store_unavailable = False
         return True
 
-    def _record_era(self, era: int, now: float) -> None:
-        """Records the era of the store that a list comes from."""
-        if self._list_era and era > self._list_era:
+    def _record_era(self, era: int, now: float) -> bool:
+        """Records the era of the store that a list comes from.
+
+        :param era: the era.
+        :param now: monotonic time in seconds.
+        :returns: whether it has risen since the last list.
+        """
+        has_risen = bool(self._list_era and era > self._list_era)
+        if has_risen:
             self._context.fleet.record_restore(now)
         self._list_era = max(self._list_era, era)
+        return has_risen
 
     def _send_update(self) -> None:
         """Sends the result of the last read to the other processes."""
