Register a process again whose entry was lost with a restore

A process whose entry the copy of a restored store lacks was not listed again, so that others dropped it from their lists, and processes that started did not find it by the store.

Cause: each registration expected the version of the lost entry, and was refused in each period. Versions are forgotten for entries that are gone, and for all of an earlier era, in which the same version may stand for other content. test_process_is_registered_again_after_its_row_was_lost failed before.

--- a/briarknot/gateway/_hosts.py
+++ b/briarknot/gateway/_hosts.py
@@ -46,6 +46,7 @@
     _client: platform.Client
     _peers: _peers.Peers
     _period: int = 0
+    _era: int = 0
     _last_changes: dict[str, _LastChange] = attrs.field(factory=dict)
 
     async def sync(self) -> None:
@@ -105,6 +106,14 @@
         return isinstance(result, platform.Committed)
 
     def _apply_rows(self, rows: tuple[platform.Row, ...]) -> None:
+        if self._client.era != self._era:
+            # The versions of entries are not those of an earlier era.
+            self._last_changes.clear()
+            self._era = self._client.era
+        listed = {row.key for row in rows}
+        for host in self._last_changes.keys() - listed:
+            # An entry that is gone can only be inserted.
+            del self._last_changes[host]
         hosts = {}
         for row in rows:
             known = self._last_changes.get(row.key)
