Store what is quarantined again after a restore of the store

What the processes had stored since the copy was lost, so that a restart of all of them forgot the quarantine, and two more workers crashed.

Cause: a process remembered that it had found the evidence stored, and did not look again. It does so in each new era. test_lost_quarantine_is_stored_again failed before, once both processes had found it stored.

--- a/briarknot/gateway/_quarantine_sync.py
+++ b/briarknot/gateway/_quarantine_sync.py
@@ -38,6 +38,7 @@
     _peers: _peers.Peers
     _is_loaded: bool = False
     _stored: frozenset[tuple[str, int]] = frozenset()
+    _stored_era: int = 0
 
     async def load(self) -> None:
         """Reads what is quarantined, once, before the first request."""
@@ -72,6 +73,10 @@
             if not self._is_loaded:
                 await self.load()
             now = time.monotonic()
+            if self._client.era != self._stored_era:
+                # What was stored may be lost.
+                self._stored = frozenset()
+                self._stored_era = self._client.era
             if self._summarize() == self._stored:
                 stored_s = now
             elif now - stored_s >= self._get_writer_delay_s():
