Let processes that do not read the store know its era

A process learned of a restore by its own next call to the store, 30 s later or more, and stored the lost quarantine only then.

Cause: the era was read from the process's own answers only. The leader's updates carry it, so that all processes know it within about a second.

--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -150,6 +150,7 @@
                     known_version=known.version,
                 )
             return True
+        self._client.record_era(position.era)
         self._record_era(position.era, time.monotonic())
         if not is_same:
             self._apply_update(update)
--- a/briarknot/platform/_client.py
+++ b/briarknot/platform/_client.py
@@ -66,13 +66,24 @@
 
     @property
     def era(self) -> int:
-        """Era of the store in its latest answer; 0 before the first.
+        """Latest era of the store that is known; 0 before its first answer.
 
         It rises when the store comes back from a copy. Versions and rows of an
         earlier era say nothing about those of a later one.
         """
         return self._era
 
+    def record_era(self, era: int) -> None:
+        """Records an era of the store that this or another process has seen.
+
+        :param era: the era; 0 if it is not known.
+        """
+        if era <= self._era:
+            return
+        if self._era:
+            telemetry.log_event('store_restored', era=era, era_before=self._era)
+        self._era = era
+
     async def read_row(
         self, table: str, key: str
     ) -> _values.Row | _values.Missing | _values.Unavailable:
@@ -288,7 +299,8 @@
                 data=body,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                era = self._record_era(response.headers.get(_ERA, ''))
+                era = _decode_era(response.headers.get(_ERA, ''))
+                self.record_era(era)
                 body = await _sessions.read_limited(
                     response.content, _MAX_BODY_BYTES
                 )
@@ -301,15 +313,9 @@
         except (TimeoutError, aiohttp.ClientError) as error:
             return _values.Unavailable(f'{type(error).__name__}: {error}')
 
-    def _record_era(self, text: str) -> int:
-        if not text.isdigit():
-            return 0
-        if self._era and int(text) > self._era:
-            telemetry.log_event(
-                'store_restored', era=int(text), era_before=self._era
-            )
-        self._era = max(self._era, int(text))
-        return int(text)
+
+def _decode_era(text: str) -> int:
+    return int(text) if text.isdigit() else 0
 
 
 def _make_url(base: str, path: str) -> yarl.URL:
