Raise fencing numbers with the era of the store

Cause: number and holder came from a row that the restore may have lost. The upper half of a number is the era of the store now, and no grant is given for 10 s after a process has learned of a restore, unless the row is of the present era. test_fencing_numbers_rise_and_holders_do_not_alternate failed before.

--- a/briarknot/authority/_order_grants.py
+++ b/briarknot/authority/_order_grants.py
@@ -17,6 +17,11 @@
 #: Time from a grant to one of another process. It exceeds the time in which
 #: orders are sent by more than the platform's lease of three seconds.
 _OTHER_HOLDER_S = 10.0
+#: Era of a store that was never restored.
+_FIRST_ERA = 1
+#: Bits of a fencing number below the era of the store. A restore loses grants, but
+#: the era rises, so that numbers are never given out again.
+_FENCE_BITS = 32
 
 
 @attrs.frozen
@@ -67,11 +72,17 @@
     known = _decode_row(row)
     if isinstance(known, NotGranted):
         return known
+    lost = _check_lost_grants(client, known)
+    if lost is not None:
+        return lost
     age_s = page.store_s - known.granted_s
     if known.holder not in {'', holder} and age_s < _OTHER_HOLDER_S:
         return NotGranted(f'{known.holder} had it {age_s:.1f} s ago')
     granted = schema.records.GrantRow(
-        holder=holder, fence=known.fence + 1, granted_s=page.store_s
+        holder=holder,
+        fence=max(known.fence, _compute_first_fence(client.era)) + 1,
+        granted_s=page.store_s,
+        store_era=client.era,
     )
     result = await client.commit(
         platform.Operation(
@@ -87,6 +98,27 @@
     return OrderGrant(holder, granted.fence, started_s + _VALID_S)
 
 
+def _check_lost_grants(
+    client: platform.Client, known: schema.records.GrantRow
+) -> NotGranted | None:
+    """Returns why no grant is given after a restore of the store.
+
+    Another process may have been granted the authority after the copy.
+
+    :param client: client of the store.
+    :param known: the latest grant that the store holds.
+    """
+    first_era = max(known.store_era, _FIRST_ERA)
+    if client.era <= first_era or client.era_age_s >= _OTHER_HOLDER_S:
+        return None
+    return NotGranted(f'the store was restored, era {client.era}')
+
+
+def _compute_first_fence(era: int) -> int:
+    """Returns a fencing number above all of earlier eras."""
+    return max(0, era - _FIRST_ERA) << _FENCE_BITS
+
+
 def _decode_row(
     row: platform.Row | None,
 ) -> schema.records.GrantRow | NotGranted:
--- a/briarknot/gateway/tests/test_restored_store.py
+++ b/briarknot/gateway/tests/test_restored_store.py
@@ -185,7 +185,7 @@
         await wait_for_row(store, 'quarantine', 'gateways')
 
 
-async def test_fencing_numbers_rise_and_holders_do_not_alternate():
+async def test_fencing_numbers_rise_and_holders_do_not_alternate(monkeypatch):
     """Two holders gave orders under one number after a grant was lost."""
     async with stores.open_store() as store:
         client = platform.make_client(store.session, store.url, 1)
@@ -195,8 +195,14 @@
         await post(store, '/restore')
         assert not await authority.acquire_grant(client, 's', 'g2')
         later = await authority.acquire_grant(client, 's', 'g1')
-        assert first.fence < second.fence
-        assert not later or later.fence > second.fence
+        assert not later
+        monkeypatch.setattr(
+            'briarknot.authority._order_grants._OTHER_HOLDER_S', 0
+        )
+        later = await authority.acquire_grant(client, 's', 'g2')
+        assert first.fence < second.fence < later.fence
+        last = await authority.acquire_grant(client, 's', 'g2')
+        assert last.fence == later.fence + 1
 
 
 async def wait_for_row(store, table, key):
--- a/briarknot/platform/_client.py
+++ b/briarknot/platform/_client.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store."""
 
 import base64
+import time
 import urllib.parse
 
 import aiohttp
@@ -63,6 +64,7 @@
     _url: str
     _timeout_s: float
     _era: int = 0
+    _era_seen_s: float = 0
 
     @property
     def era(self) -> int:
@@ -73,6 +75,11 @@
         """
         return self._era
 
+    @property
+    def era_age_s(self) -> float:
+        """Time since this process knows the present era, in seconds."""
+        return time.monotonic() - self._era_seen_s
+
     def record_era(self, era: int) -> None:
         """Records an era of the store that this or another process has seen.
 
@@ -83,6 +90,7 @@
         if self._era:
             telemetry.log_event('store_restored', era=era, era_before=self._era)
         self._era = era
+        self._era_seen_s = time.monotonic()
 
     async def read_row(
         self, table: str, key: str
--- a/briarknot/schema/_generated/records.py
+++ b/briarknot/schema/_generated/records.py
@@ -178,6 +178,12 @@
         unit='s',
         default=0.0,
     )
+    store_era: int = _fields.make_field(
+        doc='Era of the store at the grant; 0 if it is not known.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/schema/definitions/records.capnp
+++ b/briarknot/schema/definitions/records.capnp
@@ -62,6 +62,7 @@
   holder @0 :Text $A.doc("Host of the process that was granted it.");
   fence @1 :UInt64 $A.doc("Fencing number; increases with each grant.");
   grantedS @2 :Float64 $A.unit("s") $A.doc("Time of the grant by the store's steady clock.");
+  storeEra @3 :UInt64 $A.doc("Era of the store at the grant; 0 if it is not known.");
 }
 
 struct OrderRow $A.doc("The latest order to an engine.") {
