Ignore entries of workers whose figures don't fit

One odd entry of another writer among those of the workers ended the task that reads them: a number of slots beyond 32 bits, or a birth beyond what other languages hold, did not fit the update for the other processes, which then got none. Ports out of range and hosts that are no addresses were listed as workers, and a long text made updates larger than a datagram.

Cause: decode_worker checked types but no ranges.

--- a/briarknot/gateway/tests/test_store_sync.py
+++ b/briarknot/gateway/tests/test_store_sync.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import attrs
+import pytest
 
 from briarknot import platform, schema
 from briarknot.gateway import (
@@ -207,6 +208,50 @@
             assert [worker.id for worker in fleet.workers] == ['w1']
 
 
+_ODD_ENTRIES = {
+    'nested': b'[' * 9000 + b']' * 9000,
+    'nested_slots': json.dumps({**_WORKER, 'slots': [[[]]]}).encode(),
+    'huge': json.dumps({**_WORKER, 'slots': 2**62}).encode(),
+    'none': json.dumps({**_WORKER, 'slots': 0}).encode(),
+    'infinite': json.dumps({**_WORKER, 'slots': 1})
+    .encode()
+    .replace(b'"slots": 1', b'"slots": 1e999'),
+    'beyond': json.dumps({**_WORKER, 'born': 2**64}).encode(),
+    'birth': json.dumps({**_WORKER, 'born': 2**64 - 1}).encode(),
+    'port_0': json.dumps({**_WORKER, 'address': '127.0.0.1:0'}).encode(),
+    'port': json.dumps({**_WORKER, 'address': '127.0.0.1:99999'}).encode(),
+    'digits': json.dumps({**_WORKER, 'address': '127.0.0.1:٣'}).encode(),
+    'host': json.dumps({**_WORKER, 'address': 'a b/c?d:80'}).encode(),
+    'long': json.dumps({**_WORKER, 'zone': 'z' * 40000}).encode(),
+}
+
+
+@pytest.mark.parametrize('name', _ODD_ENTRIES)
+async def test_odd_entry_does_not_stop_the_list_from_being_followed(name):
+    """One entry of another writer ended the task that reads the workers.
+
+    Its figures did not fit the message to the other processes, which were
+    then informed of no change any more.
+    """
+    async with (
+        open_store() as store,
+        run_gateways(store, 'g1', 'g2') as contexts,
+    ):
+        await wait_until(
+            lambda: all(one.is_ready and one.peer_hosts for one in contexts)
+        )
+        await store.put('servers', 'odd', _ODD_ENTRIES[name])
+        await asyncio.sleep(1)
+        await store.put('servers', 'w2', _WORKER)
+        await store.put('servers', 'w1', {**_WORKER, 'state': 'draining'})
+        await wait_until(
+            lambda: all(
+                [worker.id for worker in one.fleet.list_usable('s')] == ['w2']
+                for one in contexts
+            )
+        )
+
+
 async def test_manifest_is_reread_after_lost_history():
     """A manifest of the lost history would never be in force."""
     async with open_store() as store, run_gateways(store, 'g1') as contexts:
--- a/briarknot/platform/_decoding.py
+++ b/briarknot/platform/_decoding.py
@@ -1,5 +1,6 @@
 """Decodes the operators' manifest and workers' entries into product types."""
 
+import ipaddress
 import typing
 
 import attrs
@@ -24,6 +25,13 @@
 }
 #: Errors that a tree of an unexpected shape raises.
 _SHAPE_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
+#: Larger figures name no worker; they would not fit messages and connections.
+_MAX_SLOTS = 1_000_000
+_MAX_PORT = 65535
+_MAX_TIME_MS = 1 << 53
+#: Longest text, as the store limits its keys. Updates of the list of workers must
+#: fit a datagram.
+_MAX_TEXT = 200
 _STATES = {'ready': False, 'draining': True}
 #: Event gap of a route that states none; only its timeout applies then.
 _NO_GAP_MS = 0
@@ -74,7 +82,7 @@
             service=_check_text(tree['service']),
             address=_check_address(tree['address']),
             domain=_check_text(tree['zone']),
-            slots=_check_number(tree['slots'], int),
+            slots=_check_range(tree['slots'], 1, _MAX_SLOTS),
             draining=_STATES[tree['state']],
             stage=(
                 _STAGES[tree['stage']]
@@ -83,7 +91,7 @@
             ),
             cold_s=_check_number(tree['coldRemainingMs'], float, int)
             / _MS_PER_S,
-            born_ms=_check_number(tree.get('born', 0), int),
+            born_ms=_check_range(tree.get('born', 0), 0, _MAX_TIME_MS),
         )
     except _SHAPE_ERRORS as error:
         return Malformed(f'{type(error).__name__}: {error}')
@@ -160,11 +168,18 @@
 
 
 def _check_text(value: typing.Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise TypeError(f'expected a text, found {value!r}')
+    if not isinstance(value, str) or not 0 < len(value) <= _MAX_TEXT:
+        raise TypeError(f'expected a text, found {value!r:.{_MAX_TEXT}}')
     return value
 
 
+def _check_range(value: typing.Any, least: int, most: int) -> int:
+    number = _check_number(value, int)
+    if not least <= number <= most:
+        raise ValueError(f'{number} is not from {least} to {most}')
+    return number
+
+
 def _check_number(value: typing.Any, *kinds: type) -> typing.Any:
     if isinstance(value, bool) or not isinstance(value, kinds) or value < 0:
         raise TypeError(f'expected a number, found {value!r}')
@@ -173,6 +188,8 @@
 
 def _check_address(value: typing.Any) -> str:
     host, _, port = _check_text(value).rpartition(':')
-    if not host or not port.isdigit():
+    if not port.isascii() or not port.isdigit():
         raise ValueError(f'expected IP:PORT, found {value!r}')
+    ipaddress.IPv4Address(host)
+    _check_range(int(port), 1, _MAX_PORT)
     return value
