Answer all requests of a planned stop

Requests that came late in the grace of a stop were passed on, and their connections were cut at its end without an answer, also those that may not be repeated.

Cause: requests were accepted for 3.2 s, while those sent later than 3 s after the start of a stop must be served to their end, and nothing bounded the time of open ones. Requests are refused from 2.8 s on, as not run, while the listener is open until 3.2 s. A stop shortens the time limits of open requests, so that each gets its answer 0.2 s before the process ends; the workers get the time that is left. test_stopping.py; its tests of the plan and of open requests had no counterpart before, as nothing bounded them.

--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -9,7 +9,7 @@
 import prometheus_client
 
 from briarknot import platform, program, schema, serving, telemetry
-from briarknot.gateway import _pending_answers
+from briarknot.gateway import _pending_answers, _stopping
 
 REQUESTS = prometheus_client.Counter(
     'briarknot_gateway_requests',
@@ -73,6 +73,7 @@
     :param quarantine_changed: notified when the evidence changes.
     :param permit_answers: answers of other processes that issue permits.
     :param send_message: sends a message to other processes, by their hosts.
+    :param stop: shortens the time limits of requests when the process stops.
     :param background_tasks: tasks that outlive the request that started them.
     """
 
@@ -97,6 +98,7 @@
         factory=_pending_answers.PendingAnswers
     )
     send_message: SendMessage = _drop_message
+    stop: _stopping.Stop = attrs.field(factory=_stopping.Stop)
     background_tasks: set[typing.Any] = attrs.field(factory=set)
 
     @property
--- a/briarknot/gateway/_gateway.py
+++ b/briarknot/gateway/_gateway.py
@@ -5,7 +5,6 @@
 import pathlib
 import signal
 import socket
-import time
 
 import attrs
 
@@ -21,6 +20,7 @@
     _quarantine_sync,
     _requests,
     _stage_orders,
+    _stopping,
     _store_sync,
 )
 
@@ -30,11 +30,6 @@
 _FLUSH_PERIOD_S = 0.2
 #: Period of checking the settings file for changes where no signal arrives.
 _SETTINGS_PERIOD_S = 1.0
-#: Time from the end of readiness until the listener closes: the platform needs
-#: two failed readiness checks, one second apart.
-_DEREGISTRATION_S = 3.2
-#: Time that is left between the end of the process and the platform's kill.
-_EXIT_MARGIN_S = 0.6
 _DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
 
 
@@ -114,14 +109,17 @@
         await metrics.cleanup()
 
     async def _stop(self, ingress: platform.Ingress) -> None:
-        started_s = time.monotonic()
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        plan = _stopping.plan_stop(self._context.settings.stop_grace_s)
         telemetry.log_event('stopping', open_requests=ingress.open_requests)
         ingress.set_closing()
-        await asyncio.sleep(_DEREGISTRATION_S)
+        self._context.stop.begin(started_s + plan.answer_s)
+        await asyncio.sleep(plan.refuse_s)
+        ingress.refuse_requests()
+        await asyncio.sleep(started_s + plan.close_s - loop.time())
         await ingress.stop_listening()
-        grace_s = self._context.settings.stop_grace_s - _EXIT_MARGIN_S
-        end_s = started_s + grace_s
-        await ingress.wait_idle(end_s - time.monotonic())
+        await ingress.wait_idle(started_s + plan.exit_s - loop.time())
         telemetry.log_event('stopped', open_requests=ingress.open_requests)
         self._lines.flush()
 
--- a/briarknot/gateway/_requests.py
+++ b/briarknot/gateway/_requests.py
@@ -182,7 +182,7 @@
         if request is None:
             return
         try:
-            async with asyncio.timeout_at(
+            async with context.stop.limit(
                 asyncio.get_running_loop().time()
                 + request.remaining_s(time.monotonic())
             ):
@@ -239,7 +239,8 @@
     name = serving.choose_destination(route, context.random_source)
     service = fleet.find_service(name) or schema.serving.Service(name=name)
     context.budget.record_request(name, call.received_s)
-    deadline_s = call.received_s + min(call.timeout_s, route.timeout_s)
+    timeout_s = min(call.timeout_s, route.timeout_s)
+    deadline_s = call.received_s + context.stop.shorten(timeout_s)
     return Request(
         call, route, service, responder, deadline_s - _ANSWER_MARGIN_S
     )
--- a/briarknot/gateway/tests/test_operator_reports.py
+++ b/briarknot/gateway/tests/test_operator_reports.py
@@ -150,6 +150,7 @@
         sent = [asyncio.ensure_future(gateway.send()) for _ in range(3)]
         await worker.wait_requests(3)
         gateway.ingress.set_closing()
+        gateway.ingress.refuse_requests()
         await gateway.ingress.stop_listening()
         assert gateway.ingress.open_requests == 3
         await gateway.ingress.wait_idle(5)
--- a/briarknot/gateway/tests/test_plain.py
+++ b/briarknot/gateway/tests/test_plain.py
@@ -223,6 +223,7 @@
     async with _support.open_gateway(route, worker) as gateway:
         first, _, _ = await gateway.send()
         gateway.ingress.set_closing()
+        gateway.ingress.refuse_requests()
         await gateway.ingress.stop_listening()
         status, headers, _ = await gateway.send()
     assert (first, status) == (200, 503)
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -169,13 +169,16 @@
         """Closes connections after their current request."""
         self._closing = True
 
-    async def stop_listening(self) -> None:
-        """Accepts no new client connections and refuses further requests.
+    def refuse_requests(self) -> None:
+        """Refuses all further requests.
 
-        Without the refusal, a late request on a persistent connection was cut
-        off when the process exited.
+        Without the refusal, a request that came late in a stop was cut off when
+        the process exited.
         """
         self._refusing = True
+
+    async def stop_listening(self) -> None:
+        """Accepts no new client connections."""
         await self._sites[-1].stop()
 
     async def wait_idle(self, timeout_s: float) -> None:
