Send no requests to workers that say in answers that they are leaving

Gateways knew leaving workers by their entries only, which some never write.

The header is decoded with the limit. Fleet leaves such a worker out until its next start; other processes are informed with the limits. test_leaving_worker_gets_no_further_requests failed before, for plain services and generations.

--- a/briarknot/gateway/_attempts.py
+++ b/briarknot/gateway/_attempts.py
@@ -176,3 +176,8 @@
             limit_per_s=limits.get(start, now),
             in_flight=attempt.record.in_flight,
         )
+    is_leaving = backpressure is not None and backpressure.is_leaving
+    if is_leaving and context.fleet.record_leaving(start, now):
+        telemetry.log_event(
+            'worker_leaving', worker=worker.id, domain=worker.domain
+        )
--- a/briarknot/gateway/_limit_sync.py
+++ b/briarknot/gateway/_limit_sync.py
@@ -1,4 +1,4 @@
-"""Exchanges limits of workers, and permits to send to these, between processes.
+"""Exchanges what workers state in answers, and permits, between processes.
 
 A changed limit goes to all processes at once. While there is any, each process
 repeats what it knows to a few others, and to the other issuers of its workers, so
@@ -18,6 +18,9 @@
 _KEY = 'limits'
 #: Period of repeating what is known.
 _PERIOD_S = 1.0
+#: Time for which others are told that a worker is leaving; its entry has expired
+#: or says so by then.
+_LEAVING_REPEAT_S = 30.0
 #: Period of checking for changes.
 _CHECK_S = 0.05
 #: Records in a datagram; each takes about 100 bytes.
@@ -35,17 +38,22 @@
     async def send(self) -> None:
         """Sends changed limits at once, and repeats all of them."""
         limits = self._context.permits.limits
+        fleet = self._context.fleet
+        checked_s = float('-inf')
         repeated_s = float('-inf')
         while True:
             now = time.monotonic()
-            self._send(
-                limits.take_changed(now), tuple(self._context.peer_hosts)
-            )
+            changed = limits.take_changed(now)
+            leaving = fleet.list_leaving(checked_s)
+            checked_s = now
+            self._send(changed, leaving, tuple(self._context.peer_hosts))
             if now - repeated_s >= _PERIOD_S:
                 repeated_s = now
-                records = limits.list_records(now)
-                if records:
-                    self._send(records, self._choose_receivers(now))
+                self._send(
+                    limits.list_records(now),
+                    fleet.list_leaving(now - _LEAVING_REPEAT_S),
+                    self._choose_receivers(now),
+                )
             await asyncio.sleep(_CHECK_S)
 
     def _choose_receivers(self, now: float) -> tuple[str, ...]:
@@ -62,16 +70,20 @@
     def _send(
         self,
         records: tuple[schema.messages.LimitRecord, ...],
+        leaving: tuple[str, ...],
         hosts: tuple[str, ...],
     ) -> None:
         settings = self._context.settings
-        for start in range(0, len(records), _RECORDS_PER_DATAGRAM):
+        count = max(len(records), len(leaving))
+        for start in range(0, count, _RECORDS_PER_DATAGRAM):
+            end = start + _RECORDS_PER_DATAGRAM
             message = schema.messages.LimitRecords(
                 host=settings.host,
                 domain=settings.domain,
                 address=settings.address,
                 port=settings.peer_port,
-                limits=records[start : start + _RECORDS_PER_DATAGRAM],
+                limits=records[start:end],
+                leaving=leaving[start:end],
             )
             self._peers.send(message, hosts)
 
@@ -89,6 +101,8 @@
     peers.record_host(message)
     permits = peers.context.permits
     permits.record_heard(message.host, now)
+    for start in message.leaving:
+        peers.context.fleet.record_leaving(start, now)
     changed = permits.limits.merge(message.limits, now)
     if changed:
         telemetry.log_event(
--- a/briarknot/platform/_headers.py
+++ b/briarknot/platform/_headers.py
@@ -12,6 +12,8 @@
 WORKER_LOAD = 'Instance-Load'
 #: Requests per second that the answering worker takes from all machines.
 WORKER_LIMIT = 'Server-Limit'
+#: Present with the value 1 where the answering worker is leaving.
+WORKER_LEAVING = 'Server-Leaving'
 #: Prompt tokens and the largest number of output tokens.
 TOKEN_COUNTS = 'Token-Counts'
 PROMPT_PARTS = 'Prompt-Prefix'
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -340,22 +340,25 @@
 def _decode_backpressure(
     response: aiohttp.ClientResponse,
 ) -> serving.Backpressure | None:
+    is_leaving = response.headers.get(_headers.WORKER_LEAVING) == '1'
     text = response.headers.get(_headers.WORKER_LIMIT)
     if text is None:
-        return serving.Backpressure()
+        return serving.Backpressure(is_leaving=is_leaving)
     try:
         limit_per_s = float(text)
     except ValueError:
         limit_per_s = math.nan
     if math.isfinite(limit_per_s) and limit_per_s >= 0:
-        return serving.Backpressure(limit_per_s=limit_per_s)
+        return serving.Backpressure(
+            limit_per_s=limit_per_s, is_leaving=is_leaving
+        )
     _MALFORMED.labels('limit').inc()
     telemetry.log_event(
         'limit_malformed',
         address=response.url.authority,
         value=text[:_MAX_LOGGED_TEXT],
     )
-    return None
+    return serving.Backpressure(is_leaving=True) if is_leaving else None
 
 
 async def _read_handle(
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -575,7 +575,7 @@
 
 @attrs.frozen(kw_only=True)
 class LimitRecords:
-    """Limits of workers that a gateway process knows of."""
+    """What workers have stated in answers about the requests that they want."""
 
     __schema__ = 'messages'
 
@@ -595,6 +595,10 @@
     limits: tuple[LimitRecord, ...] = _fields.make_field(
         doc='The limits, as they are merged by each receiver.', default=()
     )
+    leaving: tuple[str, ...] = _fields.make_field(
+        doc='Ids and starts of workers that have said in answers that they are leaving.',
+        default=(),
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -205,12 +205,13 @@
   sinceMs @4 :UInt32 $A.unit("ms") $A.doc("Time since the worker first named a limit without an end between.");
 }
 
-struct LimitRecords $A.doc("Limits of workers that a gateway process knows of.") {
+struct LimitRecords $A.doc("What workers have stated in answers about the requests that they want.") {
   host @0 :Text $A.doc("Host of the process.");
   domain @1 :Text $A.doc("Failure domain of the process.");
   address @2 :Text $A.doc("IP number of the process.");
   port @3 :UInt16 $A.doc("Port on which the process receives messages.");
   limits @4 :List(LimitRecord) $A.doc("The limits, as they are merged by each receiver.");
+  leaving @5 :List(Text) $A.doc("Ids and starts of workers that have said in answers that they are leaving.");
 }
 
 struct PermitRequest $A.doc("Requests a permit to send one request to a worker that has named a limit.") {
--- a/briarknot/serving/_backpressure.py
+++ b/briarknot/serving/_backpressure.py
@@ -9,6 +9,8 @@
 
     :param limit_per_s: requests per second that the worker takes from all
         gateway processes together; None for no limit.
+    :param is_leaving: whether the worker is leaving.
     """
 
     limit_per_s: float | None = None
+    is_leaving: bool = False
--- a/briarknot/serving/_fleet.py
+++ b/briarknot/serving/_fleet.py
@@ -42,6 +42,7 @@
         factory=collections.OrderedDict
     )
     _restored_s: float = float('-inf')
+    _said_leaving_s: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def manifest(self) -> schema.serving.Manifest | None:
@@ -187,6 +188,34 @@
         for worker_id in worker_ids:
             self._changing_until_s[worker_id] = now + _CHANGE_MEMORY_S
 
+    def record_leaving(self, start: str, now: float) -> bool:
+        """Records that a worker has said in an answer that it is leaving.
+
+        Its entry may say so later or never. It gets no requests until it starts
+        again.
+
+        :param start: the worker and its start.
+        :param now: monotonic time in seconds.
+        :returns: whether it was not known.
+        """
+        if start in self._said_leaving_s:
+            return False
+        self._said_leaving_s[start] = now
+        if len(self._said_leaving_s) > _MAX_STARTS:
+            del self._said_leaving_s[next(iter(self._said_leaving_s))]
+        return True
+
+    def list_leaving(self, since_s: float) -> tuple[str, ...]:
+        """Lists workers that have said that they are leaving.
+
+        :param since_s: monotonic time from which on this process learned it.
+        """
+        return tuple(
+            start
+            for start, known_s in self._said_leaving_s.items()
+            if known_s >= since_s
+        )
+
     def find_route(self, host: str, path: str) -> schema.serving.Route | None:
         """Finds the route of a request.
 
@@ -226,6 +255,7 @@
             and worker.stage == stage
             and not worker.draining
             and self._changing_until_s.get(worker.id, 0) <= now
+            and _worker_starts.name_start(worker) not in self._said_leaving_s
         )
 
     def _record_removed(
