Send nothing to a worker for the time that it states with a refusal

Gateways asked it again at once.

The time is decoded with the limit, 60 s at most, and kept in the worker's record; the choice leaves the worker out also where no other is left. Clients then get a Retry-After that says when a worker is expected to take requests.

--- a/briarknot/gateway/_attempts.py
+++ b/briarknot/gateway/_attempts.py
@@ -176,8 +176,17 @@
             limit_per_s=limits.get(start, now),
             in_flight=attempt.record.in_flight,
         )
-    is_leaving = backpressure is not None and backpressure.is_leaving
-    if is_leaving and context.fleet.record_leaving(start, now):
+    if backpressure is None:
+        return
+    if backpressure.is_leaving and context.fleet.record_leaving(start, now):
         telemetry.log_event(
             'worker_leaving', worker=worker.id, domain=worker.domain
         )
+    if backpressure.pause_s:
+        attempt.record.record_pause(backpressure.pause_s, now)
+        telemetry.log_event(
+            'worker_paused',
+            worker=worker.id,
+            domain=worker.domain,
+            pause_s=backpressure.pause_s,
+        )
--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -241,7 +241,9 @@
         request.refuse(
             _requests.UNAVAILABLE,
             'no_capacity',
-            _requests.DEFAULT_RETRY_AFTER_S,
+            _send_permits.compute_retry_after_s(
+                context, request, _Stage.DECODE
+            ),
             reason=last.reason,
         )
     else:
--- a/briarknot/gateway/_plain.py
+++ b/briarknot/gateway/_plain.py
@@ -88,7 +88,11 @@
     now = time.monotonic()
     usable = context.fleet.list_usable(request.service.name)
     untried = tuple(
-        one for one in usable if one.id not in tried and one.id not in excluded
+        one
+        for one in usable
+        if one.id not in tried
+        and one.id not in excluded
+        and not context.worker_records.get(one.id).get_pause_s(now)
     )
     unblocked = tuple(
         one
@@ -191,6 +195,6 @@
         request.refuse(
             _requests.UNAVAILABLE,
             'no_capacity',
-            _requests.DEFAULT_RETRY_AFTER_S,
+            _send_permits.compute_retry_after_s(context, request),
             **inputs,
         )
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -230,6 +230,8 @@
 ) -> tuple[schema.serving.Worker, ...]:
     """Lists the workers of a stage that are not blocked, or all if all are.
 
+    Those that want no requests for a while are left out in any case.
+
     :param context: state of the process.
     :param request: the request.
     :param stage: stage of the workers.
@@ -240,6 +242,7 @@
         one
         for one in context.fleet.list_usable(request.service.name, stage, now)
         if one.id not in tried
+        and not context.worker_records.get(one.id).get_pause_s(now)
     )
     unblocked = tuple(
         one
--- a/briarknot/gateway/_send_permits.py
+++ b/briarknot/gateway/_send_permits.py
@@ -167,21 +167,47 @@
     :param stage: stage of the workers.
     :param inputs: figures behind the refusal, for the log.
     """
-    now = time.monotonic()
-    waits_s = list_waits_s(context, request)
-    limited_s = [
-        waits_s[one.id]
-        for one in context.fleet.list_usable(request.service.name, stage, now)
-        if one.id in waits_s
-    ]
+    waits_s = _list_all_waits_s(context, request, stage)
     request.refuse(
         _requests.UNAVAILABLE,
-        'worker_limits' if limited_s else 'no_endpoint',
-        max(min(limited_s, default=0), _requests.DEFAULT_RETRY_AFTER_S),
+        'worker_limits' if any(waits_s) else 'no_endpoint',
+        compute_retry_after_s(context, request, stage),
         **inputs,
     )
 
 
+def compute_retry_after_s(
+    context: _context.Context,
+    request: _requests.Request,
+    stage: schema.serving.Stage = schema.serving.Stage.NONE,
+) -> float:
+    """Returns when a worker is expected to take a request, in seconds.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param stage: stage of the workers.
+    """
+    waits_s = _list_all_waits_s(context, request, stage)
+    return max(min(waits_s, default=0), _requests.DEFAULT_RETRY_AFTER_S)
+
+
+def _list_all_waits_s(
+    context: _context.Context,
+    request: _requests.Request,
+    stage: schema.serving.Stage,
+) -> list[float]:
+    """Lists how long each usable worker takes no request; 0 for not at all."""
+    now = time.monotonic()
+    turns_s = list_waits_s(context, request)
+    return [
+        max(
+            turns_s.get(one.id, 0),
+            context.worker_records.get(one.id).get_pause_s(now),
+        )
+        for one in context.fleet.list_usable(request.service.name, stage, now)
+    ]
+
+
 def _compute_max_wait_s(request: _requests.Request) -> float:
     """Returns how long a request may wait for its turn.
 
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -20,6 +20,9 @@
 )
 _OK = 200
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+#: Longest time for which a worker can ask for no requests.
+_MAX_PAUSE_S = 60.0
 #: Statuses that imply that a request has not run. They are trusted only with
 #: the worker's own statement that it did not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -340,25 +343,41 @@
 def _decode_backpressure(
     response: aiohttp.ClientResponse,
 ) -> serving.Backpressure | None:
-    is_leaving = response.headers.get(_headers.WORKER_LEAVING) == '1'
-    text = response.headers.get(_headers.WORKER_LIMIT)
+    limit_per_s = _decode_number(response, _headers.WORKER_LIMIT)
+    pause_s = None
+    if response.status == _UNAVAILABLE:
+        pause_s = _decode_number(response, _headers.RETRY_AFTER)
+    stated = serving.Backpressure(
+        limit_per_s=limit_per_s,
+        is_leaving=response.headers.get(_headers.WORKER_LEAVING) == '1',
+        pause_s=min(pause_s or 0, _MAX_PAUSE_S),
+    )
+    is_malformed = (
+        limit_per_s is None and _headers.WORKER_LIMIT in response.headers
+    )
+    # A malformed limit must not end the one that is in force.
+    return None if is_malformed and not stated.is_leaving else stated
+
+
+def _decode_number(response: aiohttp.ClientResponse, name: str) -> float | None:
+    """Decodes a header with a number that is not negative, if there is one."""
+    text = response.headers.get(name)
     if text is None:
-        return serving.Backpressure(is_leaving=is_leaving)
+        return None
     try:
-        limit_per_s = float(text)
+        number = float(text)
     except ValueError:
-        limit_per_s = math.nan
-    if math.isfinite(limit_per_s) and limit_per_s >= 0:
-        return serving.Backpressure(
-            limit_per_s=limit_per_s, is_leaving=is_leaving
-        )
+        number = math.nan
+    if math.isfinite(number) and number >= 0:
+        return number
     _MALFORMED.labels('limit').inc()
     telemetry.log_event(
         'limit_malformed',
         address=response.url.authority,
+        header=name,
         value=text[:_MAX_LOGGED_TEXT],
     )
-    return serving.Backpressure(is_leaving=True) if is_leaving else None
+    return None
 
 
 async def _read_handle(
--- a/briarknot/serving/_worker_records.py
+++ b/briarknot/serving/_worker_records.py
@@ -45,6 +45,7 @@
     failure_rate: float = 0
     _blocked_until_s: float = float('-inf')
     _block_s: float = 0
+    _paused_until_s: float = float('-inf')
     _load: _calls.Load | None = None
     _load_reported_s: float = float('-inf')
     _last_bytes_s: float = float('-inf')
@@ -76,6 +77,22 @@
             weight *= -math.expm1(-length) / length
         return 1 + weight * (self._load.work_time_ratio - 1)
 
+    def get_pause_s(self, now: float) -> float:
+        """Returns for how long the worker wants no requests of this process.
+
+        :param now: monotonic time in seconds.
+        :returns: the time in seconds; 0 if it accepts requests.
+        """
+        return max(0, self._paused_until_s - now)
+
+    def record_pause(self, pause_s: float, now: float) -> None:
+        """Records that the worker wants no requests for a time.
+
+        :param pause_s: the time in seconds.
+        :param now: monotonic time in seconds.
+        """
+        self._paused_until_s = max(self._paused_until_s, now + pause_s)
+
     def is_blocked(self, now: float) -> bool:
         """Returns whether the worker must not get requests now.
 
