Refuse prompts that get no turn, where decode workers prefilled them

Where workers have limits, a prompt that got no turn at a prefill worker was sent to a decode worker without a placement, and stalled its streams.

Cause: no placement meant that no prefill worker is usable, and a decode worker prefills such prompts. Where limits are in force it is refused now; without limits nothing changes, and a prompt is given up in its wait only where there are limits.

The turns of an issuer and the decoding of answers' headers have modules of their own.

--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -138,6 +138,8 @@
             context, request, tried + progress.failed_sources
         )
         progress.source = source
+        if _send_permits.lacks_turn(context, request, source or colocated):
+            return False
     progress.quarantined = await _crashes.wait_for_trial(
         context, request, _Stage.DECODE
     )
--- a/briarknot/gateway/_send_permits.py
+++ b/briarknot/gateway/_send_permits.py
@@ -102,7 +102,7 @@
         waits_s = list_waits_s(context, request, is_start=is_start)
         late = [one for one, wait_s in waits_s.items() if wait_s > remaining_s]
         choice = choose(late)
-        if choice is None or _is_hopeless(request, choice):
+        if choice is None or (waits_s and _is_hopeless(request, choice)):
             return None
         worker = _get_worker(choice)
         rank = request.get_permit_rank(worker.stage)
@@ -154,6 +154,24 @@
     }
 
 
+def lacks_turn(
+    context: _context.Context,
+    request: _requests.Request,
+    placed: serving.KvSource | serving.Placement | None,
+) -> bool:
+    """Returns whether a prompt got no turn at any worker.
+
+    Without limits, a decode worker prefills a prompt that has no placement.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param placed: where its prompt was prefilled, or is to be; None if nowhere.
+    """
+    if placed is not None or request.call.prompt is None:
+        return False
+    return bool(list_waits_s(context, request))
+
+
 def refuse_unsent(
     context: _context.Context,
     request: _requests.Request,
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -2,27 +2,17 @@
 
 import asyncio
 import errno
-import math
 
 import aiohttp
 import attrs
 import orjson
-import prometheus_client
 import yarl
 
 from briarknot import schema, serving, telemetry
-from briarknot.platform import _headers, _sessions
+from briarknot.platform import _answer_headers, _headers, _sessions
 
-_MALFORMED = prometheus_client.Counter(
-    'briarknot_platform_malformed',
-    'Parts of answers that could not be decoded.',
-    ('part',),
-)
 _OK = 200
 _MISDIRECTED = 421
-_UNAVAILABLE = 503
-#: Longest time for which a worker can ask for no requests.
-_MAX_PAUSE_S = 60.0
 #: Statuses that imply that a request has not run. They are trusted only with
 #: the worker's own statement that it did not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -44,11 +34,6 @@
 )
 
 
-#: Work time that a worker reports while its host is not busy with other work.
-_USUAL_PERCENT = 100
-_MAX_LOGGED_TEXT = 100
-
-
 @attrs.define(eq=False)
 class Exchange:
     """A worker's answer whose body has not been read yet."""
@@ -255,9 +240,9 @@
         return failure
     answer = serving.Answer(
         status=response.status,
-        headers=_filter_headers(response),
-        load=_decode_load(response),
-        backpressure=_decode_backpressure(response),
+        headers=_answer_headers.filter_headers(response),
+        load=_answer_headers.decode_load(response),
+        backpressure=_answer_headers.decode_backpressure(response),
     )
     return Exchange(answer, response)
 
@@ -267,7 +252,7 @@
 ) -> serving.Failed | None:
     headers = response.headers
     status = response.status
-    load = _decode_load(response)
+    load = _answer_headers.decode_load(response)
     echoed = headers.get(_headers.REQUEST_ID)
     if echoed is not None and echoed != call.id:
         return serving.Failed(
@@ -281,7 +266,7 @@
             reason=f'status {status} names no request',
             load=load,
         )
-    backpressure = _decode_backpressure(response)
+    backpressure = _answer_headers.decode_backpressure(response)
     if status == _MISDIRECTED:
         return serving.Failed(
             kind=serving.FailureKind.WRONG_WORKER,
@@ -305,81 +290,6 @@
     return None
 
 
-def _filter_headers(
-    response: aiohttp.ClientResponse,
-) -> tuple[serving.Header, ...]:
-    return tuple(
-        (name, value)
-        for name, value in response.headers.items()
-        if name.lower() not in _headers.CONNECTION_HEADERS
-    )
-
-
-def _decode_load(response: aiohttp.ClientResponse) -> serving.Load | None:
-    text = response.headers.get(_headers.WORKER_LOAD)
-    if text is None:
-        return None
-    try:
-        running, waiting, slots, *others = (
-            int(part) for part in text.split(',')
-        )
-        percent = others[0] if others else _USUAL_PERCENT
-        return serving.Load(
-            running=running,
-            waiting=waiting,
-            slots=slots,
-            work_time_ratio=max(0, percent) / _USUAL_PERCENT,
-        )
-    except ValueError:
-        _MALFORMED.labels('load').inc()
-        telemetry.log_event(
-            'load_malformed',
-            address=response.url.authority,
-            value=text[:_MAX_LOGGED_TEXT],
-        )
-        return None
-
-
-def _decode_backpressure(
-    response: aiohttp.ClientResponse,
-) -> serving.Backpressure | None:
-    limit_per_s = _decode_number(response, _headers.WORKER_LIMIT)
-    pause_s = None
-    if response.status == _UNAVAILABLE:
-        pause_s = _decode_number(response, _headers.RETRY_AFTER)
-    stated = serving.Backpressure(
-        limit_per_s=limit_per_s,
-        is_leaving=response.headers.get(_headers.WORKER_LEAVING) == '1',
-        pause_s=min(pause_s or 0, _MAX_PAUSE_S),
-    )
-    is_malformed = (
-        limit_per_s is None and _headers.WORKER_LIMIT in response.headers
-    )
-    # A malformed limit must not end the one that is in force.
-    return None if is_malformed and not stated.is_leaving else stated
-
-
-def _decode_number(response: aiohttp.ClientResponse, name: str) -> float | None:
-    """Decodes a header with a number that is not negative, if there is one."""
-    text = response.headers.get(name)
-    if text is None:
-        return None
-    try:
-        number = float(text)
-    except ValueError:
-        number = math.nan
-    if math.isfinite(number) and number >= 0:
-        return number
-    _MALFORMED.labels('limit').inc()
-    telemetry.log_event(
-        'limit_malformed',
-        address=response.url.authority,
-        header=name,
-        value=text[:_MAX_LOGGED_TEXT],
-    )
-    return None
-
-
 async def _read_handle(
     exchange: Exchange, dispatch: serving.Dispatch
 ) -> serving.KvSource | serving.Failed:
--- a/briarknot/serving/_send_permits.py
+++ b/briarknot/serving/_send_permits.py
@@ -9,7 +9,6 @@
 they refuse, so that the limit is not used twice.
 """
 
-import collections
 import math
 
 import attrs
@@ -17,28 +16,13 @@
 from briarknot import schema, sentinels
 from briarknot.serving import (
     _engine_choice,
+    _permit_turns,
     _worker_limits,
     _worker_starts,
 )
 
 #: Processes that may issue the permits of a worker.
 _ISSUERS = 3
-#: Permits in a window: a multiple of the limit, and a constant. The platform allows
-#: one and a half times the limit in 4 s, and five requests more. The longer window
-#: and the smaller constant cover requests that arrive later than others.
-_WINDOW_S = 4.35
-_LIMIT_S = 6.0
-_EXTRA = 4
-#: Share of a window's permits that may be issued at once, beyond an even pace.
-_BURST_SHARE = 0.3
-_MIN_BURST = 4
-#: Permits to prefill prompts, in relation to those to send them on. Some prompts
-#: are not sent on, as their clients leave.
-_START_FACTOR = 1.0
-#: Permits of a window that are kept for more urgent requests, for each rank below
-#: the most urgent one, and largest share of the window for that.
-_RESERVED_PER_RANK = 2
-_MAX_RESERVED_SHARE = 0.5
 #: Age of a limit up to which no other process can have issued permits for it. A
 #: process that has just started doesn't know the age.
 _NEW_LIMIT_S = 0.5
@@ -94,38 +78,18 @@
 
 @attrs.define(eq=False)
 class _Issuer:
-    """Permits that this process has issued for one worker.
+    """State of this process as the issuer of a worker's permits.
 
     :param worker: the worker.
     :param since_s: monotonic time since which it keeps this record.
-    :param turns_s: turns in the last window, and later ones, in order.
+    :param turns: turns that it has issued.
     """
 
     worker: schema.serving.Worker
     since_s: float
-    turns_s: collections.deque[float] = attrs.field(factory=collections.deque)
-
-    def find_turn(self, permits: int, reserved: int, now: float) -> float:
-        """Returns the next turn.
-
-        :param permits: number of permits in a window.
-        :param reserved: number of these that are kept for other requests.
-        :param now: monotonic time in seconds.
-        :returns: monotonic time of the turn.
-        """
-        turns_s = self.turns_s
-        while turns_s and turns_s[0] <= now - _WINDOW_S:
-            turns_s.popleft()
-        turn_s = now
-        usable = permits - reserved
-        if len(turns_s) >= usable:
-            turn_s = max(turn_s, turns_s[-usable] + _WINDOW_S)
-        burst = max(_MIN_BURST, int(permits * _BURST_SHARE))
-        pace_s = burst * _WINDOW_S / permits
-        burst = max(1, burst - reserved)
-        if len(turns_s) >= burst:
-            turn_s = max(turn_s, turns_s[-burst] + pace_s)
-        return max(turn_s, turns_s[-1]) if turns_s else turn_s
+    turns: _permit_turns.PermitTurns = attrs.field(
+        factory=_permit_turns.make_permit_turns
+    )
 
 
 @attrs.define(eq=False)
@@ -222,7 +186,7 @@
         limit_per_s = self.get_limit(worker, now)
         if limit_per_s is None:
             return Permit(0)
-        permits = _count_permits(limit_per_s, is_start=need.is_start)
+        permits = _permit_turns.count_permits(limit_per_s)
         issuer = self._get_issuer(worker, need, permits, now)
         if self._is_preceded(worker, issuer, now):
             return NotPermitted('another process issues them', _MAX_SILENCE_S)
@@ -230,14 +194,10 @@
             permits //= len(self._domains)
         if not permits:
             return NotPermitted('no other process is heard', _MAX_SILENCE_S)
-        reserved = min(
-            need.rank * _RESERVED_PER_RANK, int(permits * _MAX_RESERVED_SHARE)
-        )
-        turn_s = issuer.find_turn(permits, reserved, now)
+        turn_s = issuer.turns.find(permits, need.rank, now)
         if turn_s - now > need.max_wait_s:
-            reason = f'{permits} in {_WINDOW_S} s, {reserved} of them reserved'
-            return NotPermitted(reason, turn_s - now)
-        issuer.turns_s.append(turn_s)
+            return NotPermitted(f'limit {limit_per_s:.2f} 1/s', turn_s - now)
+        issuer.turns.add(turn_s)
         return Permit(turn_s - now)
 
     def record_heard(self, host: str, now: float) -> None:
@@ -362,11 +322,7 @@
             if is_inherited:
                 # Others may have issued all permits of the last window, and may
                 # do so until they hear this process.
-                pace_s = _WINDOW_S / permits
-                issuer.turns_s.extend(
-                    now + _HANDOVER_S - number * pace_s
-                    for number in reversed(range(permits))
-                )
+                issuer.turns.assume_used(permits, now + _HANDOVER_S)
             issuers[start] = issuer
         return issuer
 
@@ -389,12 +345,6 @@
         return passed_s is not None and now - passed_s < _PASS_OVER_S
 
 
-def _count_permits(limit_per_s: float, *, is_start: bool) -> int:
-    """Returns the number of permits in a window."""
-    permits = limit_per_s * _LIMIT_S + _EXTRA
-    return int(permits * _START_FACTOR if is_start else permits)
-
-
 def make_send_permits(host: str, domain: str, now: float) -> SendPermits:
     """Makes the permits of a process that knows no limit and no other process.
 
