--- a/briarknot/gateway/_limit_sync.py
+++ b/briarknot/gateway/_limit_sync.py
@@ -18,8 +18,8 @@
 _KEY = 'limits'
 #: Period of repeating what is known.
 _PERIOD_S = 1.0
-#: Time for which others are told that a worker is leaving; its entry has expired
-#: or says so by then.
+#: Time for which it is repeated that a worker is leaving; its entry has expired or
+#: says so by then.
 _LEAVING_REPEAT_S = 30.0
 #: Period of checking for changes.
 _CHECK_S = 0.05
--- a/briarknot/gateway/tests/test_restored_store.py
+++ b/briarknot/gateway/tests/test_restored_store.py
@@ -77,7 +77,7 @@
 
 
 async def test_manifest_is_followed_where_its_version_was_given_out_again():
-    """The feed went on after a version that stood for other content now."""
+    """The feed continued after a version that had been assigned again."""
     async with stores.open_store() as store:
         settings = stores.make_settings('g1', 'a')
         context = _context.make_context(settings, calls=None)
@@ -96,7 +96,7 @@
 
 
 async def test_older_manifest_of_the_copy_is_not_put_in_force():
-    """A process went back to the manifest that the copy held."""
+    """A process replaced its manifest by the older one of the copy."""
     async with run_gateways('g1', 'g2') as (store, contexts):
         await post(store, '/copy')
         await store.put('op', 'config', {**stores._MANIFEST, 'version': 9})
--- a/briarknot/gateway/tests/test_stopping.py
+++ b/briarknot/gateway/tests/test_stopping.py
@@ -18,7 +18,7 @@
 
 @pytest.mark.parametrize('grace_s', [0, 0.5, 2, 5, 8, 60])
 def test_late_requests_are_refused_before_they_must_be_served(grace_s):
-    """Requests that came late in the grace were cut at its end."""
+    """Requests that arrived late in the grace were cut off at its end."""
     plan = _stopping.plan_stop(grace_s)
     assert plan.refuse_s < _EXCUSED_S
     times_s = [0, plan.refuse_s, plan.close_s, plan.exit_s, grace_s]
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -172,8 +172,8 @@
     def refuse_requests(self) -> None:
         """Refuses all further requests.
 
-        Without the refusal, a request that came late in a stop was cut off when
-        the process exited.
+        Without the refusal, a request that arrived late in a stop was cut off
+        when the process exited.
         """
         self._refusing = True
 
