--- a/briarknot/gateway/_attempts.py
+++ b/briarknot/gateway/_attempts.py
@@ -149,6 +149,7 @@
         call=call,
         worker=attempt.worker.id,
         domain=attempt.worker.domain,
+        version=attempt.worker.version,
         outcome=outcome,
         seconds=round(attempt.seconds, 4),
         in_flight=attempt.record.in_flight,
--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from briarknot import schema, serving
+from briarknot import schema, serving, telemetry
 from briarknot.gateway import (
     _context,
     _crashes,
@@ -63,6 +63,13 @@
     )
     progress = _Progress()
     is_sent = True
+    if request.call.continues_stream:
+        telemetry.log_event(
+            'stream_taken_up',
+            request=request.call.id,
+            resumes=request.call.resumes,
+            last_event=request.call.last_event,
+        )
     if not _crashes.check_admission(context, request, _Stage.DECODE):
         return
     if _refuse_hopeless(context, request):
--- a/briarknot/gateway/_generation_attempts.py
+++ b/briarknot/gateway/_generation_attempts.py
@@ -90,6 +90,7 @@
             'stream_broken',
             request=request.call.id,
             worker=opened.worker.id,
+            version=opened.worker.version,
             outcome=failure.kind.value,
             reason=failure.reason,
             last_event=relay.resume_after,
--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -329,6 +329,7 @@
                     service=worker.service,
                     domain=worker.domain,
                     stage=worker.stage.value,
+                    version=worker.version,
                     draining=worker.draining,
                 )
 
@@ -350,11 +351,18 @@
 
 
 def _is_changed(old: object, new: object) -> bool:
-    return (old.draining, old.stage, old.address, old.born_ms) != (
+    return (
+        old.draining,
+        old.stage,
+        old.address,
+        old.born_ms,
+        old.version,
+    ) != (
         new.draining,
         new.stage,
         new.address,
         new.born_ms,
+        new.version,
     )
 
 
--- a/briarknot/platform/_decoding.py
+++ b/briarknot/platform/_decoding.py
@@ -92,6 +92,7 @@
             cold_s=_check_number(tree['coldRemainingMs'], float, int)
             / _MS_PER_S,
             born_ms=_check_range(tree.get('born', 0), 0, _MAX_TIME_MS),
+            version=_check_text(tree['version']) if 'version' in tree else '',
         )
     except _SHAPE_ERRORS as error:
         return Malformed(f'{type(error).__name__}: {error}')
--- a/briarknot/platform/_headers.py
+++ b/briarknot/platform/_headers.py
@@ -19,6 +19,8 @@
 PROMPT_PARTS = 'Prompt-Prefix'
 #: Last event that the client received, as in server-sent events.
 LAST_EVENT = 'Last-Event-Id'
+#: Attempt of the client that brought the first event of the stream.
+RESUMES = 'Resumes'
 URGENCY = 'Request-Urgency'
 STAGE = 'Serving-Stage'
 KV_SOURCE = 'Kv-Source'
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -275,6 +275,7 @@
         timeout_s=_decode_timeout(headers.get(_headers.DEADLINE_MS, '')),
         prompt=_decode_prompt(headers),
         last_event=headers.get(_headers.LAST_EVENT, ''),
+        resumes=headers.get(_headers.RESUMES, ''),
     )
 
 
--- a/briarknot/schema/_generated/serving.py
+++ b/briarknot/schema/_generated/serving.py
@@ -239,6 +239,10 @@
         unit='ms',
         default=0,
     )
+    version: str = _fields.make_field(
+        doc='Version of its software; empty if it states none. A stream continues only at the version at which it began.',
+        default='',
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/schema/definitions/serving.capnp
+++ b/briarknot/schema/definitions/serving.capnp
@@ -74,6 +74,7 @@
   stage @6 :Stage $A.doc("Stage of a generation that it performs.");
   coldS @7 :Float64 $A.unit("s") $A.doc("Time for which it remains slow after its start.");
   bornMs @8 :UInt64 $A.unit("ms") $A.doc("Unix time of its start; distinguishes a restart under the same id.");
+  version @9 :Text $A.doc("Version of its software; empty if it states none. A stream continues only at the version at which it began.");
 }
 
 struct PromptPart $A.doc("A part of a prompt that requests may share.") {
--- a/briarknot/serving/_calls.py
+++ b/briarknot/serving/_calls.py
@@ -51,6 +51,8 @@
     :param timeout_s: seconds that the client waits, from ``received_s``.
     :param prompt: prompt; None for a request without one.
     :param last_event: id of the last event that the client has; empty if none.
+    :param resumes: id of the attempt that brought the first event of a stream
+        that the client takes up again; empty if none.
     """
 
     id: str
@@ -63,6 +65,12 @@
     timeout_s: float
     prompt: Prompt | None = None
     last_event: str = ''
+    resumes: str = ''
+
+    @property
+    def continues_stream(self) -> bool:
+        """Whether the client has a part of the stream already."""
+        return bool(self.last_event or self.resumes)
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/serving/_fleet.py
+++ b/briarknot/serving/_fleet.py
@@ -67,7 +67,7 @@
         """
         descriptions = sorted(
             f'{one.id} {one.service} {one.address} {one.draining}'
-            f' {one.stage} {one.born_ms}'
+            f' {one.stage} {one.born_ms} {one.version}'
             for one in self._workers.values()
         )
         return xxhash.xxh64_intdigest(repr(descriptions).encode())
