--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -64,12 +64,7 @@
     progress = _Progress()
     is_sent = True
     if request.call.continues_stream:
-        telemetry.log_event(
-            'stream_taken_up',
-            request=request.call.id,
-            resumes=request.call.resumes,
-            last_event=request.call.last_event,
-        )
+        _log_taken_up(request.call)
     if not _crashes.check_admission(context, request, _Stage.DECODE):
         return
     if _refuse_hopeless(context, request):
@@ -88,6 +83,15 @@
     _finish_failure(context, request, relay, progress)
 
 
+def _log_taken_up(call: serving.Call) -> None:
+    telemetry.log_event(
+        'stream_taken_up',
+        request=call.id,
+        resumes=call.resumes,
+        last_event=call.last_event,
+    )
+
+
 def _refuse_hopeless(
     context: _context.Context, request: _requests.Request
 ) -> bool:
--- a/briarknot/gateway/tests/_support.py
+++ b/briarknot/gateway/tests/_support.py
@@ -87,6 +87,7 @@
     # A copy, as tests give several workers the same script.
     script: list = attrs.field(converter=list)
     stage: str = 'none'
+    version: str = ''
     port: int = 0
     server: asyncio.Server | None = None
     requests: list = attrs.field(factory=list)
@@ -103,6 +104,7 @@
             domain='a',
             slots=4,
             stage=_SERVING.Stage(self.stage),
+            version=self.version,
         )
 
     async def wait_requests(self, count):
--- /dev/null
+++ b/briarknot/gateway/tests/test_stream_versions.py
@@ -0,0 +1,75 @@
+"""Tests that a stream has events of workers of one software version only."""
+
+import aiohttp
+import pytest
+
+from briarknot.gateway.tests import _support
+from briarknot.gateway.tests import test_generation as generations
+
+_BROKEN = _support.make_stream('x', 'y', then=_support.CLOSE, end=False)
+_REST = _support.make_stream('z', start=3)
+_TAKE_UP = {'Request-Id': 'q2', 'Resumes': 'q1', 'Last-Event-Id': '2'}
+
+
+def make_decode(script, version):
+    """Makes a decode worker of a version."""
+    return _support.ScriptedWorker(script, 'decode', version)
+
+
+def set_order(gateway, *workers):
+    """Makes a gateway prefer the first worker, then the second and so on."""
+    for busy, worker in enumerate(workers):
+        record = _support.get_worker_record(gateway.context, worker)
+        record.in_flight = busy
+
+
+async def test_broken_stream_does_not_go_on_at_another_version():
+    """A gateway sent the rest of a stream to a worker of any version."""
+    broken = make_decode([_BROKEN], 'v1')
+    same = make_decode([_REST], 'v1')
+    other = make_decode([_REST], 'v2')
+    route = generations.make_stream_route()
+    async with _support.open_gateway(route, broken, same, other) as gateway:
+        set_order(gateway, broken, other, same)
+        status, _, body = await gateway.send()
+    assert (status, generations.read_data(body)) == (200, ['x', 'y', 'z'])
+    assert not other.requests
+
+
+async def test_broken_stream_ends_where_no_worker_of_its_version_is_left():
+    """The rest came from another version, and the answer looked complete."""
+    broken = make_decode([_BROKEN], 'v1')
+    other = make_decode([_REST], 'v2')
+    route = generations.make_stream_route()
+    async with _support.open_gateway(route, broken, other) as gateway:
+        set_order(gateway, broken, other)
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await gateway.send()
+    assert not other.requests
+
+
+async def test_stream_of_another_gateway_goes_on_at_its_version():
+    """A gateway did not know at which version another one had begun a stream."""
+    broken = make_decode([_BROKEN], 'v1')
+    same = make_decode([_REST], 'v1')
+    other = make_decode([_REST], 'v2')
+    route = generations.make_stream_route(max_attempts=1)
+    workers = (broken, same, other)
+    async with _support.open_gateways(route, *workers, count=2) as gateways:
+        set_order(gateways[0], broken, other, same)
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await gateways[0].send()
+        set_order(gateways[1], other, same, broken)
+        status, _, body = await gateways[1].send(headers=_TAKE_UP)
+    assert (status, generations.read_data(body)) == (200, ['z'])
+    assert not other.requests
+
+
+async def test_stream_that_two_versions_may_have_begun_is_refused():
+    """A gateway that had just started joined a stream from two versions."""
+    workers = (make_decode([_REST], 'v1'), make_decode([_REST], 'v2'))
+    route = generations.make_stream_route()
+    async with _support.open_gateway(route, *workers) as gateway:
+        status, _, _ = await gateway.send(headers=_TAKE_UP)
+    assert status == 503
+    assert not any(worker.requests for worker in workers)
