--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -529,6 +529,11 @@
         minimum=0,
         default=0,
     )
+    list_store_s: float = _fields.make_field(
+        doc="Time of the store's clock at which the list of workers was read; 0 if it is not known.",
+        unit='s',
+        default=0.0,
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -678,6 +683,94 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class VersionRecords:
+    """Versions of the software of engines that a gateway process knows."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(doc='Host of the process.', default='')
+    versions: tuple[records.VersionRecord, ...] = _fields.make_field(
+        doc='The versions, as they are merged by each receiver.', default=()
+    )
+
+
+@attrs.frozen(kw_only=True)
+class StreamOrigin:
+    """The worker that began a stream, or last went on with it."""
+
+    __schema__ = 'messages'
+
+    stream: str = _fields.make_field(
+        doc="Id of the client's attempt that got the first event.", default=''
+    )
+    service: str = _fields.make_field(doc='Service of the worker.', default='')
+    version: str = _fields.make_field(
+        doc='Version of its software.', default=''
+    )
+    worker: str = _fields.make_field(doc='Id of the worker.', default='')
+    age_ms: int = _fields.make_field(
+        doc='Time since the first event of that worker.',
+        maximum=4294967295,
+        minimum=0,
+        unit='ms',
+        default=0,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class OriginRequest:
+    """Asks for the origin of a stream that a client takes up again."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(doc='Host of the process.', default='')
+    domain: str = _fields.make_field(
+        doc='Failure domain of the process.', default=''
+    )
+    address: str = _fields.make_field(
+        doc='IP number of the process.', default=''
+    )
+    port: int = _fields.make_field(
+        doc='Port on which the process receives messages.',
+        maximum=65535,
+        minimum=0,
+        default=0,
+    )
+    number: int = _fields.make_field(
+        doc='Number of the message; the answer repeats it.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    stream: str = _fields.make_field(
+        doc="Id of the client's attempt that got the first event.", default=''
+    )
+
+
+@attrs.frozen(kw_only=True)
+class OriginAnswer:
+    """Answers a request for the origin of a stream."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(
+        doc='Host of the process that answers.', default=''
+    )
+    number: int = _fields.make_field(
+        doc='Number of the request.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    is_known: bool = _fields.make_field(
+        doc='Whether the process knows the origin.', default=False
+    )
+    origin: StreamOrigin = _fields.make_field(
+        doc='The origin.', default=attrs.Factory(lambda: StreamOrigin())
+    )
+
+
 #: One frame of a peer link.
 PeerMessage = (
     Hello
@@ -703,6 +796,10 @@
     | LimitRecords
     | PermitRequest
     | PermitAnswer
+    | VersionRecords
+    | StreamOrigin
+    | OriginRequest
+    | OriginAnswer
 )
 
 #: Names of the members of PeerMessage in the schema.
@@ -730,4 +827,8 @@
     LimitRecords: 'limitRecords',
     PermitRequest: 'permitRequest',
     PermitAnswer: 'permitAnswer',
+    VersionRecords: 'versionRecords',
+    StreamOrigin: 'streamOrigin',
+    OriginRequest: 'originRequest',
+    OriginAnswer: 'originAnswer',
 }
--- a/briarknot/schema/_generated/records.py
+++ b/briarknot/schema/_generated/records.py
@@ -500,3 +500,56 @@
     evidence: tuple[CrashRecord, ...] = _fields.make_field(
         doc='Evidence on each of them.', default=()
     )
+
+
+@attrs.frozen(kw_only=True)
+class VersionRecord:
+    """A version of the software of a service's engines."""
+
+    __schema__ = 'records'
+
+    service: str = _fields.make_field(doc='The service.', default='')
+    version: str = _fields.make_field(doc='The version.', default='')
+    listed_age_ms: int = _fields.make_field(
+        doc='Time since a worker of it was last listed.',
+        maximum=9223372036854775807,
+        minimum=-9223372036854775808,
+        unit='ms',
+        default=0,
+    )
+    stored_age_ms: int = _fields.make_field(
+        doc='Time since the store has had it; -1 if it is not known to.',
+        maximum=9223372036854775807,
+        minimum=-9223372036854775808,
+        unit='ms',
+        default=-1,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class VersionsRow:
+    """Row with the versions that may have begun streams."""
+
+    __schema__ = 'records'
+
+    store_s: float = _fields.make_field(
+        doc="Time of the store's clock from which the ages count.",
+        unit='s',
+        default=0.0,
+    )
+    era: int = _fields.make_field(
+        doc='Era of the store in which the row was written.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    known_age_ms: int = _fields.make_field(
+        doc='Time since which the row has all versions that began streams.',
+        maximum=9223372036854775807,
+        minimum=-9223372036854775808,
+        unit='ms',
+        default=0,
+    )
+    versions: tuple[VersionRecord, ...] = _fields.make_field(
+        doc='The versions.', default=()
+    )
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -30,6 +30,10 @@
     limitRecords @20 :LimitRecords;
     permitRequest @21 :PermitRequest;
     permitAnswer @22 :PermitAnswer;
+    versionRecords @23 :VersionRecords;
+    streamOrigin @24 :StreamOrigin;
+    originRequest @25 :OriginRequest;
+    originAnswer @26 :OriginAnswer;
   }
 }
 
@@ -190,6 +194,7 @@
   changed @4 :List(S.Worker) $A.doc("Workers that were added or changed in the last seconds.");
   gone @5 :List(Text) $A.doc("Ids of workers that were removed in the last seconds.");
   storeEra @6 :UInt64 $A.doc("Era of the store; versions of different eras can't be compared. 0 if it is not known.");
+  listStoreS @7 :Float64 $A.unit("s") $A.doc("Time of the store's clock at which the list of workers was read; 0 if it is not known.");
 }
 
 struct CrashRecords $A.doc("Evidence of a gateway process on parts of prompts, and on requests, that make workers crash.") {
@@ -233,3 +238,32 @@
   isGranted @2 :Bool $A.doc("Whether the request may be sent when its turn comes.");
   waitMs @3 :UInt32 $A.unit("ms") $A.doc("Time until its turn, or until another attempt may be granted.");
 }
+
+struct VersionRecords $A.doc("Versions of the software of engines that a gateway process knows.") {
+  host @0 :Text $A.doc("Host of the process.");
+  versions @1 :List(R.VersionRecord) $A.doc("The versions, as they are merged by each receiver.");
+}
+
+struct StreamOrigin $A.doc("The worker that began a stream, or last went on with it.") {
+  stream @0 :Text $A.doc("Id of the client's attempt that got the first event.");
+  service @1 :Text $A.doc("Service of the worker.");
+  version @2 :Text $A.doc("Version of its software.");
+  worker @3 :Text $A.doc("Id of the worker.");
+  ageMs @4 :UInt32 $A.unit("ms") $A.doc("Time since the first event of that worker.");
+}
+
+struct OriginRequest $A.doc("Asks for the origin of a stream that a client takes up again.") {
+  host @0 :Text $A.doc("Host of the process.");
+  domain @1 :Text $A.doc("Failure domain of the process.");
+  address @2 :Text $A.doc("IP number of the process.");
+  port @3 :UInt16 $A.doc("Port on which the process receives messages.");
+  number @4 :UInt64 $A.doc("Number of the message; the answer repeats it.");
+  stream @5 :Text $A.doc("Id of the client's attempt that got the first event.");
+}
+
+struct OriginAnswer $A.doc("Answers a request for the origin of a stream.") {
+  host @0 :Text $A.doc("Host of the process that answers.");
+  number @1 :UInt64 $A.doc("Number of the request.");
+  isKnown @2 :Bool $A.doc("Whether the process knows the origin.");
+  origin @3 :StreamOrigin $A.doc("The origin.");
+}
--- a/briarknot/schema/definitions/records.capnp
+++ b/briarknot/schema/definitions/records.capnp
@@ -160,3 +160,17 @@
   storeS @0 :Float64 $A.unit("s") $A.doc("Time of the store's clock from which the ages count.");
   evidence @1 :List(CrashRecord) $A.doc("Evidence on each of them.");
 }
+
+struct VersionRecord $A.doc("A version of the software of a service's engines.") {
+  service @0 :Text $A.doc("The service.");
+  version @1 :Text $A.doc("The version.");
+  listedAgeMs @2 :Int64 $A.unit("ms") $A.doc("Time since a worker of it was last listed.");
+  storedAgeMs @3 :Int64 = -1 $A.unit("ms") $A.doc("Time since the store has had it; -1 if it is not known to.");
+}
+
+struct VersionsRow $A.doc("Row with the versions that may have begun streams.") {
+  storeS @0 :Float64 $A.unit("s") $A.doc("Time of the store's clock from which the ages count.");
+  era @1 :UInt64 $A.doc("Era of the store in which the row was written.");
+  knownAgeMs @2 :Int64 $A.unit("ms") $A.doc("Time since which the row has all versions that began streams.");
+  versions @3 :List(VersionRecord) $A.doc("The versions.");
+}
--- /dev/null
+++ b/briarknot/versions/_software_versions.py
@@ -0,0 +1,292 @@
+"""Versions of the software that may have begun streams of a service.
+
+What two versions write doesn't fit together, so a stream goes on only at the
+version that began it. Processes exchange what they know as records with ages, of
+which the latest holds, and the store keeps the names of the versions for processes
+that start.
+
+Times are those of a clock that includes the suspension of the host: a process that
+was suspended must not take its list of workers for recent.
+"""
+
+import math
+import typing
+
+import attrs
+
+from briarknot import schema, sentinels
+
+#: Time after which no client takes up a stream again: the longest time limit of
+#: requests without a deadline.
+MAX_STREAM_S = 60.0
+#: Age from which on the list of workers may lack a version that other processes
+#: use. The list is confirmed every 0.8 s.
+MAX_LIST_AGE_S = 1.3
+#: A version begins streams this long after it was stored. Each other process then
+#: knows it, or its list is older than ``MAX_LIST_AGE_S``; the difference covers a
+#: write to the store whose answer is late.
+ADMISSION_S = 2.2
+_MS_PER_S = 1000
+_UNKNOWN_MS = -1
+
+VersionRecord = schema.records.VersionRecord
+Key = tuple[str, str]
+
+
+@attrs.frozen
+class Uncertain(sentinels.Sentinel):
+    """Sentinel for versions that are not known for certain.
+
+    :param reason: why any other version may have begun streams too.
+    """
+
+    reason: str
+
+
+@attrs.define(eq=False)
+class _Version:
+    """What is known of a version of a service.
+
+    :param listed_s: latest time at which a worker of it was listed.
+    :param first_listed_s: earliest time at which one is known to have been.
+    :param stored_s: time since which the store has it; infinite if it is not
+        known to.
+    """
+
+    listed_s: float = -math.inf
+    first_listed_s: float = math.inf
+    stored_s: float = math.inf
+
+    def record_listed(self, listed_s: float) -> None:
+        """Records a time at which a worker was listed, or a later one."""
+        self.listed_s = max(self.listed_s, listed_s)
+        self.first_listed_s = min(self.first_listed_s, listed_s)
+
+
+@attrs.define(eq=False)
+class SoftwareVersions:
+    """Versions whose streams clients may still take up again."""
+
+    _versions: dict[Key, _Version] = attrs.field(factory=dict)
+    _list_s: float = -math.inf
+    _known_since_s: float = math.inf
+    _loaded_s: float = -math.inf
+    _is_loaded: bool = False
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the stored row was read since the list was last outdated."""
+        return self._is_loaded
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether each service has one version, and the store has it."""
+        services = {service for service, _ in self._versions}
+        return len(services) == len(self._versions) and not self.list_unstored()
+
+    def record_list(
+        self,
+        workers: typing.Iterable[schema.serving.Worker],
+        read_s: float,
+    ) -> bool:
+        """Records the versions of a list of workers, or confirms them.
+
+        :param workers: all listed workers.
+        :param read_s: time at which the list was read from the store, or earlier.
+        :returns: whether there is a new version.
+        """
+        if read_s <= self._list_s:
+            return False
+        if read_s - max(self._list_s, self._loaded_s) > ADMISSION_S:
+            # Others may have used versions that this process never saw.
+            self._known_since_s = read_s
+            self._is_loaded = False
+        known = len(self._versions)
+        for worker in workers:
+            if worker.stage != schema.serving.Stage.NONE:
+                version = self._get((worker.service, worker.version))
+                version.record_listed(read_s)
+        is_new = len(self._versions) > known
+        self._list_s = read_s
+        self._drop_old(read_s)
+        return is_new
+
+    def load(
+        self,
+        records: typing.Iterable[VersionRecord],
+        written_s: float,
+        known_since_s: float,
+        now: float,
+    ) -> None:
+        """Merges the versions of the stored row.
+
+        Workers of each may have been listed until now. The store has all of them,
+        also those that their writer did not know to be stored yet.
+
+        :param records: the versions.
+        :param written_s: time from which the ages of the records count, or later.
+        :param known_since_s: time since which the row has all versions that
+            began streams.
+        :param now: time of the read.
+        """
+        for one in records:
+            version = self._get((one.service, one.version))
+            version.record_listed(now)
+            stored_s = min(now, _to_stored_s(one, written_s))
+            version.stored_s = min(version.stored_s, stored_s)
+        self._known_since_s = min(self._known_since_s, known_since_s)
+        self._loaded_s = now
+        self._is_loaded = True
+
+    def merge(
+        self, records: typing.Iterable[VersionRecord], now: float
+    ) -> bool:
+        """Merges the records of another process.
+
+        :param records: the records.
+        :param now: time of their arrival.
+        :returns: whether there is a new version.
+        """
+        known = len(self._versions)
+        for one in records:
+            listed_s = now - one.listed_age_ms / _MS_PER_S
+            if now - listed_s > MAX_STREAM_S:
+                continue
+            version = self._get((one.service, one.version))
+            version.record_listed(listed_s)
+            version.stored_s = min(version.stored_s, _to_stored_s(one, now))
+        return len(self._versions) > known
+
+    def record_stored(self, keys: typing.Iterable[Key], now: float) -> None:
+        """Records that the store has versions.
+
+        :param keys: their services and names.
+        :param now: time at which the write was confirmed.
+        """
+        for key in keys:
+            version = self._versions.get(key)
+            if version is not None:
+                version.stored_s = min(version.stored_s, now)
+
+    def list_keys(self) -> frozenset[Key]:
+        """Lists the services and names of all known versions."""
+        return frozenset(self._versions)
+
+    def has_service(self, service: str) -> bool:
+        """Returns whether a version of a service is known.
+
+        :param service: name of the service.
+        """
+        return any(one == service for one, _ in self._versions)
+
+    def list_unstored(self) -> frozenset[Key]:
+        """Lists the versions that the store is not known to have."""
+        return frozenset(
+            key
+            for key, version in self._versions.items()
+            if math.isinf(version.stored_s)
+        )
+
+    def list_records(self, now: float) -> tuple[VersionRecord, ...]:
+        """Lists all versions, for other processes and the store.
+
+        :param now: the time.
+        """
+        return tuple(
+            VersionRecord(
+                service=service,
+                version=name,
+                listed_age_ms=_to_ms(now - one.listed_s),
+                stored_age_ms=(
+                    _UNKNOWN_MS
+                    if math.isinf(one.stored_s)
+                    else _to_ms(now - one.stored_s)
+                ),
+            )
+            for (service, name), one in sorted(self._versions.items())
+        )
+
+    def get_known_age_s(self, now: float) -> float:
+        """Returns for how long all versions that began streams are known.
+
+        :param now: the time.
+        """
+        return max(0, now - self._known_since_s)
+
+    def list_admitted(self, service: str, now: float) -> frozenset[str]:
+        """Lists the versions of a service that may begin streams.
+
+        :param service: name of the service.
+        :param now: the time.
+        """
+        return frozenset(
+            name
+            for (one, name), version in self._versions.items()
+            if one == service and now - version.stored_s >= ADMISSION_S
+        )
+
+    def list_visible(self, service: str, now: float) -> frozenset[str]:
+        """Lists the versions that each list which is not too old shows.
+
+        They may begin streams where no admitted version has a worker to use. A
+        process whose list lacks one of them counts as uncertain by now, but one
+        that starts after the loss of all others may not know it. A version that
+        is alone can't be taken for another one.
+
+        :param service: name of the service.
+        :param now: the time.
+        """
+        known = {
+            name: version
+            for (one, name), version in self._versions.items()
+            if one == service
+        }
+        return frozenset(
+            name
+            for name, version in known.items()
+            if len(known) == 1 or now - version.first_listed_s > MAX_LIST_AGE_S
+        )
+
+    def list_possible(
+        self, service: str, now: float
+    ) -> frozenset[str] | Uncertain:
+        """Lists the versions that may have begun a stream that is taken up again.
+
+        :param service: name of the service.
+        :param now: the time.
+        :returns: the versions; a sentinel where there may be others.
+        """
+        if now - self._list_s > MAX_LIST_AGE_S:
+            return Uncertain(f'the list is {now - self._list_s:.1f} s old')
+        known_s = now - self._known_since_s
+        if known_s < MAX_STREAM_S:
+            return Uncertain(f'versions are known for {known_s:.1f} s')
+        self._drop_old(now)
+        return frozenset(name for one, name in self._versions if one == service)
+
+    def _get(self, key: Key) -> _Version:
+        return self._versions.setdefault(key, _Version())
+
+    def _drop_old(self, now: float) -> None:
+        for key, version in tuple(self._versions.items()):
+            if now - version.listed_s > MAX_STREAM_S:
+                del self._versions[key]
+
+
+def _to_stored_s(record: VersionRecord, written_s: float) -> float:
+    if record.stored_age_ms < 0:
+        return math.inf
+    return written_s - record.stored_age_ms / _MS_PER_S
+
+
+def _to_ms(seconds: float) -> int:
+    return max(0, int(seconds * _MS_PER_S))
+
+
+def make_software_versions() -> SoftwareVersions:
+    """Makes the versions of a process that knows no worker.
+
+    >>> make_software_versions().list_possible('s', now=0)
+    Uncertain(reason='the list is inf s old')
+    """
+    return SoftwareVersions()
--- /dev/null
+++ b/briarknot/versions/_stream_origins.py
@@ -0,0 +1,175 @@
+"""Workers that began streams, and the versions at which streams go on.
+
+A process that begins a stream while several versions of the software may be in use
+sends its origin to a few others. These are chosen by a hash of the stream's id, so
+that any process that gets the rest of the stream knows which ones to ask.
+"""
+
+import collections
+import typing
+
+import attrs
+
+from briarknot import schema, sentinels, serving
+from briarknot.versions import _software_versions
+
+#: Processes that know the origin of a stream, besides the one that began it. Of
+#: eight processes, four may be lost at once.
+_KEEPERS = 4
+#: Streams that begin this long before it is known that their worker has started
+#: again may have begun after that start: the list of workers arrives late.
+_MAX_LIST_DELAY_S = 3.0
+_MAX_ORIGINS = 20_000
+#: Longest id of a stream; origins are sent in datagrams.
+_MAX_ID_LENGTH = 200
+_MS_PER_S = 1000
+
+StreamOrigin = schema.messages.StreamOrigin
+
+
+@attrs.frozen
+class UnknownOrigin(sentinels.Sentinel):
+    """Sentinel for a stream that several versions may have begun.
+
+    :param reason: why its version is not known.
+    """
+
+    reason: str
+
+
+@attrs.frozen
+class _Origin:
+    """Origin of a stream.
+
+    :param service: service that began it.
+    :param version: version of its worker.
+    :param worker: id of its worker.
+    :param begun_s: time of its first event.
+    """
+
+    service: str
+    version: str
+    worker: str
+    begun_s: float
+
+
+@attrs.define(eq=False)
+class StreamOrigins:
+    """Origins of streams that this process began, or was sent."""
+
+    _origins: collections.OrderedDict[str, _Origin] = attrs.field(
+        factory=collections.OrderedDict
+    )
+
+    def record(
+        self, stream: str, worker: schema.serving.Worker, now: float
+    ) -> None:
+        """Records that a worker has begun a stream, or goes on with it.
+
+        :param stream: id of the client's attempt that gets the first event.
+        :param worker: the worker.
+        :param now: the time.
+        """
+        if not stream or len(stream) > _MAX_ID_LENGTH:
+            return
+        self._add(
+            stream, _Origin(worker.service, worker.version, worker.id, now)
+        )
+
+    def merge(self, message: StreamOrigin, now: float) -> None:
+        """Records an origin that another process has sent.
+
+        :param message: the origin.
+        :param now: the time of its arrival.
+        """
+        self._add(
+            message.stream,
+            _Origin(
+                message.service,
+                message.version,
+                message.worker,
+                now - message.age_ms / _MS_PER_S,
+            ),
+        )
+
+    def find(self, stream: str, now: float) -> StreamOrigin | None:
+        """Returns the origin of a stream; None if it is not known.
+
+        :param stream: id of the client's attempt that got the first event.
+        :param now: the time.
+        """
+        self._drop_old(now)
+        origin = self._origins.get(stream)
+        if origin is None:
+            return None
+        return StreamOrigin(
+            stream=stream,
+            service=origin.service,
+            version=origin.version,
+            worker=origin.worker,
+            age_ms=max(0, int((now - origin.begun_s) * _MS_PER_S)),
+        )
+
+    def forget_restarted(self, worker_id: str, now: float) -> None:
+        """Forgets streams that a worker may have begun at its new version.
+
+        :param worker_id: a worker that has started again under its id.
+        :param now: the time at which the new start is known.
+        """
+        for stream, origin in tuple(self._origins.items()):
+            is_recent = now - origin.begun_s <= _MAX_LIST_DELAY_S
+            if origin.worker == worker_id and is_recent:
+                del self._origins[stream]
+
+    def _add(self, stream: str, origin: _Origin) -> None:
+        self._origins[stream] = origin
+        self._origins.move_to_end(stream)
+        self._drop_old(origin.begun_s)
+        if len(self._origins) > _MAX_ORIGINS:
+            self._origins.popitem(last=False)
+
+    def _drop_old(self, now: float) -> None:
+        while self._origins:
+            oldest = next(iter(self._origins.values()))
+            if now - oldest.begun_s <= _software_versions.MAX_STREAM_S:
+                return
+            self._origins.popitem(last=False)
+
+
+def choose_keepers(stream: str, hosts: typing.Iterable[str]) -> tuple[str, ...]:
+    """Chooses the processes that know the origin of a stream.
+
+    All processes compute nearly the same choice from nearly the same hosts.
+
+    :param stream: id of the stream.
+    :param hosts: hosts of all processes.
+    """
+    return serving.rank_names(stream, hosts)[:_KEEPERS]
+
+
+def choose_version(
+    possible: frozenset[str] | _software_versions.Uncertain,
+    origin: StreamOrigin | None,
+) -> str | UnknownOrigin:
+    """Chooses the version at which a stream goes on.
+
+    :param possible: versions that may have begun it.
+    :param origin: its origin; None if it is not known.
+    :returns: the version; a sentinel where it may not go on.
+    """
+    if origin is not None:
+        return origin.version
+    if isinstance(possible, _software_versions.Uncertain):
+        return UnknownOrigin(possible.reason)
+    if len(possible) == 1:
+        return next(iter(possible))
+    return UnknownOrigin(f'{len(possible)} versions may have begun it')
+
+
+def make_stream_origins() -> StreamOrigins:
+    """Makes the origins of a process that has begun no stream.
+
+    >>> make_stream_origins().find('q1', now=0) is None
+    True
+    """
+    return StreamOrigins()
