--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -8,7 +8,14 @@
 import attrs
 import prometheus_client
 
-from briarknot import platform, program, schema, serving, telemetry
+from briarknot import (
+    platform,
+    program,
+    schema,
+    serving,
+    telemetry,
+    versions,
+)
 from briarknot.gateway import _pending_answers, _stopping
 
 REQUESTS = prometheus_client.Counter(
@@ -72,6 +79,11 @@
     :param quarantine: evidence on what makes workers crash.
     :param quarantine_changed: notified when the evidence changes.
     :param permit_answers: answers of other processes that issue permits.
+    :param software_versions: versions of the software that may have begun streams.
+    :param versions_changed: notified when a version is new or is stored, and when
+        the store was restored.
+    :param origins: workers that began streams.
+    :param origin_answers: answers of other processes that know such a worker.
     :param send_message: sends a message to other processes, by their hosts.
     :param stop: shortens the time limits of requests when the process stops.
     :param background_tasks: tasks that outlive the request that started them.
@@ -97,6 +109,16 @@
     permit_answers: _pending_answers.PendingAnswers = attrs.field(
         factory=_pending_answers.PendingAnswers
     )
+    software_versions: versions.SoftwareVersions = attrs.field(
+        factory=versions.make_software_versions
+    )
+    versions_changed: program.Signal = attrs.field(factory=program.Signal)
+    origins: versions.StreamOrigins = attrs.field(
+        factory=versions.make_stream_origins
+    )
+    origin_answers: _pending_answers.PendingAnswers = attrs.field(
+        factory=_pending_answers.PendingAnswers
+    )
     send_message: SendMessage = _drop_message
     stop: _stopping.Stop = attrs.field(factory=_stopping.Stop)
     background_tasks: set[typing.Any] = attrs.field(factory=set)
--- a/briarknot/gateway/_gateway.py
+++ b/briarknot/gateway/_gateway.py
@@ -22,6 +22,7 @@
     _stage_orders,
     _stopping,
     _store_sync,
+    _version_sync,
 )
 
 #: Time limit of one call to the store, in seconds. The store answers in 4 ms
@@ -73,13 +74,18 @@
         quarantine_sync = _quarantine_sync.make_quarantine_sync(
             self._context, self._client, peers
         )
+        version_sync = _version_sync.make_version_sync(
+            self._context, self._client, peers
+        )
         stage_orders = _stage_orders.make_stage_orders(
             self._context, self._client, self._orders, peers
         )
 
         async def follow_store() -> None:
-            # What is quarantined is known before the manifest makes it ready.
+            # What is quarantined, and the versions that began streams, are
+            # known before the manifest makes it ready.
             await quarantine_sync.load()
+            await version_sync.load()
             await store_sync.sync_manifest()
 
         tasks = [
@@ -88,6 +94,8 @@
                 ('manifest', follow_store),
                 ('quarantine', quarantine_sync.send),
                 ('quarantine_row', quarantine_sync.store),
+                ('versions', version_sync.send),
+                ('versions_row', version_sync.store),
                 (
                     'limits',
                     _limit_sync.make_limit_sync(self._context, peers).send,
--- a/briarknot/gateway/_gossip.py
+++ b/briarknot/gateway/_gossip.py
@@ -1,4 +1,4 @@
-"""Chooses the processes to which evidence is repeated."""
+"""Chooses the processes that repeat, receive or store what a process knows."""
 
 from briarknot import serving
 from briarknot.gateway import _context
@@ -30,6 +30,16 @@
     return tuple(chosen)
 
 
+def get_rank(context: _context.Context, key: str) -> int:
+    """Returns the rank of this process in an order of all by hash.
+
+    :param context: state of the process.
+    :param key: key of the order.
+    """
+    hosts = (context.settings.host, *context.peer_hosts)
+    return serving.rank_names(key, hosts).index(hosts[0])
+
+
 def _sample(
     context: _context.Context, hosts: list[str], count: int
 ) -> list[str]:
--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -7,7 +7,7 @@
 import attrs
 
 from briarknot import registry, schema, serving, telemetry
-from briarknot.gateway import _context, _peer_socket, _work_relays
+from briarknot.gateway import _clock, _context, _peer_socket, _work_relays
 
 #: Period of reports. The prefill of a prompt takes a few hundred milliseconds,
 #: so a later message would arrive after its end.
@@ -149,11 +149,11 @@
         otherwise the relays of idle domains would keep each other active.
         """
         domain_sent_s = float('-inf')
-        woke_s = _read_clock()
+        woke_s = _clock.read_clock()
         while True:
             near = self._socket.list_near()
             await asyncio.sleep(max(_PERIOD_S / 2, len(near) / _MAX_SENT_PER_S))
-            suspended_s, woke_s = woke_s, _read_clock()
+            suspended_s, woke_s = woke_s, _clock.read_clock()
             if woke_s - suspended_s > _MAX_SUSPENSION_S:
                 self._forget_peers(woke_s - suspended_s)
             now = time.monotonic()
@@ -371,11 +371,6 @@
         )
 
 
-def _read_clock() -> float:
-    """Reads a clock that includes the time of suspension of the host."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 def make_peers(context: _context.Context) -> Peers:
     """Opens the socket for messages, and makes what sends and applies them.
 
--- a/briarknot/gateway/_quarantine_sync.py
+++ b/briarknot/gateway/_quarantine_sync.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from briarknot import platform, schema, serving, telemetry
+from briarknot import platform, schema, telemetry
 from briarknot.gateway import _context, _gossip, _peers
 
 _TABLE = 'quarantine'
@@ -84,8 +84,7 @@
             await asyncio.sleep(_PERIOD_S)
 
     def _get_writer_delay_s(self) -> float:
-        hosts = (self._context.settings.host, *self._context.peer_hosts)
-        rank = serving.rank_names(_KEY, hosts).index(hosts[0])
+        rank = _gossip.get_rank(self._context, _KEY)
         return rank * _WRITER_DELAY_S if rank < _WRITERS else math.inf
 
     def _send_to_all(
--- a/briarknot/gateway/_stage_orders.py
+++ b/briarknot/gateway/_stage_orders.py
@@ -10,7 +10,7 @@
 import attrs
 
 from briarknot import authority, planning, platform, schema, telemetry
-from briarknot.gateway import _context, _peers, _store_readers
+from briarknot.gateway import _clock, _context, _peers, _store_readers
 
 _Stage = schema.serving.Stage
 _POLICY = 'queue_pressure'
@@ -43,7 +43,7 @@
         planned_s = float('-inf')
         while True:
             await asyncio.sleep(_PERIOD_S)
-            now = _read_clock()
+            now = _clock.read_clock()
             is_current = now - planned_s < _MAX_PERIOD_S
             planned_s = now
             is_leader = _store_readers.get_reader_rank(self._context) == 0
@@ -52,7 +52,7 @@
                 continue
             for service in self._list_services():
                 await self._plan(service)
-                planned_s = _read_clock()
+                planned_s = _clock.read_clock()
 
     def _list_services(self) -> tuple[schema.serving.Service, ...]:
         manifest = self._context.fleet.manifest
@@ -188,11 +188,6 @@
         )
 
 
-def _read_clock() -> float:
-    """Reads a clock that includes the time of suspension of the host."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 def make_stage_orders(
     context: _context.Context,
     client: platform.Client,
--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -6,7 +6,7 @@
 import attrs
 
 from briarknot import platform, schema, telemetry
-from briarknot.gateway import _context, _peers, _store_readers
+from briarknot.gateway import _clock, _context, _peers, _store_readers
 
 #: Longest wait for a changed manifest. A dead connection is detected after this
 #: wait and the time limit of a call, which together are shorter than the time
@@ -61,6 +61,7 @@
     _manifest_era: int = 0
     _list_era: int = 0
     _list_position: _Position = _Position()
+    _list_store_s: float = 0
     _manifest_confirmed_s: float = float('-inf')
     _changes: dict[str, _Change] = attrs.field(factory=dict)
 
@@ -81,6 +82,7 @@
             if self._uses_peer_updates and await self._is_list_confirmed():
                 continue
             started_s = time.monotonic()
+            read_s = _clock.read_clock()
             page = await self._client.read_table(platform.WORKERS_TABLE)
             if isinstance(page, platform.Unavailable):
                 self._record_outage(page.reason)
@@ -89,9 +91,11 @@
             is_restored = self._record_era(page.era, started_s)
             is_recovered = self._record_recovery()
             self._list_position = _Position(page.era, page.version)
+            self._list_store_s = page.store_s
             self._apply_workers(
                 page.rows, started_s, after_outage=is_restored or is_recovered
             )
+            self._confirm_versions(read_s)
             if _store_readers.get_reader_rank(self._context) is not None:
                 self._send_update()
             if not self._uses_peer_updates:
@@ -149,6 +153,8 @@
                     known_era=known.era,
                     known_version=known.version,
                 )
+            elif position == known:
+                self._confirm_versions_by(update)
             return True
         self._client.record_era(position.era)
         self._record_era(position.era, time.monotonic())
@@ -158,6 +164,7 @@
             return False
         self._list_position = position
         fleet.confirm_workers(time.monotonic())
+        self._confirm_versions_by(update)
         if self._is_store_unavailable:
             telemetry.log_event('fleet_confirmed_by_peer', peer=update.host)
             self._is_store_unavailable = False
@@ -173,9 +180,31 @@
         has_risen = bool(self._list_era and era > self._list_era)
         if has_risen:
             self._context.fleet.record_restore(now)
+            self._context.versions_changed.notify()
         self._list_era = max(self._list_era, era)
         return has_risen
 
+    def _confirm_versions_by(self, update: schema.messages.FleetUpdate) -> None:
+        """Confirms the versions of the list as of the read of another process.
+
+        The update may have waited in the socket while this process was suspended,
+        so its arrival says nothing about its age.
+        """
+        if update.store_era == self._client.era:
+            read_s = self._client.convert_store_time(update.list_store_s)
+            self._confirm_versions(min(read_s, _clock.read_clock()))
+
+    def _confirm_versions(self, read_s: float) -> None:
+        """Records the versions of the list of workers.
+
+        :param read_s: time at which it was read from the store, or earlier.
+        """
+        context = self._context
+        known = context.software_versions
+        is_new = known.record_list(context.fleet.workers, read_s)
+        if is_new or not known.is_loaded:
+            context.versions_changed.notify()
+
     def _send_update(self) -> None:
         """Sends the result of the last read to the other processes."""
         now = time.monotonic()
@@ -195,6 +224,7 @@
                 workers_digest=fleet.workers_digest,
                 list_version=self._list_position.version,
                 store_era=self._list_position.era,
+                list_store_s=self._list_store_s,
                 changed=tuple(one for one in workers if one is not None),
                 gone=tuple(
                     worker_id
@@ -312,12 +342,16 @@
         now = time.monotonic()
         for worker_id in removed:
             context.worker_records.remove(worker_id)
+            # It may have started again before the list showed that it ended.
+            context.origins.forget_restarted(worker_id, _clock.read_clock())
             context.permits.remove_worker(before[worker_id])
             context.prompt_load.remove_worker(worker_id)
             self._changes[worker_id] = _Change(now, None)
             telemetry.log_event('worker_removed', worker=worker_id)
         for worker in context.fleet.workers:
             old = before.get(worker.id)
+            if old is not None and _is_restarted(old, worker):
+                context.origins.forget_restarted(worker.id, _clock.read_clock())
             if old is not None and old.born_ms != worker.born_ms:
                 # A restarted worker has lost its prompts and its KV cache.
                 context.prompt_load.remove_worker(worker.id)
@@ -350,6 +384,12 @@
         return was_unavailable
 
 
+def _is_restarted(
+    old: schema.serving.Worker, new: schema.serving.Worker
+) -> bool:
+    return (old.born_ms, old.version) != (new.born_ms, new.version)
+
+
 def _is_changed(old: object, new: object) -> bool:
     return (
         old.draining,
--- a/briarknot/gateway/tests/test_store_sync.py
+++ b/briarknot/gateway/tests/test_store_sync.py
@@ -17,6 +17,7 @@
     _quarantine_sync,
     _store_readers,
     _store_sync,
+    _version_sync,
 )
 from briarknot.gateway.tests import _support
 from briarknot_standins import platform as standin
@@ -140,6 +141,9 @@
             quarantine_sync = _quarantine_sync.make_quarantine_sync(
                 context, client, peers
             )
+            version_sync = _version_sync.make_version_sync(
+                context, client, peers
+            )
             tasks.extend(
                 asyncio.ensure_future(task())
                 for task in (
@@ -150,6 +154,8 @@
                     peers.broadcast_work,
                     quarantine_sync.send,
                     quarantine_sync.store,
+                    version_sync.send,
+                    version_sync.store,
                 )
             )
             contexts.append(context)
--- a/briarknot/platform/_client.py
+++ b/briarknot/platform/_client.py
@@ -11,7 +11,7 @@
 import yarl
 
 from briarknot import telemetry
-from briarknot.platform import _sessions, _values
+from briarknot.platform import _sessions, _store_clock, _values
 
 _CALLS = prometheus_client.Counter(
     'briarknot_platform_calls',
@@ -65,6 +65,9 @@
     _timeout_s: float
     _era: int = 0
     _era_seen_s: float = 0
+    _clock: _store_clock.StoreClock = attrs.field(
+        factory=_store_clock.StoreClock
+    )
 
     @property
     def era(self) -> int:
@@ -91,6 +94,16 @@
             telemetry.log_event('store_restored', era=era, era_before=self._era)
         self._era = era
         self._era_seen_s = time.monotonic()
+        self._clock.forget()
+
+    def convert_store_time(self, store_s: float) -> float:
+        """Returns a time of the store's clock in the present era, or earlier.
+
+        :param store_s: the time; 0 if it is not known.
+        :returns: the time by the local clock that includes the suspension of the
+            host; negative infinity where no read in this era shows it.
+        """
+        return self._clock.convert(store_s)
 
     async def read_row(
         self, table: str, key: str
@@ -134,21 +147,26 @@
 
         :param table: table.
         :param prefix: start of the keys.
-        :returns: the rows with the version of the first page, so that a feed
-            from it repeats what changed while later pages were read.
+        :returns: the rows with the version and the time of the first page, so that
+            a feed from it repeats what changed while later pages were read.
         """
         start = prefix
         rows: list[_values.Row] = []
-        version = None
+        first = None
         while True:
             end = f'{prefix}{_LAST_KEY}' if prefix else ''
             page = await self._read_page(table, start, end)
             if isinstance(page, _values.Unavailable):
                 return page
             rows.extend(page.rows)
-            version = page.version if version is None else version
+            first = first or page
             if not page.more or not page.rows:
-                return _values.Page(tuple(rows), version, era=page.era)
+                return _values.Page(
+                    tuple(rows),
+                    first.version,
+                    store_s=first.store_s,
+                    era=page.era,
+                )
             start = f'{page.rows[-1].key}{_NEXT_KEY}'
 
     async def watch_table(
@@ -273,10 +291,14 @@
         if end:
             parameters['to'] = end
         query = urllib.parse.urlencode(parameters)
+        sent_s = time.clock_gettime(time.CLOCK_BOOTTIME)
         answer = await self._call('read_rows', 'GET', f'/v1/rows-get?{query}')
         if isinstance(answer, _values.Unavailable):
             return answer
-        return _decode_page(answer)
+        page = _decode_page(answer)
+        if page.era == self._era and page.store_s:
+            self._clock.record(sent_s, page.store_s)
+        return page
 
     async def _call(
         self,
