--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from briarknot import schema, serving, telemetry
+from briarknot import schema, serving
 from briarknot.gateway import (
     _context,
     _crashes,
@@ -14,6 +14,7 @@
     _requests,
     _send_permits,
     _stream,
+    _stream_versions,
 )
 
 _Stage = schema.serving.Stage
@@ -63,8 +64,8 @@
     )
     progress = _Progress()
     is_sent = True
-    if request.call.continues_stream:
-        _log_taken_up(request.call)
+    if not await _stream_versions.admit(context, request):
+        return
     if not _crashes.check_admission(context, request, _Stage.DECODE):
         return
     if _refuse_hopeless(context, request):
@@ -75,7 +76,7 @@
             is_sent = await _send_once(context, request, relay, progress)
             if is_sent and progress.last is None:
                 return
-            is_sent = is_sent and _can_retry(request, progress.last)
+            is_sent = is_sent and _can_retry(context, request, progress.last)
     finally:
         _crashes.end_trial(context, request)
         if progress.source is not None:
@@ -83,15 +84,6 @@
     _finish_failure(context, request, relay, progress)
 
 
-def _log_taken_up(call: serving.Call) -> None:
-    telemetry.log_event(
-        'stream_taken_up',
-        request=call.id,
-        resumes=call.resumes,
-        last_event=call.last_event,
-    )
-
-
 def _refuse_hopeless(
     context: _context.Context, request: _requests.Request
 ) -> bool:
@@ -206,12 +198,17 @@
             tried.remove(worker.id)
 
 
-def _can_retry(request: _requests.Request, last: serving.Failed) -> bool:
+def _can_retry(
+    context: _context.Context,
+    request: _requests.Request,
+    last: serving.Failed,
+) -> bool:
+    if _stream_versions.has_none_left(context, request):
+        return False
     if last.not_run:
         return True
-    if not request.route.resumable:
-        return False
-    return request.attempts < request.route.max_attempts
+    has_attempts = request.attempts < request.route.max_attempts
+    return request.route.resumable and has_attempts
 
 
 def _choose_decode(
--- a/briarknot/gateway/_generation_attempts.py
+++ b/briarknot/gateway/_generation_attempts.py
@@ -1,5 +1,6 @@
 """Sends a generation to one worker and relays its events."""
 
+import functools
 import time
 
 from briarknot import platform, schema, serving, telemetry
@@ -10,6 +11,7 @@
     _prefill,
     _requests,
     _stream,
+    _stream_versions,
 )
 
 _OK = 200
@@ -83,6 +85,9 @@
         and request.attempts < request.route.max_attempts
     )
     queued_s = context.prompt_load.get_queued_s(opened.worker, time.monotonic())
+    relay.on_begin = functools.partial(
+        _stream_versions.record_begin, context, request, opened.worker
+    )
     failure = await relay.run(exchange, opened.record if can_resume else None)
     if isinstance(failure, serving.Failed):
         opened.record.record_failure(failure.kind, time.monotonic())
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -15,6 +15,7 @@
     _crashes,
     _requests,
     _send_permits,
+    _stream_versions,
 )
 
 _Stage = schema.serving.Stage
@@ -238,9 +239,10 @@
     :param tried: workers to leave out.
     """
     now = time.monotonic()
+    usable = context.fleet.list_usable(request.service.name, stage, now)
     untried = tuple(
         one
-        for one in context.fleet.list_usable(request.service.name, stage, now)
+        for one in _stream_versions.list_fitting(context, request, usable)
         if one.id not in tried
         and not context.worker_records.get(one.id).get_pause_s(now)
     )
--- a/briarknot/gateway/_requests.py
+++ b/briarknot/gateway/_requests.py
@@ -47,6 +47,8 @@
     :param has_prefill: whether a worker has prefilled its prompt.
     :param is_admitted: whether it may be prefilled although all workers that can
         run it have limits.
+    :param version: software version of the workers that may send its events; None
+        until its first event.
     :param keys: what the quarantine knows it by; empty before the first check.
     :param trial_keys: suspected keys that it tries for other requests too.
     :param trial_s: monotonic time at which it began to.
@@ -62,6 +64,7 @@
     counted_sends: int = 0
     has_prefill: bool = False
     is_admitted: bool = False
+    version: str | None = None
     keys: tuple[str, ...] = ()
     trial_keys: tuple[str, ...] = ()
     trial_s: float = 0
--- a/briarknot/gateway/_stream.py
+++ b/briarknot/gateway/_stream.py
@@ -21,7 +21,7 @@
 
 
 def _ignore() -> None:
-    """Does nothing, where nobody asks whether a run is sound."""
+    """Does nothing, where nobody follows the events of a run."""
 
 
 @attrs.define(eq=False)
@@ -35,6 +35,7 @@
     :param resume_after: last event that the client has.
     :param first_event_s: monotonic time of the first event.
     :param longest_gap_s: longest pause between events in seconds.
+    :param on_begin: called before the first event is forwarded.
     :param on_sound: called when a run goes on after its start.
     """
 
@@ -42,6 +43,7 @@
     resume_after: str = ''
     first_event_s: float = 0
     longest_gap_s: float = 0
+    on_begin: typing.Callable[[], None] = _ignore
     on_sound: typing.Callable[[], None] = _ignore
     _max_silence_s: float = 0
     _latest_s: float = 0
@@ -164,6 +166,7 @@
             self.longest_gap_s = max(self.longest_gap_s, now - self._latest_s)
         else:
             self.first_event_s = now
+            self.on_begin()
         self._latest_s = now
         self._progress_s = now
         self.resume_after = _get_last_id(events) or self.resume_after
--- a/briarknot/gateway/tests/_support.py
+++ b/briarknot/gateway/tests/_support.py
@@ -19,6 +19,7 @@
     _peers,
     _plain,
     _requests,
+    _version_sync,
 )
 from briarknot_standins import launcher
 
