--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -133,7 +133,7 @@
     )
     if progress.quarantined is not None:
         return False
-    source, colocated = progress.source, None
+    source, colocated = _get_usable_source(context, request, progress), None
     if not await _send_permits.admit(context, request, _Stage.DECODE):
         return False
     if source is None:
@@ -141,6 +141,7 @@
             context, request, tried + progress.failed_sources
         )
         progress.source = source
+        source = _get_usable_source(context, request, progress)
         if _send_permits.lacks_turn(context, request, source or colocated):
             return False
     progress.quarantined = await _crashes.wait_for_trial(
@@ -168,6 +169,29 @@
     return True
 
 
+def _get_usable_source(
+    context: _context.Context, request: _requests.Request, progress: _Progress
+) -> serving.KvSource | None:
+    """Returns the KV cache of the prompt if an untried decode worker can use it.
+
+    Otherwise it is freed: the workers of its version have left, or were tried.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param progress: attempts so far; it is updated.
+    """
+    source = progress.source
+    if source is None:
+        return None
+    workers = _prefill.list_unblocked(
+        context, request, _Stage.DECODE, progress.tried
+    )
+    if workers and not _match_source(workers, source):
+        _prefill.free_in_background(context, source)
+        progress.source = None
+    return progress.source
+
+
 def _update_source(
     context: _context.Context,
     request: _requests.Request,
@@ -221,6 +245,7 @@
     workers = _prefill.list_unblocked(
         context, request, _Stage.DECODE, tried + excluded
     )
+    workers = _match_source(workers, source)
     if not workers:
         return None
     policy = serving.DECODE_POLICIES.get(_DECODE_POLICY)
@@ -229,6 +254,17 @@
     return policy(view, workers, source, time.monotonic())
 
 
+def _match_source(
+    workers: tuple[schema.serving.Worker, ...],
+    source: serving.KvSource | None,
+) -> tuple[schema.serving.Worker, ...]:
+    """Lists the workers that a KV cache fits: those of its worker's version."""
+    if source is None:
+        return workers
+    version = source.worker.version
+    return tuple(one for one in workers if one.version == version)
+
+
 def _finish_failure(
     context: _context.Context,
     request: _requests.Request,
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -170,12 +170,14 @@
     if prompt is None:
         return None
     now = time.monotonic()
+    prefills = list_unblocked(context, request, _Stage.PREFILL, tried)
+    decodes = list_unblocked(context, request, _Stage.DECODE, tried)
     view = serving.PlacementView(
         load=context.prompt_load,
         worker_records=context.worker_records,
         topology=context.topology,
-        prefills=list_unblocked(context, request, _Stage.PREFILL, tried),
-        decodes=list_unblocked(context, request, _Stage.DECODE, tried),
+        prefills=_stream_versions.list_continued(prefills, decodes),
+        decodes=decodes,
         target_s=request.call.received_s + request.route.target_s - now,
         limits=request.service.engine,
         event_gap_s=request.route.event_gap_s,
--- a/briarknot/gateway/_stream_versions.py
+++ b/briarknot/gateway/_stream_versions.py
@@ -133,6 +133,18 @@
     return tuple(one for one in workers if one.version in admitted)
 
 
+def list_continued(prefills: _Workers, decodes: _Workers) -> _Workers:
+    """Lists the prefill workers whose KV caches a decode worker can use.
+
+    :param prefills: prefill workers.
+    :param decodes: decode workers; without any, all prefill workers are listed.
+    """
+    continued = {one.version for one in decodes}
+    return tuple(
+        one for one in prefills if not continued or one.version in continued
+    )
+
+
 def has_none_left(
     context: _context.Context, request: _requests.Request
 ) -> bool:
--- a/briarknot/gateway/tests/test_stream_versions.py
+++ b/briarknot/gateway/tests/test_stream_versions.py
@@ -73,3 +73,27 @@
         status, _, _ = await gateway.send(headers=_TAKE_UP)
     assert status == 503
     assert not any(worker.requests for worker in workers)
+
+
+async def test_cache_is_not_used_by_workers_of_another_version():
+    """A prompt was prefilled at one version and its answer generated at another."""
+    prefill = _support.ScriptedWorker([_support.HANDLE], 'prefill', 'v1')
+    same = make_decode([_support.make_stream('x')], 'v1')
+    other = make_decode([_support.make_stream('x')], 'v2')
+    route = generations.make_stream_route()
+    async with _support.open_gateway(route, prefill, same, other) as gateway:
+        set_order(gateway, other, same)
+        status, _, _ = await gateway.send(headers=generations._PROMPT)
+    assert status == 200
+    assert len(prefill.requests) == len(same.requests)
+
+
+async def test_prompt_is_not_prefilled_where_no_decode_worker_can_go_on():
+    """Prefill workers of a version without decode workers worked in vain."""
+    prefill = _support.ScriptedWorker([_support.HANDLE], 'prefill', 'v1')
+    other = make_decode([_support.make_stream('x')], 'v2')
+    route = generations.make_stream_route()
+    async with _support.open_gateway(route, prefill, other) as gateway:
+        status, _, _ = await gateway.send(headers=generations._PROMPT)
+    assert status == 200
+    assert not prefill.requests
--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -46,6 +46,9 @@
 #: Cost of a first token that is certainly late. It is high enough that a shared
 #: part of usual length is recomputed to be in time.
 _LATE_COST_S = 1.0
+#: Cost of having to use a decode worker without free slots while others are idle, as
+#: only some fit the KV cache.
+_CROWDING_COST_S = 0.5
 #: Difference in cost that divides the probability of a choice by e. It is a
 #: fraction of the prefill time of a usual prompt, which others may have sent
 #: since the last sum of their work.
@@ -289,6 +292,9 @@
         tokens = one.tokens - cached
         if tokens <= 0 or one.worker.id == worker.id:
             continue
+        if one.worker.version != worker.version:
+            # Caches of other versions are not known to fit.
+            continue
         distance = view.topology.compute_distance(
             one.worker.domain, worker.domain
         )
@@ -361,7 +367,7 @@
     else:
         # The decode worker is chosen near the prefill worker.
         transfer_s = _KV_TRANSFER_S + _prefill_time.get_call_s(distance)
-        cost_s += transfer_s
+        cost_s += transfer_s + _compute_crowding_s(view, worker, now)
         first_token_s += transfer_s
     in_time = 1 - _lateness.compute_late_probability(
         first_token_s, view.target_s
@@ -376,6 +382,27 @@
     return cost_s + _LATE_COST_S * (1 - in_time)
 
 
+def _compute_crowding_s(
+    view: PlacementView, worker: schema.serving.Worker, now: float
+) -> float:
+    """Returns the cost of decode workers that are busier than others.
+
+    Only those of the prefill worker's version can use its KV cache.
+    """
+    if len({one.version for one in view.decodes}) < 2:
+        return 0
+    shares = {
+        one.id: view.load.work.get_total(one.id, now).streams
+        / max(1, one.slots)
+        for one in view.decodes
+    }
+    fitting = [
+        shares[one.id] for one in view.decodes if one.version == worker.version
+    ]
+    least = min(shares.values())
+    return _CROWDING_COST_S * (min(fitting, default=1) - least)
+
+
 def _compute_gap_probabilities(
     view: PlacementView, placement: _Placement, waiting: int
 ) -> tuple[float, float]:
