--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -131,7 +131,9 @@
     progress.quarantined = _crashes.check_quarantine(
         context, request, _Stage.DECODE
     )
-    if progress.quarantined is not None:
+    untried = _prefill.list_untried(context, request, _Stage.DECODE, tried)
+    if progress.quarantined is not None or not untried:
+        # Without a decode worker its prompt would be prefilled in vain.
         return False
     source, colocated = _get_usable_source(context, request, progress), None
     if not await _send_permits.admit(context, request, _Stage.DECODE):
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -225,6 +225,29 @@
     )
 
 
+def list_untried(
+    context: _context.Context,
+    request: _requests.Request,
+    stage: _Stage,
+    tried: list[str],
+) -> tuple[schema.serving.Worker, ...]:
+    """Lists the workers of a stage at whose versions a request may run.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param stage: stage of the workers.
+    :param tried: workers to leave out.
+    """
+    usable = context.fleet.list_usable(
+        request.service.name, stage, time.monotonic()
+    )
+    return tuple(
+        one
+        for one in _stream_versions.list_fitting(context, request, usable)
+        if one.id not in tried
+    )
+
+
 def list_unblocked(
     context: _context.Context,
     request: _requests.Request,
@@ -241,12 +264,10 @@
     :param tried: workers to leave out.
     """
     now = time.monotonic()
-    usable = context.fleet.list_usable(request.service.name, stage, now)
     untried = tuple(
         one
-        for one in _stream_versions.list_fitting(context, request, usable)
-        if one.id not in tried
-        and not context.worker_records.get(one.id).get_pause_s(now)
+        for one in list_untried(context, request, stage, tried)
+        if not context.worker_records.get(one.id).get_pause_s(now)
     )
     unblocked = tuple(
         one
--- a/briarknot/gateway/tests/test_stream_versions.py
+++ b/briarknot/gateway/tests/test_stream_versions.py
@@ -97,3 +97,19 @@
         status, _, _ = await gateway.send(headers=generations._PROMPT)
     assert status == 200
     assert not prefill.requests
+
+
+async def test_rest_of_a_stream_is_not_prefilled_where_its_worker_is_lost():
+    """Its prompt was prefilled again although no decode worker could go on."""
+    prefill = _support.ScriptedWorker(
+        [_support.HANDLE, _support.HANDLE], 'prefill', 'v1'
+    )
+    broken = make_decode([_BROKEN], 'v1')
+    other = make_decode([], 'v2')
+    route = generations.make_stream_route()
+    async with _support.open_gateway(route, prefill, broken, other) as gateway:
+        set_order(gateway, broken, other)
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await gateway.send(headers=generations._PROMPT)
+    assert len(prefill.requests) <= 1
+    assert not other.requests
