--- a/briarknot/gateway/_stage_orders.py
+++ b/briarknot/gateway/_stage_orders.py
@@ -96,6 +96,7 @@
                         id=worker.id,
                         domain=worker.domain,
                         stage=stage,
+                        version=worker.version,
                         queued_s=load.get_queued_s(worker, now),
                         streams=work.streams,
                         stream_tokens=work.stream_tokens,
--- a/briarknot/planning/_stages.py
+++ b/briarknot/planning/_stages.py
@@ -28,6 +28,9 @@
 #: of them the loss of one halves the room of all answers.
 _MIN_DECODE_WORKERS = 3
 _MIN_DECODE_SHARE = 0.3
+#: Decode workers of each software version that are left at least. Streams of the only
+#: one can't go on anywhere when it is lost.
+_MIN_OF_VERSION = 2
 #: Share of the decode workers that change their stage at the same time.
 _MAX_CHANGE_SHARE = 0.2
 #: Time after a change until the next one, so that its effect is seen first.
@@ -41,6 +44,8 @@
     :param id: id of the engine.
     :param domain: failure domain.
     :param stage: stage that it performs.
+    :param version: version of its software; a stream goes on at engines of the same
+        version only.
     :param queued_s: time of the prefill that is queued there, in seconds.
     :param streams: generations.
     :param stream_tokens: KV cache of the generations, in tokens.
@@ -49,6 +54,7 @@
     id: str
     domain: str
     stage: _Stage
+    version: str = ''
     queued_s: float = 0
     streams: int = 0
     stream_tokens: int = 0
@@ -186,6 +192,13 @@
         self._record(snapshot, prefills, now)
         if now < self._settled_s:
             return NoStageChange('the last change is not settled')
+        stranded = _list_stranded(prefills, decodes)
+        if stranded:
+            return StageChange(
+                _choose_engines(stranded, 1),
+                _Stage.DECODE,
+                f'version {stranded[0].version} has no decode worker',
+            )
         wait_s = self._compute_mean_wait(now)
         if wait_s is None:
             return NoStageChange('the load is not known for long enough')
@@ -236,12 +249,16 @@
                 streams, _MAX_USE_AFTER_CHANGE
             ),
         )
-        spare = len(decodes) - kept
-        count = min(spare, max(1, int(_MAX_CHANGE_SHARE * len(decodes))))
+        spare = _list_spare(decodes)
+        count = min(
+            len(decodes) - kept,
+            len(spare),
+            max(1, int(_MAX_CHANGE_SHARE * len(decodes))),
+        )
         if count <= 0:
             return NoStageChange('no decode worker can be spared')
         return StageChange(
-            _choose_engines(decodes, count),
+            _choose_engines(spare, count),
             _Stage.PREFILL,
             f'prompts wait {wait_s:.2f} s, {streams} streams,'
             f' {len(decodes)} decode workers',
@@ -267,6 +284,46 @@
     )
 
 
+def _list_stranded(
+    prefills: tuple[StagedEngine, ...], decodes: tuple[StagedEngine, ...]
+) -> tuple[StagedEngine, ...]:
+    """Lists the prefill workers of a version that has no decode worker.
+
+    KV caches stay within a version, so that none of them has work. A version with a
+    single engine is left as it is: it appears, or leaves.
+    """
+    complete = {one.version for one in decodes}
+    counts = collections.Counter(one.version for one in prefills)
+    version = next(
+        (
+            one
+            for one, count in counts.most_common()
+            if one not in complete and count > 1
+        ),
+        None,
+    )
+    return tuple(one for one in prefills if one.version == version)
+
+
+def _list_spare(
+    decodes: tuple[StagedEngine, ...],
+) -> tuple[StagedEngine, ...]:
+    """Lists the decode workers beyond those that each of several versions keeps.
+
+    The ones with most streams are kept.
+    """
+    if len({one.version for one in decodes}) < 2:
+        return decodes
+    kept: collections.Counter = collections.Counter()
+    spare = []
+    busiest_first = sorted(decodes, key=lambda one: (-one.streams, one.id))
+    for engine in busiest_first:
+        kept[engine.version] += 1
+        if kept[engine.version] > _MIN_OF_VERSION:
+            spare.append(engine)
+    return tuple(spare)
+
+
 def _choose_engines(
     engines: tuple[StagedEngine, ...], count: int
 ) -> tuple[str, ...]:
--- a/briarknot/planning/tests/test_stages.py
+++ b/briarknot/planning/tests/test_stages.py
@@ -6,6 +6,7 @@
 
 import itertools
 
+import attrs
 import pytest
 
 from briarknot import planning, schema
@@ -60,6 +61,34 @@
     assert time_s < 2
 
 
+def test_each_of_two_versions_keeps_two_decode_workers():
+    """Streams of the only decode worker of a version ended with its crash."""
+    engines = make_engines(3, 5, queued_s=0.4, streams=7)
+    versions = ('v1', 'v1', 'v1', 'v1', 'v1', 'v2', 'v2', 'v2')
+    mixed = tuple(
+        attrs.evolve(engine, version=version)
+        for engine, version in zip(engines, versions, strict=True)
+    )
+    _, change = plan(make_planner(), mixed)
+    assert set(change.engines) <= {'e05', 'e06', 'e07'}
+    assert plan(make_planner(), (*mixed[:5], *mixed[6:])) is None
+
+
+def test_version_without_decode_workers_gets_one():
+    """Half of the engines had no work: no decode worker could use their caches."""
+    engines = make_engines(4, 2, streams=7)
+    versions = ('v1', 'v1', 'v1', 'v2', 'v2', 'v2')
+    mixed = tuple(
+        attrs.evolve(engine, version=version)
+        for engine, version in zip(engines, versions, strict=True)
+    )
+    _, change = plan(make_planner(), mixed)
+    assert change.stage == _Stage.DECODE
+    assert len(change.engines) == 1
+    assert set(change.engines) <= {'e00', 'e01', 'e02'}
+    assert plan(make_planner(), mixed[2:]) is None
+
+
 def test_fixed_stages_change_nothing():
     """Baseline of comparisons."""
     engines = make_engines(3, 3, queued_s=5, streams=7)
