--- /dev/null
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -0,0 +1,104 @@
+"""Tests requests that end with neither a whole answer nor a refusal."""
+
+import asyncio
+
+import aiohttp
+import attrs
+import pytest
+
+from briarknot import schema, telemetry
+from briarknot.gateway.tests import _support
+from briarknot.gateway.tests import test_generation as generation
+
+_Kind = schema.serving.RequestKind
+_HANGING = _support.Reply('', _support.HANG)
+_PROMPT = {
+    'Model': 'm',
+    'Token-Counts': '9000,5',
+    'Prompt-Prefix': 'aa:6000,bb:3000',
+}
+
+
+@attrs.define
+class _Recorder:
+    """Log lines of requests that end without a whole answer or a refusal."""
+
+    lines: list = attrs.field(factory=list)
+    arrived: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def record(self, event, **fields):
+        """Records a log line."""
+        if event == 'closed_unanswered':
+            self.lines.append(
+                (fields['request'], fields['reason'], fields['started'])
+            )
+            self.arrived.set()
+
+    async def wait(self):
+        """Waits for the first line; returns all."""
+        async with asyncio.timeout(5):
+            await self.arrived.wait()
+        return self.lines
+
+
+@pytest.fixture(name='recorder')
+def record_lines(monkeypatch):
+    """Records the log lines."""
+    recorder = _Recorder()
+    monkeypatch.setattr(telemetry, 'log_event', recorder.record)
+    return recorder
+
+
+async def test_answered_request_is_not_logged_as_unanswered(recorder):
+    """Operators would look for losses that did not happen."""
+    worker = _support.ScriptedWorker([_support.make_reply(200, 'x')])
+    route = _support.make_route(_Kind.NON_IDEMPOTENT)
+    async with _support.open_gateway(route, worker) as gateway:
+        assert (await gateway.send())[0] == 200
+        assert (await gateway.send(path='/unknown'))[0] == 404
+    assert not recorder.lines
+
+
+async def test_client_that_leaves_is_logged(recorder):
+    """It could not be told from a request that was lost."""
+    worker = _support.ScriptedWorker([_HANGING])
+    route = _support.make_route(_Kind.NON_IDEMPOTENT)
+    async with _support.open_gateway(route, worker) as gateway:
+        sent = asyncio.ensure_future(gateway.send())
+        await worker.wait_requests(1)
+        sent.cancel()
+    assert await recorder.wait() == [('q1', 'client_left', False)]
+
+
+async def test_stream_that_is_cut_off_is_logged(recorder):
+    """Only the line of the failed attempt told of it."""
+    begun = _support.make_stream('x', then=_support.CLOSE, end=False)
+    workers = generation.make_workers([_support.HANDLE], [begun])
+    route = generation.make_stream_route(resumable=False)
+    async with _support.open_gateway(route, *workers) as gateway:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await gateway.send(headers=_PROMPT)
+    assert await recorder.wait() == [('q1', 'cut_off', True)]
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'reason'),
+    [
+        (asyncio.CancelledError(), 'cancelled_wait'),
+        (RuntimeError('Connection closed.'), 'error'),
+    ],
+)
+async def test_fault_of_the_code_is_logged(
+    events, monkeypatch, outcome, reason
+):
+    """A cancelled wait counted as the client's leaving, an error as nothing."""
+    worker = _support.ScriptedWorker([])
+    route = _support.make_route(_Kind.NON_IDEMPOTENT)
+    async with _support.open_gateway(route, worker) as gateway:
+
+        async def fail(*_arguments, **_options):
+            raise outcome
+
+        monkeypatch.setattr(type(gateway.context.calls), 'run', fail)
+        await asyncio.gather(gateway.send(), return_exceptions=True)
+    assert await recorder.wait() == [('q1', reason, False)]
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -6,6 +6,7 @@
 import typing
 
 import attrs
+import prometheus_client
 from aiohttp import web
 
 from briarknot import schema, serving, telemetry
@@ -25,9 +26,15 @@
 #: Status of refusals with Retry-After; it promises that the request has not
 #: run.
 _SERVICE_UNAVAILABLE = 503
+_TOO_LARGE = 413
 #: Retry-After, in seconds, of a request that arrives while the process stops;
 #: a new connection reaches another host.
 _STOP_RETRY_AFTER_S = 0.1
+_UNANSWERED = prometheus_client.Counter(
+    'briarknot_platform_unanswered',
+    'Requests that ended without a whole answer or a refusal, by reason.',
+    ('reason',),
+)
 
 
 @attrs.define(eq=False)
@@ -38,6 +45,17 @@
     _closing: bool
     _response: web.StreamResponse | None = None
     _result: web.StreamResponse | None = None
+    _is_aborted: bool = False
+    _is_disconnected: bool = False
+
+    @property
+    def missing_answer(self) -> str:
+        """Why the client gets no whole answer; empty where it gets one."""
+        if self._is_disconnected:
+            return 'client_left'
+        if self._is_aborted:
+            return 'cut_off'
+        return '' if self._result is not None else 'no_result'
 
     @property
     def has_started(self) -> bool:
@@ -88,6 +106,7 @@
         try:
             await response.prepare(self._request)
         except ConnectionError:
+            self._is_disconnected = True
             return False
         self._result = response
         return True
@@ -101,11 +120,13 @@
         try:
             await self._response.write(data)
         except ConnectionError:
+            self._is_disconnected = True
             return False
         return True
 
     def abort(self) -> None:
         """Closes the connection, so that the answer does not look complete."""
+        self._is_aborted = True
         if self._request.transport is not None:
             self._request.transport.close()
 
@@ -210,26 +231,43 @@
         self._open_requests += 1
         self._idle.clear()
         try:
-            body = await _read_body(request, self._get_body_limit())
-            if body is None:
-                return web.Response(status=413)
-            call = _decode_call(request, body, received_s)
-            if self._refusing:
-                telemetry.log_event('request_refused_at_stop', request=call.id)
-                responder.refuse(
-                    _SERVICE_UNAVAILABLE, call.id, _STOP_RETRY_AFTER_S
-                )
-            else:
-                await self._handler(call, responder)
+            await self._serve(request, responder, received_s)
+        except asyncio.CancelledError:
+            _log_unanswered(request, responder, _explain_cancellation(request))
+            raise
+        except Exception as error:
+            _log_unanswered(request, responder, 'error', error)
+            raise
         finally:
             self._open_requests -= 1
             if not self._open_requests:
                 self._idle.set()
+        if responder.missing_answer:
+            _log_unanswered(request, responder, responder.missing_answer)
         if responder.result is None:
             responder.abort()
             raise asyncio.CancelledError
         return responder.result
 
+    async def _serve(
+        self,
+        request: web.BaseRequest,
+        responder: Responder,
+        received_s: float,
+    ) -> None:
+        body = await _read_body(request, self._get_body_limit())
+        if body is None:
+            responder.refuse(
+                _TOO_LARGE, request.headers.get(_headers.REQUEST_ID, '')
+            )
+            return
+        call = _decode_call(request, body, received_s)
+        if self._refusing:
+            telemetry.log_event('request_refused_at_stop', request=call.id)
+            responder.refuse(_SERVICE_UNAVAILABLE, call.id, _STOP_RETRY_AFTER_S)
+        else:
+            await self._handler(call, responder)
+
 
 def _make_site(
     runner: web.ServerRunner, address: str, listener: socket.socket | None
@@ -242,6 +280,44 @@
     )
 
 
+def _explain_cancellation(request: web.BaseRequest) -> str:
+    """Returns why the task of a request was cancelled.
+
+    Only the loss of its connection and the end of the process cancel the task
+    itself. A wait on something that was cancelled elsewhere raises the same
+    exception.
+
+    :param request: the request.
+    """
+    task = asyncio.current_task()
+    if task is not None and not task.cancelling():
+        return 'cancelled_wait'
+    return 'client_left' if request.transport is None else 'process_end'
+
+
+def _log_unanswered(
+    request: web.BaseRequest,
+    responder: Responder,
+    reason: str,
+    error: Exception | None = None,
+) -> None:
+    """Logs and counts a request that ends without a whole answer or a refusal.
+
+    :param request: the request.
+    :param responder: answers it.
+    :param reason: reason from a small set.
+    :param error: the exception that ended it.
+    """
+    _UNANSWERED.labels(reason).inc()
+    telemetry.log_event(
+        'closed_unanswered',
+        request=request.headers.get(_headers.REQUEST_ID, ''),
+        reason=reason,
+        started=responder.has_started,
+        error=repr(error) if error else '',
+    )
+
+
 async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
     parts = []
     size = 0
