--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -89,7 +89,7 @@
     ],
 )
 async def test_fault_of_the_code_is_logged(
-    events, monkeypatch, outcome, reason
+    recorder, monkeypatch, outcome, reason
 ):
     """A cancelled wait counted as the client's leaving, an error as nothing."""
     worker = _support.ScriptedWorker([])
