--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -1,6 +1,7 @@
 """Tests requests that end with neither a whole answer nor a refusal."""
 
 import asyncio
+import time
 
 import aiohttp
 import attrs
@@ -102,3 +103,45 @@
         monkeypatch.setattr(type(gateway.context.calls), 'run', fail)
         await asyncio.gather(gateway.send(), return_exceptions=True)
     assert await recorder.wait() == [('q1', reason, False)]
+
+
+_HEAD = 'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: s\r\n'
+_CHUNKED_HEAD = f'{_HEAD}Transfer-Encoding: chunked\r\n\r\n'
+_EVENT = 'id: 1\ndata: x\n\n'
+_CHUNK = f'{len(_EVENT):x}\r\n{_EVENT}\r\n'
+_BAD_CHUNK = 'zz\r\nno chunk\r\n'
+
+
+def make_damaged_reply(then):
+    """Makes an answer whose framing is damaged after its first chunk."""
+    text = f'{_CHUNKED_HEAD}{_CHUNK}'
+    return _support.Reply(text, then, later=(_BAD_CHUNK,), pause_s=0.1)
+
+
+@pytest.mark.parametrize('then', [_support.CLOSE, _support.SILENT])
+@pytest.mark.parametrize('kind', [_Kind.IDEMPOTENT, _Kind.NON_IDEMPOTENT])
+async def test_damaged_body_is_refused_at_once(kind, then):
+    """Its client waited until the time limit of its request."""
+    worker = _support.ScriptedWorker([make_damaged_reply(then)])
+    route = _support.make_route(kind, max_attempts=1)
+    async with _support.open_gateway(route, worker) as gateway:
+        started_s = time.monotonic()
+        status, _, _ = await gateway.send()
+        assert time.monotonic() - started_s < 2
+    assert status == 502
+
+
+@pytest.mark.parametrize('then', [_support.CLOSE, _support.SILENT])
+async def test_stream_with_a_damaged_body_is_resumed(recorder, then):
+    """An exception closed the connection, and no line named the request."""
+    handles = [_support.HANDLE, _support.HANDLE]
+    rest = _support.make_stream('y', start=2)
+    workers = generation.make_workers(
+        handles, [make_damaged_reply(then)], [rest]
+    )
+    route = generation.make_stream_route()
+    async with _support.open_gateway(route, *workers) as gateway:
+        _support.get_worker_record(gateway.context, workers[2]).in_flight = 1
+        status, _, body = await gateway.send(headers=_PROMPT)
+    assert (status, generation.read_data(body)) == (200, ['x', 'y'])
+    assert not recorder.lines
--- a/briarknot/platform/_sessions.py
+++ b/briarknot/platform/_sessions.py
@@ -56,6 +56,10 @@
 
     The parser bounds lines and headers, but neither interim answers nor the
     framing of a chunked body, which may go on until the connection is closed.
+
+    It also ends a body that can't be parsed further: the base class reports
+    the error to the reader of the next head only, so that the reader of the
+    body would wait for nothing.
     """
 
     _received_bytes: int = 0
@@ -79,6 +83,7 @@
         self._received_bytes += len(data)
         if self._received_bytes <= self._limit_bytes:
             super().data_received(data)
+            self._report_error()
             return
         error = http_exceptions.BadHttpMessage(
             f'answer longer than {self._limit_bytes} bytes'
@@ -89,6 +94,14 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _report_error(self) -> None:
+        """Reports an error of the parser to the reader of the body."""
+        error = self.exception()
+        body = self._payload
+        if error is None or body is None or body.is_eof() or body.exception():
+            return
+        body.set_exception(aiohttp.ClientPayloadError(str(error)))
+
 
 class Response(aiohttp.ClientResponse):
     """A response that knows how its connection ended."""
