--- a/briarknot/gateway/_generation_attempts.py
+++ b/briarknot/gateway/_generation_attempts.py
@@ -1,5 +1,6 @@
 """Sends a generation to one worker and relays its events."""
 
+import functools
 import time
 
 from briarknot import platform, schema, serving, telemetry
@@ -13,6 +14,9 @@
 )
 
 _OK = 200
+#: Sends that moving a stream takes: its prompt is prefilled again, and its rest
+#: is generated at another worker.
+_SENDS_OF_A_MOVE = 2
 
 
 async def attempt(
@@ -83,7 +87,11 @@
         and request.attempts < request.route.max_attempts
     )
     queued_s = context.prompt_load.get_queued_s(opened.worker, time.monotonic())
-    failure = await relay.run(exchange, opened.record if can_resume else None)
+    watch = _stream.Watch(
+        opened.record,
+        functools.partial(_can_move, context, request, opened.worker),
+    )
+    failure = await relay.run(exchange, watch if can_resume else None)
     if isinstance(failure, serving.Failed):
         opened.record.record_failure(failure.kind, time.monotonic())
         telemetry.log_event(
@@ -105,6 +113,29 @@
     return None
 
 
+def _can_move(
+    context: _context.Context,
+    request: _requests.Request,
+    worker: schema.serving.Worker,
+) -> bool:
+    """Returns whether another worker is expected to take a stream.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param worker: its worker.
+    """
+    now = time.monotonic()
+    budget = context.budget
+    if budget.count_remaining(request.service.name, now) < _SENDS_OF_A_MOVE:
+        return False
+    others = _prefill.list_unblocked(
+        context, request, schema.serving.Stage.DECODE, [worker.id]
+    )
+    return any(
+        not context.worker_records.get(one.id).is_blocked(now) for one in others
+    )
+
+
 async def _forward_answer(
     request: _requests.Request,
     exchange: platform.Exchange,
--- a/briarknot/gateway/_stream.py
+++ b/briarknot/gateway/_stream.py
@@ -24,6 +24,23 @@
     """Does nothing, where nobody asks whether a run is sound."""
 
 
+@attrs.frozen
+class Watch:
+    """How a silent worker is detected.
+
+    :param record: record of the worker.
+    :param can_move: whether another worker is expected to take the stream. A
+        worker may go on after a pause, so that its run is not given up before.
+    """
+
+    record: serving.WorkerRecord
+    can_move: typing.Callable[[], bool]
+
+    def is_lost(self) -> bool:
+        """Returns whether the stream is given up at this worker."""
+        return self.record.is_silent(time.monotonic()) and self.can_move()
+
+
 @attrs.define(eq=False)
 class Relay:
     """Forwards whole events, so that another run can resume after them.
@@ -66,13 +83,13 @@
     async def run(
         self,
         exchange: platform.Exchange,
-        record: serving.WorkerRecord | None = None,
+        watch: Watch | None = None,
     ) -> serving.Failed | None:
         """Forwards the events of a run.
 
         :param exchange: answer of the run.
-        :param record: record of its worker, by which a silent worker is
-            detected; None where the stream can't be resumed.
+        :param watch: detects a silent worker; None where the stream can't be
+            resumed.
         :returns: why the stream is incomplete; None where it is complete, or
             where the client disconnected.
         """
@@ -83,7 +100,7 @@
         self._is_sound = False
         is_end = False
         while not is_end:
-            chunk = await self._read(exchange, record)
+            chunk = await self._read(exchange, watch)
             if isinstance(chunk, serving.Failed):
                 failure = chunk
                 break
@@ -110,21 +127,21 @@
     async def _read(
         self,
         exchange: platform.Exchange,
-        record: serving.WorkerRecord | None,
+        watch: Watch | None,
     ) -> bytes | serving.Failed:
         while not self._is_stalled(time.monotonic()):
             try:
                 async with asyncio.timeout(_SILENCE_CHECK_S):
                     chunk = await exchange.read_some()
             except TimeoutError:
-                if record and record.is_silent(time.monotonic()):
+                if watch and watch.is_lost():
                     return serving.Failed(
                         kind=serving.FailureKind.UNREACHABLE,
                         reason='the worker sends nothing on any stream',
                     )
                 continue
-            if record:
-                record.record_bytes(time.monotonic())
+            if watch:
+                watch.record.record_bytes(time.monotonic())
             return chunk
         return serving.Failed(
             kind=serving.FailureKind.TIMED_OUT,
--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -145,3 +145,34 @@
         status, _, body = await gateway.send(headers=_PROMPT)
     assert (status, generation.read_data(body)) == (200, ['x', 'y'])
     assert not recorder.lines
+
+
+def make_paused_workers(*decodes):
+    """Makes workers of which one is silent in the middle of its stream."""
+    begun = _support.make_stream('x', end=False)
+    rest = _support.make_stream('y', start=2).text.partition('\r\n\r\n')[2]
+    paused = _support.Reply(begun.text, later=(rest,), pause_s=1.8)
+    handles = [_support.HANDLE, _support.HANDLE]
+    return generation.make_workers(handles, [paused], *decodes)
+
+
+async def test_silent_worker_is_kept_where_no_other_one_is_left(recorder):
+    """A sound worker paused for a second or so, and its stream was cut off."""
+    workers = make_paused_workers()
+    route = generation.make_stream_route(max_silence_s=3.0)
+    async with _support.open_gateway(route, *workers) as gateway:
+        status, _, body = await gateway.send(headers=_PROMPT)
+    assert (status, generation.read_data(body)) == (200, ['x', 'y'])
+    assert not recorder.lines
+
+
+async def test_silent_worker_is_kept_where_no_retry_is_left(recorder):
+    """The stream was cut off as the retry budget allowed no resumption."""
+    workers = make_paused_workers([])
+    route = generation.make_stream_route(max_silence_s=3.0)
+    async with _support.open_gateway(route, *workers) as gateway:
+        _support.get_worker_record(gateway.context, workers[2]).in_flight = 1
+        gateway.context.budget.set_limits(0, 1, 10)
+        status, _, body = await gateway.send(headers=_PROMPT)
+    assert (status, generation.read_data(body)) == (200, ['x', 'y'])
+    assert not recorder.lines
