--- a/briarknot/gateway/_stream.py
+++ b/briarknot/gateway/_stream.py
@@ -16,6 +16,10 @@
 #: Time from the first event of a run until it no longer counts as starting.
 #: Its worker may send an event and end; the connection breaks soon after.
 _START_S = 0.25
+#: Time for which a silent stream is kept after its client should have left. A
+#: client waits from when an event has reached it, which takes the way to another
+#: region, and longer where a packet is lost.
+_CLIENT_LEAVES_S = 0.5
 #: Longest event; an event holds a few tokens.
 _MAX_EVENT_BYTES = 1 << 20
 
@@ -151,13 +155,15 @@
     def _is_stalled(self, now: float) -> bool:
         """Returns whether clients have abandoned the stream by now.
 
-        Bytes that complete no event don't count.
+        Bytes that complete no event don't count. A stream that ended before
+        its client left would be a loss that the client did not choose.
 
         :param now: monotonic time in seconds.
         """
         if not self._max_silence_s:
             return False
-        return now - self._progress_s > self._max_silence_s
+        end_s = self._progress_s + self._max_silence_s + _CLIENT_LEAVES_S
+        return now > end_s
 
     async def _forward(
         self, exchange: platform.Exchange, events: bytes, *, is_end: bool
--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -12,6 +12,9 @@
 from briarknot.gateway.tests import test_generation as generation
 
 _Kind = schema.serving.RequestKind
+#: Longest time in which an event reaches a client in another region, with a
+#: packet that is lost and sent again.
+_MAX_DELAY_S = 0.3
 _HANGING = _support.Reply('', _support.HANG)
 _PROMPT = {
     'Model': 'm',
@@ -176,3 +179,25 @@
         status, _, body = await gateway.send(headers=_PROMPT)
     assert (status, generation.read_data(body)) == (200, ['x', 'y'])
     assert not recorder.lines
+
+
+async def test_stream_is_not_ended_before_its_client_leaves():
+    """A client counts from when an event reached it, later than a gateway."""
+    begun = _support.make_stream('x', end=False)
+    silent = _support.Reply(begun.text, _support.SILENT)
+    workers = generation.make_workers([_support.HANDLE], [silent])
+    # The gateway checks every 0.3 s, here also just after this time.
+    max_silence_s = 0.9
+    route = generation.make_stream_route(
+        resumable=False, max_silence_s=max_silence_s
+    )
+    async with _support.open_gateway(route, *workers) as gateway:
+        async with gateway.session.post(
+            f'{gateway.url}/r/x', headers={'Request-Id': 'q1', **_PROMPT}
+        ) as response:
+            await response.content.readany()
+            started_s = time.monotonic()
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await response.content.read()
+            seconds = time.monotonic() - started_s
+    assert seconds > max_silence_s + _MAX_DELAY_S
