--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -201,3 +201,20 @@
                 await response.content.read()
             seconds = time.monotonic() - started_s
     assert seconds > max_silence_s + _MAX_DELAY_S
+
+
+@pytest.mark.parametrize('status', [204, 304])
+@pytest.mark.parametrize('then', [_support.KEEP, _support.SILENT])
+async def test_answer_without_a_body_is_sent_at_once(status, then):
+    """It was held until its idle connection to the worker was closed."""
+    reply = _support.Reply(
+        f'HTTP/1.1 {status} X\r\nRequest-Id: {{id}}\r\n{_support.SEAL}\r\n',
+        then,
+    )
+    worker = _support.ScriptedWorker([reply])
+    route = _support.make_route(_Kind.IDEMPOTENT)
+    async with _support.open_gateway(route, worker) as gateway:
+        started_s = time.monotonic()
+        answer = await gateway.send()
+        assert time.monotonic() - started_s < 1
+    assert (answer[0], answer[2]) == (status, b'')
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -13,6 +13,8 @@
 
 _OK = 200
 _MISDIRECTED = 421
+#: Statuses of answers without a body, which end with their head.
+_NO_BODY_STATUSES = frozenset((204, 304))
 #: Statuses that imply that a request has not run. They are trusted only with
 #: the worker's own statement that it did not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -92,7 +94,8 @@
     def _ends_with_connection(self) -> bool:
         headers = self._response.headers
         return (
-            'Content-Length' not in headers
+            self._response.status not in _NO_BODY_STATUSES
+            and 'Content-Length' not in headers
             and 'chunked' not in headers.get('Transfer-Encoding', '').lower()
         )
 
