--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -108,7 +108,8 @@
                 reason='end of the body is not known',
             )
         try:
-            await closed
+            # A time limit must not cancel the future, which others may await.
+            await asyncio.shield(closed)
         except aiohttp.ClientConnectionError as error:
             return _make_failure(serving.FailureKind.BROKEN, error)
         return b''
