--- a/briarknot/gateway/_requests.py
+++ b/briarknot/gateway/_requests.py
@@ -190,7 +190,12 @@
         except TimeoutError:
             _answer_timeout(request)
         except asyncio.CancelledError:
-            request.log_end('caller_left')
+            task = asyncio.current_task()
+            has_left = task is None or task.cancelling()
+            request.log_end('caller_left' if has_left else 'internal_error')
+            raise
+        except Exception:
+            request.log_end('internal_error')
             raise
 
 
--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import time
+import types
 
 import aiohttp
 import attrs
 import pytest
 
 from briarknot import schema, telemetry
+from briarknot.gateway import _requests
 from briarknot.gateway.tests import _support
 from briarknot.gateway.tests import test_generation as generation
 
@@ -32,7 +34,7 @@
 
     def record(self, event, **fields):
         """Records a log line."""
-        if event == 'closed_unanswered':
+        if event in ('closed_unanswered', 'request_failed'):
             self.lines.append(
                 (fields['request'], fields['reason'], fields['started'])
             )
@@ -92,7 +94,7 @@
         (RuntimeError('Connection closed.'), 'error'),
     ],
 )
-async def test_fault_of_the_code_is_logged(
+async def test_fault_of_the_code_is_answered_and_logged(
     recorder, monkeypatch, outcome, reason
 ):
     """A cancelled wait counted as the client's leaving, an error as nothing."""
@@ -104,10 +106,26 @@
             raise outcome
 
         monkeypatch.setattr(type(gateway.context.calls), 'run', fail)
-        await asyncio.gather(gateway.send(), return_exceptions=True)
+        status, headers, _ = await gateway.send()
+    assert (status, headers['Request-Id']) == (502, 'q1')
     assert await recorder.wait() == [('q1', reason, False)]
 
 
+async def test_handler_without_a_result_is_answered(recorder, monkeypatch):
+    """The connection was closed as if its client had left."""
+
+    async def do_nothing(*_arguments):
+        pass
+
+    handlers = types.SimpleNamespace(get=lambda _kind: do_nothing)
+    monkeypatch.setattr(_requests, 'HANDLERS', handlers)
+    route = _support.make_route(_Kind.NON_IDEMPOTENT)
+    async with _support.open_gateway(route) as gateway:
+        status, _, _ = await gateway.send()
+    assert status == 502
+    assert await recorder.wait() == [('q1', 'no_result', False)]
+
+
 _HEAD = 'HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: s\r\n'
 _CHUNKED_HEAD = f'{_HEAD}Transfer-Encoding: chunked\r\n\r\n'
 _EVENT = 'id: 1\ndata: x\n\n'
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import time
+import traceback
 import typing
 
 import attrs
@@ -27,12 +28,15 @@
 #: run.
 _SERVICE_UNAVAILABLE = 503
 _TOO_LARGE = 413
+_BAD_GATEWAY = 502
+#: Longest text of a traceback in a log line; its end names the fault.
+_MAX_TRACEBACK = 2000
 #: Retry-After, in seconds, of a request that arrives while the process stops;
 #: a new connection reaches another host.
 _STOP_RETRY_AFTER_S = 0.1
 _UNANSWERED = prometheus_client.Counter(
     'briarknot_platform_unanswered',
-    'Requests that ended without a whole answer or a refusal, by reason.',
+    'Requests that ended without a whole answer, or failed, by reason.',
     ('reason',),
 )
 
@@ -233,19 +237,26 @@
         try:
             await self._serve(request, responder, received_s)
         except asyncio.CancelledError:
-            _log_unanswered(request, responder, _explain_cancellation(request))
-            raise
-        except Exception as error:
-            _log_unanswered(request, responder, 'error', error)
-            raise
+            reason = _explain_cancellation(request)
+            if reason != 'cancelled_wait':
+                _log_unanswered(request, responder, reason)
+                raise
+            _fail(request, responder, reason)
+        except Exception:
+            if request.transport is None:
+                # The body of a request whose client has left can't be read.
+                _log_unanswered(request, responder, 'client_left')
+                raise
+            _fail(request, responder, 'error')
         finally:
             self._open_requests -= 1
             if not self._open_requests:
                 self._idle.set()
-        if responder.missing_answer:
+        if responder.missing_answer == 'no_result':
+            _fail(request, responder, responder.missing_answer)
+        elif responder.missing_answer:
             _log_unanswered(request, responder, responder.missing_answer)
         if responder.result is None:
-            responder.abort()
             raise asyncio.CancelledError
         return responder.result
 
@@ -257,9 +268,7 @@
     ) -> None:
         body = await _read_body(request, self._get_body_limit())
         if body is None:
-            responder.refuse(
-                _TOO_LARGE, request.headers.get(_headers.REQUEST_ID, '')
-            )
+            responder.refuse(_TOO_LARGE, _get_id(request))
             return
         call = _decode_call(request, body, received_s)
         if self._refusing:
@@ -296,26 +305,47 @@
 
 
 def _log_unanswered(
-    request: web.BaseRequest,
-    responder: Responder,
-    reason: str,
-    error: Exception | None = None,
+    request: web.BaseRequest, responder: Responder, reason: str
 ) -> None:
     """Logs and counts a request that ends without a whole answer or a refusal.
 
     :param request: the request.
     :param responder: answers it.
     :param reason: reason from a small set.
-    :param error: the exception that ended it.
     """
     _UNANSWERED.labels(reason).inc()
     telemetry.log_event(
         'closed_unanswered',
-        request=request.headers.get(_headers.REQUEST_ID, ''),
+        request=_get_id(request),
+        reason=reason,
+        started=responder.has_started,
+    )
+
+
+def _fail(request: web.BaseRequest, responder: Responder, reason: str) -> None:
+    """Ends a request at which the code has failed, and logs why.
+
+    :param request: the request.
+    :param responder: answers it; the answer promises nothing, as the request may
+        have run.
+    :param reason: reason from a small set.
+    """
+    _UNANSWERED.labels(reason).inc()
+    telemetry.log_event(
+        'request_failed',
+        request=_get_id(request),
         reason=reason,
         started=responder.has_started,
-        error=repr(error) if error else '',
+        traceback=traceback.format_exc()[-_MAX_TRACEBACK:],
     )
+    if responder.has_started:
+        responder.abort()
+    elif responder.result is None:
+        responder.refuse(_BAD_GATEWAY, _get_id(request))
+
+
+def _get_id(request: web.BaseRequest) -> str:
+    return request.headers.get(_headers.REQUEST_ID, '')
 
 
 async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
