--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -236,3 +236,23 @@
         answer = await gateway.send()
         assert time.monotonic() - started_s < 1
     assert (answer[0], answer[2]) == (status, b'')
+
+
+async def test_request_is_open_until_its_answer_is_written():
+    """A stop ended the process while the last answer was being written."""
+    size = 8 << 20
+    body = 'x' * (size - 1)
+    worker = _support.ScriptedWorker([_support.make_reply(200, body)])
+    route = _support.make_route(_Kind.NON_IDEMPOTENT)
+    async with _support.open_gateway(route, worker) as gateway:
+        host, _, port = gateway.url.removeprefix('http://').partition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b'GET /r/x HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n')
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert b'200 OK' in head
+        await gateway.ingress.wait_idle(0.3)
+        assert gateway.ingress.open_requests == 1
+        await reader.readexactly(len(body))
+        await gateway.ingress.wait_idle(5)
+        assert not gateway.ingress.open_requests
+        writer.close()
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -128,6 +128,17 @@
             return False
         return True
 
+    async def write_rest(self) -> None:
+        """Writes what is left of the answer, so that a stop waits for it."""
+        if self.missing_answer:
+            return
+        self._response = self._result
+        try:
+            await self._result.prepare(self._request)
+            await self._result.write_eof()
+        except ConnectionError:
+            self._is_disconnected = True
+
     def abort(self) -> None:
         """Closes the connection, so that the answer does not look complete."""
         self._is_aborted = True
@@ -234,8 +245,31 @@
         responder = Responder(request, self._closing)
         self._open_requests += 1
         self._idle.clear()
+        try:
+            await self._answer_open(request, responder, received_s)
+        finally:
+            self._open_requests -= 1
+            if not self._open_requests:
+                self._idle.set()
+        return responder.result
+
+    async def _answer_open(
+        self,
+        request: web.BaseRequest,
+        responder: Responder,
+        received_s: float,
+    ) -> None:
+        """Serves a request, and writes its answer.
+
+        :param request: the request.
+        :param responder: answers it.
+        :param received_s: monotonic time at which it was received.
+        :raises asyncio.CancelledError: where its connection is closed without
+            an answer.
+        """
         try:
             await self._serve(request, responder, received_s)
+            await responder.write_rest()
         except asyncio.CancelledError:
             reason = _explain_cancellation(request)
             if reason != 'cancelled_wait':
@@ -248,17 +282,12 @@
                 _log_unanswered(request, responder, 'client_left')
                 raise
             _fail(request, responder, 'error')
-        finally:
-            self._open_requests -= 1
-            if not self._open_requests:
-                self._idle.set()
         if responder.missing_answer == 'no_result':
             _fail(request, responder, responder.missing_answer)
-        elif responder.missing_answer:
+        if responder.missing_answer:
             _log_unanswered(request, responder, responder.missing_answer)
         if responder.result is None:
             raise asyncio.CancelledError
-        return responder.result
 
     async def _serve(
         self,
