--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -1,6 +1,7 @@
 """Tests requests that end with neither a whole answer nor a refusal."""
 
 import asyncio
+import contextlib
 import time
 import types
 
@@ -238,6 +239,17 @@
     assert (answer[0], answer[2]) == (status, b'')
 
 
+@contextlib.asynccontextmanager
+async def open_connection(gateway):
+    """Opens a connection to a gateway."""
+    host, _, port = gateway.url.removeprefix('http://').partition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+
+
 async def test_request_is_open_until_its_answer_is_written():
     """A stop ended the process while the last answer was being written."""
     size = 8 << 20
@@ -245,14 +257,47 @@
     worker = _support.ScriptedWorker([_support.make_reply(200, body)])
     route = _support.make_route(_Kind.NON_IDEMPOTENT)
     async with _support.open_gateway(route, worker) as gateway:
-        host, _, port = gateway.url.removeprefix('http://').partition(':')
-        reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(b'GET /r/x HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n')
-        head = await reader.readuntil(b'\r\n\r\n')
-        assert b'200 OK' in head
-        await gateway.ingress.wait_idle(0.3)
-        assert gateway.ingress.open_requests == 1
-        await reader.readexactly(len(body))
-        await gateway.ingress.wait_idle(5)
+        async with open_connection(gateway) as (reader, writer):
+            writer.write(b'GET /r/x HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n')
+            head = await reader.readuntil(b'\r\n\r\n')
+            assert b'200 OK' in head
+            await gateway.ingress.wait_idle(0.3)
+            assert gateway.ingress.open_requests == 1
+            await reader.readexactly(len(body))
+            await gateway.ingress.wait_idle(5)
+            assert not gateway.ingress.open_requests
+
+
+async def wait_open(gateway):
+    """Waits until a gateway has read the head of a request."""
+    for _ in range(500):
+        if gateway.ingress.open_requests:
+            return
+        await asyncio.sleep(0.01)
+
+
+_POST = b'POST /r/x HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: q1\r\n'
+
+
+@pytest.mark.parametrize(
+    ('framing', 'body'),
+    [
+        (b'Content-Length: 5\r\n\r\n', b'hi'),
+        (b'Transfer-Encoding: chunked\r\n\r\n', b'2\r\nhi\r\nzz\r\n'),
+    ],
+    ids=['incomplete', 'damaged'],
+)
+async def test_request_without_its_whole_body_is_refused(framing, body):
+    """It stayed open without an answer, and a planned stop waited for it."""
+    route = _support.make_route(_Kind.NON_IDEMPOTENT)
+    async with _support.open_gateway(route) as gateway:
+        async with open_connection(gateway) as (reader, writer):
+            writer.write(_POST + b'Deadline-Ms: 300\r\n' + framing)
+            await wait_open(gateway)
+            writer.write(body)
+            async with asyncio.timeout(5):
+                head = await reader.readuntil(b'\r\n\r\n')
+        assert head.startswith(b'HTTP/1.1 408 ')
+        assert b'Request-Id: q1\r\n' in head
+        assert b'Connection: close\r\n' in head
         assert not gateway.ingress.open_requests
-        writer.close()
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -27,6 +27,7 @@
 #: Status of refusals with Retry-After; it promises that the request has not
 #: run.
 _SERVICE_UNAVAILABLE = 503
+_REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
 _BAD_GATEWAY = 502
 #: Longest text of a traceback in a log line; its end names the fault.
@@ -71,6 +72,10 @@
         """Response that the connection's task has to send."""
         return self._result
 
+    def close_after_answer(self) -> None:
+        """Closes the connection after the answer."""
+        self._closing = True
+
     def send_answer(self, answer: serving.Answer) -> None:
         """Sends a worker's whole answer.
 
@@ -295,11 +300,21 @@
         responder: Responder,
         received_s: float,
     ) -> None:
-        body = await _read_body(request, self._get_body_limit())
+        timeout_s = _decode_timeout(
+            request.headers.get(_headers.DEADLINE_MS, '')
+        )
+        try:
+            async with asyncio.timeout(timeout_s):
+                body = await _read_body(request, self._get_body_limit())
+        except TimeoutError:
+            telemetry.log_event('body_incomplete', request=_get_id(request))
+            responder.close_after_answer()
+            responder.refuse(_REQUEST_TIMEOUT, _get_id(request))
+            return
         if body is None:
             responder.refuse(_TOO_LARGE, _get_id(request))
             return
-        call = _decode_call(request, body, received_s)
+        call = _decode_call(request, body, received_s, timeout_s)
         if self._refusing:
             telemetry.log_event('request_refused_at_stop', request=call.id)
             responder.refuse(_SERVICE_UNAVAILABLE, call.id, _STOP_RETRY_AFTER_S)
@@ -389,7 +404,10 @@
 
 
 def _decode_call(
-    request: web.BaseRequest, body: bytes, received_s: float
+    request: web.BaseRequest,
+    body: bytes,
+    received_s: float,
+    timeout_s: float,
 ) -> serving.Call:
     headers = request.headers
     dropped = _headers.CONNECTION_HEADERS | _headers.SYSTEM_HEADERS
@@ -407,7 +425,7 @@
         ),
         body=body,
         received_s=received_s,
-        timeout_s=_decode_timeout(headers.get(_headers.DEADLINE_MS, '')),
+        timeout_s=timeout_s,
         prompt=_decode_prompt(headers),
         last_event=headers.get(_headers.LAST_EVENT, ''),
     )
