--- a/briarknot/gateway/_generation_attempts.py
+++ b/briarknot/gateway/_generation_attempts.py
@@ -80,6 +80,7 @@
     relay: _stream.Relay,
     opened: _attempts.Attempt,
 ) -> serving.Failed | None:
+    request.release_sends(context.budget)
     if exchange.answer.status != _OK:
         return await _forward_answer(request, exchange, relay)
     can_resume = (
@@ -120,20 +121,21 @@
 ) -> bool:
     """Returns whether another worker is expected to take a stream.
 
+    The retries that it takes are reserved, since the other streams of a silent
+    worker move at the same time.
+
     :param context: state of the process.
     :param request: the request.
     :param worker: its worker.
     """
     now = time.monotonic()
-    budget = context.budget
-    if budget.count_remaining(request.service.name, now) < _SENDS_OF_A_MOVE:
-        return False
     others = _prefill.list_unblocked(
         context, request, schema.serving.Stage.DECODE, [worker.id]
     )
-    return any(
-        not context.worker_records.get(one.id).is_blocked(now) for one in others
-    )
+    records = [context.worker_records.get(one.id) for one in others]
+    if all(one.is_blocked(now) for one in records):
+        return False
+    return request.try_reserve_sends(_SENDS_OF_A_MOVE, context.budget)
 
 
 async def _forward_answer(
--- a/briarknot/gateway/_requests.py
+++ b/briarknot/gateway/_requests.py
@@ -44,6 +44,7 @@
     :param may_have_run: whether one of them may have run it.
     :param counted_sends: times that it was sent to workers, as the retry
         budget counts them.
+    :param reserved_sends: retries that were acquired for its next sends.
     :param has_prefill: whether a worker has prefilled its prompt.
     :param is_admitted: whether it may be prefilled although all workers that can
         run it have limits.
@@ -60,6 +61,7 @@
     attempts: int = 0
     may_have_run: bool = False
     counted_sends: int = 0
+    reserved_sends: int = 0
     has_prefill: bool = False
     is_admitted: bool = False
     keys: tuple[str, ...] = ()
@@ -73,13 +75,41 @@
         :returns: whether the request may be sent.
         """
         is_first = not self.counted_sends
-        if not is_first and not budget.try_acquire(
+        if not is_first and self.reserved_sends:
+            self.reserved_sends -= 1
+        elif not is_first and not budget.try_acquire(
             self.service.name, time.monotonic()
         ):
             return False
         self.counted_sends += 1
         return True
 
+    def try_reserve_sends(
+        self, count: int, budget: serving.RetryBudget
+    ) -> bool:
+        """Acquires retries for sends that follow, all or none.
+
+        :param count: number of sends.
+        :param budget: retries that this process may send.
+        :returns: whether they were acquired.
+        """
+        now = time.monotonic()
+        if budget.count_remaining(self.service.name, now) < count:
+            return False
+        for _ in range(count):
+            budget.try_acquire(self.service.name, now)
+        self.reserved_sends += count
+        return True
+
+    def release_sends(self, budget: serving.RetryBudget) -> None:
+        """Refunds retries that were acquired and not used.
+
+        :param budget: retries that this process may send.
+        """
+        while self.reserved_sends:
+            self.reserved_sends -= 1
+            budget.refund(self.service.name)
+
     def refund_send(self, budget: serving.RetryBudget) -> None:
         """Reverts the count of a send, and refunds its retry.
 
@@ -197,6 +227,8 @@
         except Exception:
             request.log_end('internal_error')
             raise
+        finally:
+            request.release_sends(context.budget)
 
 
 async def _wait_for_fleet(
--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -301,3 +301,31 @@
         assert b'Request-Id: q1\r\n' in head
         assert b'Connection: close\r\n' in head
         assert not gateway.ingress.open_requests
+
+
+async def test_streams_of_a_silent_worker_do_not_use_each_others_retries(
+    recorder,
+):
+    """All of them were given up, and the budget allowed none to be resumed."""
+    begun = _support.make_stream('x', end=False)
+    rest = _support.make_stream('y', start=2)
+    paused = _support.Reply(
+        begun.text, later=(rest.text.partition('\r\n\r\n')[2],), pause_s=1.8
+    )
+    late = attrs.evolve(_support.HANDLE, delay_s=0.5)
+    handles = [_support.HANDLE, _support.HANDLE, late, late]
+    workers = generation.make_workers(handles, [paused, paused], [rest, rest])
+    route = generation.make_stream_route(max_silence_s=3.0)
+    async with _support.open_gateway(route, *workers) as gateway:
+        _support.get_worker_record(gateway.context, workers[2]).in_flight = 9
+        gateway.context.budget.set_limits(0, 3, 10)
+        sent = []
+        for number in range(2):
+            headers = {**_PROMPT, 'Request-Id': f'q{number}'}
+            sent.append(asyncio.ensure_future(gateway.send(headers=headers)))
+            await workers[1].wait_requests(number + 1)
+        answers = await asyncio.gather(*sent)
+    for status, _, body in answers:
+        assert (status, generation.read_data(body)) == (200, ['x', 'y'])
+    assert len(workers[2].requests) == 1
+    assert not recorder.lines
