--- a/briarknot/gateway/_requests.py
+++ b/briarknot/gateway/_requests.py
@@ -218,7 +218,7 @@
             ):
                 await HANDLERS.get(request.route.kind)(context, request)
         except TimeoutError:
-            _answer_timeout(request)
+            _answer_timeout(context, request)
         except asyncio.CancelledError:
             task = asyncio.current_task()
             has_left = task is None or task.cancelling()
@@ -248,14 +248,25 @@
         )
 
 
-def _answer_timeout(request: Request) -> None:
+def _answer_timeout(context: _context.Context, request: Request) -> None:
+    call = request.call
+    # A newer manifest may have another time limit by now.
+    newest = context.fleet.find_route(call.host, call.path)
+    limits = {
+        'client_limit_s': call.timeout_s,
+        'route_limit_s': request.route.timeout_s,
+        'newest_limit_s': newest.timeout_s if newest else 0,
+        'stopping': context.stop.is_begun,
+    }
     if request.responder.has_started:
         request.responder.abort()
-        request.log_end('endpoint_timeout', status=0)
+        request.log_end('endpoint_timeout', status=0, **limits)
     elif request.may_have_run:
-        request.refuse(GATEWAY_TIMEOUT, 'endpoint_timeout')
+        request.refuse(GATEWAY_TIMEOUT, 'endpoint_timeout', **limits)
     else:
-        request.refuse(UNAVAILABLE, 'queue_timeout', DEFAULT_RETRY_AFTER_S)
+        request.refuse(
+            UNAVAILABLE, 'queue_timeout', DEFAULT_RETRY_AFTER_S, **limits
+        )
 
 
 def _open_request(
--- a/briarknot/gateway/_stopping.py
+++ b/briarknot/gateway/_stopping.py
@@ -44,6 +44,11 @@
     _end_s: float = math.inf
     _limits: set[asyncio.Timeout] = attrs.field(factory=set)
 
+    @property
+    def is_begun(self) -> bool:
+        """Whether the process stops."""
+        return math.isfinite(self._end_s)
+
     def begin(self, end_s: float) -> None:
         """Shortens the time limits of all open and later requests.
 
--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -329,3 +329,25 @@
         assert (status, generation.read_data(body)) == (200, ['x', 'y'])
     assert len(workers[2].requests) == 1
     assert not recorder.lines
+
+
+async def test_log_names_the_time_limits_of_a_stream_that_is_cut(monkeypatch):
+    """It was unknown which limit had ended a stream beside a new manifest."""
+    ended = []
+
+    def record(event, **fields):
+        if event == 'request_ended':
+            ended.append(fields)
+
+    monkeypatch.setattr(telemetry, 'log_event', record)
+    begun = _support.make_stream('x', end=False)
+    silent = _support.Reply(begun.text, _support.SILENT)
+    workers = generation.make_workers([_support.HANDLE], [silent])
+    route = generation.make_stream_route(resumable=False, timeout_s=0.5)
+    async with _support.open_gateway(route, *workers) as gateway:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await gateway.send(headers=_PROMPT)
+    fields = ended[0]
+    assert fields['outcome'] == 'endpoint_timeout'
+    names = ('client_limit_s', 'route_limit_s', 'newest_limit_s', 'stopping')
+    assert [fields[name] for name in names] == [4, 0.5, 0.5, False]
