--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -196,11 +196,7 @@
 
 
 def _can_retry(request: _requests.Request, last: serving.Failed) -> bool:
-    if last.not_run:
-        return True
-    if not request.route.resumable:
-        return False
-    return request.attempts < request.route.max_attempts
+    return request.has_time() and (last.not_run or request.can_resume())
 
 
 def _choose_decode(
--- a/briarknot/gateway/_generation_attempts.py
+++ b/briarknot/gateway/_generation_attempts.py
@@ -83,18 +83,17 @@
     request.release_sends(context.budget)
     if exchange.answer.status != _OK:
         return await _forward_answer(request, exchange, relay)
-    can_resume = (
-        request.route.resumable
-        and request.attempts < request.route.max_attempts
-    )
+    request.extend_limit(context.stop)
     queued_s = context.prompt_load.get_queued_s(opened.worker, time.monotonic())
     watch = _stream.Watch(
         opened.record,
         functools.partial(_can_move, context, request, opened.worker),
     )
-    failure = await relay.run(exchange, watch if can_resume else None)
+    failure = await relay.run(exchange, watch if request.can_resume() else None)
     if isinstance(failure, serving.Failed):
-        opened.record.record_failure(failure.kind, time.monotonic())
+        if request.has_time():
+            # A worker ends a run whose time is over.
+            opened.record.record_failure(failure.kind, time.monotonic())
         telemetry.log_event(
             'stream_broken',
             request=request.call.id,
--- a/briarknot/gateway/_requests.py
+++ b/briarknot/gateway/_requests.py
@@ -7,7 +7,7 @@
 import attrs
 
 from briarknot import platform, registry, schema, serving, telemetry
-from briarknot.gateway import _context
+from briarknot.gateway import _context, _stopping
 
 NOT_FOUND = 404
 BAD_GATEWAY = 502
@@ -24,6 +24,9 @@
 #: Time before its deadline at which a request is answered, in seconds, so that
 #: the answer reaches the client in time.
 _ANSWER_MARGIN_S = 0.02
+#: Time after its deadline at which a stream that has begun is ended, in seconds.
+#: The platform prices requests that are held 0.25 s longer than their route's time.
+_STREAM_END_S = 0.1
 
 #: Length of prompts that come before others at prefill workers with a limit, and
 #: ranks by which shorter ones come later.
@@ -51,6 +54,7 @@
     :param keys: what the quarantine knows it by; empty before the first check.
     :param trial_keys: suspected keys that it tries for other requests too.
     :param trial_s: monotonic time at which it began to.
+    :param limit: its time limit while it is served.
     """
 
     call: serving.Call
@@ -67,6 +71,7 @@
     keys: tuple[str, ...] = ()
     trial_keys: tuple[str, ...] = ()
     trial_s: float = 0
+    limit: asyncio.Timeout | None = None
 
     def try_acquire_send(self, budget: serving.RetryBudget) -> bool:
         """Counts a send, and acquires a retry for each one after the first.
@@ -136,6 +141,30 @@
         """Returns the time until it must be answered."""
         return self.deadline_s - now
 
+    def can_resume(self) -> bool:
+        """Returns whether its stream may be resumed at another worker."""
+        return self.route.resumable and self.attempts < self.route.max_attempts
+
+    def has_time(self) -> bool:
+        """Returns whether its deadline is ahead.
+
+        A stream that has begun may break off after it.
+        """
+        return self.remaining_s(time.monotonic()) > 0
+
+    def extend_limit(self, stop: _stopping.Stop) -> None:
+        """Extends its time limit past its deadline, as its answer has begun.
+
+        A stream can't get another answer in time any more. Its client leaves at
+        the deadline, or its worker ends it.
+
+        :param stop: time limits of the open requests.
+        """
+        if self.limit is not None:
+            remaining_s = self.remaining_s(time.monotonic()) + _ANSWER_MARGIN_S
+            now = asyncio.get_running_loop().time()
+            stop.extend(self.limit, now + remaining_s + _STREAM_END_S)
+
     def refuse(
         self,
         status: int,
@@ -215,7 +244,8 @@
             async with context.stop.limit(
                 asyncio.get_running_loop().time()
                 + request.remaining_s(time.monotonic())
-            ):
+            ) as limit:
+                request.limit = limit
                 await HANDLERS.get(request.route.kind)(context, request)
         except TimeoutError:
             _answer_timeout(context, request)
--- a/briarknot/gateway/_stopping.py
+++ b/briarknot/gateway/_stopping.py
@@ -64,19 +64,32 @@
                 limit.reschedule(end_s)
 
     @contextlib.asynccontextmanager
-    async def limit(self, end_s: float) -> typing.AsyncIterator[None]:
+    async def limit(
+        self, end_s: float
+    ) -> typing.AsyncIterator[asyncio.Timeout]:
         """Limits the time of a request.
 
         :param end_s: time of the event loop at which it ends.
+        :returns: its time limit.
         :raises TimeoutError: when it has not ended by then.
         """
         async with asyncio.timeout_at(min(end_s, self._end_s)) as limit:
             self._limits.add(limit)
             try:
-                yield
+                yield limit
             finally:
                 self._limits.discard(limit)
 
+    def extend(self, limit: asyncio.Timeout, end_s: float) -> None:
+        """Extends the time limit of a request, at most to the end of a stop.
+
+        :param limit: the limit.
+        :param end_s: time of the event loop at which it ends.
+        """
+        when = limit.when()
+        if when is not None and not limit.expired():
+            limit.reschedule(max(when, min(end_s, self._end_s)))
+
     def shorten(self, remaining_s: float) -> float:
         """Returns the time that a request has, in seconds.
 
--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -351,3 +351,43 @@
     assert fields['outcome'] == 'endpoint_timeout'
     names = ('client_limit_s', 'route_limit_s', 'newest_limit_s', 'stopping')
     assert [fields[name] for name in names] == [4, 0.5, 0.5, False]
+
+
+_LIMIT_S = 1.0
+
+
+@pytest.mark.parametrize('resumable', [False, True])
+async def test_stream_is_not_cut_before_its_time_limit(resumable):
+    """Its client saw a lost request where it was about to leave itself."""
+    begun = _support.make_stream('x', end=False)
+    silent = _support.Reply(begun.text, _support.SILENT)
+    workers = generation.make_workers([_support.HANDLE], [silent])
+    route = generation.make_stream_route(
+        resumable=resumable, timeout_s=_LIMIT_S
+    )
+    async with _support.open_gateway(route, *workers) as gateway:
+        started_s = time.monotonic()
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await gateway.send(headers=_PROMPT)
+        seconds = time.monotonic() - started_s
+    assert seconds >= _LIMIT_S
+
+
+async def test_stream_that_ends_after_its_time_limit_is_not_resumed():
+    """A worker got a request whose time was over."""
+    begun = _support.make_stream('x', end=False)
+    late = _support.Reply(
+        begun.text, _support.CLOSE, later=(':\n',), pause_s=_LIMIT_S + 0.05
+    )
+    handles = [_support.HANDLE, _support.HANDLE]
+    workers = generation.make_workers(handles, [late], [])
+    route = generation.make_stream_route(timeout_s=_LIMIT_S)
+    async with _support.open_gateway(route, *workers) as gateway:
+        _support.get_worker_record(gateway.context, workers[2]).in_flight = 9
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await gateway.send(headers=_PROMPT)
+        record = _support.get_worker_record(gateway.context, workers[1])
+    assert not record.failure_rate
+    methods = [one['first'].split()[0] for one in workers[0].requests]
+    assert methods.count('POST') == 1
+    assert not workers[2].requests
