--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -391,3 +391,22 @@
     methods = [one['first'].split()[0] for one in workers[0].requests]
     assert methods.count('POST') == 1
     assert not workers[2].requests
+
+
+async def test_client_that_waits_to_send_its_body_is_asked_for_it():
+    """It waited for an interim answer that the gateway never sent."""
+    worker = _support.ScriptedWorker([_support.make_reply(200, 'x')])
+    route = _support.make_route(_Kind.NON_IDEMPOTENT)
+    async with _support.open_gateway(route, worker) as gateway:
+        async with open_connection(gateway) as (reader, writer):
+            writer.write(
+                _POST + b'Expect: 100-continue\r\nContent-Length: 2\r\n\r\n'
+            )
+            async with asyncio.timeout(5):
+                interim = await reader.readuntil(b'\r\n\r\n')
+                writer.write(b'hi')
+                head = await reader.readuntil(b'\r\n\r\n')
+    assert interim == b'HTTP/1.1 100 Continue\r\n\r\n'
+    assert head.startswith(b'HTTP/1.1 200 OK\r\n')
+    assert worker.requests[0]['body'] == b'hi'
+    assert 'expect' not in worker.requests[0]
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -8,7 +8,7 @@
 
 import attrs
 import prometheus_client
-from aiohttp import web
+from aiohttp import http, web
 
 from briarknot import schema, serving, telemetry
 from briarknot.platform import _headers
@@ -305,6 +305,7 @@
         )
         try:
             async with asyncio.timeout(timeout_s):
+                await _send_continue(request)
                 body = await _read_body(request, self._get_body_limit())
         except TimeoutError:
             telemetry.log_event('body_incomplete', request=_get_id(request))
@@ -392,6 +393,15 @@
     return request.headers.get(_headers.REQUEST_ID, '')
 
 
+async def _send_continue(request: web.BaseRequest) -> None:
+    """Asks for the body where the client waits before it sends it."""
+    expected = request.headers.get('Expect', '').lower()
+    if expected == '100-continue' and request.version == http.HttpVersion11:
+        await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        # The interim answer is no part of the answer.
+        request.writer.output_size = 0
+
+
 async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
     parts = []
     size = 0
