--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -410,3 +410,15 @@
     assert head.startswith(b'HTTP/1.1 200 OK\r\n')
     assert worker.requests[0]['body'] == b'hi'
     assert 'expect' not in worker.requests[0]
+
+
+async def test_interim_status_is_no_final_answer():
+    """Its client went on waiting for the answer after a 101."""
+    reply = _support.Reply(
+        'HTTP/1.1 101 Switching Protocols\r\nRequest-Id: {id}\r\n\r\n'
+    )
+    worker = _support.ScriptedWorker([reply])
+    route = _support.make_route(_Kind.NON_IDEMPOTENT)
+    async with _support.open_gateway(route, worker) as gateway:
+        status, _, _ = await gateway.send()
+    assert status == 502
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -284,7 +284,8 @@
             load=load,
             backpressure=backpressure,
         )
-    if status in _NOT_RUN_STATUSES:
+    # A status below 200 is not final; its client would wait for the answer.
+    if status < _OK or status in _NOT_RUN_STATUSES:
         return serving.Failed(
             kind=serving.FailureKind.BROKEN,
             reason=f'status {status} without a statement that it did not run',
