--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -422,3 +422,15 @@
     async with _support.open_gateway(route, worker) as gateway:
         status, _, _ = await gateway.send()
     assert status == 502
+
+
+async def test_client_that_closes_its_side_counts_as_left(recorder):
+    """Clients leave by closing; one that only ends sending looks the same."""
+    worker = _support.ScriptedWorker([_HANGING])
+    route = _support.make_route(_Kind.NON_IDEMPOTENT)
+    async with _support.open_gateway(route, worker) as gateway:
+        async with open_connection(gateway) as (_, writer):
+            writer.write(_POST + b'Content-Length: 2\r\n\r\nhi')
+            await worker.wait_requests(1)
+            writer.write_eof()
+            assert await recorder.wait() == [('q1', 'client_left', False)]
