--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -434,3 +434,32 @@
             await worker.wait_requests(1)
             writer.write_eof()
             assert await recorder.wait() == [('q1', 'client_left', False)]
+
+
+@pytest.mark.parametrize('kind', _Kind)
+async def test_request_outlives_its_route_service_and_worker(recorder, kind):
+    """A newer manifest, or list of workers, ended what was being answered."""
+    is_stream = kind == _Kind.GENERATION
+    stage, whole, end = 'none', _support.make_reply(200, 'x'), b'x'
+    if is_stream:
+        stage, whole, end = 'decode', _support.make_stream('x', 'y'), b'y\n\n'
+    reply = attrs.evolve(whole, delay_s=0.3)
+    worker = _support.ScriptedWorker([reply], stage)
+    route = _support.make_route(kind, max_attempts=1)
+    async with _support.open_gateway(route, worker) as gateway:
+        sent = asyncio.ensure_future(
+            gateway.send(headers=_PROMPT if is_stream else {})
+        )
+        await worker.wait_requests(1)
+        fleet = gateway.context.fleet
+        fleet.apply_manifest(
+            attrs.evolve(fleet.manifest, version=2, routes=(), services=())
+        )
+        fleet.apply_workers((), time.monotonic(), after_outage=False)
+        gateway.context.worker_records.remove(worker.entry.id)
+        gateway.context.prompt_load.remove_worker(worker.entry.id)
+        status, _, body = await sent
+        assert (await gateway.send())[0] == 404
+    assert status == 200
+    assert body.endswith(end)
+    assert not recorder.lines
