--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -231,10 +231,7 @@
 ) -> bool:
     if _stream_versions.has_none_left(context, request):
         return False
-    if last.not_run:
-        return True
-    has_attempts = request.attempts < request.route.max_attempts
-    return request.route.resumable and has_attempts
+    return request.has_time() and (last.not_run or request.can_resume())
 
 
 def _choose_decode(
--- a/briarknot/gateway/_generation_attempts.py
+++ b/briarknot/gateway/_generation_attempts.py
@@ -15,6 +15,9 @@
 )
 
 _OK = 200
+#: Sends that moving a stream takes: its prompt is prefilled again, and its rest
+#: is generated at another worker.
+_SENDS_OF_A_MOVE = 2
 
 
 async def attempt(
@@ -78,19 +81,23 @@
     relay: _stream.Relay,
     opened: _attempts.Attempt,
 ) -> serving.Failed | None:
+    request.release_sends(context.budget)
     if exchange.answer.status != _OK:
         return await _forward_answer(request, exchange, relay)
-    can_resume = (
-        request.route.resumable
-        and request.attempts < request.route.max_attempts
-    )
+    request.extend_limit(context.stop)
     queued_s = context.prompt_load.get_queued_s(opened.worker, time.monotonic())
     relay.on_begin = functools.partial(
         _stream_versions.record_begin, context, request, opened.worker
     )
-    failure = await relay.run(exchange, opened.record if can_resume else None)
+    watch = _stream.Watch(
+        opened.record,
+        functools.partial(_can_move, context, request, opened.worker),
+    )
+    failure = await relay.run(exchange, watch if request.can_resume() else None)
     if isinstance(failure, serving.Failed):
-        opened.record.record_failure(failure.kind, time.monotonic())
+        if request.has_time():
+            # A worker ends a run whose time is over.
+            opened.record.record_failure(failure.kind, time.monotonic())
         telemetry.log_event(
             'stream_broken',
             request=request.call.id,
@@ -111,6 +118,30 @@
     return None
 
 
+def _can_move(
+    context: _context.Context,
+    request: _requests.Request,
+    worker: schema.serving.Worker,
+) -> bool:
+    """Returns whether another worker is expected to take a stream.
+
+    The retries that it takes are reserved, since the other streams of a silent
+    worker move at the same time.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param worker: its worker.
+    """
+    now = time.monotonic()
+    others = _prefill.list_unblocked(
+        context, request, schema.serving.Stage.DECODE, [worker.id]
+    )
+    records = [context.worker_records.get(one.id) for one in others]
+    if all(one.is_blocked(now) for one in records):
+        return False
+    return request.try_reserve_sends(_SENDS_OF_A_MOVE, context.budget)
+
+
 async def _forward_answer(
     request: _requests.Request,
     exchange: platform.Exchange,
--- a/briarknot/gateway/_requests.py
+++ b/briarknot/gateway/_requests.py
@@ -7,7 +7,7 @@
 import attrs
 
 from briarknot import platform, registry, schema, serving, telemetry
-from briarknot.gateway import _context
+from briarknot.gateway import _context, _stopping
 
 NOT_FOUND = 404
 BAD_GATEWAY = 502
@@ -24,6 +24,9 @@
 #: Time before its deadline at which a request is answered, in seconds, so that
 #: the answer reaches the client in time.
 _ANSWER_MARGIN_S = 0.02
+#: Time after its deadline at which a stream that has begun is ended, in seconds.
+#: The platform prices requests that are held 0.25 s longer than their route's time.
+_STREAM_END_S = 0.1
 
 #: Length of prompts that come before others at prefill workers with a limit, and
 #: ranks by which shorter ones come later.
@@ -44,6 +47,7 @@
     :param may_have_run: whether one of them may have run it.
     :param counted_sends: times that it was sent to workers, as the retry
         budget counts them.
+    :param reserved_sends: retries that were acquired for its next sends.
     :param has_prefill: whether a worker has prefilled its prompt.
     :param is_admitted: whether it may be prefilled although all workers that can
         run it have limits.
@@ -52,6 +56,7 @@
     :param keys: what the quarantine knows it by; empty before the first check.
     :param trial_keys: suspected keys that it tries for other requests too.
     :param trial_s: monotonic time at which it began to.
+    :param limit: its time limit while it is served.
     """
 
     call: serving.Call
@@ -62,12 +67,14 @@
     attempts: int = 0
     may_have_run: bool = False
     counted_sends: int = 0
+    reserved_sends: int = 0
     has_prefill: bool = False
     is_admitted: bool = False
     version: str | None = None
     keys: tuple[str, ...] = ()
     trial_keys: tuple[str, ...] = ()
     trial_s: float = 0
+    limit: asyncio.Timeout | None = None
 
     def try_acquire_send(self, budget: serving.RetryBudget) -> bool:
         """Counts a send, and acquires a retry for each one after the first.
@@ -76,13 +83,41 @@
         :returns: whether the request may be sent.
         """
         is_first = not self.counted_sends
-        if not is_first and not budget.try_acquire(
+        if not is_first and self.reserved_sends:
+            self.reserved_sends -= 1
+        elif not is_first and not budget.try_acquire(
             self.service.name, time.monotonic()
         ):
             return False
         self.counted_sends += 1
         return True
 
+    def try_reserve_sends(
+        self, count: int, budget: serving.RetryBudget
+    ) -> bool:
+        """Acquires retries for sends that follow, all or none.
+
+        :param count: number of sends.
+        :param budget: retries that this process may send.
+        :returns: whether they were acquired.
+        """
+        now = time.monotonic()
+        if budget.count_remaining(self.service.name, now) < count:
+            return False
+        for _ in range(count):
+            budget.try_acquire(self.service.name, now)
+        self.reserved_sends += count
+        return True
+
+    def release_sends(self, budget: serving.RetryBudget) -> None:
+        """Refunds retries that were acquired and not used.
+
+        :param budget: retries that this process may send.
+        """
+        while self.reserved_sends:
+            self.reserved_sends -= 1
+            budget.refund(self.service.name)
+
     def refund_send(self, budget: serving.RetryBudget) -> None:
         """Reverts the count of a send, and refunds its retry.
 
@@ -109,6 +144,30 @@
         """Returns the time until it must be answered."""
         return self.deadline_s - now
 
+    def can_resume(self) -> bool:
+        """Returns whether its stream may be resumed at another worker."""
+        return self.route.resumable and self.attempts < self.route.max_attempts
+
+    def has_time(self) -> bool:
+        """Returns whether its deadline is ahead.
+
+        A stream that has begun may break off after it.
+        """
+        return self.remaining_s(time.monotonic()) > 0
+
+    def extend_limit(self, stop: _stopping.Stop) -> None:
+        """Extends its time limit past its deadline, as its answer has begun.
+
+        A stream can't get another answer in time any more. Its client leaves at
+        the deadline, or its worker ends it.
+
+        :param stop: time limits of the open requests.
+        """
+        if self.limit is not None:
+            remaining_s = self.remaining_s(time.monotonic()) + _ANSWER_MARGIN_S
+            now = asyncio.get_running_loop().time()
+            stop.extend(self.limit, now + remaining_s + _STREAM_END_S)
+
     def refuse(
         self,
         status: int,
@@ -188,13 +247,21 @@
             async with context.stop.limit(
                 asyncio.get_running_loop().time()
                 + request.remaining_s(time.monotonic())
-            ):
+            ) as limit:
+                request.limit = limit
                 await HANDLERS.get(request.route.kind)(context, request)
         except TimeoutError:
-            _answer_timeout(request)
+            _answer_timeout(context, request)
         except asyncio.CancelledError:
-            request.log_end('caller_left')
+            task = asyncio.current_task()
+            has_left = task is None or task.cancelling()
+            request.log_end('caller_left' if has_left else 'internal_error')
             raise
+        except Exception:
+            request.log_end('internal_error')
+            raise
+        finally:
+            request.release_sends(context.budget)
 
 
 async def _wait_for_fleet(
@@ -214,14 +281,25 @@
         )
 
 
-def _answer_timeout(request: Request) -> None:
+def _answer_timeout(context: _context.Context, request: Request) -> None:
+    call = request.call
+    # A newer manifest may have another time limit by now.
+    newest = context.fleet.find_route(call.host, call.path)
+    limits = {
+        'client_limit_s': call.timeout_s,
+        'route_limit_s': request.route.timeout_s,
+        'newest_limit_s': newest.timeout_s if newest else 0,
+        'stopping': context.stop.is_begun,
+    }
     if request.responder.has_started:
         request.responder.abort()
-        request.log_end('endpoint_timeout', status=0)
+        request.log_end('endpoint_timeout', status=0, **limits)
     elif request.may_have_run:
-        request.refuse(GATEWAY_TIMEOUT, 'endpoint_timeout')
+        request.refuse(GATEWAY_TIMEOUT, 'endpoint_timeout', **limits)
     else:
-        request.refuse(UNAVAILABLE, 'queue_timeout', DEFAULT_RETRY_AFTER_S)
+        request.refuse(
+            UNAVAILABLE, 'queue_timeout', DEFAULT_RETRY_AFTER_S, **limits
+        )
 
 
 def _open_request(
--- a/briarknot/gateway/_stream.py
+++ b/briarknot/gateway/_stream.py
@@ -16,6 +16,10 @@
 #: Time from the first event of a run until it no longer counts as starting.
 #: Its worker may send an event and end; the connection breaks soon after.
 _START_S = 0.25
+#: Time for which a silent stream is kept after its client should have left. A
+#: client waits from when an event has reached it, which takes the way to another
+#: region, and longer where a packet is lost.
+_CLIENT_LEAVES_S = 0.5
 #: Longest event; an event holds a few tokens.
 _MAX_EVENT_BYTES = 1 << 20
 
@@ -24,6 +28,23 @@
     """Does nothing, where nobody follows the events of a run."""
 
 
+@attrs.frozen
+class Watch:
+    """How a silent worker is detected.
+
+    :param record: record of the worker.
+    :param can_move: whether another worker is expected to take the stream. A
+        worker may go on after a pause, so that its run is not given up before.
+    """
+
+    record: serving.WorkerRecord
+    can_move: typing.Callable[[], bool]
+
+    def is_lost(self) -> bool:
+        """Returns whether the stream is given up at this worker."""
+        return self.record.is_silent(time.monotonic()) and self.can_move()
+
+
 @attrs.define(eq=False)
 class Relay:
     """Forwards whole events, so that another run can resume after them.
@@ -68,13 +89,13 @@
     async def run(
         self,
         exchange: platform.Exchange,
-        record: serving.WorkerRecord | None = None,
+        watch: Watch | None = None,
     ) -> serving.Failed | None:
         """Forwards the events of a run.
 
         :param exchange: answer of the run.
-        :param record: record of its worker, by which a silent worker is
-            detected; None where the stream can't be resumed.
+        :param watch: detects a silent worker; None where the stream can't be
+            resumed.
         :returns: why the stream is incomplete; None where it is complete, or
             where the client disconnected.
         """
@@ -85,7 +106,7 @@
         self._is_sound = False
         is_end = False
         while not is_end:
-            chunk = await self._read(exchange, record)
+            chunk = await self._read(exchange, watch)
             if isinstance(chunk, serving.Failed):
                 failure = chunk
                 break
@@ -112,21 +133,21 @@
     async def _read(
         self,
         exchange: platform.Exchange,
-        record: serving.WorkerRecord | None,
+        watch: Watch | None,
     ) -> bytes | serving.Failed:
         while not self._is_stalled(time.monotonic()):
             try:
                 async with asyncio.timeout(_SILENCE_CHECK_S):
                     chunk = await exchange.read_some()
             except TimeoutError:
-                if record and record.is_silent(time.monotonic()):
+                if watch and watch.is_lost():
                     return serving.Failed(
                         kind=serving.FailureKind.UNREACHABLE,
                         reason='the worker sends nothing on any stream',
                     )
                 continue
-            if record:
-                record.record_bytes(time.monotonic())
+            if watch:
+                watch.record.record_bytes(time.monotonic())
             return chunk
         return serving.Failed(
             kind=serving.FailureKind.TIMED_OUT,
@@ -136,13 +157,15 @@
     def _is_stalled(self, now: float) -> bool:
         """Returns whether clients have abandoned the stream by now.
 
-        Bytes that complete no event don't count.
+        Bytes that complete no event don't count. A stream that ended before
+        its client left would be a loss that the client did not choose.
 
         :param now: monotonic time in seconds.
         """
         if not self._max_silence_s:
             return False
-        return now - self._progress_s > self._max_silence_s
+        end_s = self._progress_s + self._max_silence_s + _CLIENT_LEAVES_S
+        return now > end_s
 
     async def _forward(
         self, exchange: platform.Exchange, events: bytes, *, is_end: bool
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -3,10 +3,12 @@
 import asyncio
 import socket
 import time
+import traceback
 import typing
 
 import attrs
-from aiohttp import web
+import prometheus_client
+from aiohttp import http, web
 
 from briarknot import schema, serving, telemetry
 from briarknot.platform import _headers
@@ -25,9 +27,19 @@
 #: Status of refusals with Retry-After; it promises that the request has not
 #: run.
 _SERVICE_UNAVAILABLE = 503
+_REQUEST_TIMEOUT = 408
+_TOO_LARGE = 413
+_BAD_GATEWAY = 502
+#: Longest text of a traceback in a log line; its end names the fault.
+_MAX_TRACEBACK = 2000
 #: Retry-After, in seconds, of a request that arrives while the process stops;
 #: a new connection reaches another host.
 _STOP_RETRY_AFTER_S = 0.1
+_UNANSWERED = prometheus_client.Counter(
+    'briarknot_platform_unanswered',
+    'Requests that ended without a whole answer, or failed, by reason.',
+    ('reason',),
+)
 
 
 @attrs.define(eq=False)
@@ -38,6 +50,17 @@
     _closing: bool
     _response: web.StreamResponse | None = None
     _result: web.StreamResponse | None = None
+    _is_aborted: bool = False
+    _is_disconnected: bool = False
+
+    @property
+    def missing_answer(self) -> str:
+        """Why the client gets no whole answer; empty where it gets one."""
+        if self._is_disconnected:
+            return 'client_left'
+        if self._is_aborted:
+            return 'cut_off'
+        return '' if self._result is not None else 'no_result'
 
     @property
     def has_started(self) -> bool:
@@ -49,6 +72,10 @@
         """Response that the connection's task has to send."""
         return self._result
 
+    def close_after_answer(self) -> None:
+        """Closes the connection after the answer."""
+        self._closing = True
+
     def send_answer(self, answer: serving.Answer) -> None:
         """Sends a worker's whole answer.
 
@@ -88,6 +115,7 @@
         try:
             await response.prepare(self._request)
         except ConnectionError:
+            self._is_disconnected = True
             return False
         self._result = response
         return True
@@ -101,11 +129,24 @@
         try:
             await self._response.write(data)
         except ConnectionError:
+            self._is_disconnected = True
             return False
         return True
 
+    async def write_rest(self) -> None:
+        """Writes what is left of the answer, so that a stop waits for it."""
+        if self.missing_answer:
+            return
+        self._response = self._result
+        try:
+            await self._result.prepare(self._request)
+            await self._result.write_eof()
+        except ConnectionError:
+            self._is_disconnected = True
+
     def abort(self) -> None:
         """Closes the connection, so that the answer does not look complete."""
+        self._is_aborted = True
         if self._request.transport is not None:
             self._request.transport.close()
 
@@ -210,25 +251,76 @@
         self._open_requests += 1
         self._idle.clear()
         try:
-            body = await _read_body(request, self._get_body_limit())
-            if body is None:
-                return web.Response(status=413)
-            call = _decode_call(request, body, received_s)
-            if self._refusing:
-                telemetry.log_event('request_refused_at_stop', request=call.id)
-                responder.refuse(
-                    _SERVICE_UNAVAILABLE, call.id, _STOP_RETRY_AFTER_S
-                )
-            else:
-                await self._handler(call, responder)
+            await self._answer_open(request, responder, received_s)
         finally:
             self._open_requests -= 1
             if not self._open_requests:
                 self._idle.set()
+        return responder.result
+
+    async def _answer_open(
+        self,
+        request: web.BaseRequest,
+        responder: Responder,
+        received_s: float,
+    ) -> None:
+        """Serves a request, and writes its answer.
+
+        :param request: the request.
+        :param responder: answers it.
+        :param received_s: monotonic time at which it was received.
+        :raises asyncio.CancelledError: where its connection is closed without
+            an answer.
+        """
+        try:
+            await self._serve(request, responder, received_s)
+            await responder.write_rest()
+        except asyncio.CancelledError:
+            reason = _explain_cancellation(request)
+            if reason != 'cancelled_wait':
+                _log_unanswered(request, responder, reason)
+                raise
+            _fail(request, responder, reason)
+        except Exception:
+            if request.transport is None:
+                # The body of a request whose client has left can't be read.
+                _log_unanswered(request, responder, 'client_left')
+                raise
+            _fail(request, responder, 'error')
+        if responder.missing_answer == 'no_result':
+            _fail(request, responder, responder.missing_answer)
+        if responder.missing_answer:
+            _log_unanswered(request, responder, responder.missing_answer)
         if responder.result is None:
-            responder.abort()
             raise asyncio.CancelledError
-        return responder.result
+
+    async def _serve(
+        self,
+        request: web.BaseRequest,
+        responder: Responder,
+        received_s: float,
+    ) -> None:
+        timeout_s = _decode_timeout(
+            request.headers.get(_headers.DEADLINE_MS, '')
+        )
+        try:
+            async with asyncio.timeout(timeout_s):
+                await _send_continue(request)
+                body = await _read_body(request, self._get_body_limit())
+        except TimeoutError:
+            telemetry.log_event('body_incomplete', request=_get_id(request))
+            responder.close_after_answer()
+            responder.refuse(_REQUEST_TIMEOUT, _get_id(request))
+            return
+        if body is None:
+            responder.refuse(_TOO_LARGE, _get_id(request))
+            return
+        call = _decode_call(request, body, received_s, timeout_s)
+        if self._refusing:
+            telemetry.log_event('request_refused_at_stop', request=call.id)
+            responder.refuse(_SERVICE_UNAVAILABLE, call.id, _STOP_RETRY_AFTER_S)
+        else:
+            await self._handler(call, responder)
 
 
 def _make_site(
@@ -242,6 +334,74 @@
     )
 
 
+def _explain_cancellation(request: web.BaseRequest) -> str:
+    """Returns why the task of a request was cancelled.
+
+    Only the loss of its connection and the end of the process cancel the task
+    itself. A wait on something that was cancelled elsewhere raises the same
+    exception.
+
+    :param request: the request.
+    """
+    task = asyncio.current_task()
+    if task is not None and not task.cancelling():
+        return 'cancelled_wait'
+    return 'client_left' if request.transport is None else 'process_end'
+
+
+def _log_unanswered(
+    request: web.BaseRequest, responder: Responder, reason: str
+) -> None:
+    """Logs and counts a request that ends without a whole answer or a refusal.
+
+    :param request: the request.
+    :param responder: answers it.
+    :param reason: reason from a small set.
+    """
+    _UNANSWERED.labels(reason).inc()
+    telemetry.log_event(
+        'closed_unanswered',
+        request=_get_id(request),
+        reason=reason,
+        started=responder.has_started,
+    )
+
+
+def _fail(request: web.BaseRequest, responder: Responder, reason: str) -> None:
+    """Ends a request at which the code has failed, and logs why.
+
+    :param request: the request.
+    :param responder: answers it; the answer promises nothing, as the request may
+        have run.
+    :param reason: reason from a small set.
+    """
+    _UNANSWERED.labels(reason).inc()
+    telemetry.log_event(
+        'request_failed',
+        request=_get_id(request),
+        reason=reason,
+        started=responder.has_started,
+        traceback=traceback.format_exc()[-_MAX_TRACEBACK:],
+    )
+    if responder.has_started:
+        responder.abort()
+    elif responder.result is None:
+        responder.refuse(_BAD_GATEWAY, _get_id(request))
+
+
+def _get_id(request: web.BaseRequest) -> str:
+    return request.headers.get(_headers.REQUEST_ID, '')
+
+
+async def _send_continue(request: web.BaseRequest) -> None:
+    """Asks for the body where the client waits before it sends it."""
+    expected = request.headers.get('Expect', '').lower()
+    if expected == '100-continue' and request.version == http.HttpVersion11:
+        await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        # The interim answer is no part of the answer.
+        request.writer.output_size = 0
+
+
 async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
     parts = []
     size = 0
@@ -254,7 +414,10 @@
 
 
 def _decode_call(
-    request: web.BaseRequest, body: bytes, received_s: float
+    request: web.BaseRequest,
+    body: bytes,
+    received_s: float,
+    timeout_s: float,
 ) -> serving.Call:
     headers = request.headers
     dropped = _headers.CONNECTION_HEADERS | _headers.SYSTEM_HEADERS
@@ -272,7 +435,7 @@
         ),
         body=body,
         received_s=received_s,
-        timeout_s=_decode_timeout(headers.get(_headers.DEADLINE_MS, '')),
+        timeout_s=timeout_s,
         prompt=_decode_prompt(headers),
         last_event=headers.get(_headers.LAST_EVENT, ''),
         resumes=headers.get(_headers.RESUMES, ''),
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -13,6 +13,8 @@
 
 _OK = 200
 _MISDIRECTED = 421
+#: Statuses of answers without a body, which end with their head.
+_NO_BODY_STATUSES = frozenset((204, 304))
 #: Statuses that imply that a request has not run. They are trusted only with
 #: the worker's own statement that it did not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -92,7 +94,8 @@
     def _ends_with_connection(self) -> bool:
         headers = self._response.headers
         return (
-            'Content-Length' not in headers
+            self._response.status not in _NO_BODY_STATUSES
+            and 'Content-Length' not in headers
             and 'chunked' not in headers.get('Transfer-Encoding', '').lower()
         )
 
@@ -105,7 +108,8 @@
                 reason='end of the body is not known',
             )
         try:
-            await closed
+            # A time limit must not cancel the future, which others may await.
+            await asyncio.shield(closed)
         except aiohttp.ClientConnectionError as error:
             return _make_failure(serving.FailureKind.BROKEN, error)
         return b''
@@ -280,7 +284,8 @@
             load=load,
             backpressure=backpressure,
         )
-    if status in _NOT_RUN_STATUSES:
+    # A status below 200 is not final; its client would wait for the answer.
+    if status < _OK or status in _NOT_RUN_STATUSES:
         return serving.Failed(
             kind=serving.FailureKind.BROKEN,
             reason=f'status {status} without a statement that it did not run',
