--- a/briarknot_standins/worker/_app.py
+++ b/briarknot_standins/worker/_app.py
@@ -203,15 +203,19 @@
         }
     )
     response.enable_chunked_encoding()
-    await response.prepare(request)
     start = int(request.headers.get('Last-Event-Id') or 0) + 1
-    for number in range(start, _EVENT_COUNT + 1):
-        await asyncio.sleep(worker.config.work_s)
-        event = f'id: {number}\ndata: {request_id} {number}/{_EVENT_COUNT}\n\n'
-        try:
-            await response.write(event.encode())
-        except ConnectionError:
-            # The caller disconnected while earlier bytes were still unsent.
-            print('client disconnected', request_id, flush=True)
-            break
+    try:
+        await response.prepare(request)
+        for number in range(start, _EVENT_COUNT + 1):
+            await asyncio.sleep(worker.config.work_s)
+            await response.write(_make_event(request_id, number))
+    except ConnectionError:
+        # The caller disconnected before the header section was sent, or while
+        # earlier bytes were still unsent.
+        print('client disconnected', request_id, flush=True)
     return response
+
+
+def _make_event(request_id: str, number: int) -> bytes:
+    data = f'{request_id} {number}/{_EVENT_COUNT}'
+    return f'id: {number}\ndata: {data}\n\n'.encode()
