--- a/briarknot_standins/soak/_clients.py
+++ b/briarknot_standins/soak/_clients.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import random
-import re
 import time
 import typing
 
 import aiohttp
 import attrs
 
-from briarknot_standins.soak import _fleet
+from briarknot_standins.soak import _attempts, _fleet
 
 _KINDS = ('booking', 'lookup', 'chat')
 _PAUSE_S = 0.05
@@ -21,50 +20,12 @@
     'Token-Counts': '9000,6',
     'Prompt-Prefix': 'aa:6000,bb:3000',
 }
-_EVENT = re.compile(rb'^data: (\S+) (\d+)/(\d+)$', re.MULTILINE)
-
-
-@attrs.frozen
-class Attempt:
-    """One attempt of a client.
-
-    :param id: id of the request.
-    :param kind: kind of the request.
-    :param status: HTTP status; 0 where no complete answer was received.
-    :param body: complete body; empty where it was truncated.
-    :param is_sealed: whether the answer has a worker's seal.
-    :param sent_s: monotonic time at which the request was sent.
-    """
-
-    id: str
-    kind: str
-    status: int
-    body: bytes
-    is_sealed: bool
-    sent_s: float
-
-    @property
-    def violation(self) -> str:
-        """Guarantee that the answer violates; empty where there is none."""
-        if self.status != 200:
-            return ''
-        if not self.is_sealed:
-            return 'status 200 without a seal'
-        if self.kind == 'chat':
-            return self._find_stream_violation()
-        expected = f'answer {self.id} '.encode()
-        if not self.body.startswith(expected):
-            return f'body {self.body!r} belongs to another request'
-        return ''
-
-    def _find_stream_violation(self) -> str:
-        events = _EVENT.findall(self.body)
-        numbers = [int(number) for _, number, _ in events]
-        if {name for name, _, _ in events} != {self.id.encode()}:
-            return 'events of another request'
-        if numbers != list(range(1, int(events[-1][-1]) + 1)):
-            return f'missing or repeated events: {numbers}'
-        return ''
+#: Pauses of a client before it takes up a stream that broke off. Together they
+#: outlast a restart of all gateways.
+_TAKE_UP_PAUSES_S = (0.05, 0.5, 2.0)
+#: Longest Retry-After for which a client waits, in seconds: a third of the time
+#: that it has left at most.
+_MAX_RETRY_AFTER_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -74,12 +35,14 @@
     :param fleet: processes of the soak.
     :param seed: seed of the random choices.
     :param attempts: attempts so far.
+    :param streams: streams so far.
     :param stopping: set to stop the clients.
     """
 
     fleet: _fleet.Fleet
     seed: int
-    attempts: list[Attempt] = attrs.field(factory=list)
+    attempts: list[_attempts.Attempt] = attrs.field(factory=list)
+    streams: list[_attempts.Stream] = attrs.field(factory=list)
     stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     async def run(self, number: int) -> None:
@@ -98,18 +61,51 @@
                 kind = source.choice(_KINDS)
                 gateway = source.choice(self.fleet.gateways)
                 request_id = f'{self.seed}-{number}-{count}'
-                self.attempts.append(
-                    await _send(session, gateway, kind, request_id)
-                )
+                attempt = await _send(session, gateway, kind, request_id, {})
+                self.attempts.append(attempt)
+                if kind == 'chat':
+                    stream = _attempts.Stream([attempt])
+                    self.streams.append(stream)
+                    await self._take_up(session, source, gateway, stream)
                 await asyncio.sleep(_PAUSE_S)
 
+    async def _take_up(
+        self,
+        session: aiohttp.ClientSession,
+        source: random.Random,
+        gateway: _fleet.Member,
+        stream: _attempts.Stream,
+    ) -> None:
+        """Takes up a stream that broke off, each time at another gateway."""
+        for number, pause_s in enumerate(_TAKE_UP_PAUSES_S, 1):
+            if not stream.is_broken:
+                return
+            wait_s = min(stream.attempts[-1].retry_after_s, _MAX_RETRY_AFTER_S)
+            await asyncio.sleep(max(wait_s, pause_s))
+            gateway = source.choice(
+                [one for one in self.fleet.gateways if one is not gateway]
+            )
+            attempt = await _send(
+                session,
+                gateway,
+                'chat',
+                f'{stream.id}-{number}',
+                {
+                    'Last-Event-Id': str(stream.events[-1].number),
+                    'Resumes': stream.id,
+                },
+            )
+            self.attempts.append(attempt)
+            stream.attempts.append(attempt)
+
 
 async def _send(
     session: aiohttp.ClientSession,
     gateway: _fleet.Member,
     kind: str,
     request_id: str,
-) -> Attempt:
+    stream_headers: typing.Mapping[str, str],
+) -> _attempts.Attempt:
     sent_s = time.monotonic()
     headers: dict[str, typing.Any] = {
         'Request-Id': request_id,
@@ -117,7 +113,8 @@
     }
     if kind == 'chat':
         headers.update(_PROMPT)
-    status, body, is_sealed = 0, b'', False
+    headers.update(stream_headers)
+    status, body, is_sealed, retry_after_s = 0, bytearray(), False, 0
     try:
         async with session.request(
             'GET' if kind == 'lookup' else 'POST',
@@ -125,10 +122,14 @@
             headers=headers,
             data=None if kind == 'lookup' else b'body',
         ) as response:
-            body = await response.read()
-            status = response.status
             is_sealed = 'Server-Seal' in response.headers
+            retry_after_s = float(response.headers.get('Retry-After', 0))
+            async for part in response.content.iter_any():
+                body.extend(part)
+            status = response.status
     except (aiohttp.ClientError, TimeoutError, OSError):
         # Without a complete answer it is unknown whether the request ran.
         status = 0
-    return Attempt(request_id, kind, status, body, is_sealed, sent_s)
+    return _attempts.Attempt(
+        request_id, kind, status, bytes(body), is_sealed, sent_s, retry_after_s
+    )
--- a/briarknot_standins/soak/_config.py
+++ b/briarknot_standins/soak/_config.py
@@ -14,7 +14,8 @@
     :param seed: seed of the faults and of the clients.
     :param seconds: time during which faults are injected.
     :param gateways: gateway processes.
-    :param workers: workers of each kind.
+    :param workers: workers of each kind; of decode workers, this many of each
+        software version.
     :param clients: clients, each of which sends one request at a time.
     :param keep: folder to which the output of all processes is copied where a
         guarantee was violated; None to copy nothing.
@@ -35,12 +36,14 @@
     :param config: its configuration.
     :param faults: faults that were injected, in order.
     :param answers: counts of answers by kind and status.
+    :param streams: counts of streams, and of attempts to take them up.
     :param findings: violated guarantees.
     """
 
     config: SoakConfig
     faults: list[str] = attrs.field(factory=list)
     answers: collections.Counter = attrs.field(factory=collections.Counter)
+    streams: collections.Counter = attrs.field(factory=collections.Counter)
     findings: list[str] = attrs.field(factory=list)
 
     def describe(self) -> str:
@@ -49,10 +52,14 @@
             f'{kind} {status}: {count}'
             for (kind, status), count in sorted(self.answers.items(), key=repr)
         )
+        streams = ', '.join(
+            f'{name}: {count}' for name, count in self.streams.items()
+        )
         lines = [
             f'seed {self.config.seed}: {len(self.faults)} faults '
             f'({", ".join(self.faults)})',
             f'answers: {answers}',
+            f'streams: {streams}',
             *(f'BROKEN {finding}' for finding in self.findings),
         ]
         return '\n'.join(lines)
--- a/briarknot_standins/soak/_faults.py
+++ b/briarknot_standins/soak/_faults.py
@@ -18,6 +18,10 @@
 #: Time after SIGTERM at which a process is killed, as the platform does.
 _STOP_GRACE_S = 8.0
 _LINK_DELAY_S = 0.15
+#: Share of releases that drain the worker first; the others follow a crash.
+_PLANNED_SHARE = 0.5
+#: Share of releases that keep the id of the worker.
+_KEPT_ID_SHARE = 0.3
 
 Fault = typing.Callable[
     [_fleet.Fleet, random.Random],
@@ -76,6 +80,18 @@
     await fleet.restart(member)
 
 
+@FAULTS.register('kill_all')
+async def kill_gateways(fleet: _fleet.Fleet, source: random.Random) -> None:
+    """Kills all gateways at once and restarts them."""
+    killed = [member.process for member in fleet.gateways]
+    for process in killed:
+        process.kill()
+    for process in killed:
+        await process.wait()
+    await asyncio.sleep(_choose_duration_s(source) / 2)
+    await asyncio.gather(*(fleet.restart(one) for one in fleet.gateways))
+
+
 @FAULTS.register('pause')
 async def pause_process(fleet: _fleet.Fleet, source: random.Random) -> None:
     """Pauses a process."""
@@ -128,14 +144,39 @@
 async def drain_worker(fleet: _fleet.Fleet, source: random.Random) -> None:
     """Drains a worker, terminates it, and restarts it."""
     member = source.choice(fleet.workers)
+    if await _drain_and_terminate(fleet, member):
+        await fleet.restart(member)
+
+
+@FAULTS.register('release')
+async def release_worker(fleet: _fleet.Fleet, source: random.Random) -> None:
+    """Restarts a decode worker as the other software version."""
+    member = source.choice(fleet.decode_workers)
+    is_planned = source.random() < _PLANNED_SHARE
+    keeps_id = source.random() < _KEPT_ID_SHARE
+    # Another fault may restart the worker first.
+    member.change_version()
+    if is_planned:
+        if not await _drain_and_terminate(fleet, member):
+            return
+    else:
+        member.process.kill()
+        await member.process.wait()
+    await fleet.restart(member, keeps_id=keeps_id)
+
+
+async def _drain_and_terminate(
+    fleet: _fleet.Fleet, member: _fleet.Member
+) -> bool:
+    """Ends a worker as planned; returns whether it could be drained."""
     try:
         async with fleet.session.post(f'{member.process.url}/drain') as answer:
             await answer.read()
     except aiohttp.ClientError as error:
         # Another fault ended the worker first, and restarts it.
         print(f'drain request to {member.name} failed: {error!r}')
-        return
+        return False
     await asyncio.sleep(_MAX_FAULT_S)
     member.process.terminate()
     await member.process.wait()
-    await fleet.restart(member)
+    return True
--- a/briarknot_standins/soak/_fleet.py
+++ b/briarknot_standins/soak/_fleet.py
@@ -18,6 +18,14 @@
     ('lookup', '/lookup/', 'idempotent', 'plain', 2),
     ('chat', '/chat/', 'streaming', 'lm', 2),
 )
+#: Workers of each kind, as multiples of the configured number. Of each version
+#: there are several decode workers, so that streams can go on.
+_KINDS = {'plain': 1, 'prefill': 1, 'decode': 2}
+#: Software versions that serve side by side.
+_VERSIONS = ('v1', 'v2')
+#: Time between two events. At 0.02 s few streams are under way when a process is
+#: killed.
+_EVENT_S = 0.06
 _ROUTE_TIMEOUT_MS = 3000
 _OPERATOR_RETRY_S = 0.2
 _OK = 200
@@ -31,7 +39,9 @@
     :param module: module that it runs.
     :param arguments: its arguments.
     :param port: port on which it listens.
+    :param version: software version of a worker's next start; empty for others.
     :param process: the current process.
+    :param starts: number of ids that a worker has had.
     :param lock: serializes restarts.
     """
 
@@ -39,9 +49,26 @@
     module: str
     arguments: tuple[str, ...]
     port: int
+    version: str = ''
     process: launcher.Process | None = None
+    starts: int = 0
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
+    def make_arguments(self) -> tuple[str, ...]:
+        """Makes the arguments of the next start."""
+        if not self.version:
+            return self.arguments
+        identity = ('--keep-id', '--id', f'{self.name}-{self.starts}')
+        return (
+            *self.arguments,
+            *identity,
+            f'--software-version={self.version}',
+        )
+
+    def change_version(self) -> None:
+        """Makes the next start of a worker one of the other version."""
+        self.version = _VERSIONS[1 - _VERSIONS.index(self.version)]
+
 
 @attrs.define(eq=False)
 class Fleet:
@@ -61,6 +88,11 @@
         """Processes that faults may stop."""
         return [*self.gateways, *self.workers]
 
+    @property
+    def decode_workers(self) -> list[Member]:
+        """Workers that generate streams."""
+        return [one for one in self.workers if one.name.startswith('decode')]
+
     async def start(self) -> None:
         """Starts the store, the proxy, the workers, and the gateways."""
         store_port = self.cluster.choose_port()
@@ -69,8 +101,8 @@
         )
         planned = [
             (f'{kind}{number}', kind, self.cluster.choose_port())
-            for kind in ('plain', 'prefill', 'decode')
-            for number in range(self.config.workers)
+            for kind, multiple in _KINDS.items()
+            for number in range(multiple * self.config.workers)
         ]
         links = {
             name: self.cluster.choose_port()
@@ -96,19 +128,21 @@
                 await self._add_gateway(f'g{number}', links['store'])
             )
 
-    async def restart(self, member: Member) -> None:
+    async def restart(self, member: Member, *, keeps_id: bool = False) -> None:
         """Restarts a member on the same port, unless its process runs.
 
         Two faults may have ended the same process.
 
         :param member: a member whose process has ended.
+        :param keeps_id: whether a worker starts again under its id.
         """
         async with member.lock:
             if member.process and member.process.exit_status is None:
                 return
+            member.starts += not keeps_id
             member.process = await self.cluster.start(
                 member.module,
-                member.arguments,
+                member.make_arguments(),
                 port=member.port,
                 name=member.name,
             )
@@ -161,10 +195,15 @@
             return False
 
     async def _add(
-        self, name: str, module: str, arguments: tuple[str, ...], port: int
+        self,
+        name: str,
+        module: str,
+        arguments: tuple[str, ...],
+        port: int,
+        version: str = '',
     ) -> Member:
         arguments = (*arguments, '--port', str(port))
-        member = Member(name, module, arguments, port)
+        member = Member(name, module, arguments, port, version)
         await self.restart(member)
         return member
 
@@ -173,8 +212,6 @@
     ) -> Member:
         is_plain = kind == 'plain'
         arguments = [
-            '--id',
-            name,
             '--address',
             f'{_HOST}:{link_port}',
             '--store',
@@ -188,8 +225,13 @@
             ('--failure-share', '0.1' if is_plain else '0.0', '--stage')
         )
         arguments.append('none' if is_plain else kind)
+        if kind == 'decode':
+            arguments.extend(('--work-s', str(_EVENT_S)))
+        # Both versions have workers of each stage.
+        has_other = not is_plain and int(name.removeprefix(kind)) % 2
+        version = _VERSIONS[has_other]
         return await self._add(
-            name, 'briarknot_standins.worker', tuple(arguments), port
+            name, 'briarknot_standins.worker', tuple(arguments), port, version
         )
 
     async def _add_gateway(self, name: str, store_port: int) -> Member:
--- a/briarknot_standins/soak/_run.py
+++ b/briarknot_standins/soak/_run.py
@@ -10,10 +10,14 @@
 import aiohttp
 
 from briarknot_standins import launcher
-from briarknot_standins.soak import _clients, _config, _faults, _fleet
+from briarknot_standins.soak import (
+    _attempts,
+    _clients,
+    _config,
+    _faults,
+    _fleet,
+)
 
-#: Statuses which guarantee that a request has not run and will not run.
-_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 #: Mean time between two faults; they overlap, as each lasts up to 3 s.
 _MEAN_FAULT_INTERVAL_S = 0.8
 #: Time after the last fault within which requests must be served again: the
@@ -53,6 +57,7 @@
         _check_attempts(
             clients.attempts, _count_runs(cluster), recovered_s, report
         )
+        _check_streams(clients.streams, report)
         _check_tracebacks(cluster, report)
         if report.findings and config.keep:
             shutil.copytree(
@@ -89,7 +94,7 @@
 
 
 def _check_attempts(
-    attempts: list[_clients.Attempt],
+    attempts: list[_attempts.Attempt],
     runs: collections.Counter,
     recovered_s: float,
     report: _config.Report,
@@ -103,7 +108,7 @@
                 f'{attempt.id}: a booking ran {run_count} times'
             )
         if (
-            attempt.status in _NOT_RUN_STATUSES
+            attempt.status in _attempts.NOT_RUN_STATUSES
             and run_count
             and attempt.kind == 'booking'
         ):
@@ -121,6 +126,15 @@
         )
 
 
+def _check_streams(
+    streams: list[_attempts.Stream], report: _config.Report
+) -> None:
+    for stream in streams:
+        report.streams.update(stream.count())
+        if stream.violation:
+            report.findings.append(f'{stream.id}: {stream.violation}')
+
+
 def _check_tracebacks(
     cluster: launcher.Cluster, report: _config.Report
 ) -> None:
--- a/briarknot_standins/soak/tests/test_soak.py
+++ b/briarknot_standins/soak/tests/test_soak.py
@@ -4,7 +4,8 @@
 
 from briarknot_standins import soak
 
-#: Seeds that have failed. 1: a connection reset during an answer left a task
+#: Seeds that have failed, with the faults that were registered then; a new fault
+#: changes what a seed draws. 1: a connection reset during an answer left a task
 #: exception that was never retrieved, which each gateway logged. 5: two faults
 #: that ended the same worker both restarted it. 10: the operator's write failed
 #: while the store was down, which ended the soak.
--- a/briarknot_standins/worker/_app.py
+++ b/briarknot_standins/worker/_app.py
@@ -29,7 +29,7 @@
     """State of a worker.
 
     :param config: configuration.
-    :param id: id of this instance, new at each start.
+    :param id: id of this instance, new at each start unless it is kept.
     :param running: number of requests in progress.
     :param handles: request ids of prefilled prompts that are not released yet,
         by KV handle.
@@ -52,7 +52,7 @@
             'service': self.config.service,
             'address': self.config.address or f'127.0.0.1:{self.config.port}',
             'zone': 'a',
-            'version': 'v1',
+            'version': self.config.software_version,
             'slots': self.config.slots,
             'state': 'draining' if self.draining else 'ready',
             'coldRemainingMs': 0,
@@ -86,9 +86,8 @@
     :param config: configuration.
     """
     app = web.Application(handler_args={'handler_cancellation': True})
-    app[_STATE] = Worker(
-        config, f'{config.id}-{os.getpid()}', random.Random(config.seed)
-    )
+    worker_id = config.id if config.keep_id else f'{config.id}-{os.getpid()}'
+    app[_STATE] = Worker(config, worker_id, random.Random(config.seed))
     app.router.add_post('/drain', _drain)
     app.router.add_delete('/v1/kv-handle/{handle}', _release_handle)
     app.router.add_route('*', '/{path:.*}', _run)
@@ -208,7 +207,9 @@
         await response.prepare(request)
         for number in range(start, _EVENT_COUNT + 1):
             await asyncio.sleep(worker.config.work_s)
-            await response.write(_make_event(request_id, number))
+            await response.write(
+                _make_event(request_id, worker.config.software_version, number)
+            )
     except ConnectionError:
         # The caller disconnected before the header section was sent, or while
         # earlier bytes were still unsent.
@@ -216,6 +217,6 @@
     return response
 
 
-def _make_event(request_id: str, number: int) -> bytes:
-    data = f'{request_id} {number}/{_EVENT_COUNT}'
+def _make_event(request_id: str, version: str, number: int) -> bytes:
+    data = f'{request_id} {version} {number}/{_EVENT_COUNT}'
     return f'id: {number}\ndata: {data}\n\n'.encode()
--- a/briarknot_standins/worker/_config.py
+++ b/briarknot_standins/worker/_config.py
@@ -11,7 +11,10 @@
 
     :param port: port on the loopback interface.
     :param id: id of the worker; the process id is appended, because each
-        start is a new instance.
+        start is a new instance, mostly with a new id.
+    :param keep_id: whether the id is used without the process id, as by a
+        worker that starts again under its id.
+    :param software_version: version of its software; streams contain it.
     :param address: address to register, which may be a proxy's; by default
         the loopback interface and the port.
     :param store: base URL of the store.
@@ -27,6 +30,8 @@
 
     port: int = 0
     id: str = 'w'
+    keep_id: bool = False
+    software_version: str = 'v1'
     address: str | None = None
     store: str | None = None
     service: str = 's'
