--- a/briarknot_standins/soak/_clients.py
+++ b/briarknot_standins/soak/_clients.py
@@ -4,6 +4,7 @@
 import random
 import time
 import typing
+import zlib
 
 import aiohttp
 import attrs
@@ -15,14 +16,13 @@
 #: The routes' timeout plus a margin. The client enforces it itself, since a
 #: process that a fault pauses answers late.
 _CLIENT_TIMEOUT_S = 4.0
-_PROMPT = {
-    'Model': 'm',
-    'Token-Counts': '9000,6',
-    'Prompt-Prefix': 'aa:6000,bb:3000',
-}
+_PROMPT = {'Model': 'm', 'Token-Counts': '9000,6'}
+#: Parts that prompts share. With a single one, all streams would be sent to the
+#: worker that has it.
+_SHARED_PARTS = 4
 #: Pauses of a client before it takes up a stream that broke off. Together they
 #: outlast a restart of all gateways.
-_TAKE_UP_PAUSES_S = (0.05, 0.5, 2.0)
+_TAKE_UP_PAUSES_S = (0.05, 1.0, 4.0)
 #: Longest Retry-After for which a client waits, in seconds: a third of the time
 #: that it has left at most.
 _MAX_RETRY_AFTER_S = 1.0
@@ -82,9 +82,7 @@
                 return
             wait_s = min(stream.attempts[-1].retry_after_s, _MAX_RETRY_AFTER_S)
             await asyncio.sleep(max(wait_s, pause_s))
-            gateway = source.choice(
-                [one for one in self.fleet.gateways if one is not gateway]
-            )
+            gateway = source.choice(self.fleet.list_others(gateway))
             attempt = await _send(
                 session,
                 gateway,
@@ -113,7 +111,10 @@
     }
     if kind == 'chat':
         headers.update(_PROMPT)
-    headers.update(stream_headers)
+        headers.update(stream_headers)
+        own = zlib.crc32(headers.get('Resumes', request_id).encode())
+        shared = own % _SHARED_PARTS
+        headers['Prompt-Prefix'] = f'a{shared:x}:6000,{own:x}:3000'
     status, body, is_sealed, retry_after_s = 0, bytearray(), False, 0
     try:
         async with session.request(
--- a/briarknot_standins/soak/_fleet.py
+++ b/briarknot_standins/soak/_fleet.py
@@ -93,6 +93,12 @@
         """Workers that generate streams."""
         return [one for one in self.workers if one.name.startswith('decode')]
 
+    def list_others(self, gateway: Member) -> list[Member]:
+        """Lists the other gateways that run; all others where none does."""
+        others = [one for one in self.gateways if one is not gateway]
+        running = [one for one in others if one.process.exit_status is None]
+        return running or others
+
     async def start(self) -> None:
         """Starts the store, the proxy, the workers, and the gateways."""
         store_port = self.cluster.choose_port()
