--- a/briarknot/gateway/tests/test_version_sync.py
+++ b/briarknot/gateway/tests/test_version_sync.py
@@ -13,6 +13,7 @@
     _context,
     _gossip,
     _store_readers,
+    _version_row,
     _version_sync,
 )
 from briarknot.gateway.tests import test_quarantine_sync as quarantines
@@ -201,7 +202,7 @@
     """No version was admitted after the loss of the processes that write."""
     clients = {}
     hosts = [f'g{number}' for number in range(6)]
-    monkeypatch.setattr(_version_sync, '_WRITER_DELAY_S', 0.2)
+    monkeypatch.setattr(_version_row, '_WRITER_DELAY_S', 0.2)
     async with open_store(*hosts, clients=clients) as (store, contexts):
         for host in serving.rank_names('gateways', clients)[:4]:
             clients[host]._url = _NOWHERE
@@ -411,14 +412,17 @@
     clients = {}
     async with open_store('g1', 'g2', clients=clients) as (_, contexts):
         clients['g1']._url = _NOWHERE
-        peers = dict(contexts[0].peer_hosts)
-        contexts[0].peer_hosts = {}
+        peers = [dict(one.peer_hosts) for one in contexts]
+        # The other process may still have to send that it is stored.
+        for context in contexts:
+            context.peer_hosts = {}
         contexts[0].software_versions._versions['s', 'v1'].stored_s = math.inf
         # The message that is sent at once is lost, so that a later one must do.
         contexts[0].versions_changed.notify()
         await asyncio.sleep(0.3)
         assert list_unstored(contexts[0]) == {'v1'}
-        contexts[0].peer_hosts = peers
+        for context, hosts in zip(contexts, peers, strict=True):
+            context.peer_hosts = hosts
         await stores.wait_until(lambda: is_stored(contexts[0], 'v1'))
 
 
@@ -465,7 +469,7 @@
 
 async def test_late_read_of_the_row_does_not_count(monkeypatch):
     """A row that was read before a suspension hid a version stored meanwhile."""
-    monkeypatch.setattr(_version_sync, '_MAX_READ_S', 0.05)
+    monkeypatch.setattr(_version_row, '_MAX_READ_S', 0.05)
     async with stores.open_store() as store:
         context = _context.make_context(stores.make_settings('g', 'a'), None)
         client = platform.make_client(store.session, store.url, 1)
