--- a/briarknot/gateway/_generation_attempts.py
+++ b/briarknot/gateway/_generation_attempts.py
@@ -110,6 +110,7 @@
         )
         return failure
     _crashes.record_success(context, request)
+    _stream_versions.record_end(context, request)
     if relay.longest_gap_s:
         context.prompt_load.gaps.record(
             opened.worker.service, relay.longest_gap_s, queued_s
--- a/briarknot/gateway/_stream_versions.py
+++ b/briarknot/gateway/_stream_versions.py
@@ -87,7 +87,8 @@
 ) -> None:
     """Records the version of a stream, before its first event is forwarded.
 
-    Others are informed unless it is certain that only one version is in use.
+    Others are informed unless it is certain that only one version is in use; they
+    are informed later if that changes while the stream goes on.
 
     :param context: state of the process.
     :param request: the request.
@@ -96,15 +97,28 @@
     request.version = worker.version
     if not request.route.resumable:
         return
-    now = _clock.read_clock()
+    context.origins.record(_get_stream(request), worker, _clock.read_clock())
     possible = _list_possible(context, request)
-    if isinstance(possible, frozenset) and len(possible) <= 1:
-        return
-    stream = request.call.resumes or request.call.id
-    context.origins.record(stream, worker, now)
-    origin = context.origins.find(stream, now)
-    if origin is not None:
-        context.send_message(origin, _choose_keepers(context, stream))
+    if not isinstance(possible, frozenset) or len(possible) > 1:
+        send_origins(context)
+
+
+def record_end(context: _context.Context, request: _requests.Request) -> None:
+    """Records that a stream is complete.
+
+    :param context: state of the process.
+    :param request: the request.
+    """
+    context.origins.complete(_get_stream(request))
+
+
+def send_origins(context: _context.Context) -> None:
+    """Sends the origins of streams to the processes that others will ask.
+
+    :param context: state of the process.
+    """
+    for origin in context.origins.take_unsent(_clock.read_clock()):
+        context.send_message(origin, _choose_keepers(context, origin.stream))
 
 
 def list_fitting(
@@ -123,8 +137,10 @@
         return tuple(one for one in workers if one.version == request.version)
     service = request.service.name
     known = context.software_versions
-    if not known.has_service(service):
-        # No list of workers has been read yet.
+    names = known.list_names(service)
+    is_single = len(names) == 1 and all(one.version in names for one in workers)
+    if is_single or not names:
+        # There is no other version, or no list of workers has been read yet.
         return workers
     admitted = known.list_admitted(service, _clock.read_clock())
     usable = context.fleet.list_usable(service, schema.serving.Stage.DECODE)
@@ -161,6 +177,11 @@
     return not list_fitting(context, request, usable)
 
 
+def _get_stream(request: _requests.Request) -> str:
+    """Returns the id of the client's attempt that got the first event."""
+    return request.call.resumes or request.call.id
+
+
 def _list_possible(
     context: _context.Context, request: _requests.Request
 ) -> frozenset[str] | versions.Uncertain:
--- a/briarknot/gateway/_version_sync.py
+++ b/briarknot/gateway/_version_sync.py
@@ -17,6 +17,7 @@
     _context,
     _gossip,
     _peers,
+    _stream_versions,
     _version_row,
 )
 
@@ -64,6 +65,10 @@
                     records,
                     _gossip.choose_receivers(self._context, _version_row.KEY),
                 )
+            possible = known.list_possible('', now)
+            if isinstance(possible, versions.Uncertain) or not known.is_settled:
+                # Streams that began with one version are taken up from now on.
+                _stream_versions.send_origins(self._context)
             await self._context.versions_changed.wait(_PERIOD_S)
 
     @property
--- a/briarknot/gateway/tests/_support.py
+++ b/briarknot/gateway/tests/_support.py
@@ -277,6 +277,7 @@
             peers.receive(),
             peers.broadcast_work(),
             _limit_sync.make_limit_sync(context, peers).send(),
+            _version_sync.make_version_sync(context, None, peers).send(),
         )
     ]
     try:
--- a/briarknot/gateway/tests/test_stream_versions.py
+++ b/briarknot/gateway/tests/test_stream_versions.py
@@ -1,10 +1,14 @@
 """Tests that a stream has events of workers of one software version only."""
 
+import time
+
 import aiohttp
 import pytest
 
+from briarknot.gateway import _clock
 from briarknot.gateway.tests import _support
 from briarknot.gateway.tests import test_generation as generations
+from briarknot.gateway.tests import test_store_sync as stores
 
 _BROKEN = _support.make_stream('x', 'y', then=_support.CLOSE, end=False)
 _REST = _support.make_stream('z', start=3)
@@ -23,6 +27,20 @@
         record.in_flight = busy
 
 
+def apply_list(gateway, *workers):
+    """Applies a list of workers to a gateway that knows all versions."""
+    context = gateway.context
+    entries = tuple(worker.entry for worker in workers)
+    context.fleet.apply_workers(entries, time.monotonic(), after_outage=False)
+    known = context.software_versions
+    now = _clock.read_clock()
+    if not known.is_loaded:
+        known.load((), now, now - 100, now)
+    known.record_list(entries, now)
+    known.record_stored(known.list_keys(), now)
+    context.versions_changed.notify()
+
+
 async def test_broken_stream_does_not_go_on_at_another_version():
     """A gateway sent the rest of a stream to a worker of any version."""
     broken = make_decode([_BROKEN], 'v1')
@@ -113,3 +131,32 @@
             await gateway.send(headers=generations._PROMPT)
     assert len(prefill.requests) <= 1
     assert not other.requests
+
+
+async def test_stream_that_began_with_one_version_goes_on_beside_another():
+    """It was refused for the rest of its life once another version was listed."""
+    broken = make_decode([_BROKEN], 'v1')
+    same = make_decode([_REST], 'v1')
+    other = make_decode([_REST], 'v2')
+    route = generations.make_stream_route(max_attempts=1)
+    workers = (broken, same, other)
+    async with _support.open_gateways(route, *workers, count=2) as gateways:
+        for gateway in gateways:
+            apply_list(gateway, broken, same)
+        set_order(gateways[0], broken, same)
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await gateways[0].send()
+        for gateway in gateways:
+            apply_list(gateway, *workers)
+        origins = gateways[1].context.origins
+        await stores.wait_until(
+            lambda: origins.find('q1', _clock.read_clock()) is not None
+        )
+        # The gateway that began the stream is lost.
+        gateways[0].context.origins.forget_restarted(
+            broken.entry.id, _clock.read_clock()
+        )
+        set_order(gateways[1], other, same, broken)
+        status, _, body = await gateways[1].send(headers=_TAKE_UP)
+    assert (status, generations.read_data(body)) == (200, ['z'])
+    assert not other.requests
--- a/briarknot/versions/_software_versions.py
+++ b/briarknot/versions/_software_versions.py
@@ -172,12 +172,12 @@
         """Lists the services and names of all known versions."""
         return frozenset(self._versions)
 
-    def has_service(self, service: str) -> bool:
-        """Returns whether a version of a service is known.
+    def list_names(self, service: str) -> frozenset[str]:
+        """Lists the known versions of a service.
 
         :param service: name of the service.
         """
-        return any(one == service for one, _ in self._versions)
+        return frozenset(name for one, name in self._versions if one == service)
 
     def list_unstored(self) -> frozenset[Key]:
         """Lists the versions that the store is not known to have."""
--- a/briarknot/versions/_stream_origins.py
+++ b/briarknot/versions/_stream_origins.py
@@ -1,7 +1,7 @@
 """Workers that began streams, and the versions at which streams go on.
 
-A process that begins a stream while several versions of the software may be in use
-sends its origin to a few others. These are chosen by a hash of the stream's id, so
+While several versions of the software may be in use, a process sends the origins of
+its streams to a few others, also those of streams that began before. These are chosen by a hash of the stream's id, so
 that any process that gets the rest of the stream knows which ones to ask.
 """
 
@@ -60,6 +60,7 @@
     _origins: collections.OrderedDict[str, _Origin] = attrs.field(
         factory=collections.OrderedDict
     )
+    _unsent: dict[str, None] = attrs.field(factory=dict)
 
     def record(
         self, stream: str, worker: schema.serving.Worker, now: float
@@ -75,6 +76,26 @@
         self._add(
             stream, _Origin(worker.service, worker.version, worker.id, now)
         )
+        self._unsent[stream] = None
+
+    def complete(self, stream: str) -> None:
+        """Records that a stream of this process is complete.
+
+        Its origin need not be sent any more.
+
+        :param stream: id of the client's attempt that got the first event.
+        """
+        self._unsent.pop(stream, None)
+
+    def take_unsent(self, now: float) -> tuple[StreamOrigin, ...]:
+        """Returns the origins of streams that others are not informed of yet.
+
+        :param now: the time.
+        """
+        streams = tuple(self._unsent)
+        self._unsent.clear()
+        found = (self.find(stream, now) for stream in streams)
+        return tuple(one for one in found if one is not None)
 
     def merge(self, message: StreamOrigin, now: float) -> None:
         """Records an origin that another process has sent.
@@ -120,20 +141,25 @@
             is_recent = now - origin.begun_s <= _MAX_LIST_DELAY_S
             if origin.worker == worker_id and is_recent:
                 del self._origins[stream]
+                self._unsent.pop(stream, None)
 
     def _add(self, stream: str, origin: _Origin) -> None:
         self._origins[stream] = origin
         self._origins.move_to_end(stream)
         self._drop_old(origin.begun_s)
         if len(self._origins) > _MAX_ORIGINS:
-            self._origins.popitem(last=False)
+            self._pop_oldest()
 
     def _drop_old(self, now: float) -> None:
         while self._origins:
             oldest = next(iter(self._origins.values()))
             if now - oldest.begun_s <= _software_versions.MAX_STREAM_S:
                 return
-            self._origins.popitem(last=False)
+            self._pop_oldest()
+
+    def _pop_oldest(self) -> None:
+        stream, _ = self._origins.popitem(last=False)
+        self._unsent.pop(stream, None)
 
 
 def choose_keepers(stream: str, hosts: typing.Iterable[str]) -> tuple[str, ...]:
