--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -36,7 +36,6 @@
 
     :param source: KV cache of its prompt, ready to be fetched.
     :param last: failure of the last attempt; None where the client is answered.
-    :param tried: decode workers that it was sent to.
     :param failed_sources: prefill workers whose KV cache of its prompt could
         not be fetched.
     :param sends: times that it was sent to a decode worker.
@@ -45,7 +44,6 @@
 
     source: serving.KvSource | None = None
     last: serving.Failed | None = None
-    tried: list[str] = attrs.field(factory=list)
     failed_sources: list[str] = attrs.field(factory=list)
     sends: int = 0
     quarantined: serving.Quarantined | None = None
@@ -127,7 +125,7 @@
     :param progress: attempts so far; it is updated.
     :returns: whether it was sent to a worker.
     """
-    tried = progress.tried
+    tried = request.tried
     progress.quarantined = _crashes.check_quarantine(
         context, request, _Stage.DECODE
     )
@@ -186,7 +184,7 @@
     if source is None:
         return None
     workers = _prefill.list_unblocked(
-        context, request, _Stage.DECODE, progress.tried
+        context, request, _Stage.DECODE, request.tried
     )
     if workers and not _match_source(workers, source):
         _prefill.free_in_background(context, source)
@@ -207,7 +205,7 @@
     :param progress: attempts so far; it is updated.
     :param worker: decode worker of the last attempt.
     """
-    source, last, tried = progress.source, progress.last, progress.tried
+    source, last, tried = progress.source, progress.last, request.tried
     if source is not None and last is None:
         context.prompt_load.caches.record_prompt(
             worker.id, request.call.prompt, time.monotonic()
--- a/briarknot/gateway/_generation_attempts.py
+++ b/briarknot/gateway/_generation_attempts.py
@@ -91,7 +91,7 @@
     )
     watch = _stream.Watch(
         opened.record,
-        functools.partial(_can_move, context, request, opened.worker),
+        functools.partial(_reserve_move, context, request),
     )
     failure = await relay.run(exchange, watch if request.can_resume() else None)
     if isinstance(failure, serving.Failed):
@@ -119,23 +119,20 @@
     return None
 
 
-def _can_move(
-    context: _context.Context,
-    request: _requests.Request,
-    worker: schema.serving.Worker,
+def _reserve_move(
+    context: _context.Context, request: _requests.Request
 ) -> bool:
-    """Returns whether another worker is expected to take a stream.
+    """Reserves the retries that moving a stream takes, if a worker can take it.
 
-    The retries that it takes are reserved, since the other streams of a silent
-    worker move at the same time.
+    The other streams of a silent worker move at the same time.
 
     :param context: state of the process.
     :param request: the request.
-    :param worker: its worker.
+    :returns: whether a worker is expected to take it.
     """
     now = time.monotonic()
     others = _prefill.list_unblocked(
-        context, request, schema.serving.Stage.DECODE, [worker.id]
+        context, request, schema.serving.Stage.DECODE, request.tried
     )
     records = [context.worker_records.get(one.id) for one in others]
     if all(one.is_blocked(now) for one in records):
--- a/briarknot/gateway/_requests.py
+++ b/briarknot/gateway/_requests.py
@@ -51,6 +51,7 @@
     :param has_prefill: whether a worker has prefilled its prompt.
     :param is_admitted: whether it may be prefilled although all workers that can
         run it have limits.
+    :param tried: decode workers that a generation was sent to.
     :param version: software version of the workers that may send its events; None
         until its first event.
     :param keys: what the quarantine knows it by; empty before the first check.
@@ -70,6 +71,7 @@
     reserved_sends: int = 0
     has_prefill: bool = False
     is_admitted: bool = False
+    tried: list[str] = attrs.field(factory=list)
     version: str | None = None
     keys: tuple[str, ...] = ()
     trial_keys: tuple[str, ...] = ()
--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -188,6 +188,19 @@
     assert not recorder.lines
 
 
+async def test_silent_worker_is_kept_where_the_other_one_has_rejected(recorder):
+    """The stream was cut off for a worker that is not tried again."""
+    workers = make_paused_workers([_support.REJECTED])
+    route = generation.make_stream_route(max_silence_s=3.0)
+    async with _support.open_gateway(route, *workers) as gateway:
+        record = _support.get_worker_record(gateway.context, workers[1])
+        record.in_flight = 1
+        status, _, body = await gateway.send(headers=_PROMPT)
+    assert (status, generation.read_data(body)) == (200, ['x', 'y'])
+    assert len(workers[2].requests) == 1
+    assert not recorder.lines
+
+
 async def test_silent_worker_is_kept_where_no_retry_is_left(recorder):
     """The stream was cut off as the retry budget allowed no resumption."""
     workers = make_paused_workers([])
