--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -342,8 +342,6 @@
         now = time.monotonic()
         for worker_id in removed:
             context.worker_records.remove(worker_id)
-            # It may have started again before the list showed that it ended.
-            context.origins.forget_restarted(worker_id, _clock.read_clock())
             context.permits.remove_worker(before[worker_id])
             context.prompt_load.remove_worker(worker_id)
             self._changes[worker_id] = _Change(now, None)
--- a/briarknot/gateway/tests/test_version_sync.py
+++ b/briarknot/gateway/tests/test_version_sync.py
@@ -539,3 +539,15 @@
         now = _clock.read_clock()
         assert context.origins.find('recent', now) is None
         assert context.origins.find('other', now) is not None
+
+
+async def test_removed_worker_stays_the_origin_of_its_streams():
+    """Streams of workers that left without notice were refused."""
+    async with open_store('g1') as (store, contexts):
+        context = contexts[0]
+        worker = context.fleet.find_worker('w1')
+        context.origins.record('q1', worker, _clock.read_clock())
+        await store.put('servers', 'w2', _OLD)
+        await store.remove('servers', 'w1')
+        await stores.wait_until(lambda: not context.fleet.find_worker('w1'))
+        assert context.origins.find('q1', _clock.read_clock()) is not None
