--- a/briarknot/gateway/_version_row.py
+++ b/briarknot/gateway/_version_row.py
@@ -30,6 +30,8 @@
 _MAX_READ_S = 1.3
 _MS_PER_S = 1000
 _UNKNOWN_ERA = -1
+#: Era of a store that was never restored from a copy, which may lack the row.
+_FIRST_ERA = 1
 _Record = schema.records.VersionRecord
 _VersionsRow = schema.records.VersionsRow
 _Key = tuple[str, str]
@@ -154,7 +156,7 @@
         records = row.versions
         written_s = now
         known_since_s = now
-        if not page.rows:
+        if not page.rows and page.era <= _FIRST_ERA:
             # Versions are stored before they begin streams, so that none has yet.
             known_since_s -= versions.MAX_STREAM_S
         if is_current:
--- a/briarknot/gateway/tests/test_version_sync.py
+++ b/briarknot/gateway/tests/test_version_sync.py
@@ -335,6 +335,18 @@
         )
 
 
+async def test_process_that_starts_without_the_row_after_a_restore_is_uncertain():
+    """A restored store without the row counted as one that nobody had used."""
+    async with contextlib.AsyncExitStack() as stack:
+        store = await stack.enter_async_context(stores.open_store())
+        await store.put('servers', 'w1', _OLD)
+        await restores.post(store, '/copy')
+        await restores.post(store, '/restore')
+        contexts = await quarantines.run_gateways(stack, store, 'g1')
+        await stores.wait_until(lambda: is_settled(contexts[0]))
+        assert 'known for' in get_reason(contexts[0])
+
+
 async def test_process_that_starts_on_the_copy_is_uncertain(monkeypatch):
     """It took the versions of the copy for all, which lacked a newer one."""
     monkeypatch.setattr(versions._software_versions, 'MAX_STREAM_S', 2.0)
