--- a/briarknot/gateway/_stream_versions.py
+++ b/briarknot/gateway/_stream_versions.py
@@ -42,7 +42,8 @@
     possible = _list_possible(context, request)
     decided_by = 'own record' if origin else 'versions in use'
     chosen = versions.choose_version(possible, origin)
-    if isinstance(chosen, versions.UnknownOrigin) and call.resumes:
+    is_open = origin is None and not _has_single_versions(context, request)
+    if is_open and call.resumes:
         decided_by = 'other processes'
         origin = await _ask_keepers(context, call.resumes)
         possible = await _wait_for_possible(context, request, origin)
@@ -190,6 +191,22 @@
     )
 
 
+def _has_single_versions(
+    context: _context.Context, request: _requests.Request
+) -> bool:
+    """Returns whether each service of the route is certain to have one version.
+
+    Any of them may have begun a stream that is taken up again.
+    """
+    now = _clock.read_clock()
+    known = context.software_versions
+    possible = (
+        known.list_possible(one.service, now)
+        for one in request.route.destinations
+    )
+    return all(isinstance(one, frozenset) and len(one) <= 1 for one in possible)
+
+
 async def _wait_for_possible(
     context: _context.Context,
     request: _requests.Request,
--- a/briarknot/gateway/tests/_support.py
+++ b/briarknot/gateway/tests/_support.py
@@ -89,6 +89,7 @@
     script: list = attrs.field(converter=list)
     stage: str = 'none'
     version: str = ''
+    service: str = 's'
     port: int = 0
     server: asyncio.Server | None = None
     requests: list = attrs.field(factory=list)
@@ -100,7 +101,7 @@
         """Its entry in the fleet."""
         return _SERVING.Worker(
             id=f'i-{self.port}',
-            service='s',
+            service=self.service,
             address=f'127.0.0.1:{self.port}',
             domain='a',
             slots=4,
@@ -309,7 +310,10 @@
             _SERVING.Manifest(
                 version=1,
                 routes=(route,),
-                services=(_SERVING.Service(name='s'),),
+                services=tuple(
+                    _SERVING.Service(name=one.service)
+                    for one in route.destinations
+                ),
                 limits=_SERVING.ClientLimits(body_bytes=1 << 20),
             )
         )
--- a/briarknot/gateway/tests/test_stream_versions.py
+++ b/briarknot/gateway/tests/test_stream_versions.py
@@ -3,8 +3,10 @@
 import time
 
 import aiohttp
+import attrs
 import pytest
 
+from briarknot import schema
 from briarknot.gateway import _clock
 from briarknot.gateway.tests import _support
 from briarknot.gateway.tests import test_generation as generations
@@ -160,3 +162,25 @@
         status, _, body = await gateways[1].send(headers=_TAKE_UP)
     assert (status, generations.read_data(body)) == (200, ['z'])
     assert not other.requests
+
+
+async def test_other_service_of_a_route_does_not_take_up_a_stream():
+    """A stream went on at the service that was drawn for its rest."""
+    begun = make_decode([_REST], 'v1')
+    drawn = attrs.evolve(make_decode([], 'v1'), service='t')
+    destinations = (
+        schema.serving.Destination(service='t', weight=1.0),
+        schema.serving.Destination(service='s', weight=1e-9),
+    )
+    route = generations.make_stream_route(destinations=destinations)
+    async with _support.open_gateways(route, begun, drawn, count=2) as gateways:
+        now = _clock.read_clock()
+        gateways[0].context.origins.record('q1', begun.entry, now)
+        for gateway in gateways:
+            apply_list(gateway, begun, drawn)
+        # A second version of the service that began it.
+        for gateway in gateways:
+            apply_list(gateway, begun, drawn, make_decode([], 'v2'))
+        status, _, body = await gateways[1].send(headers=_TAKE_UP)
+    assert (status, generations.read_data(body)) == (200, ['z'])
+    assert not drawn.requests
