--- a/briarknot/gateway/tests/test_stream_versions.py
+++ b/briarknot/gateway/tests/test_stream_versions.py
@@ -175,7 +175,10 @@
     route = generations.make_stream_route(destinations=destinations)
     async with _support.open_gateways(route, begun, drawn, count=2) as gateways:
         now = _clock.read_clock()
-        gateways[0].context.origins.record('q1', begun.entry, now)
+        origins = gateways[0].context.origins
+        origins.record('q1', begun.entry, now)
+        # The other gateway has to ask for it.
+        origins.take_unsent(now)
         for gateway in gateways:
             apply_list(gateway, begun, drawn)
         # A second version of the service that began it.
