--- a/briarknot/platform/__init__.py
+++ b/briarknot/platform/__init__.py
@@ -21,7 +21,8 @@
     make_engine_orders,
     make_order_session,
 )
-from briarknot.platform._ingress import Ingress, Responder, make_ingress
+from briarknot.platform._ingress import Ingress, make_ingress
+from briarknot.platform._responder import Responder
 from briarknot.platform._sessions import make_store_session
 from briarknot.platform._values import (
     Committed,
--- /dev/null
+++ b/briarknot/platform/_client_requests.py
@@ -0,0 +1,120 @@
+"""Reads and decodes requests of the platform's clients."""
+
+import typing
+
+from aiohttp import http, web
+
+from briarknot import schema, serving, telemetry
+from briarknot.platform import _headers
+
+_MS_PER_S = 1000
+#: Time limit of a request without a deadline; its route's timeout is shorter.
+_DEFAULT_TIMEOUT_S = 60.0
+
+
+def get_id(request: web.BaseRequest) -> str:
+    """Returns the id of a client's attempt; empty where it has none."""
+    return request.headers.get(_headers.REQUEST_ID, '')
+
+
+async def send_continue(request: web.BaseRequest) -> None:
+    """Asks for the body where the client waits before it sends it."""
+    expected = request.headers.get('Expect', '').lower()
+    if expected == '100-continue' and request.version == http.HttpVersion11:
+        await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        # The interim answer is no part of the answer.
+        request.writer.output_size = 0
+
+
+async def read_body(request: web.BaseRequest, limit: int) -> bytes | None:
+    """Reads the whole body of a request.
+
+    :param request: the request.
+    :param limit: largest body in bytes.
+    :returns: the body; None where it is larger.
+    """
+    parts = []
+    size = 0
+    async for part in request.content.iter_any():
+        size += len(part)
+        if size > limit:
+            return None
+        parts.append(part)
+    return b''.join(parts)
+
+
+def decode_call(
+    request: web.BaseRequest,
+    body: bytes,
+    received_s: float,
+    timeout_s: float,
+) -> serving.Call:
+    """Decodes a request whose body was read.
+
+    :param request: the request.
+    :param body: its whole body.
+    :param received_s: monotonic time at which it was received.
+    :param timeout_s: seconds that the client waits.
+    """
+    headers = request.headers
+    dropped = _headers.CONNECTION_HEADERS | _headers.SYSTEM_HEADERS
+    for named in headers.getall('Connection', ()):
+        dropped |= {name.strip().lower() for name in named.split(',')}
+    return serving.Call(
+        id=headers.get(_headers.REQUEST_ID, ''),
+        host=headers.get('Host', '').partition(':')[0].lower(),
+        method=request.method,
+        path=request.raw_path,
+        headers=tuple(
+            (name, value)
+            for name, value in headers.items()
+            if name.lower() not in dropped
+        ),
+        body=body,
+        received_s=received_s,
+        timeout_s=timeout_s,
+        prompt=_decode_prompt(headers),
+        last_event=headers.get(_headers.LAST_EVENT, ''),
+        resumes=headers.get(_headers.RESUMES, ''),
+    )
+
+
+def decode_timeout(text: str) -> float:
+    """Decodes the time that a client waits.
+
+    :param text: text of the header; empty if there is none.
+    :returns: the time in seconds.
+    """
+    try:
+        return max(0.001, float(text) / _MS_PER_S)
+    except ValueError:
+        if text:
+            telemetry.log_event('deadline_malformed', value=text[:100])
+        return _DEFAULT_TIMEOUT_S
+
+
+def _decode_prompt(
+    headers: typing.Mapping[str, str],
+) -> serving.Prompt | None:
+    counts = headers.get(_headers.TOKEN_COUNTS)
+    if counts is None:
+        return None
+    try:
+        tokens, output_tokens = (int(part) for part in counts.split(','))
+        parts = tuple(
+            _decode_part(part)
+            for part in headers.get(_headers.PROMPT_PARTS, '').split(',')
+            if part.strip()
+        )
+    except ValueError:
+        # The worker validates the header; without it no worker is preferred.
+        telemetry.log_event('prompt_malformed', token_counts=counts[:100])
+        return None
+    return serving.Prompt(
+        parts=parts, tokens=tokens, output_tokens=output_tokens
+    )
+
+
+def _decode_part(text: str) -> schema.serving.PromptPart:
+    part_id, _, tokens = text.strip().partition(':')
+    return schema.serving.PromptPart(id=part_id, tokens=int(tokens))
