--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -67,7 +67,7 @@
 
 
 async def test_client_that_leaves_is_logged(recorder):
-    """It could not be told from a request that was lost."""
+    """The log did not distinguish it from a request that was lost."""
     worker = _support.ScriptedWorker([_HANGING])
     route = _support.make_route(_Kind.NON_IDEMPOTENT)
     async with _support.open_gateway(route, worker) as gateway:
@@ -78,7 +78,7 @@
 
 
 async def test_stream_that_is_cut_off_is_logged(recorder):
-    """Only the line of the failed attempt told of it."""
+    """The log had a line of the failed attempt only."""
     begun = _support.make_stream('x', then=_support.CLOSE, end=False)
     workers = generation.make_workers([_support.HANDLE], [begun])
     route = generation.make_stream_route(resumable=False)
@@ -426,7 +426,7 @@
 
 
 async def test_interim_status_is_no_final_answer():
-    """Its client went on waiting for the answer after a 101."""
+    """Its client waited for the answer that follows a 101."""
     reply = _support.Reply(
         'HTTP/1.1 101 Switching Protocols\r\nRequest-Id: {id}\r\n\r\n'
     )
--- a/briarknot/gateway/tests/test_version_sync.py
+++ b/briarknot/gateway/tests/test_version_sync.py
@@ -266,7 +266,7 @@
 
 
 async def test_process_without_updates_is_uncertain():
-    """A process that was cut off went on with a version that others changed."""
+    """A process that was cut off used versions that others had replaced."""
     clients = {}
     hosts = ('g1', 'g2', 'g3')
     async with open_store(*hosts, clients=clients) as (store, contexts):
@@ -306,7 +306,7 @@
 
 
 async def test_versions_stay_certain_while_nothing_changes():
-    """Updates that confirm the list came too late, or counted as too old."""
+    """Updates that confirm the list arrived too late, or counted as outdated."""
     async with open_store('g1', 'g2', 'g3') as (_, contexts):
         await restores.hold(
             lambda: not any('old' in get_reason(one) for one in contexts), 3
