Send each request of a client session once

Callers saw a PUT or DELETE on a route whose requests may run once run twice when its answer was lost, and a lookup (GET) that makes workers crash end all workers of its service each time that it came. With a crash in the run, a PUT ran at a second worker, or its client got 503, which states that it had not run.

Cause: aiohttp's client session sends a GET, HEAD, OPTIONS, TRACE, PUT or DELETE once more by itself when a connection ends without an answer, also a new one. No decision on retries sees this. After a crash the second connection is refused, and that error replaces the first one, so that the attempt counted as not sent: no attempt, no retry and no evidence of a crash was recorded.

All sessions of the product are made by httpclient.make_session now. Its middleware turns the two errors that aiohttp repeats after into ConnectionLostError, which it does not repeat. An error of the connector now means that no byte was sent. The sessions of workers, store, engine orders, entry processes, links, control, console and briarknotctl were affected alike. Orders and the store's transactions are POST, which aiohttp does not repeat. A commit of briarknotctl through a console (PUT) was told that somebody else had changed the document when its own first copy had.

The test clients of gateway/tests use the same sessions, so that they can't hide a request that the gateway closes.

--- a/briarknot/authority/_transports.py
+++ b/briarknot/authority/_transports.py
@@ -11,7 +11,7 @@
 import orjson
 import prometheus_client
 
-from briarknot import registry, schema, sentinels
+from briarknot import httpclient, registry, schema, sentinels
 
 _SENT = prometheus_client.Counter(
     'briarknot_orders_sent',
@@ -94,7 +94,7 @@
         self, url: str, order: schema.endpoints.Order, may_send: MaySend
     ) -> Answer:
         """Sends an order once."""
-        async with aiohttp.ClientSession() as session:
+        async with httpclient.make_session() as session:
             answer = await _send(session, url, order, may_send, self.timeout_s)
         _SENT.labels('fencing', type(answer).__name__.lower()).inc()
         return answer
@@ -125,7 +125,7 @@
             limit=1, socket_factory=self._make_socket
         )
         half_s = self.timeout_s / 2
-        async with aiohttp.ClientSession(connector=connector) as session:
+        async with httpclient.make_session(connector=connector) as session:
             state = await fetch_engine_state(session, url, half_s)
             answer: Answer = NoAnswer(str(state), may_arrive=False)
             if isinstance(state, schema.endpoints.EngineState):
--- a/briarknot/console/__main__.py
+++ b/briarknot/console/__main__.py
@@ -2,9 +2,7 @@
 
 import asyncio
 
-import aiohttp
-
-from briarknot import commandline, platform, program, schema
+from briarknot import commandline, httpclient, platform, program, schema
 from briarknot.console import _app
 
 
@@ -13,7 +11,7 @@
 ) -> None:
     """Serves the web forms and the document API until the process stops."""
     node = settings.node
-    async with aiohttp.ClientSession() as session:
+    async with httpclient.make_session() as session:
         client = platform.make_client(
             session, node.platform_url, node.platform_timeout_s
         )
--- a/briarknot/control/_serve.py
+++ b/briarknot/control/_serve.py
@@ -11,6 +11,7 @@
 from briarknot import (
     authority,
     config,
+    httpclient,
     links,
     platform,
     program,
@@ -102,7 +103,7 @@
     node = settings.node
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(
-            aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+            httpclient.make_session(connector=aiohttp.TCPConnector(limit=0))
         )
         client = platform.make_client(
             session, node.platform_url, node.platform_timeout_s
--- a/briarknot/ctl/_program.py
+++ b/briarknot/ctl/_program.py
@@ -5,12 +5,11 @@
 import sys
 import typing
 
-import aiohttp
 import attrs
 import cappa
 
 import briarknot
-from briarknot import config, platform, program, schema
+from briarknot import config, httpclient, platform, program, schema
 from briarknot.ctl import _commands, _report
 from briarknot.ctl import _document_commands as _registered_documents
 from briarknot.ctl import _fleet_commands as _registered_fleet
@@ -98,7 +97,7 @@
 async def _run_fleet_command(
     command: _commands.FleetCommand, settings: schema.settings.CtlSettings
 ) -> _report.Report:
-    async with aiohttp.ClientSession() as session:
+    async with httpclient.make_session() as session:
         client = platform.make_client(
             session, settings.platform_url, _TIMEOUT_S
         )
--- a/briarknot/entry/_attempts.py
+++ b/briarknot/entry/_attempts.py
@@ -4,7 +4,14 @@
 import attrs
 import orjson
 
-from briarknot import outcomes, routing, schema, sentinels, telemetry
+from briarknot import (
+    httpclient,
+    outcomes,
+    routing,
+    schema,
+    sentinels,
+    telemetry,
+)
 from briarknot.entry import _requests, _stream
 
 _OK = 200
@@ -247,7 +254,7 @@
 
     :param timing: time limits.
     """
-    return aiohttp.ClientSession(
+    return httpclient.make_session(
         connector=aiohttp.TCPConnector(limit=0, force_close=True),
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=timing.connect_timeout_s
--- a/briarknot/entry/_serve.py
+++ b/briarknot/entry/_serve.py
@@ -4,10 +4,10 @@
 import contextlib
 import functools
 
-import aiohttp
 from aiohttp import web
 
 from briarknot import (
+    httpclient,
     links,
     membership,
     platform,
@@ -38,7 +38,7 @@
     node = settings.node
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(
-            aiohttp.ClientSession(auto_decompress=False)
+            httpclient.make_session(auto_decompress=False)
         )
         endpoint_session = await stack.enter_async_context(
             _attempts.make_session(settings.timing)
--- a/briarknot/gateway/tests/_support.py
+++ b/briarknot/gateway/tests/_support.py
@@ -11,7 +11,7 @@
 import attrs
 import yarl
 
-from briarknot import platform, schema
+from briarknot import httpclient, platform, schema
 from briarknot.gateway import (  # noqa: F401
     _context,
     _generation,
@@ -330,7 +330,7 @@
             lambda: 1 << 20,
         )
         await ingress.start()
-        session = await stack.enter_async_context(aiohttp.ClientSession())
+        session = await stack.enter_async_context(httpclient.make_session())
         yield RunningGateway(
             context, f'http://127.0.0.1:{port}', session, ingress
         )
--- a/briarknot/links/_hub.py
+++ b/briarknot/links/_hub.py
@@ -12,7 +12,7 @@
 from absl import logging
 from aiohttp import web
 
-from briarknot import schema
+from briarknot import httpclient, schema
 from briarknot.links import _limits, _link, _metrics, _wire
 
 _PATH = '/peer/link'
@@ -264,7 +264,7 @@
     async def _open_socket(self, url: str) -> aiohttp.ClientWebSocketResponse:
         if self._session is None:
             # aiohttp's default limit is 100 connections.
-            self._session = aiohttp.ClientSession(
+            self._session = httpclient.make_session(
                 connector=aiohttp.TCPConnector(limit=0)
             )
         return await self._session.ws_connect(
--- a/briarknot/platform/_sessions.py
+++ b/briarknot/platform/_sessions.py
@@ -7,6 +7,8 @@
 import aiohttp
 from aiohttp import client_proto, http_exceptions
 
+from briarknot import httpclient
+
 #: A worker accepts or refuses a connection within the round trip to another
 #: region, 0.06 s. A lost SYN packet is retransmitted after 1 s, by when another
 #: worker has answered.
@@ -172,7 +174,7 @@
     :param timeout_s: time limit of a call without one of its own, in seconds; 0
         for none.
     """
-    return aiohttp.ClientSession(
+    return httpclient.make_session(
         connector=_LimitedConnector(),
         response_class=Response,
         timeout=aiohttp.ClientTimeout(total=timeout_s or None),
@@ -196,7 +198,7 @@
         happy_eyeballs_delay=None,
         **options,
     )
-    return aiohttp.ClientSession(
+    return httpclient.make_session(
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
