Repeat reads of the store in sessions that ask for it

The HTTP library used to send a GET once more when the store had closed the kept connection meanwhile, or reset it. Without that, such a read counts as an outage of the store until the next one.

Sessions for the store and for reports of engines are made with repeats_reads: a GET that ends without an answer is sent once more within its time limit. All other methods are sent once, and sessions of workers repeat nothing.

Evidence: test_read_on_a_stale_connection_is_answered[GET] and test_read_is_repeated_once fail without the middleware and pass with it; the cases of the other methods count one request each.

--- a/briarknot/console/__main__.py
+++ b/briarknot/console/__main__.py
@@ -11,7 +11,7 @@
 ) -> None:
     """Serves the web forms and the document API until the process stops."""
     node = settings.node
-    async with httpclient.make_session() as session:
+    async with httpclient.make_session(repeats_reads=True) as session:
         client = platform.make_client(
             session, node.platform_url, node.platform_timeout_s
         )
--- a/briarknot/control/_serve.py
+++ b/briarknot/control/_serve.py
@@ -103,7 +103,9 @@
     node = settings.node
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(
-            httpclient.make_session(connector=aiohttp.TCPConnector(limit=0))
+            httpclient.make_session(
+                repeats_reads=True, connector=aiohttp.TCPConnector(limit=0)
+            )
         )
         client = platform.make_client(
             session, node.platform_url, node.platform_timeout_s
--- a/briarknot/ctl/_program.py
+++ b/briarknot/ctl/_program.py
@@ -97,7 +97,7 @@
 async def _run_fleet_command(
     command: _commands.FleetCommand, settings: schema.settings.CtlSettings
 ) -> _report.Report:
-    async with httpclient.make_session() as session:
+    async with httpclient.make_session(repeats_reads=True) as session:
         client = platform.make_client(
             session, settings.platform_url, _TIMEOUT_S
         )
--- a/briarknot/entry/_serve.py
+++ b/briarknot/entry/_serve.py
@@ -38,7 +38,7 @@
     node = settings.node
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(
-            httpclient.make_session(auto_decompress=False)
+            httpclient.make_session(repeats_reads=True, auto_decompress=False)
         )
         endpoint_session = await stack.enter_async_context(
             _attempts.make_session(settings.timing)
--- a/briarknot/httpclient/_sessions.py
+++ b/briarknot/httpclient/_sessions.py
@@ -3,6 +3,7 @@
 import typing
 
 import aiohttp
+from aiohttp import hdrs
 
 
 class ConnectionLostError(aiohttp.ClientError):
@@ -30,12 +31,36 @@
         raise ConnectionLostError(f'{type(error).__name__}: {error}') from error
 
 
-def make_session(**options: typing.Any) -> aiohttp.ClientSession:
+async def _repeat_read(
+    request: aiohttp.ClientRequest, send: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Sends a read once more where its connection ends without an answer.
+
+    A server may close a kept connection while a request is on its way.
+    """
+    try:
+        return await send(request)
+    except ConnectionLostError:
+        if request.method != hdrs.METH_GET:
+            raise
+    return await send(request)
+
+
+def make_session(
+    *, repeats_reads: bool = False, **options: typing.Any
+) -> aiohttp.ClientSession:
     """Makes a client session; a running event loop is needed.
 
+    :param repeats_reads: whether a GET is sent once more, within its time limit,
+        where its connection ended without an answer; only for servers whose GETs
+        change nothing and are counted nowhere.
     :param options: options of the session.
-    :returns: a session that sends each request once. It reports a connection
-        that ended without an answer as :class:`ConnectionLostError`, and errors
-        of aiohttp's connector only where no byte was sent.
+    :returns: a session that sends each other request once. It reports a
+        connection that ended without an answer as :class:`ConnectionLostError`,
+        and errors of aiohttp's connector only where no byte of this try was sent.
     """
-    return aiohttp.ClientSession(middlewares=(_send_once,), **options)
+    middlewares = (_send_once,)
+    if repeats_reads:
+        # The first one is the outermost.
+        middlewares = (_repeat_read, _send_once)
+    return aiohttp.ClientSession(middlewares=middlewares, **options)
--- a/briarknot/httpclient/tests/test_sessions.py
+++ b/briarknot/httpclient/tests/test_sessions.py
@@ -18,14 +18,14 @@
 
 @attrs.define(eq=False)
 class _Server:
-    """Reads requests, and closes instead of answering the last one.
+    """Reads requests, and closes instead of answering some.
 
-    :param answers: requests that it answers before.
+    :param answers: whether it answers each request; it answers none after these.
     :param is_reset: whether it resets the connection.
     :param is_crash: whether it takes no connection afterwards.
     """
 
-    answers: int
+    answers: tuple = ()
     is_reset: bool = False
     is_crash: bool = False
     heads: list = attrs.field(factory=list)
@@ -47,7 +47,7 @@
                 if b'Content-Length: 4' in head:
                     await reader.readexactly(4)
                 self.heads.append(head.split(b' ')[0].decode())
-                if len(self.heads) > self.answers:
+                if not any(self.answers[len(self.heads) - 1 : len(self.heads)]):
                     break
                 writer.write(_ANSWER)
         if self.is_crash:
@@ -76,7 +76,7 @@
     """A request that may run once ran twice, as aiohttp sent it again."""
     for body in _list_bodies(method):
         async with (
-            _run_server(answers=int(is_kept), is_reset=is_reset) as server,
+            _run_server(answers=(True,) * is_kept, is_reset=is_reset) as server,
             httpclient.make_session() as session,
         ):
             url = server.url
@@ -93,7 +93,7 @@
 async def test_crash_is_not_taken_for_a_refused_connection(method):
     """A lookup that crashed its server was reported as not sent."""
     async with (
-        _run_server(answers=0, is_crash=True) as server,
+        _run_server(is_crash=True) as server,
         httpclient.make_session() as session,
     ):
         with pytest.raises(httpclient.ConnectionLostError):
@@ -103,13 +103,44 @@
 
 async def test_refused_connection_is_told_apart():
     """A request of which no byte was sent may go to another server."""
-    async with _run_server(answers=0) as server:
+    async with _run_server() as server:
         url = server.url
     async with httpclient.make_session() as session:
         with pytest.raises(aiohttp.ClientConnectorError):
             await session.request('PUT', url, data=b'body')
 
 
+@pytest.mark.parametrize('method', _METHODS)
+async def test_read_on_a_stale_connection_is_answered(method):
+    """A read failed as the server had closed the kept connection meanwhile."""
+    async with (
+        _run_server(answers=(True, False, True)) as server,
+        httpclient.make_session(repeats_reads=True) as session,
+    ):
+        url = server.url
+        async with session.get(url):
+            """The connection returns to its pool."""
+        if method == 'GET':
+            async with session.get(url) as response:
+                assert response.status == 200
+            assert server.connections == 2
+            return
+        with pytest.raises(httpclient.ConnectionLostError):
+            await session.request(method, url)
+        assert server.heads == ['GET', method]
+
+
+async def test_read_is_repeated_once():
+    """A server that closes each connection got the same read without end."""
+    async with (
+        _run_server() as server,
+        httpclient.make_session(repeats_reads=True) as session,
+    ):
+        with pytest.raises(httpclient.ConnectionLostError):
+            await session.get(server.url)
+        assert server.heads == ['GET', 'GET']
+
+
 def test_all_programs_make_their_sessions_here():
     """A session that is made elsewhere repeats requests by itself."""
     root = pathlib.Path(briarknot.__file__).parent
--- a/briarknot/platform/_sessions.py
+++ b/briarknot/platform/_sessions.py
@@ -175,6 +175,7 @@
         for none.
     """
     return httpclient.make_session(
+        repeats_reads=True,
         connector=_LimitedConnector(),
         response_class=Response,
         timeout=aiohttp.ClientTimeout(total=timeout_s or None),
