Serve lookups whose worker closed the connection before its answer

The HTTP library used to send a lookup again, unseen, when the worker had closed the kept connection while the request was on its way. Without that, a lookup failed with 502 where the route allows one attempt, or where no other worker was free. A KV cache that was to be freed on such a connection kept its memory until it expired.

A connection that closes before the answer begins is a failure of its own kind now ("disconnected" in the log lines of attempts). An idempotent request goes to another worker where the route allows one more. Else it goes once more to the same worker, on a new connection, where the process still takes connections: maxAttempts counts workers, and a worker that has crashed is evidence against the request instead. Both sends count as attempts and take a retry of the budget. Freeing a KV cache is repeated once and logged.

--- a/briarknot/gateway/_crashes.py
+++ b/briarknot/gateway/_crashes.py
@@ -30,7 +30,11 @@
 _MAX_TURNS = 8
 #: Failures after which a worker may have ended as it began an answer.
 _BROKEN_KINDS = frozenset(
-    (serving.FailureKind.BROKEN, serving.FailureKind.FOREIGN)
+    (
+        serving.FailureKind.DISCONNECTED,
+        serving.FailureKind.BROKEN,
+        serving.FailureKind.FOREIGN,
+    )
 )
 
 
@@ -141,16 +145,17 @@
     request: _requests.Request,
     worker: schema.serving.Worker,
     failure: serving.Failed,
-) -> None:
+) -> bool:
     """Records a crash of a worker at which a request was starting.
 
     :param context: state of the process.
     :param request: the request whose answer broke off as it began.
     :param worker: the worker.
     :param failure: how the attempt failed.
+    :returns: whether the worker has ended.
     """
     if failure.kind not in _BROKEN_KINDS:
-        return
+        return False
     broken_s = time.monotonic()
     has_ended = await context.calls.has_ended(worker)
     _BROKEN_STARTS.labels(str(has_ended).lower()).inc()
@@ -171,6 +176,7 @@
             serving.name_start(worker), keys, broken_s
         )
         context.quarantine_changed.notify()
+    return has_ended
 
 
 def record_success(
--- a/briarknot/gateway/_plain.py
+++ b/briarknot/gateway/_plain.py
@@ -3,6 +3,8 @@
 import functools
 import time
 
+import attrs
+
 from briarknot import platform, schema, serving, telemetry
 from briarknot.gateway import (
     _attempts,
@@ -23,6 +25,38 @@
 _MAX_SENDS = 5
 
 
+@attrs.define(eq=False)
+class _Tries:
+    """Workers that a request was sent to.
+
+    The last one may get an idempotent request once more if it closed the
+    connection before its answer began, and still runs: it may have closed a kept
+    connection while the request was on its way.
+
+    :param workers: their ids, in order.
+    :param closed_by: id of the last one where it may get the request once more;
+        else empty.
+    """
+
+    workers: list[str] = attrs.field(factory=list)
+    closed_by: str = ''
+    _has_closed: bool = False
+
+    def start(self, worker: schema.serving.Worker) -> None:
+        """Records that the request is sent to a worker.
+
+        :param worker: the worker.
+        """
+        self.closed_by = ''
+        self.workers.append(worker.id)
+
+    def record_close(self) -> None:
+        """Records that the last worker still runs and has closed, once only."""
+        if not self._has_closed:
+            self._has_closed = True
+            self.closed_by = self.workers[-1]
+
+
 @_requests.HANDLERS.register(_Kind.IDEMPOTENT)
 async def serve_idempotent(
     context: _context.Context, request: _requests.Request
@@ -53,9 +87,9 @@
 async def _serve_admitted(
     context: _context.Context, request: _requests.Request, *, idempotent: bool
 ) -> None:
-    tried: list[str] = []
+    tries = _Tries()
     last: serving.Answer | serving.Failed | None = None
-    while len(tried) < _MAX_SENDS:
+    while len(tries.workers) < _MAX_SENDS:
         quarantined = await _crashes.wait_for_trial(context, request)
         if quarantined is not None:
             _crashes.refuse_quarantined(request, quarantined)
@@ -63,54 +97,66 @@
         worker = await _send_permits.choose_permitted(
             context,
             request,
-            functools.partial(_choose, context, request, tried),
+            functools.partial(_choose, context, request, tries),
         )
         if worker is None or not request.try_acquire_send(context.budget):
             break
-        tried.append(worker.id)
-        last = await _attempt(context, request, worker, idempotent=idempotent)
+        tries.start(worker)
+        last = await _attempt(
+            context, request, worker, tries, idempotent=idempotent
+        )
         if isinstance(last, serving.Answer):
             if not _is_retryable(request, last, idempotent=idempotent):
                 break
         elif not last.not_run and not idempotent:
             break
-        if request.attempts >= request.route.max_attempts:
+        if not tries.closed_by and not _has_attempts(request):
             break
-    _finish(context, request, last, len(tried))
+    _finish(context, request, last, len(tries.workers))
+
+
+def _has_attempts(request: _requests.Request) -> bool:
+    """Returns whether it may be sent to one more worker."""
+    return request.attempts < request.route.max_attempts
 
 
 def _choose(
     context: _context.Context,
     request: _requests.Request,
-    tried: list[str],
+    tries: _Tries,
     excluded: list[str],
 ) -> schema.serving.Worker | None:
     now = time.monotonic()
-    usable = context.fleet.list_usable(request.service.name)
-    untried = tuple(
+    usable = tuple(
         one
-        for one in usable
-        if one.id not in tried
-        and one.id not in excluded
+        for one in context.fleet.list_usable(request.service.name)
+        if one.id not in excluded
         and not context.worker_records.get(one.id).get_pause_s(now)
     )
+    candidates: tuple[schema.serving.Worker, ...] = ()
+    if _has_attempts(request):
+        candidates = tuple(one for one in usable if one.id not in tries.workers)
+    if not candidates:
+        # The same worker counts once among those that the route allows.
+        candidates = tuple(one for one in usable if one.id == tries.closed_by)
     unblocked = tuple(
         one
-        for one in untried
+        for one in candidates
         if not context.worker_records.get(one.id).is_blocked(now)
     )
-    if not untried:
+    if not candidates:
         return None
     policy = serving.PLAIN_POLICIES.get(_POLICY)
     waits_s = _send_permits.list_waits_s(context, request)
     view = context.make_plain_view(waits_s)
-    return policy(view, unblocked or untried, now)
+    return policy(view, unblocked or candidates, now)
 
 
 async def _attempt(
     context: _context.Context,
     request: _requests.Request,
     worker: schema.serving.Worker,
+    tries: _Tries,
     *,
     idempotent: bool,
 ) -> serving.Answer | serving.Failed:
@@ -127,13 +173,16 @@
             request,
             attempt,
             dispatch,
-            fresh=not idempotent,
+            fresh=not idempotent or worker.id in tries.workers[:-1],
             timeout_s=timeout_s,
         )
         if isinstance(exchange, serving.Failed):
-            await _crashes.record_broken_start(
+            has_ended = await _crashes.record_broken_start(
                 context, request, worker, exchange
             )
+            is_closed = exchange.kind == serving.FailureKind.DISCONNECTED
+            if idempotent and is_closed and not has_ended:
+                tries.record_close()
             return exchange
         answer = await _read_answer(exchange)
         if isinstance(answer, serving.Failed):
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -8,7 +8,7 @@
 import orjson
 import yarl
 
-from briarknot import schema, serving, telemetry
+from briarknot import httpclient, schema, serving, telemetry
 from briarknot.platform import _answer_headers, _headers, _sessions
 
 _OK = 200
@@ -29,10 +29,18 @@
 #: Time limit of checking whether a worker's process has ended, in seconds: the
 #: same as that of opening a connection for a request.
 _CHECK_TIMEOUT_S = 0.5
-#: Errors while a connection is opened, before any byte of a request is sent.
-_NOT_SENT_ERRORS = (
-    aiohttp.ClientConnectorError,
-    aiohttp.ConnectionTimeoutError,
+#: How an attempt failed, by the first error that matches. Errors while a
+#: connection is opened come before any byte of the request is sent.
+_KINDS_BY_ERROR = (
+    (aiohttp.ClientConnectorError, serving.FailureKind.NOT_SENT),
+    (aiohttp.ConnectionTimeoutError, serving.FailureKind.NOT_SENT),
+    (httpclient.ConnectionLostError, serving.FailureKind.DISCONNECTED),
+    (aiohttp.ClientResponseError, serving.FailureKind.FOREIGN),
+    (ValueError, serving.FailureKind.FOREIGN),
+)
+#: Failures that a worker which acknowledges no bytes causes too.
+_LOST_KINDS = frozenset(
+    (serving.FailureKind.DISCONNECTED, serving.FailureKind.BROKEN)
 )
 
 
@@ -170,13 +178,24 @@
         url = yarl.URL(
             f'http://{source.worker.address}/v1/kv-handle/{source.handle}'
         )
-        try:
-            async with self._reused.delete(
-                url, timeout=aiohttp.ClientTimeout(total=timeout_s)
-            ) as response:
-                return response.status == _OK
-        except (TimeoutError, aiohttp.ClientError, OSError):
-            return False
+        limit = aiohttp.ClientTimeout(total=timeout_s)
+        # The worker may have closed a kept connection; freeing the same KV cache
+        # twice changes nothing.
+        for session in (self._reused, self._fresh):
+            try:
+                async with session.delete(url, timeout=limit) as response:
+                    return response.status == _OK
+            except httpclient.ConnectionLostError as error:
+                telemetry.log_event(
+                    'free_unanswered',
+                    worker=source.worker.id,
+                    handle=source.handle,
+                    reason=str(error),
+                )
+            # TimeoutError is a subclass of OSError.
+            except (aiohttp.ClientError, OSError):
+                return False
+        return False
 
     async def has_ended(self, worker: schema.serving.Worker) -> bool:
         """Returns whether a worker refuses connections, as its process ended.
@@ -224,12 +243,9 @@
                 headers=headers,
                 allow_redirects=False,
             )
-        except _NOT_SENT_ERRORS as error:
-            return _make_failure(serving.FailureKind.NOT_SENT, error)
-        except (aiohttp.ClientResponseError, ValueError) as error:
-            return _make_failure(serving.FailureKind.FOREIGN, error)
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            return _make_failure(serving.FailureKind.BROKEN, error)
+        # TimeoutError is a subclass of OSError.
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return _make_failure(_classify_error(error), error)
         return _check_response(call, response)
 
 
@@ -342,10 +358,17 @@
     return headers
 
 
+def _classify_error(error: BaseException) -> serving.FailureKind:
+    for kind_of_error, kind in _KINDS_BY_ERROR:
+        if isinstance(error, kind_of_error):
+            return kind
+    return serving.FailureKind.BROKEN
+
+
 def _make_failure(
     kind: serving.FailureKind, error: BaseException
 ) -> serving.Failed:
-    if kind == serving.FailureKind.BROKEN and _is_unreachable(error):
+    if kind in _LOST_KINDS and _is_unreachable(error):
         kind = serving.FailureKind.UNREACHABLE
     return serving.Failed(kind=kind, reason=f'{type(error).__name__}: {error}')
 
--- a/briarknot/serving/_calls.py
+++ b/briarknot/serving/_calls.py
@@ -138,6 +138,8 @@
     REJECTED = 'rejected'
     #: Another worker listens at the address; it did not run the request.
     WRONG_WORKER = 'wrong worker'
+    #: The connection closed before the answer began; the request may have run.
+    DISCONNECTED = 'disconnected'
     #: The connection closed before the answer was complete.
     BROKEN = 'broken'
     #: The worker stopped acknowledging bytes; it may have run the request.
