Keep the stream of a silent worker until another one has accepted it

What callers saw: a worker that was silent for 1.5 s and went on lost its streams where the other worker was full: their connections were closed in the middle of the answer.

Cause: a stream was given up at its silent worker on the belief that another one can take it, which meant no more than that this one was not blocked. The run was closed before the other worker had answered, and its refusal left none.

A move opens the rest at another worker in a task of its own now (gateway/_stream_moves.py), while the first connection stays open. It is closed when the other worker has accepted the rest; the relay then goes on with that run. Where the silent worker sends a byte before, the other run is cancelled. Where no worker accepts, the stream is kept. A silent worker gets no new requests, which counts once for all of its streams, and gets them again with its next byte.

This is the likeliest form of the users' report on requests that are lost beside a change of the config; it is suspected, not shown. test_silent_worker_is_kept_until_another_one_accepts and test_worker_that_goes_on_before_another_one_accepts_is_kept failed before and pass now.

--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -14,6 +14,7 @@
     _requests,
     _send_permits,
     _stream,
+    _stream_moves,
     _stream_versions,
 )
 
@@ -35,7 +36,7 @@
     """Attempts so far to serve one generation.
 
     :param source: KV cache of its prompt, ready to be fetched.
-    :param last: failure of the last attempt; None where the client is answered.
+    :param last: failure of the last attempt; None while it runs.
     :param failed_sources: prefill workers whose KV cache of its prompt could
         not be fetched.
     :param sends: times that it was sent to a decode worker.
@@ -61,7 +62,6 @@
         functools.partial(_crashes.record_success, context, request),
     )
     progress = _Progress()
-    is_sent = True
     if not await _stream_versions.admit(context, request):
         return
     if not _crashes.check_admission(context, request, _Stage.DECODE):
@@ -70,16 +70,59 @@
         _crashes.end_trial(context, request)
         return
     try:
-        while is_sent and progress.sends < _MAX_SENDS:
-            is_sent = await _send_once(context, request, relay, progress)
-            if is_sent and progress.last is None:
-                return
-            is_sent = is_sent and _can_retry(context, request, progress.last)
+        is_complete = await _serve_runs(context, request, relay, progress)
     finally:
         _crashes.end_trial(context, request)
         if progress.source is not None:
             _prefill.free_in_background(context, progress.source)
-    _finish_failure(context, request, relay, progress)
+    if not is_complete:
+        _finish_failure(context, request, relay, progress)
+
+
+async def _serve_runs(
+    context: _context.Context,
+    request: _requests.Request,
+    relay: _stream.Relay,
+    progress: _Progress,
+) -> bool:
+    """Relays runs at one worker after the other as one stream.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param relay: forwards the events.
+    :param progress: attempts so far; it is updated.
+    :returns: whether the answer is complete, or the client disconnected.
+    """
+    open_next = functools.partial(_open_run, context, request, relay, progress)
+    run = await open_next()
+    while run is not None:
+        move = _stream_moves.make_move(context, request, run, open_next)
+        try:
+            failure = await _generation_attempts.relay_run(
+                context, request, run, relay, move
+            )
+            if failure is None:
+                _record_cache(context, request, run)
+                return True
+            run = await move.finish()
+        finally:
+            await move.close()
+        progress.last = failure
+        if run is None and _can_retry(context, request, failure):
+            run = await open_next()
+    return False
+
+
+def _record_cache(
+    context: _context.Context,
+    request: _requests.Request,
+    run: _stream_moves.Run,
+) -> None:
+    """Records that the worker of a run keeps the prompt that it fetched."""
+    if run.source is not None:
+        context.prompt_load.caches.record_prompt(
+            run.worker.id, request.call.prompt, time.monotonic()
+        )
 
 
 def _refuse_hopeless(
@@ -111,19 +154,42 @@
     return True
 
 
+async def _open_run(
+    context: _context.Context,
+    request: _requests.Request,
+    relay: _stream.Relay,
+    progress: _Progress,
+) -> _stream_moves.Run | None:
+    """Sends the generation to one worker after the other until one accepts it.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param relay: forwards the events.
+    :param progress: attempts so far; it is updated.
+    :returns: its run; None where no worker accepted it.
+    """
+    while progress.sends < _MAX_SENDS:
+        result = await _send_once(context, request, relay, progress)
+        if not isinstance(result, serving.Failed):
+            return result
+        if not _can_retry(context, request, result):
+            break
+    return None
+
+
 async def _send_once(
     context: _context.Context,
     request: _requests.Request,
     relay: _stream.Relay,
     progress: _Progress,
-) -> bool:
+) -> _stream_moves.Run | serving.Failed | None:
     """Prefills the prompt if needed, and sends the generation.
 
     :param context: state of the process.
     :param request: the request.
     :param relay: forwards the events.
     :param progress: attempts so far; it is updated.
-    :returns: whether it was sent to a worker.
+    :returns: its run, or how the attempt failed; None where it was not sent.
     """
     tried = request.tried
     progress.quarantined = _crashes.check_quarantine(
@@ -132,10 +198,10 @@
     untried = _prefill.list_untried(context, request, _Stage.DECODE, tried)
     if progress.quarantined is not None or not untried:
         # Without a decode worker its prompt would be prefilled in vain.
-        return False
+        return None
     source, colocated = _get_usable_source(context, request, progress), None
     if not await _send_permits.admit(context, request, _Stage.DECODE):
-        return False
+        return None
     if source is None:
         source, colocated = await _prefill.prefill_prompt(
             context, request, tried + progress.failed_sources
@@ -143,12 +209,12 @@
         progress.source = source
         source = _get_usable_source(context, request, progress)
         if _send_permits.lacks_turn(context, request, source or colocated):
-            return False
+            return None
     progress.quarantined = await _crashes.wait_for_trial(
         context, request, _Stage.DECODE
     )
     if progress.quarantined is not None:
-        return False
+        return None
     if colocated is None:
         worker = await _send_permits.choose_permitted(
             context,
@@ -158,15 +224,15 @@
     else:
         worker = colocated.prefill_worker
     if worker is None or not request.try_acquire_send(context.budget):
-        return False
+        return None
     tried.append(worker.id)
     progress.sends += 1
-    with _prefill.count_stream(context, request, worker):
-        progress.last = await _generation_attempts.attempt(
-            context, request, colocated or worker, source, relay
-        )
+    result = await _generation_attempts.open_run(
+        context, request, colocated or worker, source, relay
+    )
+    progress.last = result if isinstance(result, serving.Failed) else None
     _update_source(context, request, progress, worker)
-    return True
+    return result
 
 
 def _get_usable_source(
@@ -206,10 +272,6 @@
     :param worker: decode worker of the last attempt.
     """
     source, last, tried = progress.source, progress.last, request.tried
-    if source is not None and last is None:
-        context.prompt_load.caches.record_prompt(
-            worker.id, request.call.prompt, time.monotonic()
-        )
     if last is None or not last.not_run:
         # A worker that may have run the request has fetched the cache.
         progress.source = None
--- a/briarknot/gateway/_generation_attempts.py
+++ b/briarknot/gateway/_generation_attempts.py
@@ -1,5 +1,6 @@
 """Sends a generation to one worker and relays its events."""
 
+import contextlib
 import functools
 import time
 
@@ -11,31 +12,28 @@
     _prefill,
     _requests,
     _stream,
+    _stream_moves,
     _stream_versions,
 )
 
 _OK = 200
-#: Sends that moving a stream takes: its prompt is prefilled again, and its rest
-#: is generated at another worker.
-_SENDS_OF_A_MOVE = 2
 
 
-async def attempt(
+async def open_run(
     context: _context.Context,
     request: _requests.Request,
     target: schema.serving.Worker | serving.Placement,
     source: serving.KvSource | None,
     relay: _stream.Relay,
-) -> serving.Failed | None:
-    """Sends a generation and relays its events.
+) -> _stream_moves.Run | serving.Failed:
+    """Sends a generation to a worker and waits until it accepts it.
 
     :param context: state of the process.
     :param request: the request.
     :param target: the decode worker, or its placement if it prefills the
         prompt itself.
     :param source: KV cache of the prompt.
-    :param relay: forwards the events.
-    :returns: None where the answer is complete or the client disconnected.
+    :param relay: forwards the events; the run goes on after its last one.
     """
     placement = target if isinstance(target, serving.Placement) else None
     worker = placement.prefill_worker if placement else target
@@ -47,7 +45,11 @@
         last_event=relay.resume_after,
         cache_holder=placement.cache_holder if placement else None,
     )
-    with _attempts.open_attempt(context, request, worker) as opened:
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(_prefill.count_stream(context, request, worker))
+        opened = stack.enter_context(
+            _attempts.open_attempt(context, request, worker)
+        )
         # A worker answers with its first token, after the prefill.
         with _prefill.count_prompt(context, request, placement) as counted:
             exchange = await _attempts.send_run(
@@ -63,24 +65,43 @@
                 context, request, worker, exchange
             )
             return exchange
-        try:
-            failure = await _relay(context, request, exchange, relay, opened)
-        finally:
-            exchange.close()
-        if failure is not None and relay.is_starting:
-            await _crashes.record_broken_start(
-                context, request, worker, failure
-            )
-        return failure
+        stack.callback(exchange.close)
+        return _stream_moves.Run(opened, exchange, source, stack.pop_all())
+
+
+async def relay_run(
+    context: _context.Context,
+    request: _requests.Request,
+    run: _stream_moves.Run,
+    relay: _stream.Relay,
+    move: _stream_moves.Move,
+) -> serving.Failed | None:
+    """Relays the events of a run, and closes it.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param run: the run.
+    :param relay: forwards the events.
+    :param move: moves the stream where its worker is silent.
+    :returns: None where the answer is complete or the client disconnected.
+    """
+    with run.stack:
+        failure = await _relay(context, request, run, relay, move)
+    if failure is not None and relay.is_starting:
+        await _crashes.record_broken_start(
+            context, request, run.worker, failure
+        )
+    return failure
 
 
 async def _relay(
     context: _context.Context,
     request: _requests.Request,
-    exchange: platform.Exchange,
+    run: _stream_moves.Run,
     relay: _stream.Relay,
-    opened: _attempts.Attempt,
+    move: _stream_moves.Move,
 ) -> serving.Failed | None:
+    exchange, opened = run.exchange, run.opened
     request.release_sends(context.budget)
     if exchange.answer.status != _OK:
         return await _forward_answer(request, exchange, relay)
@@ -89,11 +110,7 @@
     relay.on_begin = functools.partial(
         _stream_versions.record_begin, context, request, opened.worker
     )
-    watch = _stream.Watch(
-        opened.record,
-        functools.partial(_reserve_move, context, request),
-    )
-    failure = await relay.run(exchange, watch if request.can_resume() else None)
+    failure = await relay.run(exchange, move)
     if isinstance(failure, serving.Failed):
         if request.has_time():
             # A worker ends a run whose time is over.
@@ -119,27 +136,6 @@
     return None
 
 
-def _reserve_move(
-    context: _context.Context, request: _requests.Request
-) -> bool:
-    """Reserves the retries that moving a stream takes, if a worker can take it.
-
-    The other streams of a silent worker move at the same time.
-
-    :param context: state of the process.
-    :param request: the request.
-    :returns: whether a worker is expected to take it.
-    """
-    now = time.monotonic()
-    others = _prefill.list_unblocked(
-        context, request, schema.serving.Stage.DECODE, request.tried
-    )
-    records = [context.worker_records.get(one.id) for one in others]
-    if all(one.is_blocked(now) for one in records):
-        return False
-    return request.try_reserve_sends(_SENDS_OF_A_MOVE, context.budget)
-
-
 async def _forward_answer(
     request: _requests.Request,
     exchange: platform.Exchange,
--- a/briarknot/gateway/_stream.py
+++ b/briarknot/gateway/_stream.py
@@ -8,6 +8,7 @@
 import attrs
 
 from briarknot import platform, serving
+from briarknot.gateway import _stream_moves
 
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
@@ -28,23 +29,6 @@
     """Does nothing, where nobody follows the events of a run."""
 
 
-@attrs.frozen
-class Watch:
-    """How a silent worker is detected.
-
-    :param record: record of the worker.
-    :param can_move: whether another worker is expected to take the stream. A
-        worker may go on after a pause, so that its run is not given up before.
-    """
-
-    record: serving.WorkerRecord
-    can_move: typing.Callable[[], bool]
-
-    def is_lost(self) -> bool:
-        """Returns whether the stream is given up at this worker."""
-        return self.record.is_silent(time.monotonic()) and self.can_move()
-
-
 @attrs.define(eq=False)
 class Relay:
     """Forwards whole events, so that another run can resume after them.
@@ -89,13 +73,12 @@
     async def run(
         self,
         exchange: platform.Exchange,
-        watch: Watch | None = None,
+        move: _stream_moves.Move,
     ) -> serving.Failed | None:
         """Forwards the events of a run.
 
         :param exchange: answer of the run.
-        :param watch: detects a silent worker; None where the stream can't be
-            resumed.
+        :param move: moves the stream where the worker is silent.
         :returns: why the stream is incomplete; None where it is complete, or
             where the client disconnected.
         """
@@ -106,7 +89,7 @@
         self._is_sound = False
         is_end = False
         while not is_end:
-            chunk = await self._read(exchange, watch)
+            chunk = await self._read(exchange, move)
             if isinstance(chunk, serving.Failed):
                 failure = chunk
                 break
@@ -133,21 +116,22 @@
     async def _read(
         self,
         exchange: platform.Exchange,
-        watch: Watch | None,
+        move: _stream_moves.Move,
     ) -> bytes | serving.Failed:
         while not self._is_stalled(time.monotonic()):
             try:
                 async with asyncio.timeout(_SILENCE_CHECK_S):
                     chunk = await exchange.read_some()
             except TimeoutError:
-                if watch and watch.is_lost():
-                    return serving.Failed(
-                        kind=serving.FailureKind.UNREACHABLE,
-                        reason='the worker sends nothing on any stream',
-                    )
+                move.start_if_silent()
                 continue
-            if watch:
-                watch.record.record_bytes(time.monotonic())
+            if move.is_accepted:
+                return serving.Failed(
+                    kind=serving.FailureKind.UNREACHABLE,
+                    reason='silent, and another worker has accepted the rest',
+                )
+            if not isinstance(chunk, serving.Failed):
+                move.record_bytes()
             return chunk
         return serving.Failed(
             kind=serving.FailureKind.TIMED_OUT,
--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -201,6 +201,41 @@
     assert not recorder.lines
 
 
+async def test_silent_worker_is_kept_until_another_one_accepts(recorder):
+    """Streams were cut off as the other worker was full, though both were sound."""
+    workers = make_paused_workers([_support.REJECTED])
+    route = generation.make_stream_route(max_silence_s=3.0)
+    async with _support.open_gateway(route, *workers) as gateway:
+        # It is idle, so that only its answer shows that it takes nothing.
+        own = _support.get_worker_record(gateway.context, workers[2])
+        own.in_flight = 1
+        sent = asyncio.ensure_future(gateway.send(headers=_PROMPT))
+        await workers[1].wait_requests(1)
+        own.in_flight = 0
+        status, _, body = await sent
+    assert (status, generation.read_data(body)) == (200, ['x', 'y'])
+    assert len(workers[2].requests) == 1
+    assert not recorder.lines
+
+
+async def test_worker_that_goes_on_before_another_one_accepts_is_kept(recorder):
+    """Its stream was given up for a worker whose queue it then waited in."""
+    workers = make_paused_workers([_HANGING])
+    route = generation.make_stream_route(max_silence_s=9.0)
+    async with _support.open_gateway(route, *workers) as gateway:
+        own = _support.get_worker_record(gateway.context, workers[2])
+        own.in_flight = 1
+        status, _, body = await gateway.send(headers=_PROMPT)
+        async with asyncio.timeout(5):
+            await workers[2].disconnected.wait()
+        record = _support.get_worker_record(gateway.context, workers[1])
+        assert not record.is_blocked(time.monotonic())
+        assert (own.in_flight, record.in_flight) == (1, 0)
+    assert (status, generation.read_data(body)) == (200, ['x', 'y'])
+    assert len(workers[2].requests) == 1
+    assert not recorder.lines
+
+
 async def test_silent_worker_is_kept_where_no_retry_is_left(recorder):
     """The stream was cut off as the retry budget allowed no resumption."""
     workers = make_paused_workers([])
--- a/briarknot/serving/_worker_records.py
+++ b/briarknot/serving/_worker_records.py
@@ -117,6 +117,23 @@
         """Records that the worker has sent bytes."""
         self._last_bytes_s = now
 
+    def record_silence(self, now: float) -> None:
+        """Records that the worker is silent, so that it gets no requests.
+
+        It may be sound, so that this is no failure, and counts once for all of
+        its streams.
+
+        :param now: monotonic time in seconds.
+        """
+        if now >= self._blocked_until_s:
+            self._block(now)
+
+    def record_recovery(self) -> None:
+        """Records that the worker goes on after a silence."""
+        if self._block_s:
+            self._block_s = 0
+            self._blocked_until_s = float('-inf')
+
     def record_load(self, load: _calls.Load | None, now: float) -> None:
         """Records the load that was reported with an answer."""
         if load is not None:
@@ -148,10 +165,13 @@
             _calls.FailureKind.NOT_SENT,
             _calls.FailureKind.UNREACHABLE,
         }:
-            self._block_s = min(
-                max(self._block_s * 2, _FIRST_BLOCK_S), _MAX_BLOCK_S
-            )
-            self._blocked_until_s = now + self._block_s
+            self._block(now)
+
+    def _block(self, now: float) -> None:
+        self._block_s = min(
+            max(self._block_s * 2, _FIRST_BLOCK_S), _MAX_BLOCK_S
+        )
+        self._blocked_until_s = now + self._block_s
 
     def _add_result(self, failed: float) -> None:
         self.failure_rate += _FAILURE_RATE_WEIGHT * (failed - self.failure_rate)
