Count the age of a new version from when it is known, not from its read

What callers could see: during a release, a stream that had begun at a worker of the new version broke and was taken up at a gateway that was out of step with the others; it went on at a worker of the old version. Shown in virtual time only.

Cause: a version that is not stored begins streams, where no stored one has a usable worker, once each list that counts as recent shows it. Its age counted from before the read that first showed it, so that after a slow read it counted as listed before it was: others began streams at it 0.8 s after it was listed, while a gateway whose list was 1.0 s old was certain of the old version. A message of another process carried the same time. The time of the stored row had the opposite fault: it counted from the arrival, so that a gap in the list behind it looked shorter. And a process takes a gap of 2.2 s between two lists for none, in which a version could come, begin streams after 1.3 s, and go.

The age of a version counts from when the process learns of it, by a list or a message, and versions that are not stored wait for 2.2 s, as stored ones do. The row counts as read before the call.

Two tests of list_visible state the longer wait: a version that was visible 1.3 s after it was listed is visible 2.2 s after it is known. They are stricter than before: the version begins streams later. Calls in tests name the arrival besides the time of the read.

--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -201,7 +201,9 @@
         """
         context = self._context
         known = context.software_versions
-        is_new = known.record_list(context.fleet.workers, read_s)
+        is_new = known.record_list(
+            context.fleet.workers, read_s, _clock.read_clock()
+        )
         if is_new or not known.is_loaded:
             context.versions_changed.notify()
 
--- a/briarknot/gateway/_version_row.py
+++ b/briarknot/gateway/_version_row.py
@@ -136,15 +136,19 @@
             reason = f'the read took {now - started_s:.1f} s'
             telemetry.log_event('versions_unknown', reason=reason)
             return None
-        self._merge_row(page, now)
+        self._merge_row(page, started_s)
         return page
 
-    def _merge_row(self, page: platform.Page, now: float) -> None:
+    def _merge_row(self, page: platform.Page, started_s: float) -> None:
         """Merges the stored versions, whose ages count from the row's writing.
 
         A process that followed the list of workers without a gap knows which
         versions are listed. Any other one counts all as listed until now.
+
+        :param page: the page with the row.
+        :param started_s: time before its read.
         """
+        now = _clock.read_clock()
         known = self._context.software_versions
         before = known.list_keys(), known.list_unstored()
         decoded = _decode_row(page)
@@ -171,7 +175,7 @@
             if is_current:
                 known.merge(_age(records, now - written_s), now)
             records = ()
-        known.load(records, written_s, known_since_s, now)
+        known.load(records, written_s, known_since_s, now, started_s)
         if is_current:
             known.record_stored(keys, now)
         if before != (known.list_keys(), known.list_unstored()):
--- a/briarknot/gateway/tests/test_stream_versions.py
+++ b/briarknot/gateway/tests/test_stream_versions.py
@@ -37,8 +37,8 @@
     known = context.software_versions
     now = _clock.read_clock()
     if not known.is_loaded:
-        known.load((), now, now - 100, now)
-    known.record_list(entries, now)
+        known.load((), now, now - 100, now, now)
+    known.record_list(entries, now, now)
     known.record_stored(known.list_keys(), now)
     context.versions_changed.notify()
 
--- a/briarknot/versions/_software_versions.py
+++ b/briarknot/versions/_software_versions.py
@@ -47,20 +47,26 @@
 class _Version:
     """What is known of a version of a service.
 
-    :param listed_s: latest time at which a worker of it was listed.
-    :param first_listed_s: earliest time at which one is known to have been.
+    :param listed_s: latest time at which a worker of it was listed, or an earlier
+        one.
+    :param learned_s: time at which this process learned that one was, or a later
+        one.
     :param stored_s: time since which the store has it; infinite if it is not
         known to.
     """
 
     listed_s: float = -math.inf
-    first_listed_s: float = math.inf
+    learned_s: float = math.inf
     stored_s: float = math.inf
 
-    def record_listed(self, listed_s: float) -> None:
-        """Records a time at which a worker was listed, or a later one."""
+    def record_listed(self, listed_s: float, now: float) -> None:
+        """Records a time at which a worker was listed, or an earlier one.
+
+        :param listed_s: the time.
+        :param now: time at which this process learns of it.
+        """
         self.listed_s = max(self.listed_s, listed_s)
-        self.first_listed_s = min(self.first_listed_s, listed_s)
+        self.learned_s = min(self.learned_s, now)
 
 
 @attrs.define(eq=False)
@@ -88,11 +94,13 @@
         self,
         workers: typing.Iterable[schema.serving.Worker],
         read_s: float,
+        now: float,
     ) -> bool:
         """Records the versions of a list of workers, or confirms them.
 
         :param workers: all listed workers.
         :param read_s: time at which the list was read from the store, or earlier.
+        :param now: time of its arrival.
         :returns: whether there is a new version.
         """
         if read_s <= self._list_s:
@@ -105,7 +113,7 @@
         for worker in workers:
             if worker.stage != schema.serving.Stage.NONE:
                 version = self._get((worker.service, worker.version))
-                version.record_listed(read_s)
+                version.record_listed(read_s, now)
         is_new = len(self._versions) > known
         self._list_s = read_s
         self._drop_old(read_s)
@@ -117,6 +125,7 @@
         written_s: float,
         known_since_s: float,
         now: float,
+        read_s: float,
     ) -> None:
         """Merges the versions of the stored row.
 
@@ -127,15 +136,16 @@
         :param written_s: time from which the ages of the records count, or later.
         :param known_since_s: time since which the row has all versions that
             began streams.
-        :param now: time of the read.
+        :param now: time of the row's arrival.
+        :param read_s: time at which it was read from the store, or earlier.
         """
         for one in records:
             version = self._get((one.service, one.version))
-            version.record_listed(now)
+            version.record_listed(now, now)
             stored_s = min(now, _to_stored_s(one, written_s))
             version.stored_s = min(version.stored_s, stored_s)
         self._known_since_s = min(self._known_since_s, known_since_s)
-        self._loaded_s = now
+        self._loaded_s = read_s
         self._is_loaded = True
 
     def merge(
@@ -153,7 +163,7 @@
             if now - listed_s > MAX_STREAM_S:
                 continue
             version = self._get((one.service, one.version))
-            version.record_listed(listed_s)
+            version.record_listed(listed_s, now)
             version.stored_s = min(version.stored_s, _to_stored_s(one, now))
         return len(self._versions) > known
 
@@ -228,10 +238,13 @@
     def list_visible(self, service: str, now: float) -> frozenset[str]:
         """Lists the versions that each list which is not too old shows.
 
-        They may begin streams where no admitted version has a worker to use. A
-        process whose list lacks one of them counts as uncertain by now, but one
-        that starts after the loss of all others may not know it. A version that
-        is alone can't be taken for another one.
+        They may begin streams where no admitted version has a worker to use. The
+        time counts from when this process learned of the version, as the list that
+        shows it may have been under way for long. By its end, a process whose list
+        lacks the version is uncertain, or has left out lists for so long that it
+        reads the stored versions again. One that starts after the loss of all
+        others may not know the version. A version that is alone can't be taken for
+        another one.
 
         :param service: name of the service.
         :param now: the time.
@@ -244,7 +257,7 @@
         return frozenset(
             name
             for name, version in known.items()
-            if len(known) == 1 or now - version.first_listed_s > MAX_LIST_AGE_S
+            if len(known) == 1 or now - version.learned_s > ADMISSION_S
         )
 
     def list_possible(
--- a/briarknot/versions/tests/_fleet_simulation.py
+++ b/briarknot/versions/tests/_fleet_simulation.py
@@ -42,6 +42,7 @@
     :param listed: entries of workers.
     :param refused: hosts whose calls are not answered.
     :param writes: writes of the row of versions.
+    :param slowness: factor on the latencies of its calls.
     """
 
     listed: dict[str, schema.serving.Worker] = attrs.field(factory=dict)
@@ -51,6 +52,7 @@
     is_up: bool = True
     refused: set[str] = attrs.field(factory=set)
     writes: int = 0
+    slowness: float = 1
     copied_row: schema.records.VersionsRow | None = None
     copied_number: int = 0
 
@@ -300,9 +302,8 @@
 
     def call_store(self, gateway, operation, then):
         """Calls the store; the answer may be late or lost."""
-        self.after(
-            self._draw_latency(gateway), self._perform, gateway, operation, then
-        )
+        delay_s = self._draw_latency(gateway) * self.store.slowness
+        self.after(delay_s, self._perform, gateway, operation, then)
 
     def open(self, lasting_s):
         """Begins a stream of a client at any gateway."""
@@ -325,7 +326,7 @@
             return
         found = operation()
         if self.source.random() >= self.loss:
-            delay_s = self._draw_latency(gateway)
+            delay_s = self._draw_latency(gateway) * self.store.slowness
             self.after(delay_s, self.deliver, gateway, then, found)
 
     def _can_lead(self, gateway):
@@ -380,6 +381,12 @@
                 return
         self._count(self.counts.new, stream, gateway, is_served=False)
 
+    def hand_over(self, stream, gateway):
+        """Breaks a connection; the client takes the stream up at a gateway."""
+        self.streams.remove(stream)
+        stream.tries += 1
+        self.deliver(gateway, self.take_up, stream, gateway)
+
     def take_up(self, stream, gateway):
         """Handles a request that takes a stream up."""
         Choice(self, gateway).find_version(
@@ -589,7 +596,9 @@
                 self.gateway.origins.forget_restarted(worker.id, self.fleet.now)
         self.gateway.workers = dict(workers)
         self.gateway.failed.clear()
-        if self.gateway.software.record_list(workers.values(), read_s):
+        if self.gateway.software.record_list(
+            workers.values(), read_s, self.fleet.now
+        ):
             self._tell(self.fleet.gateways)
 
     def _renew_list(self):
@@ -670,14 +679,14 @@
         software = self.gateway.software
         self._remember(row, number, era)
         if row is None:
-            software.load((), now, now, now)
+            software.load((), now, now, now, sent_s)
         else:
             # The later of the possible times: ages must not grow.
             written_s = row.store_s - _STORE_OFFSET_S + now - answered_s
             known_s = written_s - row.known_age_ms / _MS_PER_S
             if row.era != era:
                 known_s = now
-            software.load(row.versions, written_s, known_s, now)
+            software.load(row.versions, written_s, known_s, now, sent_s)
         self.gateway.sync.calls_until_s = now
         if not self.gateway.is_serving:
             self.gateway.is_serving = True
--- a/briarknot/versions/tests/test_software_versions.py
+++ b/briarknot/versions/tests/test_software_versions.py
@@ -20,22 +20,22 @@
 def make_settled(now=0):
     """Makes versions that have known one stored version for long."""
     software = versions.make_software_versions()
-    software.record_list((_OLD,), now)
+    software.record_list((_OLD,), now, now)
     records = software.list_records(now)
-    software.load(records, now - _LONG_S, now - _LONG_S, now)
+    software.load(records, now - _LONG_S, now - _LONG_S, now, now)
     return software
 
 
 def confirm(software, workers, since_s, until_s):
     """Confirms a list once a second."""
     for read_s in range(int(since_s), int(until_s) + 1):
-        software.record_list(workers, read_s)
+        software.record_list(workers, read_s, read_s)
 
 
 def test_version_begins_no_streams_before_all_others_can_know_it():
     """Another gateway went on at the only version that it had listed."""
     software = make_settled()
-    assert software.record_list([_OLD, _NEW], 1)
+    assert software.record_list([_OLD, _NEW], 1, 1)
     assert software.list_unstored() == {(_SERVICE, '2')}
     assert software.list_admitted(_SERVICE, 1 + _LONG_S) == {'1'}
     software.record_stored(software.list_unstored(), 2)
@@ -63,9 +63,9 @@
     admitted yet, and a gateway with an older list went on at the old version.
     """
     software = make_settled()
-    software.record_list([_OLD, _NEW], 1)
-    assert software.list_visible(_SERVICE, 1 + limits.MAX_LIST_AGE_S) == {'1'}
-    late_s = 1.01 + limits.MAX_LIST_AGE_S
+    software.record_list([_OLD, _NEW], 1, 1)
+    assert software.list_visible(_SERVICE, 1 + limits.ADMISSION_S) == {'1'}
+    late_s = 1.01 + limits.ADMISSION_S
     assert software.list_visible(_SERVICE, late_s) == {'1', '2'}
     other = make_settled()
     assert not other.list_possible(_SERVICE, late_s)
@@ -74,14 +74,38 @@
 def test_visible_version_is_known_from_the_first_list_that_shows_it():
     """Each confirmation of the list began the time anew."""
     software = make_settled()
-    confirm(software, [_OLD, _NEW], 1, 3)
-    assert software.list_visible(_SERVICE, 3) == {'1', '2'}
+    confirm(software, [_OLD, _NEW], 1, 4)
+    assert software.list_visible(_SERVICE, 4) == {'1', '2'}
+
+
+def test_list_that_was_long_under_way_delays_a_new_version():
+    """A slow read let a version begin streams before others could list it.
+
+    The read began before the version was listed, and counted from its beginning.
+    """
+    software = make_settled()
+    software.record_list([_OLD, _NEW], 1, 2)
+    assert software.list_visible(_SERVICE, 1.5 + limits.ADMISSION_S) == {'1'}
+    merged = make_settled()
+    merged.merge(software.list_records(2), 2)
+    assert merged.list_visible(_SERVICE, 1.5 + limits.ADMISSION_S) == {'1'}
+    late_s = 2.01 + limits.ADMISSION_S
+    assert software.list_visible(_SERVICE, late_s) == {'1', '2'}
+    assert merged.list_visible(_SERVICE, late_s) == {'1', '2'}
+
+
+def test_slow_read_of_the_row_does_not_hide_a_gap():
+    """A version came and went after the row that a slow read brought."""
+    software = make_settled()
+    software.load((), 0, -_LONG_S, now=1.2, read_s=0)
+    software.record_list([_OLD], 0.1 + limits.ADMISSION_S, 3)
+    assert not software.is_loaded
 
 
 def test_first_version_of_a_service_begins_streams_at_once():
     """A new service was not served until its version was stored."""
     software = versions.make_software_versions()
-    software.record_list([_OLD], 1)
+    software.record_list([_OLD], 1, 1)
     assert software.list_visible(_SERVICE, 1) == {'1'}
     assert not software.list_visible('t', 1)
 
@@ -97,8 +121,8 @@
 def test_list_that_waited_in_a_socket_does_not_look_recent():
     """A gateway that was suspended handled old lists when it woke up."""
     software = make_settled()
-    software.record_list([_OLD], 1)
-    assert not software.record_list([_OLD, _NEW], 0.5)
+    software.record_list([_OLD], 1, 1)
+    assert not software.record_list([_OLD, _NEW], 0.5, 0.5)
     assert not software.list_possible(_SERVICE, 8)
 
 
@@ -106,11 +130,11 @@
     """A version came and went while a gateway had no list."""
     software = make_settled()
     now = 1 + limits.ADMISSION_S
-    software.record_list((_OLD,), now)
+    software.record_list((_OLD,), now, now)
     assert not software.is_loaded
     assert not software.list_possible(_SERVICE, now)
     row = schema.records.VersionRecord(service=_SERVICE, version='2')
-    software.load((row,), now, -_LONG_S, now)
+    software.load((row,), now, -_LONG_S, now, now)
     assert software.is_loaded
     assert software.list_possible(_SERVICE, now) == {'1', '2'}
 
@@ -118,8 +142,8 @@
 def test_row_that_may_lack_versions_is_no_proof():
     """The store was restored from a copy that lacked the newest version."""
     software = versions.make_software_versions()
-    software.record_list([_OLD], 0)
-    software.load((), 0, known_since_s=0, now=0)
+    software.record_list([_OLD], 0, 0)
+    software.load((), 0, known_since_s=0, now=0, read_s=0)
     confirm(software, [_OLD], 1, limits.MAX_STREAM_S)
     now = limits.MAX_STREAM_S
     assert not software.list_possible(_SERVICE, now - 0.1)
@@ -129,7 +153,7 @@
 def test_version_counts_while_its_streams_may_be_taken_up():
     """Streams of a version whose workers had left went on at another one."""
     software = make_settled()
-    software.record_list([_OLD, _NEW], 1)
+    software.record_list([_OLD, _NEW], 1, 1)
     until_s = int(limits.MAX_STREAM_S) + 1
     confirm(software, [_OLD], 2, until_s)
     assert software.list_possible(_SERVICE, until_s) == {'1', '2'}
@@ -145,11 +169,11 @@
     it names no age for them.
     """
     writer = versions.make_software_versions()
-    writer.record_list([_OLD], 0)
+    writer.record_list([_OLD], 0, 0)
     records = writer.list_records(0)
     reader = versions.make_software_versions()
-    reader.record_list([_OLD, _NEW], 100)
-    reader.load(records, 0, 0, now=100)
+    reader.record_list([_OLD, _NEW], 100, 100)
+    reader.load(records, 0, 0, now=100, read_s=100)
     assert reader.list_unstored() == {(_SERVICE, '2')}
     now = 100 + limits.ADMISSION_S
     assert reader.list_admitted(_SERVICE, now - 0.1) == frozenset()
@@ -159,7 +183,7 @@
 def test_records_of_others_bring_versions_and_their_admission():
     """A gateway that could not write never admitted a version."""
     one = make_settled()
-    one.record_list([_OLD, _NEW], 1)
+    one.record_list([_OLD, _NEW], 1, 1)
     one.record_stored([(_SERVICE, '2')], 1)
     other = make_settled()
     assert other.merge(one.list_records(1.5), 1.6)
@@ -187,7 +211,7 @@
     software = make_settled()
     other = attrs.evolve(_NEW, service='t')
     plain = attrs.evolve(_NEW, stage=schema.serving.Stage.NONE)
-    software.record_list([_OLD, other, plain], 1)
+    software.record_list([_OLD, other, plain], 1, 1)
     assert software.list_possible(_SERVICE, 1) == {'1'}
     assert software.list_keys() == {(_SERVICE, '1'), ('t', '2')}
     software.record_stored(software.list_keys(), 1)
