Let messages under way arrive before a version is made unstored in a test

Cause: the message of the other process that the version is stored, or a read of the row, was under way when the test cut the process off. Sending that message just before the cut makes the test fail each time at the same line (trial); with a wait between the cut and the change it passes. The test asserts the same as before.

The process must not be cut off for longer than 2.2 s: it then reads the row before it sends its records, and the test's process can't.

--- a/briarknot/gateway/tests/test_version_sync.py
+++ b/briarknot/gateway/tests/test_version_sync.py
@@ -23,6 +23,9 @@
 _ROW = ('versions', 'gateways')
 _OLD = {**stores._WORKER, 'stage': 'decode', 'version': 'v1', 'born': 1}
 _NEW = {**_OLD, 'version': 'v2', 'born': 2}
+#: Calls to the store and messages take a few milliseconds here. A process that is
+#: without lists for longer than 2.2 s reads the row before it sends its records.
+_UNDER_WAY_S = 0.4
 _NOWHERE = 'http://127.0.0.1:1'
 
 
@@ -428,6 +431,8 @@
         # The other process may still have to send that it is stored.
         for context in contexts:
             context.peer_hosts = {}
+        # A message that was sent before, and a read of the row, may be under way.
+        await asyncio.sleep(_UNDER_WAY_S)
         contexts[0].software_versions._versions['s', 'v1'].stored_s = math.inf
         # The message that is sent at once is lost, so that a later one must do.
         contexts[0].versions_changed.notify()
