Have the worker with a limit preferred in the test of its limit

test_gateways_together_keep_to_the_limit_of_a_worker[idempotent-3] failed once: the worker with the limit got no request at all. Cause: of two workers that have not answered yet, each gateway draws its first one at random, and keeps to the one that has answered, which then counts as faster. All eight drew the other worker.

The worker with the limit counts as the faster one from the beginning now, so that only its limit keeps requests away from it.

--- a/briarknot/gateway/tests/test_worker_limits.py
+++ b/briarknot/gateway/tests/test_worker_limits.py
@@ -16,6 +16,8 @@
 _LEAD_S = 1.0
 _WINDOW_S = 4.0
 _PERIOD_S = 0.15
+#: Below the time of any answer.
+_LEAST_ANSWER_S = 1e-6
 
 
 @attrs.define(eq=False)
@@ -99,6 +101,10 @@
     async with _support.open_gateways(
         route, limited, other, count=_GATEWAYS
     ) as gateways:
+        for gateway in gateways:
+            # Only its limit keeps requests away from it.
+            record = _support.get_worker_record(gateway.context, limited)
+            record.answer_s = _LEAST_ANSWER_S
         started_s = time.monotonic()
         statuses = await send_for(gateways, _LEAD_S + _WINDOW_S)
     assert set(statuses) == {200}
