Take only answers that name their request, and successes with a digest

What callers saw: after a faulty worker had added bytes to an answer, the next client on that connection got them as a 200 without a digest, with a body of no request; the answer of its own was thrown away.

Cause: an answer that names no request counted as the answer, unless it was a refusal, and the digest was read nowhere. Streams that may be resumed and prefills, which use the same kept connections, took such bytes too.

An answer to a request with an id must name it now, and a success must bear a digest, but for prefills, whose answer is not for the client. Others count as foreign: the connection is closed, and the request is tried again where it may be.

Four scripted answers of test_unanswered_requests.py lacked the digest that each worker adds; they have it now, and assert the same.

--- a/briarknot/gateway/tests/test_faulty_answers.py
+++ b/briarknot/gateway/tests/test_faulty_answers.py
@@ -1,6 +1,7 @@
 """Tests answers of faulty workers that operators of similar systems reported."""
 
 import aiohttp
+import attrs
 import pytest
 
 from briarknot import schema
@@ -102,3 +103,76 @@
     ) as gateway:
         status, _, body = await gateway.send(headers=_PROMPT)
     assert (status, body.decode()) == (200, text)
+
+
+_STALE_BODY = '{"kvHandle":"stale","tokens":10,"version":1}'
+_STALE_ANSWERS = {
+    f'{status}{name}': (
+        f'HTTP/1.1 {status} X\r\n{header}'
+        f'Content-Length: {len(_STALE_BODY)}\r\n\r\n{_STALE_BODY}'
+    )
+    for status in (200, 404, 500)
+    for name, header in (('', ''), ('_digest', _support.SEAL))
+}
+
+
+def make_answers(first, second, stale):
+    """Makes two answers, and bytes that arrive between them.
+
+    They arrive on the kept connection after the second request has been sent.
+    """
+    return [
+        attrs.evolve(first, later=(stale,), pause_s=0.2),
+        attrs.evolve(second, delay_s=0.5),
+    ]
+
+
+@pytest.mark.parametrize(
+    'stale', _STALE_ANSWERS.values(), ids=_STALE_ANSWERS.keys()
+)
+async def test_bytes_after_an_answer_are_not_the_next_one(stale):
+    """The next client on the connection got bytes that name no request."""
+    answer = _support.make_reply(200, 'done', _support.SEAL.strip())
+    worker = _support.ScriptedWorker(make_answers(answer, answer, stale))
+    route = _support.make_route(_Kind.IDEMPOTENT, max_attempts=1)
+    async with _support.open_gateway(route, worker) as gateway:
+        assert (await gateway.send('GET'))[0] == 200
+        status, _, body = await gateway.send(
+            'GET', headers={'Request-Id': 'q2'}
+        )
+    assert len(worker.requests) == 2
+    assert (status, body) == (502, b'')
+
+
+async def test_bytes_after_an_answer_are_not_a_kv_cache():
+    """A stream fetched a KV cache that its prefill worker had not made."""
+    stale = _STALE_ANSWERS['200']
+    handles = make_answers(_support.HANDLE, _support.HANDLE, stale)
+    stream = _support.make_stream('x')
+    workers = generation.make_workers(
+        [*handles, _support.HANDLE], [stream, stream]
+    )
+    route = generation.make_stream_route()
+    async with _support.open_gateway(route, *workers) as gateway:
+        for number in range(2):
+            headers = {**_PROMPT, 'Request-Id': f'q{number}'}
+            await gateway.send(headers=headers)
+    sources = [one.get('kv-source', '') for one in workers[1].requests]
+    assert sources
+    assert not any('stale' in one for one in sources)
+
+
+@pytest.mark.parametrize('kind', _Kind)
+async def test_success_without_a_digest_is_not_forwarded(kind):
+    """Clients got a success that no worker vouched for."""
+    stage, reply = 'none', _support.make_reply(200, 'x')
+    if kind == _Kind.GENERATION:
+        text = _support.make_stream('x').text.replace(_support.SEAL, '')
+        stage, reply = 'decode', _support.Reply(text)
+    worker = _support.ScriptedWorker([reply], stage)
+    route = _support.make_route(kind, max_attempts=1)
+    async with _support.open_gateway(route, worker) as gateway:
+        status, _, body = await gateway.send(
+            headers=_PROMPT if kind == _Kind.GENERATION else {}
+        )
+    assert (status, body) == (502, b'')
--- a/briarknot/gateway/tests/test_unanswered_requests.py
+++ b/briarknot/gateway/tests/test_unanswered_requests.py
@@ -18,6 +18,7 @@
 #: Longest time in which an event reaches a client in another region, with a
 #: packet that is lost and sent again.
 _MAX_DELAY_S = 0.3
+_DIGEST = _support.SEAL.strip()
 _HANGING = _support.Reply('', _support.HANG)
 _PROMPT = {
     'Model': 'm',
@@ -58,7 +59,7 @@
 
 async def test_answered_request_is_not_logged_as_unanswered(recorder):
     """Operators would look for losses that did not happen."""
-    worker = _support.ScriptedWorker([_support.make_reply(200, 'x')])
+    worker = _support.ScriptedWorker([_support.make_reply(200, 'x', _DIGEST)])
     route = _support.make_route(_Kind.NON_IDEMPOTENT)
     async with _support.open_gateway(route, worker) as gateway:
         assert (await gateway.send())[0] == 200
@@ -302,7 +303,7 @@
     """A stop ended the process while the last answer was being written."""
     size = 8 << 20
     body = 'x' * (size - 1)
-    worker = _support.ScriptedWorker([_support.make_reply(200, body)])
+    worker = _support.ScriptedWorker([_support.make_reply(200, body, _DIGEST)])
     route = _support.make_route(_Kind.NON_IDEMPOTENT)
     async with _support.open_gateway(route, worker) as gateway:
         async with open_connection(gateway) as (reader, writer):
@@ -443,7 +444,7 @@
 
 async def test_client_that_waits_to_send_its_body_is_asked_for_it():
     """It waited for an interim answer that the gateway never sent."""
-    worker = _support.ScriptedWorker([_support.make_reply(200, 'x')])
+    worker = _support.ScriptedWorker([_support.make_reply(200, 'x', _DIGEST)])
     route = _support.make_route(_Kind.NON_IDEMPOTENT)
     async with _support.open_gateway(route, worker) as gateway:
         async with open_connection(gateway) as (reader, writer):
@@ -488,7 +489,7 @@
 async def test_request_outlives_its_route_service_and_worker(recorder, kind):
     """A newer manifest, or list of workers, ended what was being answered."""
     is_stream = kind == _Kind.GENERATION
-    stage, whole, end = 'none', _support.make_reply(200, 'x'), b'x'
+    stage, whole, end = 'none', _support.make_reply(200, 'x', _DIGEST), b'x'
     if is_stream:
         stage, whole, end = 'decode', _support.make_stream('x', 'y'), b'y\n\n'
     reply = attrs.evolve(whole, delay_s=0.3)
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -56,6 +56,15 @@
         """Status and headers."""
         return self._answer
 
+    @property
+    def is_proven(self) -> bool:
+        """Whether the answer is no success, or has the worker's digest.
+
+        An answer to a prefill needs none; it is not for the client.
+        """
+        headers = self._response.headers
+        return not self._response.ok or _headers.SEAL in headers
+
     async def read_whole(self) -> bytes | serving.Failed:
         """Reads the whole body, up to the longest one that is accepted."""
         parts = []
@@ -94,6 +103,10 @@
         """Ends the exchange; the worker drops a request that still runs."""
         self._response.close()
 
+    def close_connection(self) -> None:
+        """Ends the exchange and closes its connection."""
+        self._response.close_connection()
+
     def release(self) -> None:
         """Returns the connection to its pool after the whole body was read."""
         self._response.release()
@@ -149,7 +162,14 @@
                     f'{source.worker.address}/{source.handle}',
                 )
             )
-        return await self._send(call, dispatch, headers, fresh=fresh)
+        exchange = await self._send(call, dispatch, headers, fresh=fresh)
+        if isinstance(exchange, Exchange) and not exchange.is_proven:
+            exchange.close_connection()
+            return serving.Failed(
+                kind=serving.FailureKind.FOREIGN,
+                reason=f'status {exchange.answer.status} without a digest',
+            )
+        return exchange
 
     async def prefill(
         self, call: serving.Call, dispatch: serving.Dispatch
@@ -279,8 +299,8 @@
             kind=serving.FailureKind.FOREIGN,
             reason=f'the answer is for request {echoed}',
         )
-    is_refusal = status == _MISDIRECTED or _headers.NOT_EXECUTED in headers
-    if is_refusal and echoed is None and call.id:
+    if echoed is None and call.id:
+        # Bytes after an earlier answer on the connection name no request.
         return serving.Failed(
             kind=serving.FailureKind.FOREIGN,
             reason=f'status {status} names no request',
