Count a limit that no worker reaches as none

Cause: an issuer that takes over keeps a time for each permit of a window, as many as the limit allows; the largest numbers have no integer.

Limits above 10,000 a second count as none, in answers and in messages of other processes: all gateways together send fewer requests at the size that the product is designed for, so that the worker gets no more than it wants.

Evidence: test_limit_that_no_worker_reaches_is_none fails with 20,000 and 1e308 before and passes now; 2^31 - 1 was not run before the change, as it exhausts the memory.

--- a/briarknot/serving/_worker_limits.py
+++ b/briarknot/serving/_worker_limits.py
@@ -25,6 +25,10 @@
 #: Relative change of a limit that other processes are informed of at once. The
 #: others get smaller ones with the repeated records.
 _MIN_CHANGE = 0.1
+#: Larger limits count as none: all gateways together send fewer requests than that
+#: at the size that the product is designed for. Issuers keep a time for each permit
+#: of a window, which would exhaust their memory.
+_MAX_LIMIT_PER_S = 10_000
 _MS_PER_S = 1000
 
 LimitRecord = schema.messages.LimitRecord
@@ -90,7 +94,7 @@
             return False
         known = self._get(start, now)
         before = known.per_s if known else None
-        per_s = backpressure.limit_per_s
+        per_s = _drop_excessive(backpressure.limit_per_s)
         if per_s is not None:
             since_s = now if before is None else known.since_s
             self._statements[start] = _Statement(per_s, now, since_s)
@@ -121,7 +125,7 @@
             if known is not None and known.stated_s >= stated_s:
                 continue
             before = known.per_s if known else None
-            per_s = one.per_s if one.is_limited else None
+            per_s = _drop_excessive(one.per_s if one.is_limited else None)
             since_s = now - one.since_ms / _MS_PER_S
             if before is not None and per_s is not None:
                 since_s = min(since_s, known.since_s)
@@ -185,6 +189,11 @@
         return known
 
 
+def _drop_excessive(per_s: float | None) -> float | None:
+    """Returns a limit; None for one that no worker reaches."""
+    return None if per_s is None or per_s > _MAX_LIMIT_PER_S else per_s
+
+
 def _is_changed(before: float | None, after: float | None) -> bool:
     if before is None or after is None:
         return before is not after
--- a/briarknot/serving/tests/test_send_permits.py
+++ b/briarknot/serving/tests/test_send_permits.py
@@ -439,3 +439,24 @@
         for now in (now + 0.2, now + 0.4, now + 0.6)
     ]
     assert granted == [True, True, True]
+
+
+@pytest.mark.parametrize('limit_per_s', [20_000, 2**31 - 1, 1e308])
+def test_limit_that_no_worker_reaches_is_none(limit_per_s):
+    """A worker that named one exhausted the memory of its permits' issuer.
+
+    The issuer kept a time for each permit of a window. Larger numbers had no
+    integer, and each request to the worker failed.
+    """
+    permits = serving.make_send_permits('g1', 'a', now=0)
+    permits.limits.record_answer(_START, _NAMED(limit_per_s=5), 1, now=1)
+    stated = _NAMED(limit_per_s=limit_per_s)
+    permits.limits.record_answer(_START, stated, 9, now=9)
+    need = serving.Need(rank=0, max_wait_s=0)
+    assert permits.issue(_WORKER, need, now=9) == serving.Permit(0)
+    other = serving.make_send_permits('g2', 'a', now=0)
+    record = schema.messages.LimitRecord(
+        worker=_START, is_limited=True, per_s=limit_per_s
+    )
+    other.limits.merge((record,), now=9)
+    assert other.issue(_WORKER, need, now=9) == serving.Permit(0)
