Count a load with a figure too large for a float as malformed

A worker whose Instance-Load had a fourth figure of 400 digits failed each request that it had answered (found by a review). The figure is an integer that can't be divided as a float, and the error passed the decoder. Such a load is logged and ignored now, as other malformed ones. The new case of test_malformed_load_is_logged failed before.

--- a/briarknot/platform/_answer_headers.py
+++ b/briarknot/platform/_answer_headers.py
@@ -55,7 +55,7 @@
             slots=slots,
             work_time_ratio=max(0, percent) / _USUAL_PERCENT,
         )
-    except ValueError:
+    except (OverflowError, ValueError):
         _MALFORMED.labels('load').inc()
         telemetry.log_event(
             'load_malformed',
--- a/briarknot/platform/tests/test_load_header.py
+++ b/briarknot/platform/tests/test_load_header.py
@@ -34,10 +34,14 @@
     assert record.get_work_time_ratio(reported_s) == pytest.approx(ratio)
 
 
-async def test_malformed_load_is_logged(caplog):
-    """It was ignored in silence, and all workers looked idle."""
+@pytest.mark.parametrize('header', ['3;1;8', f'3,1,8,{"9" * 400}'])
+async def test_malformed_load_is_logged(header, caplog):
+    """It was ignored in silence, and all workers looked idle.
+
+    A figure that is no floating-point number failed the request.
+    """
     caplog.set_level(logging.INFO)
-    record = await read_load('3;1;8')
+    record = await read_load(header)
     assert record._load is None
     assert 'load_malformed' in caplog.messages
 
