Check the start of a worker before it goes on with a stream

What callers saw: a worker ended and was back within 0.3 s under its id with another software version. Streams of other workers that broke off then went on there, so that a client got one stream from two versions.

Cause: the version of a worker was taken from the list, which is up to 1.9 s old, and a request names no more than the worker's id, which stays. No connection need have broken.

Before the rest of a stream is forwarded, the gateway reads the entry of the worker that has accepted it, by a read that begins after its answer, and tries another worker where the entry shows another start or version.

--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -41,6 +41,9 @@
 
 
 SendMessage = typing.Callable[[typing.Any, tuple[str, ...]], None]
+HasRestarted = typing.Callable[
+    [schema.serving.Worker], typing.Coroutine[typing.Any, typing.Any, bool]
+]
 
 
 def _drop_message(message: typing.Any, hosts: tuple[str, ...]) -> None:
@@ -59,6 +62,11 @@
     domain: str
 
 
+async def _assume_listed(worker: schema.serving.Worker) -> bool:
+    """Takes the list for current, where no store is read."""
+    return False
+
+
 @attrs.define(eq=False)
 class Context:
     """State of a gateway process.
@@ -84,6 +92,8 @@
         the store was restored.
     :param origins: workers that began streams.
     :param origin_answers: answers of other processes that know such a worker.
+    :param has_restarted: returns whether a worker has started again since it was
+        listed.
     :param send_message: sends a message to other processes, by their hosts.
     :param stop: shortens the time limits of requests when the process stops.
     :param background_tasks: tasks that outlive the request that started them.
@@ -119,6 +129,7 @@
     origin_answers: _pending_answers.PendingAnswers = attrs.field(
         factory=_pending_answers.PendingAnswers
     )
+    has_restarted: HasRestarted = _assume_listed
     send_message: SendMessage = _drop_message
     stop: _stopping.Stop = attrs.field(factory=_stopping.Stop)
     background_tasks: set[typing.Any] = attrs.field(factory=set)
--- a/briarknot/gateway/_gateway.py
+++ b/briarknot/gateway/_gateway.py
@@ -20,6 +20,7 @@
     _quarantine_sync,
     _requests,
     _stage_orders,
+    _start_checks,
     _stopping,
     _store_sync,
     _version_sync,
@@ -201,6 +202,8 @@
         )
         calls = platform.make_worker_calls()
         context = _context.make_context(settings, calls)
+        checks = _start_checks.make_start_checks(client)
+        context.has_restarted = checks.has_restarted
         orders = platform.make_engine_orders(order_session)
         await Gateway(path, context, client, orders, lines, listener).serve()
 
--- a/briarknot/gateway/_generation_attempts.py
+++ b/briarknot/gateway/_generation_attempts.py
@@ -66,9 +66,40 @@
             )
             return exchange
         stack.callback(exchange.close)
+        if await _is_other_version(context, request, worker):
+            failure = serving.Failed(
+                kind=serving.FailureKind.FOREIGN,
+                reason='the worker has started again since it was listed',
+            )
+            opened.record.record_failure(failure.kind, time.monotonic())
+            return failure
         return _stream_moves.Run(opened, exchange, source, stack.pop_all())
 
 
+async def _is_other_version(
+    context: _context.Context,
+    request: _requests.Request,
+    worker: schema.serving.Worker,
+) -> bool:
+    """Returns whether a stream that has begun may not go on at a worker.
+
+    It has accepted the rest, but may run another version than it was listed with.
+
+    :param context: state of the process.
+    :param request: the request.
+    :param worker: the worker.
+    """
+    if request.version is None or not await context.has_restarted(worker):
+        return False
+    telemetry.log_event(
+        'stream_not_continued',
+        request=request.call.id,
+        worker=worker.id,
+        version=request.version,
+    )
+    return True
+
+
 async def relay_run(
     context: _context.Context,
     request: _requests.Request,
--- a/briarknot/gateway/tests/test_stream_versions.py
+++ b/briarknot/gateway/tests/test_stream_versions.py
@@ -56,6 +56,25 @@
     assert not other.requests
 
 
+async def test_stream_does_not_go_on_at_a_worker_that_has_started_again():
+    """A stream was joined from two versions: the list showed the earlier one."""
+    broken = make_decode([_BROKEN], 'v1')
+    restarted = make_decode([_support.make_stream('w', start=3)], 'v1')
+    same = make_decode([_REST], 'v1')
+    route = generations.make_stream_route(max_attempts=3)
+    workers = (broken, restarted, same)
+    async with _support.open_gateway(route, *workers) as gateway:
+        set_order(gateway, *workers)
+
+        async def has_restarted(worker):
+            return worker.id == restarted.entry.id
+
+        gateway.context.has_restarted = has_restarted
+        status, _, body = await gateway.send()
+    assert (status, generations.read_data(body)) == (200, ['x', 'y', 'z'])
+    assert len(restarted.requests) == 1
+
+
 async def test_broken_stream_ends_where_no_worker_of_its_version_is_left():
     """The rest came from another version, and the answer looked complete."""
     broken = make_decode([_BROKEN], 'v1')
