--- a/briarknot/gateway/_start_checks.py
+++ b/briarknot/gateway/_start_checks.py
@@ -12,8 +12,10 @@
 from briarknot import platform, schema, serving, telemetry
 
 #: Longest wait for the entry of a worker. The store answers within some
-#: milliseconds; a stream must not wait for it while it is slow or away.
-_READ_TIMEOUT_S = 0.3
+#: milliseconds, and 0.06 s from another region; a stream must not wait for it while
+#: it is slow or away. The worker has begun by then, and a silent one that it
+#: replaces must have ended 0.4 s after that.
+_READ_TIMEOUT_S = 0.2
 
 
 @attrs.frozen
--- a/briarknot/serving/tests/test_choices.py
+++ b/briarknot/serving/tests/test_choices.py
@@ -54,6 +54,27 @@
     assert policy(view, (near, far), 0) is far
 
 
+def test_silence_of_a_worker_counts_once_for_all_its_streams():
+    """Each of its streams doubled the time without requests, up to 4 s."""
+    record = serving.make_worker_records().get('w')
+    record.in_flight = 12
+    for _ in range(12):
+        record.record_silence(now=0)
+    assert record.is_blocked(0.1)
+    assert not record.failure_rate
+    record.in_flight = 0
+    assert not record.is_blocked(0.6)
+
+
+def test_worker_that_goes_on_gets_requests_at_once():
+    """A sound worker stayed blocked while streams were under way there."""
+    record = serving.make_worker_records().get('w')
+    record.in_flight = 12
+    record.record_silence(now=0)
+    record.record_recovery()
+    assert not record.is_blocked(0.1)
+
+
 def test_unreachable_worker_is_blocked_temporarily():
     """Without the block each request waits to connect to a crashed worker."""
     record = serving.make_worker_records().get('w')
