Answer requests that arrive at the end of a planned stop

What callers saw: a request that was sent at the moment at which a stopping entry process ended got a closed connection in place of a refusal.

Cause: refusals of a stopping process left the connection open, and at the end the connections were closed together with the ports, also those whose next request had arrived and was not read yet.

Each answer of a stopping process says that it closes its connection, and connections are closed 0.2 s after the ports.

The new test fails without the announced close.

--- a/briarknot/entry/_caller_api.py
+++ b/briarknot/entry/_caller_api.py
@@ -4,7 +4,7 @@
 import time
 
 import attrs
-from aiohttp import web
+from aiohttp import hdrs, web
 
 from briarknot import journal, outcomes, telemetry
 from briarknot.entry import (
@@ -32,6 +32,7 @@
         """Makes the application of the callers' port."""
         limits = self._context.settings.limits
         app = web.Application(client_max_size=limits.body_bytes)
+        app.on_response_prepare.append(self._announce_close)
         app.router.add_post('/v1/completions', self._complete)
         app.router.add_post('/v1/chat/completions', self._complete_chat)
         app.router.add_get('/v1/models', self._list_models)
@@ -45,6 +46,20 @@
         """Refuses new requests from now on; open ones continue."""
         self._is_stopping = True
 
+    async def _announce_close(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Has each answer of a stopping process close its connection.
+
+        The next request on it would cross the close at the end of the process.
+
+        :param request: the request.
+        :param response: its answer, before its headers are sent.
+        """
+        if self._is_stopping:
+            response.headers[hdrs.CONNECTION] = 'close'
+            response.force_close()
+
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         return await self._answer_completion(request, is_chat=False)
 
--- a/briarknot/program/_process.py
+++ b/briarknot/program/_process.py
@@ -11,6 +11,9 @@
 
 _OK = 200
 _UNAVAILABLE = 503
+#: Time from the close of the ports to that of their connections, in seconds: a
+#: request that was on its way is read and answered by then.
+_LAST_REQUESTS_S = 0.2
 
 
 @attrs.define(eq=False)
@@ -83,7 +86,14 @@
         return runner
 
     async def close(self) -> None:
-        """Closes all ports, the admin port last."""
+        """Closes all ports, the admin port last.
+
+        Requests whose connections were accepted before are answered.
+        """
+        for listening in reversed(self._runners):
+            for site in tuple(listening.sites):
+                await site.stop()
+        await asyncio.sleep(_LAST_REQUESTS_S)
         for runner in reversed(self._runners):
             await runner.cleanup()
         self._runners.clear()
--- a/briarknot/tests/test_planned_stop.py
+++ b/briarknot/tests/test_planned_stop.py
@@ -64,3 +64,24 @@
         assert runs == 1
         if caller == 'stays':
             assert (await booking).body == again.body
+
+
+async def test_refusal_of_a_stopping_host_closes_its_connection():
+    """The next request on it crossed the end of the process, without an answer."""
+    async with fleet.run_fleet(_PLAN) as running:
+        entry, _ = running.entries
+        stream = asyncio.create_task(
+            running.complete('urgent', 'long', _TOKENS, entry=entry)
+        )
+        await asyncio.sleep(0.3)
+        entry.process.terminate()
+        status = 200
+        while status != 503:
+            async with running.session.post(
+                f'{entry.url}/v1/completions', json={'model': 'x'}
+            ) as response:
+                status = response.status
+                connection = response.headers.get('Connection', '')
+            await asyncio.sleep(0.02)
+        assert connection == 'close'
+        assert (await stream).is_complete
