Compute the placement of a prompt in linear time

For each candidate, the source of shared parts was searched among all engines that hold some, the crowding of the decode workers was recomputed, and the cache and the queue of an engine were read up to four times. Load and cache are now read once for each engine. Orders by hash are remembered with the list of workers for which they hold.

--- a/briarknot/serving/__init__.py
+++ b/briarknot/serving/__init__.py
@@ -24,8 +24,6 @@
 from briarknot.serving._engine_choice import (
     DECODE_POLICIES,
     DecodeView,
-    rank_names,
-    rank_workers,
 )
 from briarknot.serving._engine_work import EngineWork
 from briarknot.serving._fleet import Fleet, choose_destination, make_fleet
@@ -45,6 +43,7 @@
     Quarantined,
     Suspected,
 )
+from briarknot.serving._rendezvous import rank_names, rank_workers
 from briarknot.serving._retry_budget import RetryBudget, make_retry_budget
 from briarknot.serving._send_permits import (
     Need,
--- a/briarknot/serving/_engine_caches.py
+++ b/briarknot/serving/_engine_caches.py
@@ -202,6 +202,36 @@
             cached += part.tokens
         return cached
 
+    def count_each(
+        self, worker_ids: list[str], prompt: _calls.Prompt, ready_s: float
+    ) -> list[tuple[int, int]]:
+        """Estimates the tokens of a prompt in the caches of several workers.
+
+        :param worker_ids: ids of the workers.
+        :param prompt: the prompt.
+        :param ready_s: monotonic time at which parts must be prefilled, in order
+            to be fetched by another worker.
+        :returns: for each worker what :meth:`count_cached` returns without and
+            with the time.
+        """
+        parts = [(part.id, part.tokens) for part in prompt.parts[:-1]]
+        counts = []
+        for worker_id in worker_ids:
+            cache = self._caches.get(worker_id)
+            cached = 0
+            fetchable = 0
+            is_ready = True
+            for part_id, tokens in parts if cache else ():
+                known = cache.parts.get(part_id)
+                if known is None:
+                    break
+                cached += tokens
+                is_ready = is_ready and known.ready_s <= ready_s
+                if is_ready:
+                    fetchable = cached
+            counts.append((cached, fetchable))
+        return counts
+
     def remove_worker(self, worker_id: str) -> None:
         """Removes the cache of a worker that is no longer listed."""
         self._caches.pop(worker_id, None)
--- a/briarknot/serving/_engine_choice.py
+++ b/briarknot/serving/_engine_choice.py
@@ -1,6 +1,5 @@
-"""Policies that choose a decode worker, and rendezvous hashing."""
+"""Policies that choose a decode worker."""
 
-import hashlib
 import random
 import typing
 
@@ -35,7 +34,6 @@
 #: Difference in load that divides the probability of a choice by e, as a share
 #: of a decode worker's slots.
 _LOAD_SPREAD = 0.02
-_HASH_BYTES = 8
 
 Workers = _plain_choice.Workers
 
@@ -80,35 +78,6 @@
 )
 
 
-def rank_workers(key: str, workers: Workers) -> Workers:
-    """Orders workers by rendezvous hash of a shared part of a prompt.
-
-    All processes compute the same order, and adding or removing a worker
-    changes only the parts for which it ranks first.
-
-    :param key: id of the part.
-    :param workers: workers to order.
-    """
-    return tuple(sorted(workers, key=lambda worker: _hash_pair(key, worker.id)))
-
-
-def rank_names(key: str, names: typing.Iterable[str]) -> tuple[str, ...]:
-    """Orders names by rendezvous hash of a key.
-
-    :param key: the key.
-    :param names: names to order.
-
-    >>> rank_names('k', ('a', 'b')) == rank_names('k', ('b', 'a'))
-    True
-    """
-    return tuple(sorted(names, key=lambda name: _hash_pair(key, name)))
-
-
-def _hash_pair(key: str, name: str) -> bytes:
-    pair = f'{key} {name}'.encode()
-    return hashlib.blake2b(pair, digest_size=_HASH_BYTES).digest()
-
-
 @DECODE_POLICIES.register('least_tokens')
 def choose_least_tokens(
     view: DecodeView,
--- a/briarknot/serving/_prompt_load.py
+++ b/briarknot/serving/_prompt_load.py
@@ -9,6 +9,7 @@
     _engine_work,
     _event_gaps,
     _prefill_time,
+    _rendezvous,
 )
 
 _Stage = schema.serving.Stage
@@ -61,6 +62,7 @@
     :param work: work of all processes at the engines.
     :param caches: shared parts of prompts in the engines' caches.
     :param gaps: gaps between the events of streams.
+    :param ranks: orders of the engines by hash of a shared part.
     """
 
     work: _engine_work.EngineWork = attrs.field(
@@ -72,6 +74,9 @@
     gaps: _event_gaps.EventGaps = attrs.field(
         factory=_event_gaps.make_event_gaps
     )
+    ranks: _rendezvous.WorkerRanks = attrs.field(
+        factory=_rendezvous.WorkerRanks
+    )
     _slowdowns: dict[str, float] = attrs.field(factory=dict)
 
     def add(
--- a/briarknot/serving/_send_permits.py
+++ b/briarknot/serving/_send_permits.py
@@ -15,8 +15,8 @@
 
 from briarknot import schema, sentinels
 from briarknot.serving import (
-    _engine_choice,
     _permit_turns,
+    _rendezvous,
     _worker_limits,
     _worker_starts,
 )
@@ -164,9 +164,9 @@
                 if domain == worker.domain
             ]
             far = self._domains.keys() - set(near)
-            ranked = _engine_choice.rank_names(worker.id, near)
+            ranked = _rendezvous.rank_names(worker.id, near)
             if len(ranked) < _ISSUERS:
-                ranked += _engine_choice.rank_names(worker.id, far)
+                ranked += _rendezvous.rank_names(worker.id, far)
             ranked = ranked[:_ISSUERS]
             self._ranked[worker.id] = ranked
         return ranked
