--- a/briarknot/serving/_worker_records.py
+++ b/briarknot/serving/_worker_records.py
@@ -188,7 +188,11 @@
 
         :param worker_id: id of the worker.
         """
-        return self._records.setdefault(worker_id, WorkerRecord())
+        record = self._records.get(worker_id)
+        if record is None:
+            record = WorkerRecord()
+            self._records[worker_id] = record
+        return record
 
     def remove(self, worker_id: str) -> None:
         """Removes the record of a worker that is no longer listed."""
