Remember the usable workers of a stage until the list changes

Fleet.list_usable named each worker's start on each call, which happens several times per request. The list is now dropped when the list of workers changes or a worker says that it is leaving; engines that change their stage are left out by time on each call.

--- a/briarknot/serving/__init__.py
+++ b/briarknot/serving/__init__.py
@@ -21,12 +21,13 @@
     CrashQuarantine,
     make_crash_quarantine,
 )
+from briarknot.serving._destinations import choose_destination
 from briarknot.serving._engine_choice import (
     DECODE_POLICIES,
     DecodeView,
 )
 from briarknot.serving._engine_work import EngineWork
-from briarknot.serving._fleet import Fleet, choose_destination, make_fleet
+from briarknot.serving._fleet import Fleet, make_fleet
 from briarknot.serving._placement import (
     PLACEMENT_POLICIES,
     PlacementView,
--- a/briarknot/serving/_fleet.py
+++ b/briarknot/serving/_fleet.py
@@ -2,7 +2,6 @@
 
 import collections
 import math
-import random
 import typing
 
 import attrs
@@ -23,6 +22,8 @@
 #: a live worker: others expire after three heartbeat periods of about a second.
 _RESTORED_S = 5.0
 
+Workers = tuple[schema.serving.Worker, ...]
+
 
 @attrs.define(eq=False)
 class Fleet:
@@ -43,6 +44,10 @@
     )
     _restored_s: float = float('-inf')
     _said_leaving_s: dict[str, float] = attrs.field(factory=dict)
+    _lists: dict[tuple[str, schema.serving.Stage], Workers] = attrs.field(
+        factory=dict
+    )
+    _changing_end_s: float = float('-inf')
 
     @property
     def manifest(self) -> schema.serving.Manifest | None:
@@ -55,7 +60,7 @@
         return self._manifest.version if self._manifest else 0
 
     @property
-    def workers(self) -> tuple[schema.serving.Worker, ...]:
+    def workers(self) -> Workers:
         """Known workers, including draining ones."""
         return tuple(self._workers.values())
 
@@ -109,7 +114,7 @@
 
     def apply_workers(
         self,
-        workers: tuple[schema.serving.Worker, ...],
+        workers: Workers,
         now: float,
         *,
         after_outage: bool,
@@ -137,12 +142,13 @@
                 removed.append(worker_id)
                 self._record_removed(worker, now)
         self._workers = listed
+        self._lists.clear()
         self._confirmed_s = now
         return tuple(removed)
 
     def apply_changes(
         self,
-        changed: tuple[schema.serving.Worker, ...],
+        changed: Workers,
         removed: tuple[str, ...],
         now: float,
     ) -> tuple[str, ...]:
@@ -165,6 +171,7 @@
         known = tuple(one for one in removed if one in self._workers)
         for worker_id in known:
             self._record_removed(self._workers.pop(worker_id), now)
+        self._lists.clear()
         return known
 
     def record_restore(self, now: float) -> None:
@@ -187,6 +194,9 @@
         """
         for worker_id in worker_ids:
             self._changing_until_s[worker_id] = now + _CHANGE_MEMORY_S
+            self._changing_end_s = max(
+                self._changing_end_s, now + _CHANGE_MEMORY_S
+            )
 
     def record_leaving(self, start: str, now: float) -> bool:
         """Records that a worker has said in an answer that it is leaving.
@@ -201,6 +211,7 @@
         if start in self._said_leaving_s:
             return False
         self._said_leaving_s[start] = now
+        self._lists.clear()
         if len(self._said_leaving_s) > _MAX_STARTS:
             del self._said_leaving_s[next(iter(self._said_leaving_s))]
         return True
@@ -240,7 +251,7 @@
         service: str,
         stage: schema.serving.Stage = schema.serving.Stage.NONE,
         now: float = math.inf,
-    ) -> tuple[schema.serving.Worker, ...]:
+    ) -> Workers:
         """Lists the workers that accept new requests.
 
         :param service: name of the service.
@@ -248,13 +259,28 @@
         :param now: monotonic time in seconds; engines that change their stage
             at this time are left out.
         """
+        listed = self._lists.get((service, stage))
+        if listed is None:
+            listed = self._list_accepting(service, stage)
+            self._lists[service, stage] = listed
+        if now >= self._changing_end_s:
+            return listed
+        return tuple(
+            worker
+            for worker in listed
+            if self._changing_until_s.get(worker.id, now) <= now
+        )
+
+    def _list_accepting(
+        self, service: str, stage: schema.serving.Stage
+    ) -> Workers:
+        """Lists the workers of a stage that are not leaving."""
         return tuple(
             worker
             for worker in self._workers.values()
             if worker.service == service
             and worker.stage == stage
             and not worker.draining
-            and self._changing_until_s.get(worker.id, 0) <= now
             and _worker_starts.name_start(worker) not in self._said_leaving_s
         )
 
@@ -307,21 +333,6 @@
         return now - self._missing_since_s[worker.id] < _REREGISTRATION_S
 
 
-def choose_destination(
-    route: schema.serving.Route, random_source: random.Random
-) -> str:
-    """Chooses the service of a request at random by destination weights.
-
-    :param route: route of the request.
-    :param random_source: source of randomness.
-    """
-    if len(route.destinations) == 1:
-        return route.destinations[0].service
-    weights = [one.weight for one in route.destinations]
-    chosen = random_source.choices(route.destinations, weights)[0]
-    return chosen.service
-
-
 def make_fleet() -> Fleet:
     """Makes a fleet without a manifest or workers.
 
--- a/briarknot/serving/tests/test_choices.py
+++ b/briarknot/serving/tests/test_choices.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 
 from briarknot import schema, serving
@@ -96,6 +97,19 @@
     assert moved == {key for key in keys if before[key] == 'w0'}
 
 
+def test_remembered_order_holds_for_its_list_only():
+    """A worker that is leaving would get prompts from an outdated order."""
+    ranks = serving.make_prompt_load().ranks
+    workers = make_workers('a', 'b', 'c', 'a', stage=_Stage.PREFILL)
+    restarted = attrs.evolve(workers[0], born_ms=5)
+    lists = (workers, workers[1:], (restarted, *workers[1:]), (), workers)
+    for key in ('k', 'other', 'k'):
+        for listed in lists:
+            expected = serving.rank_workers(key, listed)
+            assert ranks.rank(key, listed) == expected
+            assert ranks.rank(key, tuple(listed)) == expected
+
+
 def make_view(prefills, decodes=(), target_s=60):
     """Makes the input of the placement policies."""
     return serving.PlacementView(
--- a/briarknot/serving/tests/test_fleet.py
+++ b/briarknot/serving/tests/test_fleet.py
@@ -1,9 +1,11 @@
 """Tests of the manifest and the workers that a process knows."""
 
 import attrs
+import pytest
 
 from briarknot import schema, serving
 
+_Stage = schema.serving.Stage
 _Worker = schema.serving.Worker
 
 
@@ -122,3 +124,67 @@
     assert receiver.workers_digest != sender.workers_digest
     assert receiver.apply_changes(after[1:], ('c', 'unknown'), 0) == ('c',)
     assert receiver.workers_digest == sender.workers_digest
+
+
+_LISTED = _Worker(id='w', service='s', born_ms=1, stage=_Stage.DECODE)
+_OTHER = attrs.evolve(_LISTED, id='o')
+_RESTARTED = attrs.evolve(_LISTED, born_ms=2)
+_PREFILL = attrs.evolve(_LISTED, stage=_Stage.PREFILL)
+_LEAVING = attrs.evolve(_LISTED, draining=True)
+
+
+def apply_all(*workers):
+    """Returns a step that reads a list of workers."""
+    return lambda fleet: fleet.apply_workers(workers, 1, after_outage=False)
+
+
+def apply_changed(*workers):
+    """Returns a step that applies workers that another process has read."""
+    return lambda fleet: fleet.apply_changes(workers, (), 1)
+
+
+@pytest.mark.parametrize(
+    ('step', 'usable'),
+    [
+        (lambda fleet: fleet.record_leaving('w 1', 1), (_OTHER,)),
+        (apply_changed(_LEAVING), (_OTHER,)),
+        (apply_all(_LEAVING, _OTHER), (_OTHER,)),
+        (apply_changed(_PREFILL), (_OTHER,)),
+        (apply_all(_PREFILL, _OTHER), (_OTHER,)),
+        (lambda fleet: fleet.apply_changes((), ('w',), 1), (_OTHER,)),
+        (apply_all(_OTHER), (_OTHER,)),
+        (apply_changed(_RESTARTED), (_RESTARTED, _OTHER)),
+        (apply_all(_RESTARTED, _OTHER), (_RESTARTED, _OTHER)),
+        (lambda fleet: fleet.set_changing(('w',), 1), (_OTHER,)),
+    ],
+)
+def test_list_is_not_used_after_a_change(step, usable):
+    """A remembered list sent requests to workers that don't accept them."""
+    fleet = serving.make_fleet()
+    fleet.apply_workers((_LISTED, _OTHER), 0, after_outage=False)
+    assert fleet.list_usable('s', _Stage.DECODE, 1) == (_LISTED, _OTHER)
+    step(fleet)
+    assert fleet.list_usable('s', _Stage.DECODE, 1.1) == usable
+
+
+def test_restarted_worker_is_listed_after_it_was_leaving():
+    """A remembered list left out a worker that accepts requests again."""
+    fleet = serving.make_fleet()
+    fleet.apply_workers((_LISTED,), 0, after_outage=False)
+    fleet.record_leaving('w 1', 1)
+    assert not fleet.list_usable('s', _Stage.DECODE, 1)
+    fleet.apply_changes((_RESTARTED,), (), 2)
+    assert fleet.list_usable('s', _Stage.DECODE, 2) == (_RESTARTED,)
+
+
+def test_changing_engine_is_listed_again_after_a_time():
+    """It ends without a change of the list, and for each engine by itself."""
+    fleet = serving.make_fleet()
+    fleet.apply_workers((_LISTED, _OTHER), 0, after_outage=False)
+    fleet.set_changing(('o',), 10)
+    fleet.set_changing(('w',), 11)
+    listed = [
+        fleet.list_usable('s', _Stage.DECODE, now) for now in (11, 12.5, 13.5)
+    ]
+    assert listed == [(), (_OTHER,), (_LISTED, _OTHER)]
+    assert fleet.list_usable('s', _Stage.DECODE) == (_LISTED, _OTHER)
