Compute distances once for each failure domain of a choice

Decode and plain choices computed the distance of each worker, and a decode choice read the work at an engine twice.

--- a/briarknot/serving/_engine_choice.py
+++ b/briarknot/serving/_engine_choice.py
@@ -11,6 +11,7 @@
     _chance,
     _lateness,
     _plain_choice,
+    _prefill_time,
     _prompt_load,
     _topology,
     _worker_records,
@@ -87,11 +88,12 @@
 ) -> schema.serving.Worker:
     """Chooses the worker with the lowest sum of load and KV transfer cost."""
     start = source.worker.domain if source else view.topology.domain
+    distances = view.topology.list_distances(
+        start, (worker.domain for worker in workers)
+    )
     costs = [
         _compute_load(view, worker, now)
-        + _KV_TRANSFER_COST[
-            view.topology.compute_distance(start, worker.domain)
-        ]
+        + _KV_TRANSFER_COST[distances[worker.domain]]
         for worker in workers
     ]
     return _chance.choose_near_cheapest(
@@ -108,7 +110,7 @@
     record = view.worker_records.get(worker.id)
     work = view.load.work.get_total(worker.id, now)
     busy = max(record.in_flight, work.streams)
-    wait_s = view.load.get_queued_s(worker, now)
+    wait_s = work.tokens / _prefill_time.get_prefill_speed(worker.stage)
     late = 0
     if view.event_gap_s:
         late = _lateness.compute_late_probability(
--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -124,13 +124,13 @@
         for rank, worker in enumerate(ranked)
         if rank < _PREFERRED_WORKERS or worker.id in cache_holders
     }
-    topology = view.topology
+    least = min(one.queued for one in engines)
+    distances = view.topology.list_distances(
+        view.topology.domain, (one.worker.domain for one in engines)
+    )
     least_queued = min(
-        engines,
-        key=lambda one: (
-            one.queued,
-            topology.compute_distance(topology.domain, one.worker.domain),
-        ),
+        (one for one in engines if one.queued == least),
+        key=lambda one: distances[one.worker.domain],
     )
     chosen.setdefault(least_queued.worker.id, least_queued)
     return tuple(chosen.values())
--- a/briarknot/serving/_plain_choice.py
+++ b/briarknot/serving/_plain_choice.py
@@ -67,35 +67,31 @@
     view: PlainView, workers: Workers, now: float
 ) -> schema.serving.Worker:
     """Chooses the worker with the lowest expected time to success."""
+    distances = view.topology.list_distances(
+        view.topology.domain, (worker.domain for worker in workers)
+    )
     costs = [
         (
-            _compute_cost(view, worker, now),
+            _NETWORK_COST_S[distances[worker.domain]]
+            + _compute_answer_cost_s(view, worker, now)
+            + view.worker_records.get(worker.id).failure_rate * _FAILURE_COST_S
+            + view.turn_waits_s.get(worker.id, 0),
             view.random_source.random(),
-            worker,
         )
         for worker in workers
     ]
-    return min(costs, key=lambda cost: cost[:2])[-1]
+    return workers[costs.index(min(costs))]
 
 
-def _compute_cost(
+def _compute_answer_cost_s(
     view: PlainView, worker: schema.serving.Worker, now: float
 ) -> float:
+    """Returns the expected time to an answer without the network."""
     record = view.worker_records.get(worker.id)
     answer_s = record.answer_s or _DEFAULT_ANSWER_S
     load = record.get_load(now)
     busy = record.in_flight
     if load is not None:
         busy = max(busy, load.running + load.waiting)
-    slots = max(1, worker.slots)
-    distance = view.topology.compute_distance(
-        view.topology.domain, worker.domain
-    )
-    return (
-        _NETWORK_COST_S[distance]
-        + answer_s
-        * record.get_work_time_ratio(now, answer_s)
-        * (1 + busy / slots)
-        + record.failure_rate * _FAILURE_COST_S
-        + view.turn_waits_s.get(worker.id, 0)
-    )
+    ratio = record.get_work_time_ratio(now, answer_s)
+    return answer_s * ratio * (1 + busy / max(1, worker.slots))
--- a/briarknot/serving/_topology.py
+++ b/briarknot/serving/_topology.py
@@ -1,6 +1,7 @@
 """Regions of failure domains and the distances between them."""
 
 import enum
+import typing
 
 import attrs
 
@@ -39,3 +40,18 @@
         if self.regions.get(first) == self.regions.get(second, ''):
             return Distance.SAME_REGION
         return Distance.OTHER_REGION
+
+    def list_distances(
+        self, start: str, domains: typing.Iterable[str]
+    ) -> dict[str, Distance]:
+        """Returns the distances from a failure domain to others.
+
+        A choice computes them once instead of for each worker.
+
+        :param start: the failure domain.
+        :param domains: other failure domains, which may repeat.
+        """
+        return {
+            domain: self.compute_distance(start, domain)
+            for domain in set(domains)
+        }
