--- a/benchmarks/_gateway_choices.py
+++ b/benchmarks/_gateway_choices.py
@@ -13,6 +13,13 @@
 
 from benchmarks import _slopes
 from briarknot import schema, serving
+from briarknot.gateway import (
+    _context,
+    _prefill,
+    _requests,
+    _send_permits,
+    _stream_versions,
+)
 
 _Stage = schema.serving.Stage
 _WORKERS = (45, 150, 600)
@@ -37,6 +44,7 @@
 class _Gateway:
     """What a gateway knows when it chooses.
 
+    :param context: state of the process, without its connections.
     :param fleet: workers of a service with engines and of a plain service.
     :param load: prompts at the engines.
     :param records: load and health of workers.
@@ -44,6 +52,7 @@
     :param source: source of randomness.
     """
 
+    context: _context.Context
     fleet: serving.Fleet
     load: serving.PromptLoad
     records: serving.WorkerRecords
@@ -90,6 +99,23 @@
         policy = serving.PLAIN_POLICIES.get('least_cost')
         return policy(view, self.fleet.list_usable('plain'), _NOW)
 
+    def list_candidates(self) -> object:
+        """Lists the candidates for a prompt, and their limits."""
+        context = self.context
+        request = _requests.Request(
+            call=None,
+            route=schema.serving.Route(),
+            service=schema.serving.Service(name='lm'),
+            responder=None,
+            deadline_s=_NOW,
+        )
+        prefills, decodes = (
+            _prefill.list_unblocked(context, request, stage, [])
+            for stage in (_Stage.PREFILL, _Stage.DECODE)
+        )
+        _send_permits.list_waits_s(context, request)
+        return _stream_versions.list_continued(prefills, decodes)
+
 
 def _make_prompt(key: str) -> serving.Prompt:
     parts = (
@@ -128,10 +154,14 @@
 
 
 def _make_gateway(count: int, versions: int) -> _Gateway:
+    context = _context.make_context(
+        schema.settings.GatewaySettings(host='gateway', domain='d0'), None
+    )
     gateway = _Gateway(
-        serving.make_fleet(),
-        serving.make_prompt_load(),
-        serving.make_worker_records(),
+        context,
+        context.fleet,
+        context.prompt_load,
+        context.worker_records,
         serving.Topology(
             'd0', {f'd{number}': f'r{number % 2}' for number in range(_DOMAINS)}
         ),
@@ -185,6 +215,7 @@
         'placement': lambda: gateway.place('held'),
         'placement, two versions': lambda: updated.place('held'),
         'placement, new part': lambda: gateway.place('new'),
+        'candidates': gateway.list_candidates,
         'decode choice': gateway.choose_decode,
         'plain choice': gateway.choose_plain,
     }
