--- a/briarknot/serving/_engine_choice.py
+++ b/briarknot/serving/_engine_choice.py
@@ -1,6 +1,5 @@
-"""Policies that choose a decode worker, and rendezvous hashing."""
+"""Policies that choose a decode worker."""
 
-import hashlib
 import random
 import typing
 
@@ -12,6 +11,7 @@
     _chance,
     _lateness,
     _plain_choice,
+    _prefill_time,
     _prompt_load,
     _topology,
     _worker_records,
@@ -35,7 +35,6 @@
 #: Difference in load that divides the probability of a choice by e, as a share
 #: of a decode worker's slots.
 _LOAD_SPREAD = 0.02
-_HASH_BYTES = 8
 
 Workers = _plain_choice.Workers
 
@@ -80,35 +79,6 @@
 )
 
 
-def rank_workers(key: str, workers: Workers) -> Workers:
-    """Orders workers by rendezvous hash of a shared part of a prompt.
-
-    All processes compute the same order, and adding or removing a worker
-    changes only the parts for which it ranks first.
-
-    :param key: id of the part.
-    :param workers: workers to order.
-    """
-    return tuple(sorted(workers, key=lambda worker: _hash_pair(key, worker.id)))
-
-
-def rank_names(key: str, names: typing.Iterable[str]) -> tuple[str, ...]:
-    """Orders names by rendezvous hash of a key.
-
-    :param key: the key.
-    :param names: names to order.
-
-    >>> rank_names('k', ('a', 'b')) == rank_names('k', ('b', 'a'))
-    True
-    """
-    return tuple(sorted(names, key=lambda name: _hash_pair(key, name)))
-
-
-def _hash_pair(key: str, name: str) -> bytes:
-    pair = f'{key} {name}'.encode()
-    return hashlib.blake2b(pair, digest_size=_HASH_BYTES).digest()
-
-
 @DECODE_POLICIES.register('least_tokens')
 def choose_least_tokens(
     view: DecodeView,
@@ -118,11 +88,12 @@
 ) -> schema.serving.Worker:
     """Chooses the worker with the lowest sum of load and KV transfer cost."""
     start = source.worker.domain if source else view.topology.domain
+    distances = view.topology.list_distances(
+        start, (worker.domain for worker in workers)
+    )
     costs = [
         _compute_load(view, worker, now)
-        + _KV_TRANSFER_COST[
-            view.topology.compute_distance(start, worker.domain)
-        ]
+        + _KV_TRANSFER_COST[distances[worker.domain]]
         for worker in workers
     ]
     return _chance.choose_near_cheapest(
@@ -139,7 +110,7 @@
     record = view.worker_records.get(worker.id)
     work = view.load.work.get_total(worker.id, now)
     busy = max(record.in_flight, work.streams)
-    wait_s = view.load.get_queued_s(worker, now)
+    wait_s = work.tokens / _prefill_time.get_prefill_speed(worker.stage)
     late = 0
     if view.event_gap_s:
         late = _lateness.compute_late_probability(
--- a/briarknot/serving/_worker_records.py
+++ b/briarknot/serving/_worker_records.py
@@ -68,7 +68,7 @@
         :param now: monotonic time in seconds.
         :param work_s: usual time of the work, in seconds.
         """
-        if self._load is None:
+        if self._load is None or self._load.work_time_ratio == 1:
             return 1
         age = (now - self._load_reported_s) / _RATIO_DECAY_S
         weight = math.exp(-age)
@@ -188,7 +188,11 @@
 
         :param worker_id: id of the worker.
         """
-        return self._records.setdefault(worker_id, WorkerRecord())
+        record = self._records.get(worker_id)
+        if record is None:
+            record = WorkerRecord()
+            self._records[worker_id] = record
+        return record
 
     def remove(self, worker_id: str) -> None:
         """Removes the record of a worker that is no longer listed."""
