List the unblocked engines with one look at each

A gateway named the start of each engine to see whether it has crashed, and asked for the limit of each worker where none is known. The workers that have crashed are now listed once, and the record of each engine is read once.

--- a/briarknot/gateway/_crashes.py
+++ b/briarknot/gateway/_crashes.py
@@ -207,16 +207,21 @@
         context.quarantine_changed.notify()
 
 
-def is_down(
-    context: _context.Context, worker: schema.serving.Worker, now: float
-) -> bool:
-    """Returns whether a listed worker is known to have crashed.
+def list_up(
+    context: _context.Context,
+    workers: tuple[schema.serving.Worker, ...],
+    now: float,
+) -> tuple[schema.serving.Worker, ...]:
+    """Lists the workers that are not known to have crashed.
 
     :param context: state of the process.
-    :param worker: the worker.
+    :param workers: listed workers.
     :param now: monotonic time in seconds.
     """
-    return context.quarantine.is_down(serving.name_start(worker), now)
+    down = context.quarantine.list_down(now)
+    if not down:
+        return workers
+    return tuple(one for one in workers if serving.name_start(one) not in down)
 
 
 def _compute_turn_s(context: _context.Context, key: str) -> float:
@@ -234,8 +239,7 @@
     """Returns whether only one of several workers is left, or none."""
     now = time.monotonic()
     listed = context.fleet.list_usable(request.service.name, stage, now)
-    up = [one for one in listed if not is_down(context, one, now)]
-    return len(listed) > 1 and len(up) <= 1
+    return len(listed) > 1 and len(list_up(context, listed, now)) <= 1
 
 
 def _make_delay(key: str, reason: str) -> serving.Quarantined:
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -241,11 +241,10 @@
     usable = context.fleet.list_usable(
         request.service.name, stage, time.monotonic()
     )
-    return tuple(
-        one
-        for one in _stream_versions.list_fitting(context, request, usable)
-        if one.id not in tried
-    )
+    fitting = _stream_versions.list_fitting(context, request, usable)
+    if not tried:
+        return fitting
+    return tuple(one for one in fitting if one.id not in tried)
 
 
 def list_unblocked(
@@ -264,18 +263,16 @@
     :param tried: workers to leave out.
     """
     now = time.monotonic()
-    untried = tuple(
-        one
+    recorded = [
+        (one, context.worker_records.get(one.id))
         for one in list_untried(context, request, stage, tried)
-        if not context.worker_records.get(one.id).get_pause_s(now)
-    )
+    ]
+    untried = [one for one in recorded if not one[1].get_pause_s(now)]
     unblocked = tuple(
-        one
-        for one in untried
-        if not context.worker_records.get(one.id).is_blocked(now)
-        and not _crashes.is_down(context, one, now)
+        worker for worker, record in untried if not record.is_blocked(now)
     )
-    return unblocked or untried
+    up = _crashes.list_up(context, unblocked, now)
+    return up or tuple(worker for worker, _ in untried)
 
 
 def is_fetchable(
--- a/briarknot/gateway/_send_permits.py
+++ b/briarknot/gateway/_send_permits.py
@@ -144,6 +144,8 @@
     :returns: times in seconds by the ids of the workers that have a limit.
     """
     now = time.monotonic()
+    if context.permits.limits.is_empty:
+        return {}
     return {
         one.id: context.permits.get_wait_s(
             one, request.get_permit_rank(one.stage), now, is_start=is_start
--- a/briarknot/serving/_crash_quarantine.py
+++ b/briarknot/serving/_crash_quarantine.py
@@ -95,13 +95,16 @@
             )
         return _quarantine_results.Clear()
 
-    def is_down(self, worker: str, now: float) -> bool:
-        """Returns whether a worker has crashed a moment ago.
+    def list_down(self, now: float) -> frozenset[str]:
+        """Lists the workers that have crashed a moment ago, with their starts.
 
-        :param worker: the worker and its start.
         :param now: monotonic time in seconds.
         """
-        return now - self._crashed_s.get(worker, _NEVER) < _LISTED_S
+        return frozenset(
+            worker
+            for worker, crashed_s in self._crashed_s.items()
+            if now - crashed_s < _LISTED_S
+        )
 
     def start_trial(self, keys: tuple[str, ...], now: float) -> None:
         """Records that a request tries suspected or quarantined keys.
--- a/briarknot/serving/_worker_limits.py
+++ b/briarknot/serving/_worker_limits.py
@@ -55,6 +55,11 @@
     _statements: dict[str, _Statement] = attrs.field(factory=dict)
     _changed: dict[str, None] = attrs.field(factory=dict)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no worker has stated anything that is remembered."""
+        return not self._statements
+
     def get(self, start: str, now: float) -> float | None:
         """Returns the limit of a worker, or None if it has none.
 
--- a/briarknot/serving/_worker_records.py
+++ b/briarknot/serving/_worker_records.py
@@ -83,7 +83,9 @@
         :param now: monotonic time in seconds.
         :returns: the time in seconds; 0 if it accepts requests.
         """
-        return max(0, self._paused_until_s - now)
+        if self._paused_until_s <= now:
+            return 0
+        return self._paused_until_s - now
 
     def record_pause(self, pause_s: float, now: float) -> None:
         """Records that the worker wants no requests for a time.
