Keep sources of shared parts without an object for each engine

CPU time in ms at 45, 150 and 600 workers, before and after: a placement 0.48, 1.36, 5.39 and 0.45, 1.24, 4.88; with two versions 0.48, 1.38, 5.43 and 0.45, 1.25, 4.96; of a new part 0.29, 0.67, 2.51 and 0.28, 0.61, 2.22.

--- a/briarknot/serving/_kv_sources.py
+++ b/briarknot/serving/_kv_sources.py
@@ -38,14 +38,19 @@
         tuple[str, str], dict[tuple[_topology.Distance, int], Holder]
     ] = attrs.field(factory=dict)
 
-    def add(self, holder: Holder) -> None:
+    def add(
+        self, worker: schema.serving.Worker, tokens: int, index: int
+    ) -> None:
         """Adds an engine; engines are added in the order of their list.
 
-        :param holder: the engine.
+        :param worker: the engine.
+        :param tokens: estimated tokens of the prompt in its cache.
+        :param index: position in the list of engines.
         """
-        worker = holder.worker
         firsts = self._firsts.setdefault(worker.version, {})
-        firsts.setdefault((worker.domain, holder.tokens), holder)
+        if (worker.domain, tokens) not in firsts:
+            holder = Holder(worker, tokens, index)
+            firsts[worker.domain, tokens] = holder
 
     def choose(
         self, worker: schema.serving.Worker, cached: int
--- a/briarknot/serving/_placement_costs.py
+++ b/briarknot/serving/_placement_costs.py
@@ -1,6 +1,7 @@
 """Cost of prefilling a prompt at each of several engines."""
 
 import functools
+import math
 
 import attrs
 
@@ -289,18 +290,17 @@
         engines = (*self._prefills, *self._decodes)
         for index, engine in enumerate(engines):
             if engine.fetchable:
-                sources.add(
-                    _kv_sources.Holder(engine.worker, engine.fetchable, index)
-                )
+                sources.add(engine.worker, engine.fetchable, index)
         return sources
 
     @functools.cached_property
     def _mean_wait_s(self) -> float:
         """Mean queueing time at all engines, in seconds."""
-        waits = [
-            one.queued / _prefill_time.get_prefill_speed(one.worker.stage)
-            for one in (*self._prefills, *self._decodes)
-        ]
+        engines = (*self._prefills, *self._decodes)
+        speeds = {
+            stage: _prefill_time.get_prefill_speed(stage) for stage in _Stage
+        }
+        waits = [one.queued / speeds[one.worker.stage] for one in engines]
         return sum(waits) / max(1, len(waits))
 
     @functools.cached_property
@@ -310,7 +310,8 @@
         for one in self._decodes:
             share = one.streams / max(1, one.worker.slots)
             version = one.worker.version
-            least[version] = min(share, least.get(version, share))
+            if share < least.get(version, math.inf):
+                least[version] = share
         return least
 
     def _get_crowding_s(self, version: str) -> float:
