--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -81,11 +81,10 @@
     model = _placement_costs.PlacementCosts(
         view, prompt, now, prefills, decodes
     )
-    options = [
-        engine
-        for engines in (prefills, decodes)
-        for engine in _list_candidates(view, prompt, engines, cache_holders)
-    ]
+    options = (
+        *_list_candidates(view, prompt, prefills, cache_holders),
+        *_list_candidates(view, prompt, decodes, cache_holders),
+    )
     if not options:
         return None
     costs = model.compute_costs(options, first_id)
