--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 bench: setup
 	$(RUN) -m benchmarks
+	$(RUN) -m benchmarks.capacity
 
 generate: setup
 	$(RUN) tools/generate.py
