Encode and decode messages a struct at a time

Messages between processes were converted one field at a time by pycapnp, and decode built a table of kinds on each call. A process among 88 spent 27 % of its CPU time there.

Layouts of the generated classes, made once from the definitions, read and write all numbers of a struct at once. The bytes stay those of Cap'n Proto: pycapnp still packs, unpacks and copies each message, so that all pointers are valid, and reads by field what has another size, as messages of other versions may have.

--- a/benchmarks/_gateway_exchange.py
+++ b/benchmarks/_gateway_exchange.py
@@ -257,7 +257,7 @@
         attrs.evolve(
             _make_report(0, sequence),
             host=_name_host(sequence % _DOMAIN_HOSTS),
-            workers=work[sequence % workers :][:_REPORTED_WORKERS],
+            workers=work[sequence : sequence + _REPORTED_WORKERS],
         )
         for sequence in range(2 * _DOMAIN_HOSTS)
     ]
--- a/briarknot/schema/__init__.py
+++ b/briarknot/schema/__init__.py
@@ -3,7 +3,8 @@
 The classes are generated from ``definitions/*.capnp`` by ``tools/generate.py``.
 """
 
-from briarknot.schema._codec import DecodeError, decode, encode
+from briarknot.schema._codec import decode, encode
+from briarknot.schema._errors import DecodeError
 from briarknot.schema._fields import FieldInfo, get_field_info
 from briarknot.schema._generated import (
     endpoints,
--- a/briarknot/schema/_codec.py
+++ b/briarknot/schema/_codec.py
@@ -3,28 +3,24 @@
 import enum
 import functools
 import pathlib
+import struct
 import typing
 
 import attrs
 import capnp
 
-from briarknot import sentinels
-from briarknot.schema import _plain
+from briarknot.schema import _errors, _plain, _union_layout
 from briarknot.schema._generated import messages
 
 _DEFINITIONS = pathlib.Path(__file__).parent / 'definitions'
 
-capnp.remove_import_hook()
-
-
-@attrs.frozen
-class DecodeError(sentinels.Sentinel):
-    """Sentinel for bytes that are not a valid message.
+#: Room for the root pointer of a copy.
+_SPARE_WORDS = 2
+_KINDS = {
+    member: kind for kind, member in messages.PEER_MESSAGE_MEMBERS.items()
+}
 
-    :param reason: what is wrong with them.
-    """
-
-    reason: str
+capnp.remove_import_hook()
 
 
 @functools.cache
@@ -58,11 +54,7 @@
 
 @functools.cache
 def _make_builder(kind: typing.Any) -> _Builder:
-    """Returns a function that builds a value of a kind from a reader.
-
-    The types of all fields are resolved once, as a gateway of a large fleet
-    decodes some hundred messages per second.
-    """
+    """Returns a function that builds a value of a kind from a reader."""
     if typing.get_origin(kind) is tuple:
         build_element = _make_builder(typing.get_args(kind)[0])
         return lambda reader: tuple(build_element(item) for item in reader)
@@ -93,10 +85,19 @@
     >>> decode(encode(heartbeat)) == heartbeat
     True
     """
-    member = messages.PEER_MESSAGE_MEMBERS[type(value)]
-    union = _load('messages').PeerMessage.new_message(
-        **{member: _to_struct(value)}
-    )
+    try:
+        written = _get_layout().write(value)
+    except struct.error:
+        # pycapnp says which number is out of its range.
+        member = messages.PEER_MESSAGE_MEMBERS[type(value)]
+        union = _load('messages').PeerMessage.new_message(
+            **{member: _to_struct(value)}
+        )
+    else:
+        with _load('messages').PeerMessage.from_bytes(
+            written, traversal_limit_in_words=len(written)
+        ) as reader:
+            union = _copy(reader)
     # Packing halves a load message, most of whose bytes are zero.
     return union.to_bytes_packed()
 
@@ -108,12 +109,34 @@
     :returns: an instance of a member of ``messages.PeerMessage``, or
         :class:`DecodeError`.
     """
-    kinds = {
-        member: kind for kind, member in messages.PEER_MESSAGE_MEMBERS.items()
-    }
     try:
         reader = _load('messages').PeerMessage.from_bytes_packed(frame)
+        # The copy has one segment, and no pointer that leads out of it.
+        copied = _copy(reader).to_bytes()
+    except capnp.KjException as error:
+        return _errors.DecodeError(str(error))
+    try:
+        return _get_layout().read(copied)
+    except _union_layout.READ_ERRORS:
+        return _decode_by_field(reader)
+
+
+def _copy(reader: typing.Any) -> typing.Any:
+    """Copies a message to a builder of one segment."""
+    return reader.as_builder(reader.total_size.word_count + _SPARE_WORDS)
+
+
+@functools.cache
+def _get_layout() -> _union_layout.UnionLayout:
+    return _union_layout.make_union_layout(
+        'PeerMessage', messages.PEER_MESSAGE_MEMBERS, _load
+    )
+
+
+def _decode_by_field(reader: typing.Any) -> typing.Any:
+    """Decodes a message of another version, or a malformed one."""
+    try:
         member = str(reader.which())
-        return _make_builder(kinds[member])(getattr(reader, member))
+        return _make_builder(_KINDS[member])(getattr(reader, member))
     except (capnp.KjException, KeyError, ValueError) as error:
-        return DecodeError(str(error))
+        return _errors.DecodeError(str(error))
