Decode work when it is needed, and update sums by what has changed

Each process decoded about 26 sums of the fleet per second and used few of them before the next arrived. A relay added up all reports and sums again for each sum that it sent, and each choice after a message added up the totals of all workers.

The list of workers in work messages is marked as deferred in the definition: it is checked for its size when a message arrives, and decoded at its first use. A list that turns out to be malformed then is dropped and logged as peer_message_malformed by the relay task; another sum is used. Sums keep their parts and apply only the differences; totals are computed for each worker that a choice asks for, and kept until what they depend on changes.

--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -156,6 +156,7 @@
             suspended_s, woke_s = woke_s, _clock.read_clock()
             if woke_s - suspended_s > _MAX_SUSPENSION_S:
                 self._forget_peers(woke_s - suspended_s)
+            self._log_malformed()
             now = time.monotonic()
             has_reports = now - self._reported_s < _MAX_RELAY_IDLE_S
             if has_reports or now - self._domain_work_s < _MAX_RELAY_IDLE_S:
@@ -184,6 +185,13 @@
         else:
             load.work.apply_peer_work(message, now)
         if message.forward:
+            self._forward(message)
+
+    def _forward(self, message: schema.messages.EngineWork) -> None:
+        """Sends a message of another domain to the domain peers."""
+        workers = schema.read_list(message.workers)
+        # A malformed list is logged by whatever uses it.
+        if not isinstance(workers, schema.DecodeError):
             data = schema.encode(attrs.evolve(message, forward=False))
             for peer in self._socket.list_near():
                 self._socket.send(data, peer.address)
@@ -215,29 +223,6 @@
             message, self._context.settings.host, now
         )
 
-    @HANDLERS.register('FleetUpdate')
-    def apply_fleet_update(
-        self, message: schema.messages.FleetUpdate, now: float
-    ) -> None:
-        """Applies what another process has read from the store.
-
-        :param message: the update.
-        :param now: monotonic time in seconds.
-        """
-        self._context.fleet_update = message
-        self._context.fleet_update_received.set()
-
-    @HANDLERS.register('StageChanges')
-    def apply_stage_changes(
-        self, message: schema.messages.StageChanges, now: float
-    ) -> None:
-        """Leaves out engines that change their stage.
-
-        :param message: the engines.
-        :param now: monotonic time in seconds.
-        """
-        self._context.fleet.set_changing(message.engines, now)
-
     def _report(self, message: schema.messages.EngineWork, now: float) -> None:
         """Reports the work to the relays of the domain.
 
@@ -290,6 +275,11 @@
             if peer is not None:
                 self._socket.send(data, peer.address)
 
+    def _log_malformed(self) -> None:
+        """Logs messages whose work turned out to be malformed when it was used."""
+        for error in self._context.prompt_load.work.take_malformed():
+            telemetry.log_event('peer_message_malformed', message=repr(error))
+
     def _forget_peers(self, seconds: float) -> None:
         telemetry.log_event('peer_work_outdated', suspended_s=round(seconds, 2))
         self._context.prompt_load.work.forget_peers()
@@ -371,6 +361,33 @@
         )
 
 
+@HANDLERS.register('FleetUpdate')
+def apply_fleet_update(
+    peers: Peers, message: schema.messages.FleetUpdate, now: float
+) -> None:
+    """Applies what another process has read from the store.
+
+    :param peers: has the state of the process.
+    :param message: the update.
+    :param now: monotonic time in seconds.
+    """
+    peers.context.fleet_update = message
+    peers.context.fleet_update_received.set()
+
+
+@HANDLERS.register('StageChanges')
+def apply_stage_changes(
+    peers: Peers, message: schema.messages.StageChanges, now: float
+) -> None:
+    """Leaves out engines that change their stage.
+
+    :param peers: has the state of the process.
+    :param message: the engines.
+    :param now: monotonic time in seconds.
+    """
+    peers.context.fleet.set_changing(message.engines, now)
+
+
 def make_peers(context: _context.Context) -> Peers:
     """Opens the socket for messages, and makes what sends and applies them.
 
--- a/briarknot/schema/__init__.py
+++ b/briarknot/schema/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from briarknot.schema._codec import decode, encode
+from briarknot.schema._deferred import DeferredList, read_list
 from briarknot.schema._errors import DecodeError
 from briarknot.schema._fields import FieldInfo, get_field_info
 from briarknot.schema._generated import (
@@ -18,6 +19,7 @@
 
 __all__ = (
     'DecodeError',
+    'DeferredList',
     'FieldInfo',
     'decode',
     'encode',
@@ -27,6 +29,7 @@
     'get_field_info',
     'get_field_types',
     'messages',
+    'read_list',
     'records',
     'serving',
     'settings',
--- a/briarknot/schema/_codec.py
+++ b/briarknot/schema/_codec.py
@@ -9,7 +9,13 @@
 import attrs
 import capnp
 
-from briarknot.schema import _errors, _plain, _union_layout
+from briarknot.schema import (
+    _deferred,
+    _errors,
+    _plain,
+    _pointers,
+    _union_layout,
+)
 from briarknot.schema._generated import messages
 
 _DEFINITIONS = pathlib.Path(__file__).parent / 'definitions'
@@ -37,7 +43,7 @@
 def _to_struct(value: typing.Any) -> typing.Any:
     if isinstance(value, enum.Enum):
         return value.value
-    if isinstance(value, tuple):
+    if isinstance(value, (tuple, _deferred.DeferredList)):
         return [_to_struct(element) for element in value]
     if attrs.has(type(value)):
         return {
@@ -117,7 +123,7 @@
         return _errors.DecodeError(str(error))
     try:
         return _get_layout().read(copied)
-    except _union_layout.READ_ERRORS:
+    except _pointers.READ_ERRORS:
         return _decode_by_field(reader)
 
 
--- a/briarknot/schema/_fields.py
+++ b/briarknot/schema/_fields.py
@@ -22,6 +22,7 @@
     :param pattern: regular expression that a text must match as a whole.
     :param references: list of the document whose names are allowed.
     :param registry: registry whose names are allowed.
+    :param deferred: whether a received list is decoded only when it is read.
     """
 
     doc: str
@@ -34,6 +35,7 @@
     pattern: str = ''
     references: str = ''
     registry: str = ''
+    deferred: bool = False
 
 
 def make_field(*, doc: str, default: typing.Any, **info: typing.Any):
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -362,7 +362,9 @@
         default=0,
     )
     workers: tuple[WorkerWork, ...] = _fields.make_field(
-        doc='Engines with at least one prompt or generation.', default=()
+        doc='Engines with at least one prompt or generation.',
+        deferred=True,
+        default=(),
     )
     parts: tuple[CachedPart, ...] = _fields.make_field(
         doc='Shared parts of prompts that were sent to engines since the previous message.',
@@ -414,7 +416,7 @@
         default=0,
     )
     workers: tuple[WorkerWork, ...] = _fields.make_field(
-        doc='Engines with work.', default=()
+        doc='Engines with work.', deferred=True, default=()
     )
     processes: int = _fields.make_field(
         doc='Number of processes whose work is part of the sum.',
@@ -464,7 +466,7 @@
         default=0,
     )
     workers: tuple[WorkerWork, ...] = _fields.make_field(
-        doc='Engines with work.', default=()
+        doc='Engines with work.', deferred=True, default=()
     )
     included: tuple[IncludedReport, ...] = _fields.make_field(
         doc="Reports of the domain's processes that are part of the sum.",
--- a/briarknot/schema/_layouts.py
+++ b/briarknot/schema/_layouts.py
@@ -17,7 +17,7 @@
 import attrs
 import capnp
 
-from briarknot.schema import _plain, _pointers
+from briarknot.schema import _fields, _plain, _pointers
 
 POINTERS_SHIFT = 16
 #: Format and bytes of the numbers of a struct.
@@ -144,14 +144,15 @@
 
 
 def _make_pointer_field(
-    kind: typing.Any, load: Converter
+    kind: typing.Any, load: Converter, *, is_deferred: bool
 ) -> _pointers.PointerField:
     if kind is str:
         return _pointers.Text()
     if kind == tuple[str, ...]:
         return _pointers.TextList()
     if typing.get_origin(kind) is tuple:
-        return _pointers.StructList(make_layout(typing.get_args(kind)[0], load))
+        element = make_layout(typing.get_args(kind)[0], load)
+        return _pointers.StructList(element, is_deferred)
     return _pointers.Struct(make_layout(kind, load))
 
 
@@ -219,7 +220,13 @@
             numbers.append(_Number(offset * width, end, code, name, default))
         elif type_name in {'text', 'list', 'struct'}:
             position = (node.dataWordCount + offset) * _pointers.WORD_BYTES
-            pointers[name] = (position, _make_pointer_field(field_kind, load))
+            info = _fields.get_field_info(getattr(attrs.fields(kind), name))
+            pointers[name] = (
+                position,
+                _make_pointer_field(
+                    field_kind, load, is_deferred=info.deferred
+                ),
+            )
         else:
             raise ValueError(f'unsupported type {type_name}')
     return _assemble(kind, node, sorted(numbers), bits, pointers)
--- a/briarknot/schema/_pointers.py
+++ b/briarknot/schema/_pointers.py
@@ -1,10 +1,15 @@
 """What the pointers of a Cap'n Proto struct point to: texts, lists and structs."""
 
+import functools
 import struct
 import typing
 
 import attrs
 
+from briarknot.schema import _deferred
+
+#: Errors of reading what is malformed, or was written by another version.
+READ_ERRORS = (ValueError, IndexError, struct.error)
 WORD_BYTES = 8
 POINTER = struct.Struct('<iI')
 #: Kinds of pointers.
@@ -164,9 +169,12 @@
     """Lists of structs."""
 
     _layout: Layout
+    _is_deferred: bool
 
-    def read(self, data: bytes, at: int) -> tuple[typing.Any, ...]:
-        """Reads a list."""
+    def read(
+        self, data: bytes, at: int
+    ) -> tuple[typing.Any, ...] | _deferred.DeferredList:
+        """Reads a list, or checks only its size."""
         length = self._layout.length
         target = find_target(data, at, _LIST)
         if target is None:
@@ -180,7 +188,12 @@
             or count * length != (size >> _SIZE_BITS) * WORD_BYTES
         ):
             raise ValueError('list of elements of another size')
-        return self._layout.read_all(data, start + WORD_BYTES, count)
+        load = functools.partial(
+            self._layout.read_all, data, start + WORD_BYTES, count
+        )
+        if self._is_deferred:
+            return _deferred.DeferredList(load, count, READ_ERRORS)
+        return load()
 
     def write(
         self, data: bytearray, at: int, value: tuple[typing.Any, ...]
--- a/briarknot/schema/_union_layout.py
+++ b/briarknot/schema/_union_layout.py
@@ -7,8 +7,6 @@
 
 from briarknot.schema import _layouts, _pointers
 
-#: Errors of reading what is malformed, or was written by another version.
-READ_ERRORS = (ValueError, IndexError, struct.error)
 #: Number of further segments, and words of the first.
 _SEGMENTS = struct.Struct('<II')
 _MEMBER = struct.Struct('<H')
--- a/briarknot/schema/definitions/annotations.capnp
+++ b/briarknot/schema/definitions/annotations.capnp
@@ -11,3 +11,4 @@
 annotation references @0xb0a1f6d2c3e4a508 (field) :Text;
 annotation registry @0xb0a1f6d2c3e4a509 (field) :Text;
 annotation hidden @0xb0a1f6d2c3e4a50a (field) :Void;
+annotation deferred @0xb0a1f6d2c3e4a50b (field) :Void;
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -149,7 +149,7 @@
   host @0 :Text $A.doc("Host of the process.");
   sequence @1 :UInt64 $A.doc("Increases with each message of a process; a lower one is outdated.");
   bornMs @2 :UInt64 $A.unit("ms") $A.doc("Start of the process; sequence numbers restart with it.");
-  workers @3 :List(WorkerWork) $A.doc("Engines with at least one prompt or generation.");
+  workers @3 :List(WorkerWork) $A.deferred $A.doc("Engines with at least one prompt or generation.");
   parts @4 :List(CachedPart) $A.doc("Shared parts of prompts that were sent to engines since the previous message.");
   domain @5 :Text $A.doc("Failure domain of the process.");
   forward @6 :Bool $A.doc("Whether the receiver forwards the message to its domain peers.");
@@ -163,7 +163,7 @@
   relay @1 :Text $A.doc("Host of the process that added it up.");
   bornMs @2 :UInt64 $A.unit("ms") $A.doc("Start of that process; sequence numbers restart with it.");
   sequence @3 :UInt64 $A.doc("Increases with each message of a process; a lower one is outdated.");
-  workers @4 :List(WorkerWork) $A.doc("Engines with work.");
+  workers @4 :List(WorkerWork) $A.deferred $A.doc("Engines with work.");
   processes @5 :UInt16 $A.doc("Number of processes whose work is part of the sum.");
 }
 
@@ -176,7 +176,7 @@
   relay @0 :Text $A.doc("Host of the process that added it up.");
   bornMs @1 :UInt64 $A.unit("ms") $A.doc("Start of that process; sequence numbers restart with it.");
   sequence @2 :UInt64 $A.doc("Increases with each message of a process; a lower one is outdated.");
-  workers @3 :List(WorkerWork) $A.doc("Engines with work.");
+  workers @3 :List(WorkerWork) $A.deferred $A.doc("Engines with work.");
   included @4 :List(IncludedReport) $A.doc("Reports of the domain's processes that are part of the sum.");
   processes @5 :UInt16 $A.doc("Number of processes whose work is part of the sum.");
 }
--- a/briarknot/serving/_engine_work.py
+++ b/briarknot/serving/_engine_work.py
@@ -5,20 +5,21 @@
 import attrs
 
 from briarknot import schema
+from briarknot.serving import _work_parts
 
 #: Older messages of a peer are ignored; most prompts are prefilled within this
 #: time.
 _MAX_PEER_AGE_S = 1.5
 #: Older sums of a relay are ignored. A relay sends several in this time.
 _MAX_SUM_AGE_S = 1.0
-#: Age after which totals are recomputed, so that outdated messages drop out.
+#: Age after which the sum is chosen again, so that outdated messages drop out.
 _MAX_TOTALS_AGE_S = 0.1
 #: Own reports that are remembered, in order to subtract them from sums that
 #: include them. A sum with an older one is outdated.
 _MAX_REPORTS = 16
 
-WorkerWork = schema.messages.WorkerWork
-Work = dict[str, WorkerWork]
+WorkerWork = _work_parts.WorkerWork
+Work = _work_parts.Work
 
 
 @attrs.frozen
@@ -28,23 +29,23 @@
     :param domain: failure domain of the process.
     :param version: start of the process and sequence number of its message.
     :param received_s: monotonic time at which the message was received.
-    :param work: work by worker id.
+    :param work: the work.
     """
 
     domain: str
     version: tuple[int, int]
     received_s: float
-    work: Work
+    work: _work_parts.ReceivedWork
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class _FleetSum:
     """Work of all processes, as a relay added it up.
 
     :param version: start of the relay and sequence number of its message.
     :param received_s: monotonic time at which it was received.
     :param processes: number of processes whose work is part of it.
-    :param work: work by worker id.
+    :param work: the work.
     :param included: sequence number of the local report that is part of it; 0
         for none.
     """
@@ -52,7 +53,7 @@
     version: tuple[int, int]
     received_s: float
     processes: int
-    work: Work
+    work: _work_parts.ReceivedWork
     included: int
 
 
@@ -71,15 +72,29 @@
     _reports: collections.OrderedDict[int, Work] = attrs.field(
         factory=collections.OrderedDict
     )
+    _peer_sum: _work_parts.RunningSum = attrs.field(
+        factory=_work_parts.RunningSum
+    )
+    _base: _FleetSum | None = None
+    _base_report: Work = attrs.field(factory=dict)
     _totals: Work = attrs.field(factory=dict)
-    _totals_computed_s: float = float('-inf')
+    _chosen_s: float = float('-inf')
     _is_changed: bool = False
+    _snapshot: Work | None = None
+    _malformed: list[schema.DecodeError] = attrs.field(factory=list)
 
     @property
     def local(self) -> tuple[WorkerWork, ...]:
         """Work of this process at each engine that has some."""
         return tuple(self._local.values())
 
+    @property
+    def local_work(self) -> Work:
+        """Work of this process by worker; another object after each change."""
+        if self._snapshot is None:
+            self._snapshot = dict(self._local)
+        return self._snapshot
+
     def add(
         self,
         worker_id: str,
@@ -106,12 +121,12 @@
             streams=streams,
             stream_tokens=stream_tokens,
         )
-        after = add_work(before, change)
+        after = _work_parts.add_work(before, change)
         if after.tokens or after.streams:
             self._local[worker_id] = after
         else:
             self._local.pop(worker_id, None)
-        self._is_changed = True
+        self._record_change(worker_id)
 
     def record_report(self, sequence: int) -> tuple[WorkerWork, ...]:
         """Remembers the local work as it is reported to other processes.
@@ -119,7 +134,7 @@
         :param sequence: sequence number of the report.
         :returns: the local work.
         """
-        self._reports[sequence] = dict(self._local)
+        self._reports[sequence] = self.local_work
         while len(self._reports) > _MAX_REPORTS:
             self._reports.popitem(last=False)
         return self.local
@@ -135,9 +150,11 @@
         version = (message.born_ms, message.sequence)
         known = self._peers.get(message.host)
         if known is None or known.version < version:
-            work = {one.worker: one for one in message.workers}
             self._peers[message.host] = _PeerWork(
-                message.domain, version, now, work
+                message.domain,
+                version,
+                now,
+                _work_parts.ReceivedWork(message.workers),
             )
             self._is_changed = True
 
@@ -162,7 +179,7 @@
                 version,
                 now,
                 message.processes,
-                {one.worker: one for one in message.workers},
+                _work_parts.ReceivedWork(message.workers),
                 sequence,
             )
             self._is_changed = True
@@ -177,9 +194,9 @@
         :returns: sequence number and work by host.
         """
         return {
-            host: (peer.version[1], peer.work)
-            for host, peer in self._peers.items()
-            if peer.domain == domain and now - peer.received_s < _MAX_PEER_AGE_S
+            host: (self._peers[host].version[1], work)
+            for host, work in self._read_peers(now).items()
+            if self._peers[host].domain == domain
         }
 
     def get_total(self, worker_id: str, now: float) -> WorkerWork:
@@ -188,17 +205,31 @@
         :param worker_id: id of the worker.
         :param now: monotonic time in seconds.
         """
-        if (
-            self._is_changed
-            or now - self._totals_computed_s > _MAX_TOTALS_AGE_S
-        ):
-            self._update_totals(now)
-        return self._totals.get(worker_id, WorkerWork(worker=worker_id))
+        if self._is_changed or now - self._chosen_s > _MAX_TOTALS_AGE_S:
+            self._choose_base(now)
+        total = self._totals.get(worker_id)
+        if total is None:
+            total = self._compute_total(worker_id)
+            self._totals[worker_id] = total
+        return total
+
+    def record_malformed(self, error: schema.DecodeError) -> None:
+        """Records that work in a message could not be decoded.
+
+        :param error: what is wrong with it.
+        """
+        self._malformed.append(error)
+
+    def take_malformed(self) -> list[schema.DecodeError]:
+        """Returns the errors that were recorded since the last call."""
+        taken = self._malformed
+        self._malformed = []
+        return taken
 
     def remove_worker(self, worker_id: str) -> None:
         """Removes the work at a worker that is no longer listed."""
         self._local.pop(worker_id, None)
-        self._is_changed = True
+        self._record_change(worker_id)
 
     def forget_peers(self) -> None:
         """Forgets the work of all other processes, after a suspension."""
@@ -206,79 +237,74 @@
         self._sums.clear()
         self._is_changed = True
 
-    def _update_totals(self, now: float) -> None:
-        """Computes the work of all processes at each worker."""
+    def _record_change(self, worker_id: str) -> None:
+        self._snapshot = None
+        self._totals.pop(worker_id, None)
+
+    def _choose_base(self, now: float) -> None:
+        """Chooses the work of others that totals are computed from."""
         best = self._choose_sum(now)
         if best is None:
-            peers = self._peers.values()
-            totals = sum_work(
-                peer.work
-                for peer in peers
-                if now - peer.received_s < _MAX_PEER_AGE_S
-            )
+            report: Work = {}
+            is_new = self._peer_sum.update(self._read_peers(now))
         else:
-            totals = dict(best.work)
-            reported = self._reports.get(best.included, {})
-            for worker_id, work in reported.items():
-                known = totals.get(worker_id, WorkerWork(worker=worker_id))
-                totals[worker_id] = _subtract(known, work)
-        self._totals = sum_work((totals, self._local))
-        self._totals_computed_s = now
+            report = self._reports.get(best.included, {})
+            is_new = report is not self._base_report
+        if is_new or best is not self._base:
+            self._totals.clear()
+        self._base = best
+        self._base_report = report
+        self._chosen_s = now
         self._is_changed = False
 
+    def _compute_total(self, worker_id: str) -> WorkerWork:
+        nothing = WorkerWork(worker=worker_id)
+        if self._base is None:
+            others = self._peer_sum.get(worker_id)
+        else:
+            others = self._base.work.read().get(worker_id)
+            reported = self._base_report.get(worker_id)
+            if reported is not None:
+                others = _work_parts.subtract_work(others or nothing, reported)
+        local = self._local.get(worker_id)
+        if others is None or local is None:
+            return others or local or nothing
+        return _work_parts.add_work(others, local)
+
+    def _read_peers(self, now: float) -> dict[str, Work]:
+        """Returns the recent work of each other process."""
+        works = {}
+        for host, peer in tuple(self._peers.items()):
+            if now - peer.received_s < _MAX_PEER_AGE_S:
+                work = peer.work.read()
+                if isinstance(work, schema.DecodeError):
+                    self.record_malformed(work)
+                    del self._peers[host]
+                else:
+                    works[host] = work
+        return works
+
     def _choose_sum(self, now: float) -> _FleetSum | None:
         """Returns the recent sum that covers most processes, or None.
 
         A relay that has just started, or that some processes can't reach, knows
         only a part of the work.
         """
-        recent = [
-            one
-            for one in self._sums.values()
-            if now - one.received_s < _MAX_SUM_AGE_S
-        ]
-        return max(
-            recent,
-            key=lambda one: (one.processes, one.received_s),
-            default=None,
+        recent = sorted(
+            (
+                (one.processes, one.received_s, relay)
+                for relay, one in self._sums.items()
+                if now - one.received_s < _MAX_SUM_AGE_S
+            ),
+            reverse=True,
         )
-
-
-def sum_work(parts: collections.abc.Iterable[Work]) -> Work:
-    """Adds up work by worker id.
-
-    :param parts: work of several processes.
-    """
-    totals: Work = {}
-    for work in parts:
-        for worker_id, one in work.items():
-            known = totals.get(worker_id)
-            totals[worker_id] = one if known is None else add_work(known, one)
-    return totals
-
-
-def add_work(first: WorkerWork, second: WorkerWork) -> WorkerWork:
-    """Adds the work at one worker; figures never fall below zero.
-
-    :param first: work.
-    :param second: other work.
-    """
-    return WorkerWork(
-        worker=first.worker,
-        tokens=max(0, first.tokens + second.tokens),
-        streams=max(0, first.streams + second.streams),
-        stream_tokens=max(0, first.stream_tokens + second.stream_tokens),
-    )
-
-
-def _subtract(first: WorkerWork, second: WorkerWork) -> WorkerWork:
-    negative = WorkerWork(
-        worker=second.worker,
-        tokens=-second.tokens,
-        streams=-second.streams,
-        stream_tokens=-second.stream_tokens,
-    )
-    return add_work(first, negative)
+        for _, _, relay in recent:
+            work = self._sums[relay].work.read()
+            if not isinstance(work, schema.DecodeError):
+                return self._sums[relay]
+            self.record_malformed(work)
+            del self._sums[relay]
+        return None
 
 
 def make_engine_work() -> EngineWork:
--- a/briarknot/serving/_work_sums.py
+++ b/briarknot/serving/_work_sums.py
@@ -9,7 +9,7 @@
 import attrs
 
 from briarknot import schema
-from briarknot.serving import _engine_work
+from briarknot.serving import _engine_work, _work_parts
 
 #: Older sums of another domain are left out.
 _MAX_DOMAIN_AGE_S = 2.0
@@ -21,13 +21,13 @@
 
     :param version: start of the relay and sequence number of its message.
     :param received_s: monotonic time at which it was received.
-    :param work: work by worker id.
+    :param work: the work.
     :param processes: number of processes whose work is part of it.
     """
 
     version: tuple[int, int]
     received_s: float
-    work: _engine_work.Work
+    work: _work_parts.ReceivedWork
     processes: int
 
 
@@ -41,6 +41,12 @@
     _work: _engine_work.EngineWork
     _domains: dict[tuple[str, str], _DomainSum] = attrs.field(factory=dict)
     _sequence: int = 0
+    _domain_sum: _work_parts.RunningSum = attrs.field(
+        factory=_work_parts.RunningSum
+    )
+    _fleet_sum: _work_parts.RunningSum = attrs.field(
+        factory=_work_parts.RunningSum
+    )
 
     def apply_report(
         self, message: schema.messages.EngineWork, now: float
@@ -65,9 +71,11 @@
         version = (message.born_ms, message.sequence)
         known = self._domains.get(key)
         if known is None or known.version < version:
-            work = {one.worker: one for one in message.workers}
             self._domains[key] = _DomainSum(
-                version, now, work, message.processes
+                version,
+                now,
+                _work_parts.ReceivedWork(message.workers),
+                message.processes,
             )
 
     def make_domain_work(self, now: float) -> schema.messages.DomainWork:
@@ -76,13 +84,14 @@
         :param now: monotonic time in seconds.
         """
         self._sequence += 1
-        work, included = self._sum_domain(now)
+        parts, included = self._list_domain_parts(now)
+        self._domain_sum.update(parts)
         return schema.messages.DomainWork(
             domain=self._domain,
             relay=self._host,
             born_ms=self._born_ms,
             sequence=self._sequence,
-            workers=tuple(work.values()),
+            workers=self._domain_sum.list_values(),
             processes=1 + len(included),
         )
 
@@ -95,48 +104,56 @@
         :param now: monotonic time in seconds.
         """
         self._sequence += 1
-        work, included = self._sum_domain(now)
+        parts, included = self._list_domain_parts(now)
         included[self._host] = local_sequence
-        domains = self._choose_domain_sums(now)
-        total = _engine_work.sum_work(
-            (work, *(one.work for one in domains.values()))
-        )
+        processes = len(included)
+        for domain, one in self._choose_domain_sums(now).items():
+            parts[domain, ''] = one.work.read()
+            processes += one.processes
+        self._fleet_sum.update(parts)
         return schema.messages.FleetWork(
             relay=self._host,
             born_ms=self._born_ms,
             sequence=self._sequence,
-            workers=tuple(total.values()),
+            workers=self._fleet_sum.list_values(),
             included=tuple(
                 schema.messages.IncludedReport(host=host, sequence=sequence)
                 for host, sequence in included.items()
             ),
-            processes=len(included)
-            + sum(one.processes for one in domains.values()),
+            processes=processes,
         )
 
     def clear(self) -> None:
         """Forgets what was received, after a suspension of the process."""
         self._domains.clear()
 
-    def _sum_domain(
+    def _list_domain_parts(
         self, now: float
-    ) -> tuple[_engine_work.Work, dict[str, int]]:
-        """Returns the work of the domain, and the reports that it contains."""
+    ) -> tuple[dict[tuple[str, str], _work_parts.Work], dict[str, int]]:
+        """Returns the work of the domain's processes, and their reports."""
         reports = self._work.list_reports(self._domain, now)
-        local = {one.worker: one for one in self._work.local}
-        work = _engine_work.sum_work(
-            (local, *(work for _, work in reports.values()))
-        )
-        return work, {host: number for host, (number, _) in reports.items()}
+        parts = {
+            (self._domain, host): work for host, (_, work) in reports.items()
+        }
+        parts[self._domain, self._host] = self._work.local_work
+        return parts, {host: number for host, (number, _) in reports.items()}
 
     def _choose_domain_sums(self, now: float) -> dict[str, _DomainSum]:
         """Returns the latest recent sum of each other domain."""
         chosen: dict[str, _DomainSum] = {}
-        for (domain, _), one in self._domains.items():
+        relays: dict[str, str] = {}
+        for (domain, relay), one in self._domains.items():
             known = chosen.get(domain)
             is_later = known is None or known.received_s <= one.received_s
             if is_later and now - one.received_s < _MAX_DOMAIN_AGE_S:
                 chosen[domain] = one
+                relays[domain] = relay
+        for domain, one in chosen.items():
+            work = one.work.read()
+            if isinstance(work, schema.DecodeError):
+                self._work.record_malformed(work)
+                del self._domains[domain, relays[domain]]
+                return self._choose_domain_sums(now)
         return chosen
 
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -38,6 +38,7 @@
     'references',
     'registry',
     'hidden',
+    'deferred',
 )
 _INTEGER_BITS = {
     'uint8': (0, 8),
