Group and order gateway processes once for each list of them

Each report, sum, repeated message and wait for an update of the store grouped all processes by domain and ordered many of them by hash, so that the cost of an idle gateway grew with the fleet. The groups and orders are now computed once for each list of processes. Limits are repeated only if there are any.

The benchmark sends the messages of others from a thread of its own, which is not measured.

--- a/benchmarks/_gateway_exchange.py
+++ b/benchmarks/_gateway_exchange.py
@@ -10,6 +10,7 @@
 import contextlib
 import functools
 import socket
+import threading
 import time
 import typing
 
@@ -300,14 +301,17 @@
         return time.monotonic()
 
 
-async def _send_to(port: int, data: list[bytes], period_s: float) -> None:
-    """Sends messages of others; encoding them is not measured."""
+def _send_to(
+    port: int, data: list[bytes], period_s: float, stopped: threading.Event
+) -> None:
+    """Sends messages of others, in a thread that is not measured."""
     with contextlib.closing(
         socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     ) as sender:
         for one in data:
             sender.sendto(one, ('127.0.0.1', port))
-            await asyncio.sleep(period_s)
+            if stopped.wait(period_s):
+                return
 
 
 async def _measure_idle(gateways: int, *, is_busy: bool) -> float:
@@ -327,18 +331,23 @@
     seconds = _SETTLE_S + _MEASURE_S
     near = max(1, gateways // _DOMAINS)
     sum_period_s = max(_MIN_SUM_PERIOD_S, near / _SUMS_PER_S) / _RELAYS
+    count = int(seconds / sum_period_s) + 1 if is_busy else 0
     sums = [
         schema.encode(make_fleet_work(_IDLE_WORKERS, near, 1 + number))
-        for number in range(int(seconds / sum_period_s) + 1)
+        for number in range(count)
     ]
     port = context.settings.peer_port
-    others = [
-        _send_to(
-            port, [update for _ in range(2 * int(seconds))], _UPDATE_PERIOD_S
-        ),
+    stopped = threading.Event()
+    updates = [update for _ in range(2 * int(seconds))]
+    senders = [
+        threading.Thread(target=_send_to, args=(port, data, period_s, stopped))
+        for data, period_s in (
+            (updates, _UPDATE_PERIOD_S),
+            (sums, sum_period_s),
+        )
     ]
-    if is_busy:
-        others.append(_send_to(port, sums, sum_period_s))
+    for sender in senders:
+        sender.start()
     tasks = [
         asyncio.ensure_future(task)
         for task in (
@@ -351,14 +360,14 @@
             _version_sync.make_version_sync(context, client, peers).send(),
             store.sync_manifest(),
             store.sync_workers(),
-            *others,
         )
     ]
     await asyncio.sleep(_SETTLE_S)
-    started, started_s = time.process_time(), time.monotonic()
+    started, started_s = time.thread_time(), time.monotonic()
     await asyncio.sleep(_MEASURE_S)
-    used = time.process_time() - started
+    used = time.thread_time() - started
     elapsed_s = time.monotonic() - started_s
+    stopped.set()
     for task in tasks:
         if task.done():
             await task
--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -16,7 +16,7 @@
     telemetry,
     versions,
 )
-from briarknot.gateway import _pending_answers, _stopping
+from briarknot.gateway import _host_groups, _pending_answers, _stopping
 
 REQUESTS = prometheus_client.Counter(
     'briarknot_gateway_requests',
@@ -133,6 +133,17 @@
     send_message: SendMessage = _drop_message
     stop: _stopping.Stop = attrs.field(factory=_stopping.Stop)
     background_tasks: set[typing.Any] = attrs.field(factory=set)
+    _groups: _host_groups.HostGroups | None = None
+
+    @property
+    def host_groups(self) -> _host_groups.HostGroups:
+        """The gateway processes by failure domain."""
+        current = (self.settings.host, self.settings.domain, self.peer_hosts)
+        known = self._groups
+        if known is None or not known.is_current(*current):
+            known = _host_groups.make_host_groups(*current)
+            self._groups = known
+        return known
 
     @property
     def is_ready(self) -> bool:
--- a/briarknot/gateway/_gossip.py
+++ b/briarknot/gateway/_gossip.py
@@ -1,6 +1,5 @@
 """Chooses the processes that repeat, receive or store what a process knows."""
 
-from briarknot import serving
 from briarknot.gateway import _context
 
 #: Processes of the local domain that get it in each period.
@@ -18,14 +17,10 @@
     :param key: key of the order that decides which process that is.
     :returns: their hosts.
     """
-    settings = context.settings
-    domains: dict[str, list[str]] = {settings.domain: []}
-    for host, peer in context.peer_hosts.items():
-        domains.setdefault(peer.domain, []).append(host)
-    near = domains.pop(settings.domain)
-    chosen = _sample(context, near, _NEAR_RECEIVERS)
-    if serving.rank_names(key, (settings.host, *near))[0] == settings.host:
-        for hosts in domains.values():
+    groups = context.host_groups
+    chosen = _sample(context, groups.near, _NEAR_RECEIVERS)
+    if groups.rank_near(key)[0] == context.settings.host:
+        for hosts in groups.far.values():
             chosen.extend(_sample(context, hosts, 1))
     return tuple(chosen)
 
@@ -36,11 +31,10 @@
     :param context: state of the process.
     :param key: key of the order.
     """
-    hosts = (context.settings.host, *context.peer_hosts)
-    return serving.rank_names(key, hosts).index(hosts[0])
+    return context.host_groups.rank_all(key).index(context.settings.host)
 
 
 def _sample(
-    context: _context.Context, hosts: list[str], count: int
+    context: _context.Context, hosts: tuple[str, ...], count: int
 ) -> list[str]:
     return context.random_source.sample(hosts, min(count, len(hosts)))
--- a/briarknot/gateway/_limit_sync.py
+++ b/briarknot/gateway/_limit_sync.py
@@ -49,13 +49,16 @@
             self._send(changed, leaving, tuple(self._context.peer_hosts))
             if now - repeated_s >= _PERIOD_S:
                 repeated_s = now
-                self._send(
-                    limits.list_records(now),
-                    fleet.list_leaving(now - _LEAVING_REPEAT_S),
-                    self._choose_receivers(now),
-                )
+                self._repeat(now)
             await asyncio.sleep(_CHECK_S)
 
+    def _repeat(self, now: float) -> None:
+        """Sends all that is known to a few processes."""
+        records = self._context.permits.limits.list_records(now)
+        leaving = self._context.fleet.list_leaving(now - _LEAVING_REPEAT_S)
+        if records or leaving:
+            self._send(records, leaving, self._choose_receivers(now))
+
     def _choose_receivers(self, now: float) -> tuple[str, ...]:
         """Chooses a few processes, and the issuers of workers with a limit."""
         permits = self._context.permits
--- a/briarknot/gateway/_peer_socket.py
+++ b/briarknot/gateway/_peer_socket.py
@@ -46,17 +46,8 @@
 
     def list_near(self) -> list[_context.PeerHost]:
         """Lists the other processes of the local failure domain."""
-        domain = self._context.settings.domain
-        hosts = self._context.peer_hosts.values()
-        return [peer for peer in hosts if peer.domain == domain]
-
-    def list_far(self) -> dict[str, list[str]]:
-        """Lists the hosts of each other failure domain."""
-        domains: dict[str, list[str]] = {}
-        for host, peer in self._context.peer_hosts.items():
-            domains.setdefault(peer.domain, []).append(host)
-        domains.pop(self._context.settings.domain, None)
-        return domains
+        peers = self._context.peer_hosts
+        return [peers[host] for host in self._context.host_groups.near]
 
 
 def open_peer_socket(context: _context.Context) -> PeerSocket:
--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -243,8 +243,9 @@
                 self._relays.record_report(relay, now)
         if message.parts:
             data = schema.encode(message)
-            for host, peer in self._context.peer_hosts.items():
-                if peer.domain == message.domain and host not in relays:
+            for host in self._context.host_groups.near:
+                if host not in relays:
+                    peer = self._context.peer_hosts[host]
                     self._socket.send(data, peer.address)
         self._far_parts.extend(message.parts)
         if self._far_parts and now - self._far_sent_s >= _FAR_PARTS_PERIOD_S:
@@ -267,9 +268,9 @@
     def _send_domain_work(self, now: float) -> None:
         message = self._sums.make_domain_work(now)
         data = schema.encode(message)
-        for domain, hosts in self._socket.list_far().items():
+        for domain in self._context.host_groups.far:
             relay = self._relays.choose_for_domain(
-                domain, hosts, message.sequence, now
+                domain, message.sequence, now
             )
             peer = self._context.peer_hosts.get(relay)
             if peer is not None:
@@ -301,8 +302,9 @@
         """Sends to one process of each other domain, which forwards it."""
         data = schema.encode(attrs.evolve(message, forward=True))
         index = message.sequence % _FORWARDERS_PER_DOMAIN
-        for hosts in self._socket.list_far().values():
-            ranked = serving.rank_names(message.host, hosts)
+        groups = self._context.host_groups
+        for domain in groups.far:
+            ranked = groups.rank_far(message.host, domain)
             forwarder = ranked[min(index, len(ranked) - 1)]
             self._socket.send(data, self._context.peer_hosts[forwarder].address)
 
--- a/briarknot/gateway/_store_readers.py
+++ b/briarknot/gateway/_store_readers.py
@@ -8,7 +8,7 @@
 
 import asyncio
 
-from briarknot import schema, serving, telemetry
+from briarknot import schema, telemetry
 from briarknot.gateway import _context
 
 _KEY = 'readers'
@@ -30,14 +30,7 @@
     :returns: 0 for the leader, which reads for all; None for a process that is
         no store reader and reads only where no updates arrive.
     """
-    settings = context.settings
-    domains = {settings.domain: [settings.host]}
-    for host, peer in context.peer_hosts.items():
-        domains.setdefault(peer.domain, []).append(host)
-    readers = [serving.rank_names(_KEY, hosts)[0] for hosts in domains.values()]
-    if settings.host not in readers:
-        return None
-    return serving.rank_names(_KEY, readers).index(settings.host)
+    return context.host_groups.get_first_rank(_KEY)
 
 
 async def wait_for_update(
--- a/briarknot/gateway/_work_relays.py
+++ b/briarknot/gateway/_work_relays.py
@@ -8,7 +8,6 @@
 
 import attrs
 
-from briarknot import serving
 from briarknot.gateway import _context
 
 _KEY = 'relays'
@@ -37,17 +36,11 @@
 
         :param now: monotonic time in seconds.
         """
-        settings = self._context.settings
-        hosts = [settings.host]
-        hosts.extend(
-            host
-            for host, peer in self._context.peer_hosts.items()
-            if peer.domain == settings.domain
-        )
+        local = self._context.settings.host
         usable = [
             host
-            for host in serving.rank_names(_KEY, hosts)
-            if host == settings.host or not self._is_passed_over(host, now)
+            for host in self._context.host_groups.rank_near(_KEY)
+            if host == local or not self._is_passed_over(host, now)
         ]
         return tuple(usable[:RELAYS])
 
@@ -79,13 +72,10 @@
         """
         self._domain_s[relay] = (domain, now)
 
-    def choose_for_domain(
-        self, domain: str, hosts: list[str], sequence: int, now: float
-    ) -> str:
+    def choose_for_domain(self, domain: str, sequence: int, now: float) -> str:
         """Returns the relay of another domain that gets the next sum.
 
         :param domain: the domain.
-        :param hosts: its hosts.
         :param sequence: number of the sum; its relays take turns.
         :param now: monotonic time in seconds.
         """
@@ -94,7 +84,8 @@
             for relay, (known_domain, seen_s) in self._domain_s.items()
             if known_domain == domain and now - seen_s < _MAX_DOMAIN_SILENCE_S
         )
-        turns = active or serving.rank_names(_KEY, hosts)[: RELAYS + 1]
+        ranked = self._context.host_groups.rank_far(_KEY, domain)
+        turns = active or ranked[: RELAYS + 1]
         return turns[sequence % len(turns)]
 
     def _is_passed_over(self, host: str, now: float) -> bool:
