--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -73,15 +73,9 @@
 
     async def receive(self) -> None:
         """Receives and applies the messages of other processes."""
-        while True:
-            message = schema.decode(await self._socket.receive())
-            handler = HANDLERS.get(type(message).__name__)
-            if isinstance(handler, registry.UnknownName):
-                telemetry.log_event(
-                    'peer_message_malformed', message=repr(message)
-                )
-                continue
-            handler(self, message, time.monotonic())
+        with self._socket.listen():
+            while True:
+                _apply(self, await self._socket.receive())
 
     def broadcast(self, message: typing.Any) -> None:
         """Sends a message to all other processes.
@@ -363,6 +357,16 @@
         )
 
 
+def _apply(peers: Peers, data: bytes) -> None:
+    """Decodes and applies a message."""
+    message = schema.decode(data)
+    handler = HANDLERS.get(type(message).__name__)
+    if isinstance(handler, registry.UnknownName):
+        telemetry.log_event('peer_message_malformed', message=repr(message))
+    else:
+        handler(peers, message, time.monotonic())
+
+
 @HANDLERS.register('FleetUpdate')
 def apply_fleet_update(
     peers: Peers, message: schema.messages.FleetUpdate, now: float
