Wake the relay task of a process that is no relay less often

Each process woke 13 times per second to see whether others report to it. It now waits up to 0.3 s for a report or a sum of another domain, which end the pause, and then sends its first sum after the same delay as before.

--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from briarknot import registry, schema, serving, telemetry
+from briarknot import program, registry, schema, serving, telemetry
 from briarknot.gateway import _clock, _context, _peer_socket, _work_relays
 
 #: Period of reports. The prefill of a prompt takes a few hundred milliseconds,
@@ -24,6 +24,9 @@
 _FAR_PARTS_PERIOD_S = 1.0
 #: Time after the last report, or sum of another domain, at which a relay stops.
 _MAX_RELAY_IDLE_S = 2.0
+#: Longest pause of a process that is no relay at the time. A report or sum of
+#: another domain ends it.
+_IDLE_PERIOD_S = 0.3
 #: A longer pause of the relay task means that the process was suspended, and
 #: what it knows of others is outdated.
 _MAX_SUSPENSION_S = 1.0
@@ -56,6 +59,7 @@
     _is_announced: bool = True
     _sequence: int = 0
     _known_starts: dict[str, int] = attrs.field(factory=dict)
+    _relay_needed: program.Signal = attrs.field(factory=program.Signal)
     _reported_s: float = float('-inf')
     _domain_work_s: float = float('-inf')
     _far_parts: list[schema.messages.CachedPart] = attrs.field(factory=list)
@@ -145,15 +149,17 @@
         domain_sent_s = float('-inf')
         woke_s = _clock.read_clock()
         while True:
+            if not self._is_relay(time.monotonic()):
+                await self._relay_needed.wait(_IDLE_PERIOD_S)
             near = self._socket.list_near()
             await asyncio.sleep(max(_PERIOD_S / 2, len(near) / _MAX_SENT_PER_S))
             suspended_s, woke_s = woke_s, _clock.read_clock()
             if woke_s - suspended_s > _MAX_SUSPENSION_S:
                 self._forget_peers(woke_s - suspended_s)
-            self._log_malformed()
+            _log_malformed(self._context.prompt_load.work)
             now = time.monotonic()
             has_reports = now - self._reported_s < _MAX_RELAY_IDLE_S
-            if has_reports or now - self._domain_work_s < _MAX_RELAY_IDLE_S:
+            if self._is_relay(now):
                 self._send_fleet_work(near, now)
             if has_reports and now - domain_sent_s >= _DOMAIN_PERIOD_S:
                 domain_sent_s = now
@@ -176,11 +182,17 @@
             self._sums.apply_report(message, now)
             if message.to_relay:
                 self._reported_s = now
+                self._relay_needed.notify()
         else:
             load.work.apply_peer_work(message, now)
         if message.forward:
             self._forward(message)
 
+    def _is_relay(self, now: float) -> bool:
+        """Whether processes or relays of other domains report to this one."""
+        last_s = max(self._reported_s, self._domain_work_s)
+        return now - last_s < _MAX_RELAY_IDLE_S
+
     def _forward(self, message: schema.messages.EngineWork) -> None:
         """Sends a message of another domain to the domain peers."""
         workers = schema.read_list(message.workers)
@@ -200,6 +212,7 @@
         :param now: monotonic time in seconds.
         """
         self._domain_work_s = now
+        self._relay_needed.notify()
         self._relays.record_domain_work(message.relay, message.domain, now)
         self._sums.apply_domain_work(message, now)
 
@@ -232,6 +245,7 @@
         for relay in relays:
             if relay == self._context.settings.host:
                 self._reported_s = now
+                self._relay_needed.notify()
             else:
                 self._socket.send(data, self._context.peer_hosts[relay].address)
                 self._relays.record_report(relay, now)
@@ -270,11 +284,6 @@
             if peer is not None:
                 self._socket.send(data, peer.address)
 
-    def _log_malformed(self) -> None:
-        """Logs messages whose work turned out to be malformed when it was used."""
-        for error in self._context.prompt_load.work.take_malformed():
-            telemetry.log_event('peer_message_malformed', message=repr(error))
-
     def _forget_peers(self, seconds: float) -> None:
         telemetry.log_event('peer_work_outdated', suspended_s=round(seconds, 2))
         self._context.prompt_load.work.forget_peers()
@@ -357,6 +366,12 @@
         )
 
 
+def _log_malformed(work: serving.EngineWork) -> None:
+    """Logs messages whose work turned out to be malformed when it was used."""
+    for error in work.take_malformed():
+        telemetry.log_event('peer_message_malformed', message=repr(error))
+
+
 def _apply(peers: Peers, data: bytes) -> None:
     """Decodes and applies a message."""
     message = schema.decode(data)
