--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -18,6 +18,7 @@
     _capacity_decisions,
     _capacity_processes,
     _gateway_choices,
+    _gateway_exchange,
     _slopes,
 )
 
--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from briarknot import registry, schema, serving, telemetry
+from briarknot import program, registry, schema, serving, telemetry
 from briarknot.gateway import _clock, _context, _peer_socket, _work_relays
 
 #: Period of reports. The prefill of a prompt takes a few hundred milliseconds,
@@ -24,6 +24,9 @@
 _FAR_PARTS_PERIOD_S = 1.0
 #: Time after the last report, or sum of another domain, at which a relay stops.
 _MAX_RELAY_IDLE_S = 2.0
+#: Longest pause of a process that is no relay at the time. A report or sum of
+#: another domain ends it.
+_IDLE_PERIOD_S = 0.3
 #: A longer pause of the relay task means that the process was suspended, and
 #: what it knows of others is outdated.
 _MAX_SUSPENSION_S = 1.0
@@ -56,6 +59,7 @@
     _is_announced: bool = True
     _sequence: int = 0
     _known_starts: dict[str, int] = attrs.field(factory=dict)
+    _relay_needed: program.Signal = attrs.field(factory=program.Signal)
     _reported_s: float = float('-inf')
     _domain_work_s: float = float('-inf')
     _far_parts: list[schema.messages.CachedPart] = attrs.field(factory=list)
@@ -73,15 +77,9 @@
 
     async def receive(self) -> None:
         """Receives and applies the messages of other processes."""
-        while True:
-            message = schema.decode(await self._socket.receive())
-            handler = HANDLERS.get(type(message).__name__)
-            if isinstance(handler, registry.UnknownName):
-                telemetry.log_event(
-                    'peer_message_malformed', message=repr(message)
-                )
-                continue
-            handler(self, message, time.monotonic())
+        with self._socket.listen():
+            while True:
+                _apply(self, await self._socket.receive())
 
     def broadcast(self, message: typing.Any) -> None:
         """Sends a message to all other processes.
@@ -151,14 +149,17 @@
         domain_sent_s = float('-inf')
         woke_s = _clock.read_clock()
         while True:
+            if not self._is_relay(time.monotonic()):
+                await self._relay_needed.wait(_IDLE_PERIOD_S)
             near = self._socket.list_near()
             await asyncio.sleep(max(_PERIOD_S / 2, len(near) / _MAX_SENT_PER_S))
             suspended_s, woke_s = woke_s, _clock.read_clock()
             if woke_s - suspended_s > _MAX_SUSPENSION_S:
                 self._forget_peers(woke_s - suspended_s)
+            _log_malformed(self._context.prompt_load.work)
             now = time.monotonic()
             has_reports = now - self._reported_s < _MAX_RELAY_IDLE_S
-            if has_reports or now - self._domain_work_s < _MAX_RELAY_IDLE_S:
+            if self._is_relay(now):
                 self._send_fleet_work(near, now)
             if has_reports and now - domain_sent_s >= _DOMAIN_PERIOD_S:
                 domain_sent_s = now
@@ -181,9 +182,22 @@
             self._sums.apply_report(message, now)
             if message.to_relay:
                 self._reported_s = now
+                self._relay_needed.notify()
         else:
             load.work.apply_peer_work(message, now)
         if message.forward:
+            self._forward(message)
+
+    def _is_relay(self, now: float) -> bool:
+        """Whether processes or relays of other domains report to this one."""
+        last_s = max(self._reported_s, self._domain_work_s)
+        return now - last_s < _MAX_RELAY_IDLE_S
+
+    def _forward(self, message: schema.messages.EngineWork) -> None:
+        """Sends a message of another domain to the domain peers."""
+        workers = schema.read_list(message.workers)
+        # A malformed list is logged by whatever uses it.
+        if not isinstance(workers, schema.DecodeError):
             data = schema.encode(attrs.evolve(message, forward=False))
             for peer in self._socket.list_near():
                 self._socket.send(data, peer.address)
@@ -198,6 +212,7 @@
         :param now: monotonic time in seconds.
         """
         self._domain_work_s = now
+        self._relay_needed.notify()
         self._relays.record_domain_work(message.relay, message.domain, now)
         self._sums.apply_domain_work(message, now)
 
@@ -215,29 +230,6 @@
             message, self._context.settings.host, now
         )
 
-    @HANDLERS.register('FleetUpdate')
-    def apply_fleet_update(
-        self, message: schema.messages.FleetUpdate, now: float
-    ) -> None:
-        """Applies what another process has read from the store.
-
-        :param message: the update.
-        :param now: monotonic time in seconds.
-        """
-        self._context.fleet_update = message
-        self._context.fleet_update_received.set()
-
-    @HANDLERS.register('StageChanges')
-    def apply_stage_changes(
-        self, message: schema.messages.StageChanges, now: float
-    ) -> None:
-        """Leaves out engines that change their stage.
-
-        :param message: the engines.
-        :param now: monotonic time in seconds.
-        """
-        self._context.fleet.set_changing(message.engines, now)
-
     def _report(self, message: schema.messages.EngineWork, now: float) -> None:
         """Reports the work to the relays of the domain.
 
@@ -253,13 +245,15 @@
         for relay in relays:
             if relay == self._context.settings.host:
                 self._reported_s = now
+                self._relay_needed.notify()
             else:
                 self._socket.send(data, self._context.peer_hosts[relay].address)
                 self._relays.record_report(relay, now)
         if message.parts:
             data = schema.encode(message)
-            for host, peer in self._context.peer_hosts.items():
-                if peer.domain == message.domain and host not in relays:
+            for host in self._context.host_groups.near:
+                if host not in relays:
+                    peer = self._context.peer_hosts[host]
                     self._socket.send(data, peer.address)
         self._far_parts.extend(message.parts)
         if self._far_parts and now - self._far_sent_s >= _FAR_PARTS_PERIOD_S:
@@ -282,9 +276,9 @@
     def _send_domain_work(self, now: float) -> None:
         message = self._sums.make_domain_work(now)
         data = schema.encode(message)
-        for domain, hosts in self._socket.list_far().items():
+        for domain in self._context.host_groups.far:
             relay = self._relays.choose_for_domain(
-                domain, hosts, message.sequence, now
+                domain, message.sequence, now
             )
             peer = self._context.peer_hosts.get(relay)
             if peer is not None:
@@ -311,8 +305,9 @@
         """Sends to one process of each other domain, which forwards it."""
         data = schema.encode(attrs.evolve(message, forward=True))
         index = message.sequence % _FORWARDERS_PER_DOMAIN
-        for hosts in self._socket.list_far().values():
-            ranked = serving.rank_names(message.host, hosts)
+        groups = self._context.host_groups
+        for domain in groups.far:
+            ranked = groups.rank_far(message.host, domain)
             forwarder = ranked[min(index, len(ranked) - 1)]
             self._socket.send(data, self._context.peer_hosts[forwarder].address)
 
@@ -371,6 +366,49 @@
         )
 
 
+def _log_malformed(work: serving.EngineWork) -> None:
+    """Logs messages whose work turned out to be malformed when it was used."""
+    for error in work.take_malformed():
+        telemetry.log_event('peer_message_malformed', message=repr(error))
+
+
+def _apply(peers: Peers, data: bytes) -> None:
+    """Decodes and applies a message."""
+    message = schema.decode(data)
+    handler = HANDLERS.get(type(message).__name__)
+    if isinstance(handler, registry.UnknownName):
+        telemetry.log_event('peer_message_malformed', message=repr(message))
+    else:
+        handler(peers, message, time.monotonic())
+
+
+@HANDLERS.register('FleetUpdate')
+def apply_fleet_update(
+    peers: Peers, message: schema.messages.FleetUpdate, now: float
+) -> None:
+    """Applies what another process has read from the store.
+
+    :param peers: has the state of the process.
+    :param message: the update.
+    :param now: monotonic time in seconds.
+    """
+    peers.context.fleet_update = message
+    peers.context.fleet_update_received.set()
+
+
+@HANDLERS.register('StageChanges')
+def apply_stage_changes(
+    peers: Peers, message: schema.messages.StageChanges, now: float
+) -> None:
+    """Leaves out engines that change their stage.
+
+    :param peers: has the state of the process.
+    :param message: the engines.
+    :param now: monotonic time in seconds.
+    """
+    peers.context.fleet.set_changing(message.engines, now)
+
+
 def make_peers(context: _context.Context) -> Peers:
     """Opens the socket for messages, and makes what sends and applies them.
 
