Measure the CPU time of a gateway's requests, events, connections, lines, and starts

The measurement gateway_request runs the serving code of a gateway in a process of its own in front of scripted workers, and the program itself for its start.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -17,6 +17,7 @@
 from benchmarks import (  # noqa: F401 - fill MEASUREMENTS
     _capacity_decisions,
     _capacity_processes,
+    _gateway_requests,
     _slopes,
 )
 
