--- a/briarknot/document/__init__.py
+++ b/briarknot/document/__init__.py
@@ -1,25 +1,15 @@
 """Reads, checks, and compares settings and fleet documents."""
 
-from briarknot.document import _fleet_checks as _registered_checks
-from briarknot.document._checks import CHECKS
-from briarknot.document._diff import Change, compare
-from briarknot.document._edit import edit_text
-from briarknot.document._findings import Finding, Position, sort_findings
-from briarknot.document._reader import ReadResult, read_text
-from briarknot.document._writer import write_text
+from briarknot import lazy
 
-FLEET_CHECKS = _registered_checks.NAMES
-
-__all__ = (
-    'CHECKS',
-    'FLEET_CHECKS',
-    'Change',
-    'Finding',
-    'Position',
-    'ReadResult',
-    'compare',
-    'edit_text',
-    'read_text',
-    'sort_findings',
-    'write_text',
-)
+#: A gateway reads its settings only, and starts without the other modules.
+_MODULES = {
+    '_diff': ('Change', 'compare'),
+    '_edit': ('edit_text',),
+    '_findings': ('Finding', 'Position', 'sort_findings'),
+    '_fleet_checks': ('CHECKS', 'FLEET_CHECKS'),
+    '_reader': ('ReadResult', 'read_text'),
+    '_writer': ('write_text',),
+}
+__all__ = lazy.list_names(_MODULES)
+__getattr__ = lazy.make_getattr(__name__, _MODULES)
--- a/briarknot/document/_checks.py
+++ b/briarknot/document/_checks.py
@@ -1,6 +1,7 @@
 """Registry of checks of a whole value."""
 
 import collections.abc
+import importlib
 import typing
 
 import attrs
@@ -34,6 +35,9 @@
     run: typing.Callable[[typing.Any], collections.abc.Iterable[Problem]]
 
 
+#: Modules that fill the registry, by the schema of the kinds that they check. A
+#: program that reads only its settings starts without them.
+_MODULES = {'fleet': 'briarknot.document._fleet_checks'}
 #: Checks that run after the fields have been read.
 CHECKS: registry.Registry[Check] = registry.Registry('document check')
 
@@ -54,6 +58,8 @@
     kind: type, value: typing.Any
 ) -> collections.abc.Iterator[Problem]:
     """Yields the problems that all checks of a kind find in a value."""
+    if kind.__schema__ in _MODULES:
+        importlib.import_module(_MODULES[kind.__schema__])
     for name in CHECKS.names:
         check = CHECKS.get(name)
         if isinstance(check, Check) and check.kind is kind:
--- a/briarknot/document/_fleet_checks.py
+++ b/briarknot/document/_fleet_checks.py
@@ -12,8 +12,16 @@
 _Fleet = schema.fleet.Fleet
 _Problems = collections.abc.Iterator[_checks.Problem]
 
+#: The registry with the checks of this module.
+CHECKS = _checks.CHECKS
 #: Names of the checks of the fleet document.
-NAMES = ('unique_names', 'references', 'floors', 'key_hashes', 'services')
+FLEET_CHECKS = (
+    'unique_names',
+    'references',
+    'floors',
+    'key_hashes',
+    'services',
+)
 
 _NAMED_LISTS = ('domains', 'ranks', 'models', 'engines', 'services', 'accounts')
 
--- a/briarknot/gateway/_requests.py
+++ b/briarknot/gateway/_requests.py
@@ -239,31 +239,30 @@
     :param call: what the client sent.
     :param responder: answers the client.
     """
-    with telemetry.make_span('gateway'):
-        if not context.fleet_known.is_set():
-            await _wait_for_fleet(context, call)
-        request = _open_request(context, call, responder)
-        if request is None:
-            return
-        try:
-            async with context.stop.limit(
-                asyncio.get_running_loop().time()
-                + request.remaining_s(time.monotonic())
-            ) as limit:
-                request.limit = limit
-                await HANDLERS.get(request.route.kind)(context, request)
-        except TimeoutError:
-            _answer_timeout(context, request)
-        except asyncio.CancelledError:
-            task = asyncio.current_task()
-            has_left = task is None or task.cancelling()
-            request.log_end('caller_left' if has_left else 'internal_error')
-            raise
-        except Exception:
-            request.log_end('internal_error')
-            raise
-        finally:
-            request.release_sends(context.budget)
+    if not context.fleet_known.is_set():
+        await _wait_for_fleet(context, call)
+    request = _open_request(context, call, responder)
+    if request is None:
+        return
+    try:
+        async with context.stop.limit(
+            asyncio.get_running_loop().time()
+            + request.remaining_s(time.monotonic())
+        ) as limit:
+            request.limit = limit
+            await HANDLERS.get(request.route.kind)(context, request)
+    except TimeoutError:
+        _answer_timeout(context, request)
+    except asyncio.CancelledError:
+        task = asyncio.current_task()
+        has_left = task is None or task.cancelling()
+        request.log_end('caller_left' if has_left else 'internal_error')
+        raise
+    except Exception:
+        request.log_end('internal_error')
+        raise
+    finally:
+        request.release_sends(context.budget)
 
 
 async def _wait_for_fleet(
--- /dev/null
+++ b/briarknot/gateway/tests/test_imports.py
@@ -0,0 +1,26 @@
+"""Tests what a gateway loads at its start."""
+
+import subprocess
+import sys
+
+#: Libraries and modules of other programs, each of which takes a few
+#: milliseconds of CPU time at every start.
+_UNUSED = (
+    'absl',
+    'opentelemetry',
+    'briarknot.authority._transports',
+    'briarknot.document._fleet_checks',
+    'briarknot.planning._planners',
+)
+
+
+def test_gateway_loads_no_modules_of_other_programs():
+    """An import in a shared module would slow down the start of each gateway."""
+    code = (
+        'import sys, briarknot.gateway._gateway; '
+        f'print([name for name in {_UNUSED} if name in sys.modules])'
+    )
+    finished = subprocess.run(
+        [sys.executable, '-c', code], capture_output=True, text=True, check=True
+    )
+    assert finished.stdout.strip() == '[]'
--- a/briarknot/planning/__init__.py
+++ b/briarknot/planning/__init__.py
@@ -1,50 +1,32 @@
 """Role planning: assigns engines to prefill, decode, or both."""
 
-from briarknot.planning import (  # noqa: F401 - fill PLANNERS
-    _static,
-    _two_window,
-)
-from briarknot.planning._demand import DemandTracker, make_demand_tracker
-from briarknot.planning._planners import (
-    PLANNERS,
-    Planner,
-    PlannerOptions,
-    make_planner,
-)
-from briarknot.planning._snapshot import (
-    Demand,
-    EngineState,
-    NoChange,
-    PoolDemand,
-    RoleChange,
-    Snapshot,
-)
-from briarknot.planning._stages import (
-    STAGE_PLANNERS,
-    NoStageChange,
-    StageChange,
-    StagedEngine,
-    StagePlanner,
-    StageSnapshot,
-)
+from briarknot import lazy
 
-__all__ = (
-    'PLANNERS',
-    'STAGE_PLANNERS',
-    'Demand',
-    'DemandTracker',
-    'EngineState',
-    'NoChange',
-    'NoStageChange',
-    'Planner',
-    'PlannerOptions',
-    'PoolDemand',
-    'RoleChange',
-    'Snapshot',
-    'StageChange',
-    'StagePlanner',
-    'StageSnapshot',
-    'StagedEngine',
-    'make_demand_tracker',
-    'make_planner',
-)
+#: A gateway plans stages only, and starts without the other modules.
+_MODULES = {
+    '_demand': ('DemandTracker', 'make_demand_tracker'),
+    '_role_planners': (
+        'PLANNERS',
+        'Planner',
+        'PlannerOptions',
+        'make_planner',
+    ),
+    '_snapshot': (
+        'Demand',
+        'EngineState',
+        'NoChange',
+        'PoolDemand',
+        'RoleChange',
+        'Snapshot',
+    ),
+    '_stages': (
+        'STAGE_PLANNERS',
+        'NoStageChange',
+        'StageChange',
+        'StagePlanner',
+        'StageSnapshot',
+        'StagedEngine',
+    ),
+}
+__all__ = lazy.list_names(_MODULES)
+__getattr__ = lazy.make_getattr(__name__, _MODULES)
--- a/briarknot/program/_background_tasks.py
+++ b/briarknot/program/_background_tasks.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import collections.abc
+import importlib
 
 import prometheus_client
-from absl import logging
 
 _FAILURES = prometheus_client.Counter(
     'briarknot_duty_failures',
@@ -35,6 +35,8 @@
             await make_task()
         except Exception:
             _FAILURES.labels(name).inc()
+            # A gateway starts without this library.
+            logging = importlib.import_module('absl.logging')
             logging.exception('Background task %s failed', name)
         else:
             return
