Write the lines of events without log records

log_event made a record, which passed through the logging module to the one handler that writes JSON lines. Where that handler is the only one, the line is written at once, with the same fields.

--- a/briarknot/telemetry/_json_logs.py
+++ b/briarknot/telemetry/_json_logs.py
@@ -25,6 +25,7 @@
 _MAX_BURST_LINES = 2000.0
 #: Bytes buffered while the reader of standard output is slow.
 _MAX_BUFFER_BYTES = 512 * 1024
+_ROOT = logging.getLogger()
 _LOGGER = logging.getLogger('briarknot')
 _STDOUT_FD = 1
 
@@ -107,18 +108,39 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Adds a record's line to the buffer."""
-        fields: dict[str, typing.Any] = {
-            'time': round(record.created, 3),
-            'level': record.levelname.lower(),
-            'event': record.getMessage(),
+        fields = getattr(record, 'fields', {})
+        if record.exc_info:
+            error = logging.Formatter().formatException(record.exc_info)
+            fields = {**fields, 'traceback': error}
+        self.write(
+            record.created,
+            record.levelname.lower(),
+            record.getMessage(),
+            fields,
+        )
+
+    def write(
+        self,
+        created_s: float,
+        level: str,
+        event: str,
+        fields: dict[str, typing.Any],
+    ) -> None:
+        """Adds a line to the buffer.
+
+        :param created_s: time of the event by the system's clock.
+        :param level: its level in lower case.
+        :param event: what happened.
+        :param fields: inputs and the outcome.
+        """
+        line = {
+            'time': round(created_s, 3),
+            'level': level,
+            'event': event,
             **self._common,
-            **getattr(record, 'fields', {}),
+            **fields,
         }
-        if record.exc_info:
-            fields['traceback'] = logging.Formatter().formatException(
-                record.exc_info
-            )
-        self._buffer.add(orjson.dumps(fields, default=str))
+        self._buffer.add(orjson.dumps(line, default=str))
 
 
 def set_up_json_logs(program: str, host: str) -> LogLineBuffer:
@@ -131,9 +153,8 @@
     sys.stdout.flush()
     os.set_blocking(_STDOUT_FD, False)
     buffer = LogLineBuffer(_STDOUT_FD)
-    root = logging.getLogger()
-    root.handlers = [JsonLogHandler(buffer, host, program)]
-    root.setLevel(logging.INFO)
+    _ROOT.handlers = [JsonLogHandler(buffer, host, program)]
+    _ROOT.setLevel(logging.INFO)
     return buffer
 
 
@@ -143,4 +164,10 @@
     :param event: what happened, from a small set.
     :param fields: inputs, their age or version, and the outcome.
     """
-    _LOGGER.info(event, extra={'fields': fields})
+    handlers = _ROOT.handlers
+    if len(handlers) == 1 and isinstance(handlers[0], JsonLogHandler):
+        # The only reader of a log record would be this handler; making one takes
+        # twice as long as writing the line.
+        handlers[0].write(time.time(), 'info', event, fields)
+    else:
+        _LOGGER.info(event, extra={'fields': fields})
--- a/briarknot/telemetry/tests/test_json_logs.py
+++ b/briarknot/telemetry/tests/test_json_logs.py
@@ -1,5 +1,6 @@
 """Guards the rate and size limits of log lines."""
 
+import logging
 import os
 
 import orjson
@@ -42,3 +43,30 @@
     buffer.add(b'line')
     buffer.flush()
     os.close(writer)
+
+
+def test_event_has_the_same_line_with_and_without_other_handlers(monkeypatch):
+    """Log collectors would lose lines whose fields or level changed."""
+    reader, writer = os.pipe()
+    buffer = telemetry.LogLineBuffer(writer)
+    handler = telemetry.JsonLogHandler(buffer, 'h', 'p')
+    root = logging.getLogger()
+    monkeypatch.setattr(root, 'level', logging.INFO)
+    for handlers in ([handler], [handler, logging.NullHandler()]):
+        monkeypatch.setattr(root, 'handlers', handlers)
+        telemetry.log_event('happened', request='q', reason=ValueError('x'))
+    buffer.flush()
+    os.close(writer)
+    with os.fdopen(reader, 'rb') as output:
+        first, second = [orjson.loads(line) for line in output]
+    assert abs(first.pop('time') - second.pop('time')) < 60
+    assert list(first) == list(second)
+    assert first == second
+    assert first == {
+        'level': 'info',
+        'event': 'happened',
+        'host': 'h',
+        'program': 'p',
+        'request': 'q',
+        'reason': 'x',
+    }
