Limit the reads of a stream with one timer instead of one for each chunk

asyncio.timeout set and cancelled a timer for each event. One timer for each run stays set and checks how long the present read has lasted.

--- a/briarknot/gateway/_stream.py
+++ b/briarknot/gateway/_stream.py
@@ -1,6 +1,5 @@
 """Relays the events of one or more runs as one stream."""
 
-import asyncio
 import math
 import time
 import typing
@@ -8,7 +7,7 @@
 import attrs
 
 from briarknot import platform, serving
-from briarknot.gateway import _stream_moves
+from briarknot.gateway import _read_timer, _stream_moves
 
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
@@ -82,14 +81,26 @@
         :returns: why the stream is incomplete; None where it is complete, or
             where the client disconnected.
         """
-        partial_event = b''
-        failure = None
         self._progress_s = time.monotonic()
         self._run_started_s = math.inf
         self._is_sound = False
+        timer = _read_timer.make_read_timer(_SILENCE_CHECK_S)
+        try:
+            return await self._forward_all(exchange, move, timer)
+        finally:
+            timer.close()
+
+    async def _forward_all(
+        self,
+        exchange: platform.Exchange,
+        move: _stream_moves.Move,
+        timer: _read_timer.ReadTimer,
+    ) -> serving.Failed | None:
+        partial_event = b''
+        failure = None
         is_end = False
         while not is_end:
-            chunk = await self._read(exchange, move)
+            chunk = await self._read(exchange, move, timer)
             if isinstance(chunk, serving.Failed):
                 failure = chunk
                 break
@@ -117,11 +128,11 @@
         self,
         exchange: platform.Exchange,
         move: _stream_moves.Move,
+        timer: _read_timer.ReadTimer,
     ) -> bytes | serving.Failed:
         while not self._is_stalled(time.monotonic()):
             try:
-                async with asyncio.timeout(_SILENCE_CHECK_S):
-                    chunk = await exchange.read_some()
+                chunk = await timer.wait_for(exchange.read_some())
             except TimeoutError:
                 move.start_if_silent()
                 continue
