--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -19,6 +19,7 @@
     _capacity_processes,
     _gateway_choices,
     _gateway_exchange,
+    _gateway_requests,
     _slopes,
 )
 
