Check the keys of client accounts, and send workers the account

The manifest may list client accounts with keys. Each request now needs a known key unless its route is public; workers get the name of the account instead of the key, on first sends, retries, prefills, resumed and moved streams. An unknown key gets 401 only where the manifest was the newest in the store within the last 3.5 s, by the clock that includes suspension, else 503. Updates of the leader state that moment in the store's clock (FleetUpdate.manifestStoreS).

The HTTP library quoted a line that it can't parse in its log and in its answer, and so a malformed key; it now states the kind of the error only.

Without accounts in the manifest, headers are forwarded as before, in the same order.

--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -16,7 +16,7 @@
     telemetry,
     versions,
 )
-from briarknot.gateway import _pending_answers, _stopping
+from briarknot.gateway import _manifest_status, _pending_answers, _stopping
 
 REQUESTS = prometheus_client.Counter(
     'briarknot_gateway_requests',
@@ -96,6 +96,9 @@
         listed.
     :param send_message: sends a message to other processes, by their hosts.
     :param stop: shortens the time limits of requests when the process stops.
+    :param accounts: client accounts of the manifest.
+    :param manifest_status: whether the manifest is known to be the newest.
+    :param waiting_for_manifest: requests that wait for its confirmation.
     :param background_tasks: tasks that outlive the request that started them.
     """
 
@@ -132,6 +135,13 @@
     has_restarted: HasRestarted = _assume_listed
     send_message: SendMessage = _drop_message
     stop: _stopping.Stop = attrs.field(factory=_stopping.Stop)
+    accounts: serving.AccountDirectory = attrs.field(
+        factory=serving.AccountDirectory
+    )
+    manifest_status: _manifest_status.ManifestStatus = attrs.field(
+        factory=_manifest_status.ManifestStatus
+    )
+    waiting_for_manifest: int = 0
     background_tasks: set[typing.Any] = attrs.field(factory=set)
 
     @property
--- /dev/null
+++ b/briarknot/gateway/_manifest_status.py
@@ -0,0 +1,75 @@
+"""Whether the manifest in force is known to be the newest."""
+
+import math
+
+import attrs
+
+from briarknot import program
+from briarknot.gateway import _clock
+
+#: Age of the last confirmation up to which the manifest is current, in seconds. A
+#: manifest must be in force 4 s after the store has confirmed it; the rest is for
+#: the drift of clocks. In calm a confirmation is at most 2.1 s old, and after one
+#: lost update 2.9 s.
+MAX_AGE_S = 3.5
+#: Time for which a newer version that another process named counts, in seconds.
+#: Each update repeats it, so that it only ends where no process has it any more.
+_NEWER_MEMORY_S = 4.0
+_NEVER_S = -math.inf
+
+
+@attrs.define(eq=False)
+class ManifestStatus:
+    """As of which time the manifest in force was the newest.
+
+    All times are those of the clock that includes suspension. A time of a
+    confirmation is never later than the true one.
+
+    :param changed: notified at each confirmation and each change of the manifest.
+    """
+
+    changed: program.Signal = attrs.field(factory=program.Signal)
+    _confirmed_s: float = _NEVER_S
+    _newer_version: int = 0
+    _newer_seen_s: float = _NEVER_S
+
+    @property
+    def age_s(self) -> float:
+        """Time since the manifest was known to be the newest."""
+        return _clock.read_clock() - self._confirmed_s
+
+    def confirm(self, confirmed_s: float) -> None:
+        """Records that the manifest was the newest.
+
+        :param confirmed_s: time at which it was, or an earlier one.
+        """
+        self._confirmed_s = max(self._confirmed_s, confirmed_s)
+        self.changed.notify()
+
+    def record_version(self, version: int) -> None:
+        """Records the version that another process has.
+
+        :param version: the version.
+        """
+        now = _clock.read_clock()
+        is_forgotten = now - self._newer_seen_s > _NEWER_MEMORY_S
+        if version >= self._newer_version or is_forgotten:
+            self._newer_version = version
+            self._newer_seen_s = now
+
+    def is_current(self, version: int, since_s: float = _NEVER_S) -> bool:
+        """Returns whether a manifest is known to be the newest.
+
+        :param version: version of the manifest in force.
+        :param since_s: time before which confirmations don't count.
+        """
+        now = _clock.read_clock()
+        is_newer_known = (
+            self._newer_version > version
+            and now - self._newer_seen_s <= _NEWER_MEMORY_S
+        )
+        return (
+            not is_newer_known
+            and self._confirmed_s >= since_s
+            and now - self._confirmed_s <= MAX_AGE_S
+        )
--- a/briarknot/gateway/_requests.py
+++ b/briarknot/gateway/_requests.py
@@ -7,9 +7,8 @@
 import attrs
 
 from briarknot import platform, registry, schema, serving, telemetry
-from briarknot.gateway import _context, _stopping
+from briarknot.gateway import _accounts, _context, _stopping
 
-NOT_FOUND = 404
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
@@ -208,6 +207,9 @@
         :param inputs: figures behind it.
         """
         _context.REQUESTS.labels(self.route.kind.value, outcome).inc()
+        if self.call.account:
+            _accounts.record_end(self.call.account, outcome)
+            inputs = {'account': self.call.account, **inputs}
         telemetry.log_event(
             'request_ended',
             request=self.call.id,
@@ -242,7 +244,7 @@
     with telemetry.make_span('gateway'):
         if not context.fleet_known.is_set():
             await _wait_for_fleet(context, call)
-        request = _open_request(context, call, responder)
+        request = await _open_request(context, call, responder)
         if request is None:
             return
         try:
@@ -304,7 +306,7 @@
         )
 
 
-def _open_request(
+async def _open_request(
     context: _context.Context,
     call: serving.Call,
     responder: platform.Responder,
@@ -314,11 +316,14 @@
         responder.refuse(UNAVAILABLE, call.id, DEFAULT_RETRY_AFTER_S)
         _log_unrouted(call, 'no_document', 0)
         return None
-    route = fleet.find_route(call.host, call.path)
-    if route is None:
-        responder.refuse(NOT_FOUND, call.id)
-        _log_unrouted(call, 'unknown_target', fleet.version)
+    admission = await _accounts.admit(context, call)
+    if isinstance(admission, _accounts.NotAdmitted):
+        responder.refuse(admission.status, call.id, admission.retry_after_s)
+        _log_unrouted(
+            call, admission.cause, fleet.version, reason=admission.reason
+        )
         return None
+    call, route = admission.call, admission.route
     name = serving.choose_destination(route, context.random_source)
     service = fleet.find_service(name) or schema.serving.Service(name=name)
     context.budget.record_request(name, call.received_s)
@@ -329,7 +334,9 @@
     )
 
 
-def _log_unrouted(call: serving.Call, cause: str, version: int) -> None:
+def _log_unrouted(
+    call: serving.Call, cause: str, version: int, reason: str = ''
+) -> None:
     _context.REQUESTS.labels('none', cause).inc()
     telemetry.log_event(
         'request_ended',
@@ -337,4 +344,5 @@
         outcome=cause,
         path=call.path,
         manifest_version=version,
+        **({'reason': reason} if reason else {}),
     )
--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -1,12 +1,19 @@
 """Synchronizes the manifest and the workers with the store."""
 
 import asyncio
+import math
 import time
 
 import attrs
 
 from briarknot import platform, schema, telemetry
-from briarknot.gateway import _clock, _context, _peers, _store_readers
+from briarknot.gateway import (
+    _accounts,
+    _clock,
+    _context,
+    _peers,
+    _store_readers,
+)
 
 #: Longest wait for a changed manifest. A dead connection is detected after this
 #: wait and the time limit of a call, which together are shorter than the time
@@ -59,6 +66,7 @@
     _is_store_unavailable: bool = False
     _malformed: set[str] = attrs.field(factory=set)
     _manifest_era: int = 0
+    _is_stored_in_force: bool = False
     _list_era: int = 0
     _list_position: _Position = _Position()
     _list_store_s: float = 0
@@ -126,9 +134,33 @@
         update = await _store_readers.wait_for_update(self._context)
         if update is None:
             return False
+        status = self._context.manifest_status
+        status.record_version(update.manifest_version)
         if update.manifest_version > self._context.fleet.version:
             return False
         self._manifest_confirmed_s = time.monotonic()
+        return self._confirm_manifest_by(update)
+
+    def _confirm_manifest_by(self, update: schema.messages.FleetUpdate) -> bool:
+        """Confirms the manifest as of the time that another process states.
+
+        The update may have waited in the socket while this process was suspended,
+        so its arrival says nothing about its age.
+
+        :param update: the update.
+        :returns: False where that time can only be known by reading the store.
+        """
+        context = self._context
+        if (
+            update.manifest_version != context.fleet.version
+            or update.store_era != self._client.era
+            or not update.manifest_store_s
+        ):
+            return True
+        confirmed_s = self._client.convert_store_time(update.manifest_store_s)
+        if math.isinf(confirmed_s):
+            return not context.accounts.are_required
+        context.manifest_status.confirm(min(confirmed_s, _clock.read_clock()))
         return True
 
     async def _is_list_confirmed(self) -> bool:
@@ -227,6 +259,7 @@
                 list_version=self._list_position.version,
                 store_era=self._list_position.era,
                 list_store_s=self._list_store_s,
+                manifest_store_s=self._find_manifest_store_s(),
                 changed=tuple(one for one in workers if one is not None),
                 gone=tuple(
                     worker_id
@@ -236,6 +269,19 @@
             )
         )
 
+    def _find_manifest_store_s(self) -> float:
+        """Returns a time of the store's clock at which the manifest was the newest.
+
+        The list of workers was read before now, so the manifest was confirmed at
+        most its age before that read.
+
+        :returns: the time, or an earlier one; 0 if it is not known.
+        """
+        age_s = self._context.manifest_status.age_s
+        if not self._list_store_s or math.isinf(age_s):
+            return 0
+        return max(0, self._list_store_s - max(0, age_s))
+
     async def _wait_for_manifest(self, version: int) -> int:
         """Waits for a change of the manifest.
 
@@ -243,11 +289,15 @@
         :returns: the version after which to request the next changes.
         """
         started_s = time.monotonic()
+        read_s = _clock.read_clock()
         page = await self._client.watch_table(
             platform.MANIFEST_TABLE, version, _MANIFEST_WAIT_S
         )
         if isinstance(page, platform.Page) and page.era == self._manifest_era:
             self._apply_manifest(page.rows, started_s)
+            if self._is_stored_in_force and not page.more:
+                confirmed_s = self._date_feed(page, read_s)
+                self._context.manifest_status.confirm(confirmed_s)
             return page.version
         if isinstance(page, (platform.Page, platform.HistoryLost)):
             # The version may stand for other content in a later era.
@@ -256,6 +306,22 @@
             await self._pause()
         return await self._read_manifest(version)
 
+    def _date_feed(self, page: platform.Page, read_s: float) -> float:
+        """Returns the time as of which a page of the feed is complete.
+
+        A process that was suspended reads it late, so its arrival says nothing.
+
+        :param page: the page.
+        :param read_s: time before the feed was requested.
+        """
+        now = _clock.read_clock()
+        if page.store_s and page.era == self._client.era:
+            dated_s = self._client.convert_store_time(page.store_s)
+            return max(read_s, min(dated_s, now))
+        if page.rows:
+            return read_s
+        return min(read_s + _MANIFEST_WAIT_S, now)
+
     async def _read_manifest(self, version: int) -> int:
         """Reads the manifest.
 
@@ -263,10 +329,14 @@
         :returns: version of the store after which to request changes.
         """
         started_s = time.monotonic()
+        read_s = _clock.read_clock()
         page = await self._client.read_table(platform.MANIFEST_TABLE)
         if isinstance(page, platform.Page):
             self._manifest_era = page.era
+            self._is_stored_in_force = False
             self._apply_manifest(page.rows, started_s)
+            if self._is_stored_in_force:
+                self._context.manifest_status.confirm(read_s)
             return page.version
         self._record_outage(page.reason)
         await self._pause()
@@ -277,14 +347,19 @@
     ) -> None:
         self._manifest_confirmed_s = time.monotonic()
         for row in rows:
-            if row.key != platform.MANIFEST_KEY or row.deleted:
+            if row.key != platform.MANIFEST_KEY:
+                continue
+            self._is_stored_in_force = False
+            if row.deleted:
                 continue
             manifest = platform.decode_manifest(row.value)
             if isinstance(manifest, platform.Malformed):
                 telemetry.log_event(
                     'manifest_malformed', reason=manifest.reason
                 )
-            elif self._context.fleet.apply_manifest(manifest):
+                continue
+            if self._context.fleet.apply_manifest(manifest):
+                _accounts.apply_manifest(self._context, manifest)
                 telemetry.log_event(
                     'manifest_in_force',
                     manifest_version=manifest.version,
@@ -292,6 +367,9 @@
                     age_s=round(time.monotonic() - started_s, 3),
                 )
                 self._context.notify_if_ready()
+            self._is_stored_in_force = (
+                manifest.version == self._context.fleet.version
+            )
 
     def _apply_workers(
         self,
--- a/briarknot/gateway/tests/_support.py
+++ b/briarknot/gateway/tests/_support.py
@@ -157,7 +157,7 @@
 
 def _read_fields(head):
     first, *lines = head.split('\r\n')
-    fields = {'first': first}
+    fields = {'first': first, 'head': head}
     for line in lines:
         name, _, value = line.partition(':')
         fields[name.strip().lower()] = value.strip()
--- a/briarknot/platform/_client_requests.py
+++ b/briarknot/platform/_client_requests.py
@@ -5,7 +5,7 @@
 from aiohttp import http, web
 
 from briarknot import schema, serving, telemetry
-from briarknot.platform import _headers
+from briarknot.platform import _client_accounts, _headers
 
 _MS_PER_S = 1000
 #: Time limit of a request without a deadline; its route's timeout is shorter.
@@ -60,25 +60,50 @@
     dropped = _headers.CONNECTION_HEADERS | _headers.SYSTEM_HEADERS
     for named in headers.getall('Connection', ()):
         dropped |= {name.strip().lower() for name in named.split(',')}
+    forwarded, identity_headers = _split_headers(headers, dropped)
     return serving.Call(
         id=headers.get(_headers.REQUEST_ID, ''),
         host=headers.get('Host', '').partition(':')[0].lower(),
         method=request.method,
         path=request.raw_path,
-        headers=tuple(
-            (name, value)
-            for name, value in headers.items()
-            if name.lower() not in dropped
-        ),
+        headers=forwarded,
         body=body,
         received_s=received_s,
         timeout_s=timeout_s,
         prompt=_decode_prompt(headers),
         last_event=headers.get(_headers.LAST_EVENT, ''),
         resumes=headers.get(_headers.RESUMES, ''),
+        key_hash=_client_accounts.decode_key(
+            headers.getall(_headers.AUTHORIZATION, ())
+        ),
+        identity_headers=identity_headers,
     )
 
 
+def _split_headers(
+    headers: typing.Mapping[str, str], dropped: frozenset[str]
+) -> tuple[tuple[serving.Header, ...], tuple[tuple[int, serving.Header], ...]]:
+    """Separates the headers that say who the client is.
+
+    :param headers: all headers.
+    :param dropped: names of headers that are not forwarded, in lower case.
+    :returns: the other forwarded headers; then those that say who the client is,
+        with their positions among all forwarded ones.
+    """
+    forwarded = []
+    identity_headers = []
+    for name, value in headers.items():
+        lower_name = name.lower()
+        if lower_name in dropped:
+            continue
+        if lower_name in _headers.IDENTITY_HEADERS:
+            position = len(forwarded) + len(identity_headers)
+            identity_headers.append((position, (name, value)))
+        else:
+            forwarded.append((name, value))
+    return tuple(forwarded), tuple(identity_headers)
+
+
 def decode_timeout(text: str) -> float:
     """Decodes the time that a client waits.
 
--- a/briarknot/platform/_decoding.py
+++ b/briarknot/platform/_decoding.py
@@ -6,6 +6,7 @@
 import attrs
 
 from briarknot import schema, sentinels
+from briarknot.platform import _client_accounts
 
 #: Table and key of the operators' manifest.
 MANIFEST_TABLE = 'op'
@@ -58,11 +59,19 @@
     :param tree: plain value of its row.
     """
     try:
+        # A null is taken as an absent list, as in other optional fields.
+        accounts = tree.get('tenants')
+        decoded = _client_accounts.decode_accounts(
+            [] if accounts is None else accounts
+        )
         return schema.serving.Manifest(
             version=_check_number(tree['version'], int),
             routes=tuple(_decode_route(one) for one in tree['routes']),
             services=tuple(_decode_service(one) for one in tree['services']),
             limits=_decode_limits(tree['limits']),
+            accounts=decoded.accounts,
+            has_accounts=accounts is not None,
+            invalid_accounts=decoded.findings,
         )
     except _SHAPE_ERRORS as error:
         return Malformed(f'{type(error).__name__}: {error}')
@@ -122,6 +131,7 @@
         resumable=tree.get('resumable', False),
         event_gap_s=event_gap_s,
         max_silence_s=max_silence_s,
+        is_public=tree.get('public', False) is True,
     )
 
 
--- a/briarknot/platform/_headers.py
+++ b/briarknot/platform/_headers.py
@@ -22,6 +22,10 @@
 #: Attempt of the client that brought the first event of the stream.
 RESUMES = 'Resumes'
 URGENCY = 'Request-Urgency'
+#: Key of the client account, and its name for workers.
+AUTHORIZATION = 'Authorization'
+ACCOUNT = 'Tenant'
+AUTHENTICATE = 'WWW-Authenticate'
 STAGE = 'Serving-Stage'
 KV_SOURCE = 'Kv-Source'
 #: Address of a worker whose cached parts of the prompt are fetched first.
@@ -42,6 +46,8 @@
         'serving-stage',
     )
 )
+#: Headers that say who the client is, in lower case.
+IDENTITY_HEADERS = frozenset(('authorization', 'tenant'))
 #: Headers that concern one connection only, in lower case (RFC 9110, 7.6.1).
 CONNECTION_HEADERS = frozenset(
     (
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -11,7 +11,12 @@
 from aiohttp import web
 
 from briarknot import schema, serving, telemetry
-from briarknot.platform import _client_requests, _headers, _responder
+from briarknot.platform import (
+    _client_requests,
+    _headers,
+    _http_server,
+    _responder,
+)
 
 #: Largest start line and header; the platform's clients stay within the
 #: manifest's limits, which are smaller.
@@ -73,7 +78,7 @@
             (self._settings.readiness_address, self._answer_check, None),
             (self._settings.front_address, self._answer, self._listener),
         ):
-            server = web.Server(
+            server = _http_server.Server(
                 handler,
                 handler_cancellation=True,
                 access_log=None,
--- a/briarknot/platform/_responder.py
+++ b/briarknot/platform/_responder.py
@@ -6,6 +6,8 @@
 from briarknot import serving
 from briarknot.platform import _headers
 
+_UNAUTHORIZED = 401
+
 
 @attrs.define(eq=False)
 class Responder:
@@ -62,6 +64,9 @@
         response = web.Response(status=status)
         if request_id:
             response.headers[_headers.REQUEST_ID] = request_id
+        if status == _UNAUTHORIZED:
+            # RFC 9110 requires it with the status.
+            response.headers[_headers.AUTHENTICATE] = 'Bearer'
         if retry_after_s:
             response.headers[_headers.RETRY_AFTER] = f'{retry_after_s:.2f}'
         self._finish(response)
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -360,7 +360,7 @@
 def _make_headers(
     call: serving.Call, dispatch: serving.Dispatch
 ) -> list[serving.Header]:
-    headers = list(call.headers)
+    headers = _list_client_headers(call)
     urgency = min(_LEAST_URGENT, dispatch.rank * _URGENCIES_PER_RANK)
     remaining_ms = max(1, int(dispatch.remaining_s * _MS_PER_S))
     headers.extend(
@@ -369,6 +369,8 @@
             (_headers.EXPECTED_WORKER, dispatch.worker.id),
         )
     )
+    if call.account:
+        headers.append((_headers.ACCOUNT, call.account))
     if call.prompt is not None:
         headers.append((_headers.URGENCY, str(urgency)))
     if dispatch.last_event:
@@ -378,6 +380,20 @@
     return headers
 
 
+def _list_client_headers(call: serving.Call) -> list[serving.Header]:
+    """Lists the headers of the client in their order."""
+    headers = list(call.headers)
+    dropped = 0
+    for position, header in call.identity_headers:
+        is_key = header[0].lower() == _headers.AUTHORIZATION.lower()
+        is_forwarded = call.forwards_key if is_key else call.forwards_name
+        if is_forwarded:
+            headers.insert(position - dropped, header)
+        else:
+            dropped += 1
+    return headers
+
+
 def _classify_error(error: BaseException) -> serving.FailureKind:
     for kind_of_error, kind in _KINDS_BY_ERROR:
         if isinstance(error, kind_of_error):
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -534,6 +534,11 @@
         unit='s',
         default=0.0,
     )
+    manifest_store_s: float = _fields.make_field(
+        doc="Time of the store's clock, or an earlier one, at which the manifest was the newest; 0 if it is not known.",
+        unit='s',
+        default=0.0,
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -195,6 +195,7 @@
   gone @5 :List(Text) $A.doc("Ids of workers that were removed in the last seconds.");
   storeEra @6 :UInt64 $A.doc("Era of the store; versions of different eras can't be compared. 0 if it is not known.");
   listStoreS @7 :Float64 $A.unit("s") $A.doc("Time of the store's clock at which the list of workers was read; 0 if it is not known.");
+  manifestStoreS @8 :Float64 $A.unit("s") $A.doc("Time of the store's clock, or an earlier one, at which the manifest was the newest; 0 if it is not known.");
 }
 
 struct CrashRecords $A.doc("Evidence of a gateway process on parts of prompts, and on requests, that make workers crash.") {
--- a/briarknot/serving/__init__.py
+++ b/briarknot/serving/__init__.py
@@ -4,6 +4,7 @@
 encoding, so that any front end and any endpoint protocol can use them.
 """
 
+from briarknot.serving._accounts import AccountDirectory
 from briarknot.serving._backpressure import Backpressure
 from briarknot.serving._calls import (
     NOT_RUN_KINDS,
@@ -71,6 +72,7 @@
     'NOT_RUN_KINDS',
     'PLACEMENT_POLICIES',
     'PLAIN_POLICIES',
+    'AccountDirectory',
     'Answer',
     'Backpressure',
     'Call',
--- a/briarknot/serving/_calls.py
+++ b/briarknot/serving/_calls.py
@@ -44,8 +44,8 @@
     :param host: host that the client requested, in lower case, without a port.
     :param method: method.
     :param path: path and query as the client sent them.
-    :param headers: headers for the worker, without hop-by-hop headers and those
-        that only the system sets.
+    :param headers: headers for the worker, without hop-by-hop headers, those
+        that only the system sets, and ``identity_headers``.
     :param body: complete body.
     :param received_s: monotonic time at which it was received.
     :param timeout_s: seconds that the client waits, from ``received_s``.
@@ -53,19 +53,33 @@
     :param last_event: id of the last event that the client has; empty if none.
     :param resumes: id of the attempt that brought the first event of a stream
         that the client takes up again; empty if none.
+    :param key_hash: hash of the key of its client account; None where it has no
+        key, empty where the key can't be read.
+    :param identity_headers: headers by which the client says who it is, with
+        their positions among all headers; they may hold a key.
+    :param forwards_key: whether workers get those of them that hold a key.
+    :param forwards_name: whether workers get the others.
+    :param account: name of the client account that holds the key; empty if none.
     """
 
     id: str
     host: str
     method: str
     path: str
-    headers: tuple[Header, ...]
+    headers: tuple[Header, ...] = attrs.field(repr=False)
     body: bytes
     received_s: float
     timeout_s: float
     prompt: Prompt | None = None
     last_event: str = ''
     resumes: str = ''
+    key_hash: bytes | None = attrs.field(default=None, repr=False)
+    identity_headers: tuple[tuple[int, Header], ...] = attrs.field(
+        default=(), repr=False
+    )
+    forwards_key: bool = False
+    forwards_name: bool = False
+    account: str = ''
 
     @property
     def continues_stream(self) -> bool:
