Decode a manifest with 16,000 accounts once per version

A full read of the store decoded the manifest in force again: 195 ms of CPU time for 16,000 accounts with two keys each, on one arm64 core.

--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -352,13 +352,18 @@
             self._is_stored_in_force = False
             if row.deleted:
                 continue
+            fleet = self._context.fleet
+            # Decoding 16,000 accounts takes 0.2 s.
+            if fleet.version == platform.read_manifest_version(row.value):
+                self._is_stored_in_force = fleet.manifest is not None
+                continue
             manifest = platform.decode_manifest(row.value)
             if isinstance(manifest, platform.Malformed):
                 telemetry.log_event(
                     'manifest_malformed', reason=manifest.reason
                 )
                 continue
-            if self._context.fleet.apply_manifest(manifest):
+            if fleet.apply_manifest(manifest):
                 _accounts.apply_manifest(self._context, manifest)
                 telemetry.log_event(
                     'manifest_in_force',
@@ -367,9 +372,7 @@
                     age_s=round(time.monotonic() - started_s, 3),
                 )
                 self._context.notify_if_ready()
-            self._is_stored_in_force = (
-                manifest.version == self._context.fleet.version
-            )
+            self._is_stored_in_force = manifest.version == fleet.version
 
     def _apply_workers(
         self,
--- a/briarknot/platform/__init__.py
+++ b/briarknot/platform/__init__.py
@@ -12,6 +12,7 @@
     Malformed,
     decode_manifest,
     decode_worker,
+    read_manifest_version,
 )
 from briarknot.platform._engine_orders import (
     EngineOrders,
@@ -74,4 +75,5 @@
     'make_order_session',
     'make_store_session',
     'make_worker_calls',
+    'read_manifest_version',
 )
--- a/briarknot/platform/_client_accounts.py
+++ b/briarknot/platform/_client_accounts.py
@@ -14,17 +14,17 @@
 from briarknot import schema
 
 _BEARER = 'bearer'
-#: Random in each process, so that the time of a look-up says nothing about a key
-#: and a hash can't be searched for outside of the process.
-_HASH_KEY = secrets.token_bytes(32)
-_HASH_BYTES = 16
+#: Its key is random in each process, so that the time of a look-up says nothing
+#: about a key and a hash can't be searched for outside of the process.
+_HASHER = hashlib.blake2b(digest_size=16, key=secrets.token_bytes(32))
 #: Largest number of bytes of a name, which workers get as a header.
 _MAX_NAME_BYTES = 1000
 #: Least urgent rank; larger priorities count as this one, since messages hold
 #: ranks in one byte together with small offsets.
 _MAX_RANK = 200
-#: Characters that no header can hold.
-_CONTROL_CHARACTERS = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
+#: What a header can hold without a change: no control characters except tabs,
+#: and no blanks at the ends.
+_HEADER_TEXT = re.compile(r'(?![ \t])(?:[^\x00-\x08\x0a-\x1f\x7f])+(?<![ \t])')
 _BLANKS = ' \t'
 
 
@@ -51,9 +51,13 @@
     findings: list[str] = []
     accounts = []
     for number, entry in enumerate(tree):
-        account = _decode_account(entry, f'account {number}', findings)
+        wrong: list[str] = []
+        account = _decode_account(entry, wrong)
         if account is not None:
             accounts.append(account)
+        if wrong:
+            name = f' ({account.name:.100})' if account else ''
+            findings.extend(f'account {number}{name}: {one}' for one in wrong)
     return DecodedAccounts(tuple(accounts), tuple(findings))
 
 
@@ -75,67 +79,55 @@
 
 
 def _hash_key(key: bytes) -> bytes:
-    return hashlib.blake2b(key, digest_size=_HASH_BYTES, key=_HASH_KEY).digest()
+    hasher = _HASHER.copy()
+    hasher.update(key)
+    return hasher.digest()
 
 
 def _decode_account(
-    entry: typing.Any, place: str, findings: list[str]
+    entry: typing.Any, wrong: list[str]
 ) -> schema.serving.Account | None:
+    """Decodes an entry, and adds what is wrong with it to a list."""
     if not isinstance(entry, dict):
-        findings.append(f'{place}: no object')
+        wrong.append('no object')
         return None
     name = entry.get('name')
     if not isinstance(name, str) or not name:
-        findings.append(f'{place}: no name')
+        wrong.append('no name')
         return None
-    if not _fits_header(name) or len(name.encode()) > _MAX_NAME_BYTES:
-        findings.append(f'{place}: a header can not hold its name')
+    if not _HEADER_TEXT.fullmatch(name) or len(name.encode()) > _MAX_NAME_BYTES:
+        wrong.append('a header can not hold its name')
         return None
-    place = f'{place} ({name:.100})'
-    rank = _decode_rank(entry.get('priority'), place, findings)
+    rank = _decode_rank(entry.get('priority'), wrong)
     return schema.serving.Account(
         name=name,
-        key_hashes=_decode_keys(entry.get('apiKeys'), place, findings),
+        key_hashes=_decode_keys(entry.get('apiKeys'), wrong),
         has_rank=rank is not None,
         rank=rank or 0,
     )
 
 
-def _decode_keys(
-    tree: typing.Any, place: str, findings: list[str]
-) -> tuple[bytes, ...]:
+def _decode_keys(tree: typing.Any, wrong: list[str]) -> tuple[bytes, ...]:
     if not isinstance(tree, list):
-        findings.append(f'{place}: no list of keys')
+        wrong.append('no list of keys')
         return ()
     hashes = {}
     for number, key in enumerate(tree):
         if not isinstance(key, str):
-            findings.append(f'{place}: key {number} is no text')
+            wrong.append(f'key {number} is no text')
         elif not key:
-            findings.append(f'{place}: key {number} is empty')
-        elif not _fits_header(key):
-            findings.append(f'{place}: a header can not hold key {number}')
-        else:
+            wrong.append(f'key {number} is empty')
+        elif _HEADER_TEXT.fullmatch(key):
             hashes[_hash_key(key.encode())] = None
+        else:
+            wrong.append(f'a header can not hold key {number}')
     return tuple(hashes)
 
 
-def _decode_rank(
-    tree: typing.Any, place: str, findings: list[str]
-) -> int | None:
+def _decode_rank(tree: typing.Any, wrong: list[str]) -> int | None:
     if tree is None:
         return None
     if isinstance(tree, bool) or not isinstance(tree, int) or tree < 0:
-        findings.append(f'{place}: its priority is no number from 0')
+        wrong.append('its priority is no number from 0')
         return None
     return min(tree, _MAX_RANK)
-
-
-def _fits_header(text: str) -> bool:
-    """Returns whether a header can hold a text without changing it.
-
-    >>> [_fits_header(one) for one in ('a b', ' a', chr(10), 'é')]
-    [True, False, False, True]
-    """
-    is_trimmed = text.strip(_BLANKS) == text
-    return is_trimmed and not _CONTROL_CHARACTERS.search(text)
--- a/briarknot/platform/_decoding.py
+++ b/briarknot/platform/_decoding.py
@@ -77,6 +77,16 @@
         return Malformed(f'{type(error).__name__}: {error}')
 
 
+def read_manifest_version(tree: typing.Any) -> int | None:
+    """Returns the version of the operators' configuration without decoding it.
+
+    :param tree: plain value of its row.
+    :returns: the version; None where it can't be read.
+    """
+    version = tree.get('version') if isinstance(tree, dict) else None
+    return version if isinstance(version, int) else None
+
+
 def decode_worker(
     worker_id: str, tree: typing.Any
 ) -> schema.serving.Worker | Malformed:
--- a/briarknot/serving/_accounts.py
+++ b/briarknot/serving/_accounts.py
@@ -129,12 +129,10 @@
 
 def _list_changed(before: _Index, after: _Index) -> set[str]:
     """Returns the names of the accounts whose keys are not the same."""
-    added = (after[one].name for one in after.keys() - before.keys())
-    withdrawn = (before[one].name for one in before.keys() - after.keys())
-    moved = {
-        account.name
-        for one in after.keys() & before.keys()
-        for account in (after[one], before[one])
-        if after[one].name != before[one].name
-    }
-    return {*added, *withdrawn, *moved}
+    names = {before[one].name for one in before.keys() - after.keys()}
+    for key_hash, account in after.items():
+        old = before.get(key_hash)
+        if old is None or old.name != account.name:
+            names.add(account.name)
+            names.add(old.name if old else account.name)
+    return names
