--- a/briarknot/gateway/tests/test_manifest_status.py
+++ b/briarknot/gateway/tests/test_manifest_status.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 
 import attrs
 import pytest
@@ -134,10 +135,11 @@
     """Client of a store whose clock is that of the process."""
 
     era: int = 1
+    difference_s: float = 0
 
     def convert_store_time(self, store_s):
         """Returns a time of the store."""
-        return store_s
+        return store_s + self.difference_s
 
 
 def make_store_sync(client):
@@ -165,6 +167,20 @@
     assert is_current(context)
 
 
+@pytest.mark.parametrize('has_accounts', [True, False])
+async def test_store_is_read_where_its_clock_is_not_known(has_accounts):
+    """After a restore, no update would confirm the manifest any more."""
+    context, store_sync = make_store_sync(_Client(difference_s=-math.inf))
+    manifest = schema.serving.Manifest(version=5, has_accounts=has_accounts)
+    context.fleet.apply_manifest(manifest)
+    context.accounts.apply_manifest(manifest)
+    update = schema.messages.FleetUpdate(
+        manifest_version=5, store_era=1, manifest_store_s=7
+    )
+    assert store_sync._confirm_manifest_by(update) is not has_accounts
+    assert not is_current(context)
+
+
 @pytest.mark.parametrize(
     ('page_s', 'rows', 'age_s'),
     # An unchanged feed is answered after 1.2 s; with rows it may be at once.
