--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -17,6 +17,9 @@
 from benchmarks import (  # noqa: F401 - fill MEASUREMENTS
     _capacity_decisions,
     _capacity_processes,
+    _gateway_choices,
+    _gateway_exchange,
+    _gateway_requests,
     _slopes,
 )
 
--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -16,7 +16,12 @@
     telemetry,
     versions,
 )
-from briarknot.gateway import _manifest_status, _pending_answers, _stopping
+from briarknot.gateway import (
+    _host_groups,
+    _manifest_status,
+    _pending_answers,
+    _stopping,
+)
 
 REQUESTS = prometheus_client.Counter(
     'briarknot_gateway_requests',
@@ -143,6 +148,17 @@
     )
     waiting_for_manifest: int = 0
     background_tasks: set[typing.Any] = attrs.field(factory=set)
+    _groups: _host_groups.HostGroups | None = None
+
+    @property
+    def host_groups(self) -> _host_groups.HostGroups:
+        """The gateway processes by failure domain."""
+        current = (self.settings.host, self.settings.domain, self.peer_hosts)
+        known = self._groups
+        if known is None or not known.is_current(*current):
+            known = _host_groups.make_host_groups(*current)
+            self._groups = known
+        return known
 
     @property
     def is_ready(self) -> bool:
