--- a/briarknot/schema/_generated/settings.py
+++ b/briarknot/schema/_generated/settings.py
@@ -454,3 +454,16 @@
     retry_window_s: float = _fields.make_field(
         doc='Window of the two limits above.', unit='s', default=10.0
     )
+    memory_mb: int = _fields.make_field(
+        doc="Memory of the host; 0 for 256. A quarter of it holds what clients send and don't read.",
+        maximum=4294967295,
+        minimum=0,
+        unit='MB',
+        default=256,
+    )
+    max_descriptors: int = _fields.make_field(
+        doc='File descriptors that the process may open; 0 for 1,024. Clients get 45 of 100.',
+        maximum=4294967295,
+        minimum=0,
+        default=1024,
+    )
--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -107,4 +107,6 @@
   retryShare @11 :Float64 = 0.2 $A.doc("Retries at a service for each request, over the whole fleet.");
   retryExtra @12 :Float64 = 50 $A.doc("Retries at a service in a window in addition to that share, over the whole fleet.");
   retryWindowS @13 :Float64 = 10 $A.unit("s") $A.doc("Window of the two limits above.");
+  memoryMb @14 :UInt32 = 256 $A.unit("MB") $A.doc("Memory of the host; 0 for 256. A quarter of it holds what clients send and don't read.");
+  maxDescriptors @15 :UInt32 = 1024 $A.doc("File descriptors that the process may open; 0 for 1,024. Clients get 45 of 100.");
 }
