Bound the memory and connections of a gateway's clients

Change: each connection counts what it holds; over a quarter of memory_mb, or 45 of 100 of max_descriptors, slow, large and new requests are refused with 503 or closed. Header sections, idle connections, bodies without progress and responses that nobody reads have time limits from the manifest's. Bodies in small chunks take turns, and refused bodies are dropped without being parsed. Large responses are written in slices of 64 KB and have room before they are read from the worker.

--- a/briarknot/gateway/_gateway.py
+++ b/briarknot/gateway/_gateway.py
@@ -32,7 +32,13 @@
 _FLUSH_PERIOD_S = 0.2
 #: Period of checking the settings file for changes where no signal arrives.
 _SETTINGS_PERIOD_S = 1.0
-_DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
+#: Limits of clients while no manifest is known.
+_DEFAULT_LIMITS = schema.serving.ClientLimits(
+    header_bytes=16_384,
+    body_bytes=4 << 20,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
 
 
 @attrs.define(eq=False)
@@ -59,8 +65,9 @@
             self._context.settings,
             functools.partial(_requests.serve_call, self._context),
             self._is_ready,
-            self._get_body_limit,
+            lambda: self._get_limits().body_bytes,
             self._listener,
+            self._get_limits,
         )
         await ingress.start()
         settings = self._context.settings
@@ -135,11 +142,9 @@
     def _is_ready(self) -> bool:
         return self._context.is_ready and not self._stop_requested.is_set()
 
-    def _get_body_limit(self) -> int:
+    def _get_limits(self) -> schema.serving.ClientLimits:
         manifest = self._context.fleet.manifest
-        if manifest is None:
-            return _DEFAULT_MAX_BODY_BYTES
-        return manifest.limits.body_bytes
+        return _DEFAULT_LIMITS if manifest is None else manifest.limits
 
     async def _flush_lines(self) -> None:
         while True:
--- a/briarknot/gateway/tests/_crowd.py
+++ b/briarknot/gateway/tests/_crowd.py
@@ -154,8 +154,9 @@
     writer.close()
 
 
-async def _write_manifest(store):
-    value = base64.b64encode(json.dumps(_MANIFEST).encode()).decode()
+async def _write_manifest(store, limits):
+    manifest = {**_MANIFEST, 'limits': {**_MANIFEST['limits'], **limits}}
+    value = base64.b64encode(json.dumps(manifest).encode()).decode()
     row = {'table': 'op', 'part': '', 'key': 'config', 'value': value}
     body = json.dumps({'put': [row]}).encode()
     reader, writer = await asyncio.open_connection(HOST, store.port)
@@ -171,15 +172,18 @@
 
 
 @contextlib.asynccontextmanager
-async def open_host():
-    """Runs a gateway process, a store, and a worker."""
+async def open_host(**limits):
+    """Runs a gateway process, a store, and a worker.
+
+    The limits replace those of the manifest.
+    """
     async with contextlib.AsyncExitStack() as stack:
         cluster = await stack.enter_async_context(launcher.make_cluster())
         worker = await asyncio.start_server(_answer, HOST)
         stack.callback(worker.close)
         worker_port = worker.sockets[0].getsockname()[1]
         store = await cluster.start('briarknot_standins.platform')
-        await _write_manifest(store)
+        await _write_manifest(store, limits)
         # It keeps the worker above in the store.
         await cluster.start(
             'briarknot_standins.worker',
--- a/briarknot/gateway/tests/test_client_limits.py
+++ b/briarknot/gateway/tests/test_client_limits.py
@@ -67,3 +67,15 @@
     async with _crowd.open_host() as host:
         response = await host.fetch(head, 256, _TINY * 16384, b'0\r\n\r\n')
         assert response.endswith(b'\r\n\r\n' + b'x' * 10)
+
+
+async def test_clients_without_progress_are_cut_off():
+    """Connections without progress stayed open for an hour."""
+    body = _CHUNKED + b'5\r\nhello\r\n'
+    async with _crowd.open_host(headerTimeoutMs=300, idleTimeoutMs=500) as host:
+        head = _crowd.make_head('GET', 10)
+        assert (await host.fetch(body)).startswith(b'HTTP/1.1 408')
+        assert (await host.fetch(head[:40])).startswith(b'HTTP/1.1 408')
+        # Answered, and closed once it is idle.
+        assert (await host.fetch(head)).startswith(b'HTTP/1.1 200')
+        await host.check()
--- /dev/null
+++ b/briarknot/platform/_client_limits.py
@@ -0,0 +1,350 @@
+"""Decides who may hold memory and connections; it does no input or output.
+
+The bytes of header sections, bodies and unread responses are counted for each
+connection. Where a bound is near, connections that make no progress go first, then
+the largest and newest, and bodies that have almost arrived last.
+"""
+
+import asyncio
+import collections
+import contextvars
+import math
+import time
+import typing
+
+import attrs
+
+from briarknot import schema
+from briarknot.platform import _client_states, _limit_log
+
+_BYTES_PER_MB = 1_000_000
+_DEFAULT_MEMORY_MB = 256
+_DEFAULT_DESCRIPTORS = 1024
+#: Share of the memory for what is counted. The process itself takes up to half of
+#: the smallest hosts, and bytes exist twice while they are passed on.
+_MEMORY_SHARE = 0.25
+#: Share of that for what is still being received, so that responses have room.
+_RECEIVING_SHARE = 0.75
+#: Share of the file descriptors for clients. An open request needs one for its
+#: client and one for its worker; the rest is for the store, peers and files.
+_CLIENT_SHARE = 0.45
+#: Estimate of a connection without data, with its task and its parser.
+_CONNECTION_BYTES = 8192
+#: Memory of a byte of an incomplete header section. 300 sections of 60 KB took
+#: 46 MB.
+_HEAD_FACTOR = 3
+#: Memory of a body in small chunks while it waits to be read: what was received at
+#: once, and the objects of the chunks that the parser has found.
+_CHUNKS_BYTES = 384 << 10
+#: Memory of a byte of a response: its parts and the whole exist at the same time,
+#: and freed parts leave gaps. Five responses of 4 MB, with 35 that waited, took 50 MB.
+_RESPONSE_FACTOR = 2
+#: Times without progress are longer than the manifest's by these factors, so that
+#: no client within the limits is cut off by a slow network or a busy host.
+_HEAD_MARGIN = 2.0
+_IDLE_MARGIN = 2.0
+_STALL_MARGIN = 1.5
+#: Margin of idle connections while there are too many connections.
+_PRESSED_IDLE_MARGIN = 1.1
+#: Factor of the largest header section, as its bytes may be counted differently.
+_HEAD_BYTES_MARGIN = 2
+#: Longest wait between checks for room for a response, in seconds.
+_ROOM_CHECK_S = 0.25
+
+
+@attrs.define(eq=False)
+class ClientLimits:
+    """Memory and connections of all clients."""
+
+    _max_bytes: float
+    _max_clients: int
+    _get_limits: typing.Callable[[], schema.serving.ClientLimits]
+    _clients: dict[_client_states.Client, None] = attrs.field(factory=dict)
+    _counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    _held_bytes: int = 0
+    _room_made: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _log: _limit_log.LimitLog = attrs.field(factory=_limit_log.LimitLog)
+
+    @property
+    def held_bytes(self) -> int:
+        """Counted bytes of all connections."""
+        return self._held_bytes
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is no connection."""
+        return not self._clients
+
+    def open(
+        self,
+        address: str,
+        now: float,
+        evict: typing.Callable[[_client_states.Limit], None],
+    ) -> _client_states.Client:
+        """Adds a connection, and closes one where there are too many.
+
+        :param address: IP number of the client.
+        :param now: monotonic time.
+        :param evict: refuses its request or closes it.
+        :returns: the client; it is the one that was closed where it is evicted.
+        """
+        client = _client_states.Client(address, now, evict, progress_s=now)
+        self._clients[client] = None
+        self._counts[address] += 1
+        self._charge(client, _CONNECTION_BYTES)
+        if len(self._clients) > self._max_clients:
+            victim = self._choose_connection(now) or client
+            self.evict(victim, _client_states.Limit.DESCRIPTORS)
+        self._relieve(now)
+        return client
+
+    def close(self, client: _client_states.Client) -> None:
+        """Removes a connection."""
+        if client not in self._clients:
+            return
+        self._clients.pop(client)
+        self._counts[client.address] -= 1
+        if not self._counts[client.address]:
+            self._counts.pop(client.address)
+        self._charge(client, -client.held_bytes)
+
+    def record_head(
+        self, client: _client_states.Client, size: int, now: float
+    ) -> None:
+        """Counts bytes of a header section that is incomplete.
+
+        :param client: the client.
+        :param size: received bytes.
+        :param now: monotonic time.
+        """
+        if client.phase is _client_states.Phase.IDLE:
+            client.start_phase(_client_states.Phase.HEAD, now)
+        client.head_bytes += size
+        self._charge(client, size * _HEAD_FACTOR)
+        limit = self._get_limits().header_bytes * _HEAD_BYTES_MARGIN
+        if limit and client.head_bytes > limit:
+            self.evict(client, _client_states.Limit.HEADER_BYTES)
+        else:
+            self._relieve(now)
+
+    def start_request(
+        self, client: _client_states.Client, length: int, now: float
+    ) -> None:
+        """Begins to receive a body after a complete header section.
+
+        :param client: the client.
+        :param length: length of the body; 0 where it is not known.
+        :param now: monotonic time.
+        """
+        self._charge(client, -client.head_bytes * _HEAD_FACTOR)
+        client.head_bytes = 0
+        client.length = length
+        client.received = 0
+        client.start_phase(_client_states.Phase.BODY, now)
+
+    def record_body(
+        self, client: _client_states.Client, size: int, now: float
+    ) -> None:
+        """Counts received bytes of a body.
+
+        :param client: the client.
+        :param size: received bytes.
+        :param now: monotonic time.
+        """
+        client.received += size
+        client.progress_s = now
+        self._charge(client, size)
+        self._relieve(now)
+
+    def record_tiny_chunks(
+        self, client: _client_states.Client, now: float
+    ) -> None:
+        """Counts what small chunks cost in addition to their bytes, once."""
+        if not client.has_tiny_chunks:
+            client.has_tiny_chunks = True
+            self._charge(client, _CHUNKS_BYTES)
+            self._relieve(now)
+
+    def end_request(self, client: _client_states.Client, now: float) -> None:
+        """Releases what a request and its response held."""
+        if client not in self._clients:
+            return
+        kept = _CONNECTION_BYTES + client.head_bytes * _HEAD_FACTOR
+        self._charge(client, kept - client.held_bytes)
+        client.response_bytes = 0
+        client.has_tiny_chunks = False
+        client.is_unread = False
+        is_next = client.head_bytes > 0
+        client.start_phase(
+            _client_states.Phase.HEAD if is_next else _client_states.Phase.IDLE,
+            now,
+        )
+
+    async def reserve_response(
+        self, client: _client_states.Client, size: int
+    ) -> None:
+        """Waits until there is room for the body of a response.
+
+        :param client: the client that gets it.
+        :param size: bytes of the body that are known so far.
+        """
+        size *= _RESPONSE_FACTOR
+        added = size - client.response_bytes
+        if added <= 0 or client not in self._clients:
+            return
+        # One response always has room, whatever its size.
+        while self._held_bytes + added > self._max_bytes and self._has_others(
+            client
+        ):
+            if self._relieve(time.monotonic(), added):
+                continue
+            self._room_made.clear()
+            try:
+                async with asyncio.timeout(_ROOM_CHECK_S):
+                    await self._room_made.wait()
+            except TimeoutError:
+                continue
+        client.response_bytes = size
+        self._charge(client, added)
+
+    def list_late(
+        self, now: float
+    ) -> list[tuple[_client_states.Client, _client_states.Limit]]:
+        """Lists connections that are over a time limit.
+
+        :param now: monotonic time.
+        """
+        limits = self._get_limits()
+        idle_s = limits.idle_timeout_s
+        times = {
+            _client_states.Phase.IDLE: (
+                idle_s * _IDLE_MARGIN,
+                _client_states.Limit.IDLE_TIME,
+            ),
+            _client_states.Phase.HEAD: (
+                limits.header_timeout_s * _HEAD_MARGIN,
+                _client_states.Limit.HEADER_TIME,
+            ),
+            _client_states.Phase.BODY: (
+                idle_s * _STALL_MARGIN,
+                _client_states.Limit.BODY_TIME,
+            ),
+            _client_states.Phase.RESPONSE: (
+                idle_s * _STALL_MARGIN,
+                _client_states.Limit.RESPONSE_TIME,
+            ),
+        }
+        late = []
+        for client in self._clients:
+            max_s, limit = times.get(
+                client.phase, (0, _client_states.Limit.IDLE_TIME)
+            )
+            if (
+                client.phase is _client_states.Phase.RESPONSE
+                and not client.is_unread
+            ):
+                continue
+            if max_s and now - client.progress_s > max_s:
+                late.append((client, limit))
+        return late
+
+    def evict(
+        self, client: _client_states.Client, limit: _client_states.Limit
+    ) -> None:
+        """Refuses the request of a client or closes its connection.
+
+        :param client: the client.
+        :param limit: why.
+        """
+        if client.evicted_by is not None:
+            return
+        self._log.record(client, limit, self._held_bytes, len(self._clients))
+        # What it holds is about to be freed.
+        self._charge(client, -client.held_bytes)
+        client.evicted_by = limit
+        client.evict(limit)
+
+    def _charge(self, client: _client_states.Client, size: int) -> None:
+        if client.evicted_by is not None:
+            return
+        client.held_bytes += size
+        self._held_bytes += size
+        if size < 0:
+            self._room_made.set()
+
+    def _has_others(self, client: _client_states.Client) -> bool:
+        """Returns whether other clients hold requests or responses."""
+        idle_bytes = _CONNECTION_BYTES * len(self._clients)
+        return self._held_bytes - client.held_bytes > idle_bytes
+
+    def _relieve(self, now: float, added: int = 0) -> bool:
+        """Evicts clients until the bound is kept.
+
+        :param now: monotonic time.
+        :param added: bytes for which there must be room.
+        :returns: whether a client was evicted.
+        """
+        share = 1 if added else _RECEIVING_SHARE
+        max_bytes = self._max_bytes * share - added
+        if self._held_bytes <= max_bytes:
+            return False
+        victims = [one for one in self._clients if one.may_go(now)]
+        victims.sort(key=lambda one: _client_states.rank_victim(one, now))
+        has_evicted = False
+        while victims and self._held_bytes > max_bytes:
+            self.evict(victims.pop(), _client_states.Limit.MEMORY)
+            has_evicted = True
+        return has_evicted
+
+    def _choose_connection(self, now: float) -> _client_states.Client | None:
+        """Chooses the connection to close where there are too many."""
+        idle_s = self._get_limits().idle_timeout_s or math.inf
+        victims = [
+            one
+            for one in self._clients
+            if one.may_close(now, idle_s * _PRESSED_IDLE_MARGIN)
+        ]
+        return max(
+            victims,
+            key=lambda one: (
+                not one.has_almost_arrived,
+                self._counts[one.address],
+                now - one.progress_s,
+            ),
+            default=None,
+        )
+
+
+#: Client of the request that the current task serves, with its limits.
+current: contextvars.ContextVar[
+    tuple[ClientLimits, _client_states.Client] | None
+] = contextvars.ContextVar('current_client', default=None)
+
+
+async def reserve_response(size: int) -> None:
+    """Waits until there is room for the response of the current request.
+
+    :param size: bytes of its body that are known so far.
+    """
+    entry = current.get()
+    if entry is not None:
+        limits, client = entry
+        await limits.reserve_response(client, size)
+
+
+def make_client_limits(
+    settings: schema.settings.GatewaySettings,
+    get_limits: typing.Callable[[], schema.serving.ClientLimits],
+) -> ClientLimits:
+    """Makes the limits of a process without clients.
+
+    :param settings: memory and file descriptors of the host.
+    :param get_limits: returns the manifest's limits; 0 stands for none.
+    """
+    memory_mb = settings.memory_mb or _DEFAULT_MEMORY_MB
+    descriptors = settings.max_descriptors or _DEFAULT_DESCRIPTORS
+    return ClientLimits(
+        memory_mb * _BYTES_PER_MB * _MEMORY_SHARE,
+        int(descriptors * _CLIENT_SHARE),
+        get_limits,
+    )
--- a/briarknot/platform/_client_requests.py
+++ b/briarknot/platform/_client_requests.py
@@ -5,7 +5,7 @@
 from aiohttp import http, web
 
 from briarknot import schema, serving, telemetry
-from briarknot.platform import _headers
+from briarknot.platform import _chunk_turns, _headers
 
 _MS_PER_S = 1000
 #: Time limit of a request without a deadline; its route's timeout is shorter.
@@ -26,21 +26,37 @@
         request.writer.output_size = 0
 
 
-async def read_body(request: web.BaseRequest, limit: int) -> bytes | None:
+async def read_body(
+    request: web.BaseRequest, limit: int, turns: _chunk_turns.ChunkTurns
+) -> bytes | None:
     """Reads the whole body of a request.
 
     :param request: the request.
     :param limit: largest body in bytes.
+    :param turns: turns of reading small chunks.
     :returns: the body; None where it is larger.
+    :raises _connections.Evicted: where it is refused meanwhile.
     """
-    parts = []
-    size = 0
-    async for part in request.content.iter_any():
-        size += len(part)
-        if size > limit:
-            return None
-        parts.append(part)
-    return b''.join(parts)
+    if not request.body_exists:
+        return b''
+    connection = request.protocol
+    connection.start_body(request.content)
+    # Parts may be as small as a byte; a list would hold an object for each.
+    body = bytearray()
+    try:
+        while part := await request.content.readany():
+            connection.record_body(len(part))
+            if len(body) + len(part) > limit:
+                return None
+            if not body and request.content.at_eof():
+                return part
+            body += part
+            if connection.client.has_tiny_chunks:
+                await turns.take()
+        return bytes(body)
+    finally:
+        # The traceback of a refusal holds it until it is collected.
+        body.clear()
 
 
 def decode_call(
--- /dev/null
+++ b/briarknot/platform/_connections.py
@@ -0,0 +1,197 @@
+"""Connections of clients, which keep the limits of the process."""
+
+import asyncio
+import time
+import typing
+
+from aiohttp import streams, web
+
+from briarknot.platform import _client_limits, _client_states
+
+#: Answers to a header section that is too long or too slow.
+_HEAD_REFUSALS = {
+    _client_states.Limit.HEADER_BYTES: (
+        b'HTTP/1.1 431 Request Header Fields Too Large'
+    ),
+    _client_states.Limit.HEADER_TIME: b'HTTP/1.1 408 Request Timeout',
+}
+_HEAD_REFUSAL_END = b'\r\nContent-Length: 0\r\nConnection: close\r\n\r\n'
+#: A body is in small chunks where it has a line end per so many bytes; a chunk has
+#: two line ends.
+_TINY_BYTES = 24
+_MIN_TINY_LINES = 1024
+_LINE_END = b'\r\n'
+
+
+class Evicted(Exception):
+    """Ends the reading of a body.
+
+    :param limit: the limit that was exceeded.
+    """
+
+    def __init__(self, limit: _client_states.Limit) -> None:
+        super().__init__(limit.value)
+        self.limit = limit
+
+
+class Connection(web.RequestHandler):
+    """A connection of a client, which counts what it receives."""
+
+    def __init__(
+        self,
+        manager: web.Server,
+        limits: _client_limits.ClientLimits,
+        **options: typing.Any,
+    ) -> None:
+        super().__init__(manager, **options)
+        self.limits = limits
+        self.client: _client_states.Client | None = None
+        #: Whether its request was refused before its end.
+        self.is_refused = False
+        self._body: streams.StreamReader | None = None
+        self._is_discarding = False
+        self._is_chunked = False
+        self._received = 0
+        self._lines = 0
+
+    @property
+    def is_evicted(self) -> bool:
+        """Whether its request was refused, or it was closed, for a limit."""
+        return self.client is not None and self.client.evicted_by is not None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Counts the connection."""
+        super().connection_made(transport)
+        peer = transport.get_extra_info('peername') or ('',)
+        self.client = self.limits.open(peer[0], time.monotonic(), self._evict)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Releases what the connection held."""
+        super().connection_lost(exc)
+        if self.client is not None:
+            self.limits.close(self.client)
+
+    def data_received(self, data: bytes) -> None:
+        """Counts and parses received bytes."""
+        client = self.client
+        if self._is_discarding or client is None:
+            return
+        phase = client.phase
+        is_body = phase is _client_states.Phase.BODY
+        if is_body and self._body is None and self.is_evicted:
+            return
+        super().data_received(data)
+        if phase <= _client_states.Phase.HEAD and self._messages:
+            self._start_request(data)
+        elif is_body:
+            self._count_chunks(data)
+        elif data:
+            # Also the start of the next request, before the response to this one.
+            self.limits.record_head(client, len(data), time.monotonic())
+
+    def start_body(self, body: streams.StreamReader) -> None:
+        """Lets the body be refused while it is read.
+
+        :param body: the body.
+        """
+        self._body = body
+        if self.is_evicted:
+            body.set_exception(Evicted(self.client.evicted_by))
+
+    def end_body(self) -> None:
+        """Ends the reading of a body, which is complete."""
+        self._body = None
+        if self.client is not None:
+            self.client.start_phase(_client_states.Phase.RUN, time.monotonic())
+
+    def record_body(self, size: int) -> None:
+        """Counts a part of the body that was read."""
+        if self.client is not None:
+            self.limits.record_body(self.client, size, time.monotonic())
+
+    def start_write(self) -> None:
+        """Begins to write a part of the response."""
+        if self.client is not None:
+            self.client.start_phase(
+                _client_states.Phase.RESPONSE, time.monotonic()
+            )
+            self.client.is_unread = True
+
+    def end_write(self) -> None:
+        """Ends writing a part of the response; there is room for the next."""
+        if self.client is not None:
+            self.client.is_unread = False
+
+    def discard_input(self) -> None:
+        """Drops all further input, so that it costs nothing."""
+        self._is_discarding = True
+        self.resume_reading(resume_parser=False)
+
+    def end_request(self) -> None:
+        """Releases what the request held, after its response."""
+        self._body = None
+        if self.client is None:
+            return
+        self.limits.end_request(self.client, time.monotonic())
+        if self._messages:
+            self._start_request(b'')
+
+    def _start_request(self, data: bytes) -> None:
+        message = self._messages[0][0]
+        headers = getattr(message, 'headers', {})
+        length = headers.get('Content-Length', '')
+        self._is_chunked = getattr(message, 'chunked', False)
+        self._received = 0
+        self._lines = 0
+        self.limits.start_request(
+            self.client,
+            int(length) if length.isdecimal() else 0,
+            time.monotonic(),
+        )
+        self._count_chunks(data)
+
+    def _count_chunks(self, data: bytes) -> None:
+        if not self._is_chunked:
+            return
+        self._received += len(data)
+        self._lines += data.count(_LINE_END)
+        if (
+            self._lines > _MIN_TINY_LINES
+            and self._lines * _TINY_BYTES > self._received
+        ):
+            self.limits.record_tiny_chunks(self.client, time.monotonic())
+
+    def _evict(self, limit: _client_states.Limit) -> None:
+        transport = self.transport
+        if transport is None:
+            return
+        phase = self.client.phase if self.client else None
+        if phase is _client_states.Phase.BODY:
+            if self._body is not None:
+                self._body.set_exception(Evicted(limit))
+            return
+        refusal = _HEAD_REFUSALS.get(limit)
+        if refusal is None or phase is not _client_states.Phase.HEAD:
+            transport.abort()
+            return
+        self._is_discarding = True
+        transport.write(refusal + _HEAD_REFUSAL_END)
+        self.force_close()
+
+
+class Server(web.Server):
+    """Makes the connections of clients."""
+
+    def __init__(
+        self,
+        handler: typing.Any,
+        limits: _client_limits.ClientLimits,
+        **options: typing.Any,
+    ) -> None:
+        super().__init__(handler, handler_cancellation=True)
+        self._limits = limits
+        self._options = options
+
+    def __call__(self) -> Connection:
+        """Makes a connection."""
+        return Connection(self, self._limits, loop=self._loop, **self._options)
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -3,15 +3,22 @@
 import asyncio
 import socket
 import time
-import traceback
 import typing
 
 import attrs
-import prometheus_client
 from aiohttp import web
 
 from briarknot import schema, serving, telemetry
-from briarknot.platform import _client_requests, _headers, _responder
+from briarknot.platform import (
+    _chunk_turns,
+    _client_limits,
+    _client_requests,
+    _client_states,
+    _connections,
+    _headers,
+    _responder,
+    _unanswered,
+)
 
 #: Largest start line and header; the platform's clients stay within the
 #: manifest's limits, which are smaller.
@@ -21,22 +28,24 @@
 #: manifest, which may grow; a server that closes none is always within it.
 _KEEPALIVE_TIMEOUT_S = 3600.0
 _BACKLOG = 1024
+#: Connections that are accepted before surplus ones are closed.
+_ACCEPTED_AT_ONCE = 32
+#: Bytes of a body that are received ahead of its reading. A sixteenth of it bounds
+#: the number of chunks that are parsed at once.
+_READ_AHEAD_BYTES = 32 << 10
+#: Period of closing connections that are over a time limit, in seconds.
+_CHECK_PERIOD_S = 0.5
+#: Time for which a client can read a refusal while the rest of its request is
+#: dropped, in seconds.
+_DROP_S = 0.5
 #: Status of refusals with Retry-After; it promises that the request has not
 #: run.
 _SERVICE_UNAVAILABLE = 503
 _REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
-_BAD_GATEWAY = 502
-#: Longest text of a traceback in a log line; its end names the fault.
-_MAX_TRACEBACK = 2000
 #: Retry-After, in seconds, of a request that arrives while the process stops;
 #: a new connection reaches another host.
 _STOP_RETRY_AFTER_S = 0.1
-_UNANSWERED = prometheus_client.Counter(
-    'briarknot_platform_unanswered',
-    'Requests that ended without a whole answer, or failed, by reason.',
-    ('reason',),
-)
 
 
 Handler = typing.Callable[
@@ -53,6 +62,7 @@
     _handler: Handler
     _is_ready: typing.Callable[[], bool]
     _get_body_limit: typing.Callable[[], int]
+    _limits: _client_limits.ClientLimits
     _listener: socket.socket | None = None
     _closing: bool = False
     _refusing: bool = False
@@ -60,6 +70,10 @@
     _idle: asyncio.Event = attrs.field(factory=asyncio.Event)
     _runners: list[web.ServerRunner] = attrs.field(factory=list)
     _sites: list[web.BaseSite] = attrs.field(factory=list)
+    _turns: _chunk_turns.ChunkTurns = attrs.field(
+        factory=_chunk_turns.ChunkTurns
+    )
+    _checks: asyncio.Task[None] | None = None
 
     @property
     def open_requests(self) -> int:
@@ -69,26 +83,57 @@
     async def start(self) -> None:
         """Opens the listeners."""
         self._idle.set()
-        for address, handler, listener in (
-            (self._settings.readiness_address, self._answer_check, None),
-            (self._settings.front_address, self._answer, self._listener),
-        ):
-            server = web.Server(
-                handler,
-                handler_cancellation=True,
-                access_log=None,
-                keepalive_timeout=_KEEPALIVE_TIMEOUT_S,
-                max_line_size=_MAX_LINE_BYTES,
-                max_field_size=_MAX_LINE_BYTES,
-                max_headers=_MAX_HEADERS,
-                auto_decompress=False,
-            )
-            runner = web.ServerRunner(server)
-            await runner.setup()
-            site = _make_site(runner, address, listener)
-            await site.start()
-            self._runners.append(runner)
-            self._sites.append(site)
+        options = {
+            'access_log': None,
+            'keepalive_timeout': _KEEPALIVE_TIMEOUT_S,
+            'max_line_size': _MAX_LINE_BYTES,
+            'max_field_size': _MAX_LINE_BYTES,
+            'max_headers': _MAX_HEADERS,
+            'auto_decompress': False,
+        }
+        check = web.Server(
+            self._answer_check, handler_cancellation=True, **options
+        )
+        front = _connections.Server(
+            self._answer,
+            self._limits,
+            read_bufsize=_READ_AHEAD_BYTES,
+            **options,
+        )
+        await self._listen(check, self._settings.readiness_address, None)
+        await self._listen(front, self._settings.front_address, self._listener)
+        self._checks = asyncio.create_task(self._close_late())
+
+    async def _listen(
+        self, server: web.Server, address: str, listener: socket.socket | None
+    ) -> None:
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        if listener is None:
+            host, _, port = address.rpartition(':')
+            listener = socket.create_server((host, int(port)))
+        site = web.SockSite(runner, listener, backlog=_ACCEPTED_AT_ONCE)
+        await site.start()
+        # Sets only the queue of the kernel.
+        listener.listen(_BACKLOG)
+        self._runners.append(runner)
+        self._sites.append(site)
+
+    async def _close_late(self) -> None:
+        """Closes connections that are over a time limit.
+
+        After a suspension, received data is read before time limits apply.
+        """
+        checked_s = time.monotonic()
+        while True:
+            await asyncio.sleep(_CHECK_PERIOD_S)
+            now = time.monotonic()
+            is_late = now - checked_s > 2 * _CHECK_PERIOD_S
+            checked_s = now
+            if is_late or self._limits.is_empty:
+                continue
+            for client, limit in self._limits.list_late(now):
+                self._limits.evict(client, limit)
 
     def set_closing(self) -> None:
         """Closes connections after their current request."""
@@ -121,6 +166,8 @@
 
     async def close(self) -> None:
         """Closes all listeners and connections."""
+        if self._checks is not None:
+            self._checks.cancel()
         for runner in reversed(self._runners):
             await runner.cleanup()
 
@@ -131,17 +178,28 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         received_s = time.monotonic()
+        connection = request.protocol
+        _client_limits.current.set((self._limits, connection.client))
         responder = _responder.Responder(request, self._closing)
         self._open_requests += 1
         self._idle.clear()
         try:
             await self._answer_open(request, responder, received_s)
         finally:
-            self._open_requests -= 1
-            if not self._open_requests:
-                self._idle.set()
+            self._end_request(connection)
+        if connection.is_refused:
+            # Parsing the rest could cost more than serving it.
+            connection.discard_input()
+            await asyncio.sleep(_DROP_S)
+            request.content.feed_eof()
         return responder.result
 
+    def _end_request(self, connection: _connections.Connection) -> None:
+        connection.end_request()
+        self._open_requests -= 1
+        if not self._open_requests:
+            self._idle.set()
+
     async def _answer_open(
         self,
         request: web.BaseRequest,
@@ -161,20 +219,26 @@
             await responder.write_rest()
         except asyncio.CancelledError:
             reason = _explain_cancellation(request)
+            if reason == 'client_left' and request.protocol.is_evicted:
+                reason = 'client_limited'
             if reason != 'cancelled_wait':
-                _log_unanswered(request, responder, reason)
+                _unanswered.log_unanswered(request, responder, reason)
                 raise
-            _fail(request, responder, reason)
+            _unanswered.fail_request(request, responder, reason)
         except Exception:
             if request.transport is None:
                 # The body of a request whose client has left can't be read.
-                _log_unanswered(request, responder, 'client_left')
+                _unanswered.log_unanswered(request, responder, 'client_left')
                 raise
-            _fail(request, responder, 'error')
+            _unanswered.fail_request(request, responder, 'error')
         if responder.missing_answer == 'no_result':
-            _fail(request, responder, responder.missing_answer)
+            _unanswered.fail_request(
+                request, responder, responder.missing_answer
+            )
         if responder.missing_answer:
-            _log_unanswered(request, responder, responder.missing_answer)
+            _unanswered.log_unanswered(
+                request, responder, responder.missing_answer
+            )
         if responder.result is None:
             raise asyncio.CancelledError
 
@@ -191,18 +255,22 @@
             async with asyncio.timeout(timeout_s):
                 await _client_requests.send_continue(request)
                 body = await _client_requests.read_body(
-                    request, self._get_body_limit()
+                    request, self._get_body_limit(), self._turns
                 )
         except TimeoutError:
-            telemetry.log_event(
-                'body_incomplete', request=_client_requests.get_id(request)
-            )
-            responder.close_after_answer()
-            responder.refuse(_REQUEST_TIMEOUT, _client_requests.get_id(request))
+            _unanswered.refuse_body(request, responder, _REQUEST_TIMEOUT)
+            return
+        except _connections.Evicted as evicted:
+            is_late = evicted.limit is _client_states.Limit.BODY_TIME
+            status = _REQUEST_TIMEOUT if is_late else _SERVICE_UNAVAILABLE
+            _unanswered.refuse_body(request, responder, status)
             return
         if body is None:
+            responder.close_after_answer()
+            request.protocol.is_refused = True
             responder.refuse(_TOO_LARGE, _client_requests.get_id(request))
             return
+        request.protocol.end_body()
         call = _client_requests.decode_call(
             request, body, received_s, timeout_s
         )
@@ -213,17 +281,6 @@
             await self._handler(call, responder)
 
 
-def _make_site(
-    runner: web.ServerRunner, address: str, listener: socket.socket | None
-) -> web.BaseSite:
-    if listener is not None:
-        return web.SockSite(runner, listener, backlog=_BACKLOG)
-    host, _, port = address.rpartition(':')
-    return web.TCPSite(
-        runner, host, int(port), backlog=_BACKLOG, reuse_address=True
-    )
-
-
 def _explain_cancellation(request: web.BaseRequest) -> str:
     """Returns why the task of a request was cancelled.
 
@@ -239,54 +296,15 @@
     return 'client_left' if request.transport is None else 'process_end'
 
 
-def _log_unanswered(
-    request: web.BaseRequest, responder: _responder.Responder, reason: str
-) -> None:
-    """Logs and counts a request that ends without a whole answer or a refusal.
-
-    :param request: the request.
-    :param responder: answers it.
-    :param reason: reason from a small set.
-    """
-    _UNANSWERED.labels(reason).inc()
-    telemetry.log_event(
-        'closed_unanswered',
-        request=_client_requests.get_id(request),
-        reason=reason,
-        started=responder.has_started,
-    )
-
-
-def _fail(
-    request: web.BaseRequest, responder: _responder.Responder, reason: str
-) -> None:
-    """Ends a request at which the code has failed, and logs why.
-
-    :param request: the request.
-    :param responder: answers it; the answer promises nothing, as the request may
-        have run.
-    :param reason: reason from a small set.
-    """
-    _UNANSWERED.labels(reason).inc()
-    telemetry.log_event(
-        'request_failed',
-        request=_client_requests.get_id(request),
-        reason=reason,
-        started=responder.has_started,
-        traceback=traceback.format_exc()[-_MAX_TRACEBACK:],
-    )
-    if responder.has_started:
-        responder.abort()
-    elif responder.result is None:
-        responder.refuse(_BAD_GATEWAY, _client_requests.get_id(request))
-
-
 def make_ingress(
     settings: schema.settings.GatewaySettings,
     handler: Handler,
     is_ready: typing.Callable[[], bool],
     get_body_limit: typing.Callable[[], int],
     listener: socket.socket | None = None,
+    get_limits: typing.Callable[
+        [], schema.serving.ClientLimits
+    ] = schema.serving.ClientLimits,
 ) -> Ingress:
     """Makes the front end.
 
@@ -295,5 +313,14 @@
     :param is_ready: whether the platform may send new connections.
     :param get_body_limit: returns the largest body in bytes.
     :param listener: socket that already listens for clients; None opens one.
+    :param get_limits: returns the limits of the header section and of times; 0
+        stands for none.
     """
-    return Ingress(settings, handler, is_ready, get_body_limit, listener)
+    return Ingress(
+        settings,
+        handler,
+        is_ready,
+        get_body_limit,
+        _client_limits.make_client_limits(settings, get_limits),
+        listener,
+    )
--- a/briarknot/platform/_responder.py
+++ b/briarknot/platform/_responder.py
@@ -6,6 +6,10 @@
 from briarknot import serving
 from briarknot.platform import _headers
 
+#: Bytes of a response that are written at once; what a client does not read shows
+#: after so many.
+_SLICE_BYTES = 64 << 10
+
 
 @attrs.define(eq=False)
 class Responder:
@@ -17,6 +21,7 @@
     _result: web.StreamResponse | None = None
     _is_aborted: bool = False
     _is_disconnected: bool = False
+    _rest: bytes = b''
 
     @property
     def missing_answer(self) -> str:
@@ -46,7 +51,13 @@
 
         :param answer: status, headers, and body.
         """
-        response = web.Response(status=answer.status, body=answer.body)
+        if len(answer.body) > _SLICE_BYTES:
+            # Written whole, it would exist twice while its client doesn't read.
+            response = web.StreamResponse(status=answer.status)
+            response.content_length = len(answer.body)
+            self._rest = answer.body
+        else:
+            response = web.Response(status=answer.status, body=answer.body)
         _copy_headers(response, answer.headers)
         self._finish(response)
 
@@ -91,11 +102,14 @@
         :param data: complete events.
         :returns: whether the client is still connected.
         """
+        connection = self._request.protocol
+        connection.start_write()
         try:
             await self._response.write(data)
         except ConnectionError:
             self._is_disconnected = True
             return False
+        connection.end_write()
         return True
 
     async def write_rest(self) -> None:
@@ -103,11 +117,29 @@
         if self.missing_answer:
             return
         self._response = self._result
+        connection = self._request.protocol
+        connection.start_write()
         try:
             await self._result.prepare(self._request)
+            await self._write_slices()
             await self._result.write_eof()
         except ConnectionError:
             self._is_disconnected = True
+        else:
+            connection.end_write()
+
+    async def _write_slices(self) -> None:
+        # The traceback of a cancelled write holds its slice until it is collected;
+        # a view of the body would hold all of it.
+        rest = self._rest
+        self._rest = b''
+        try:
+            for start in range(0, len(rest), _SLICE_BYTES):
+                await self.send_events(rest[start : start + _SLICE_BYTES])
+                if self._is_disconnected:
+                    break
+        finally:
+            rest = b''
 
     def abort(self) -> None:
         """Closes the connection, so that the answer does not look complete."""
@@ -115,7 +147,7 @@
         if self._request.transport is not None:
             self._request.transport.close()
 
-    def _finish(self, response: web.Response) -> None:
+    def _finish(self, response: web.StreamResponse) -> None:
         if self._closing:
             response.force_close()
         self._result = response
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -9,7 +9,12 @@
 import yarl
 
 from briarknot import httpclient, schema, serving, telemetry
-from briarknot.platform import _answer_headers, _headers, _sessions
+from briarknot.platform import (
+    _answer_headers,
+    _client_limits,
+    _headers,
+    _sessions,
+)
 
 _OK = 200
 _MISDIRECTED = 421
@@ -69,6 +74,8 @@
         """Reads the whole body, up to the longest one that is accepted."""
         parts = []
         size = 0
+        length = self._response.content_length or 0
+        await _client_limits.reserve_response(min(length, _MAX_BODY_BYTES))
         while size <= _MAX_BODY_BYTES:
             part = await self.read_some()
             if isinstance(part, serving.Failed):
@@ -77,6 +84,7 @@
                 return b''.join(parts)
             parts.append(part)
             size += len(part)
+            await _client_limits.reserve_response(size)
         return serving.Failed(
             kind=serving.FailureKind.FOREIGN,
             reason=f'body longer than {_MAX_BODY_BYTES} bytes',
