Don't blame a worker for a response that its client did not read

Cause: a stream whose client stopped reading counted as silent, and a worker that then cut it off as faulty. Change: the relay measures how long the latest events waited for the client; the pause restarts its silence, and above 1 s a failure isn't recorded for the worker. The same holds for whole responses that waited for room. stream_broken and answer_broken say so.

--- a/briarknot/gateway/_generation_attempts.py
+++ b/briarknot/gateway/_generation_attempts.py
@@ -143,8 +143,8 @@
     )
     failure = await relay.run(exchange, move)
     if isinstance(failure, serving.Failed):
-        if request.has_time():
-            # A worker ends a run whose time is over.
+        if request.has_time() and not relay.was_unread:
+            # A worker ends a run whose time is over, or that is not read.
             opened.record.record_failure(failure.kind, time.monotonic())
         telemetry.log_event(
             'stream_broken',
@@ -154,6 +154,7 @@
             outcome=failure.kind.value,
             reason=failure.reason,
             last_event=relay.resume_after,
+            unread_s=round(relay.unread_s, 2),
             seconds=round(opened.seconds, 4),
         )
         return failure
--- a/briarknot/gateway/_plain.py
+++ b/briarknot/gateway/_plain.py
@@ -186,13 +186,15 @@
             return exchange
         answer = await _read_answer(exchange)
         if isinstance(answer, serving.Failed):
-            attempt.record.record_failure(answer.kind, time.monotonic())
+            if not exchange.was_unread:
+                attempt.record.record_failure(answer.kind, time.monotonic())
             telemetry.log_event(
                 'answer_broken',
                 request=request.call.id,
                 worker=worker.id,
                 outcome=answer.kind.value,
                 reason=answer.reason,
+                unread=exchange.was_unread,
                 seconds=round(attempt.seconds, 4),
             )
             await _crashes.record_broken_start(context, request, worker, answer)
--- a/briarknot/gateway/_stream.py
+++ b/briarknot/gateway/_stream.py
@@ -21,6 +21,9 @@
 #: client waits from when an event has reached it, which takes the way to another
 #: region, and longer where a packet is lost.
 _CLIENT_LEAVES_S = 0.5
+#: Time for which a client leaves events unread after which its worker is not blamed
+#: for a broken stream; workers cut off what stays unread for some seconds.
+_UNREAD_S = 1.0
 #: Longest event; an event holds a few tokens.
 _MAX_EVENT_BYTES = 1 << 20
 
@@ -40,6 +43,7 @@
     :param resume_after: last event that the client has.
     :param first_event_s: monotonic time of the first event.
     :param longest_gap_s: longest pause between events in seconds.
+    :param unread_s: time that the latest events waited for the client to read.
     :param on_begin: called before the first event is forwarded.
     :param on_sound: called when a run goes on after its start.
     """
@@ -48,6 +52,7 @@
     resume_after: str = ''
     first_event_s: float = 0
     longest_gap_s: float = 0
+    unread_s: float = 0
     on_begin: typing.Callable[[], None] = _ignore
     on_sound: typing.Callable[[], None] = _ignore
     _max_silence_s: float = 0
@@ -65,6 +70,11 @@
         """
         return time.monotonic() - self._run_started_s < _START_S
 
+    @property
+    def was_unread(self) -> bool:
+        """Whether the client left the latest events unread for too long."""
+        return self.unread_s > _UNREAD_S
+
     @property
     def has_started(self) -> bool:
         """Whether the client has got a part of the answer."""
@@ -161,7 +171,13 @@
         if not events:
             return True
         self._record_events(events)
-        return await self.responder.send_events(events)
+        is_connected = await self.responder.send_events(events)
+        now = time.monotonic()
+        self.unread_s = now - self._latest_s
+        if self.was_unread:
+            # The worker was not read meanwhile.
+            self._progress_s = now
+        return is_connected
 
     def _record_events(self, events: bytes) -> None:
         now = time.monotonic()
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import time
 
 import aiohttp
 import attrs
@@ -27,6 +28,9 @@
 #: Longest body of an answer that is not a stream. Several are held at a time
 #: by hosts with 200 MB.
 _MAX_BODY_BYTES = 8 << 20
+#: Time without being read after which a worker is not blamed for a broken answer;
+#: workers cut off what stays unread for some seconds.
+_UNREAD_S = 1.0
 #: Urgency levels of a worker for each rank of a route; prompts that another
 #: worker needs come first within their rank.
 _URGENCIES_PER_RANK = 3
@@ -55,6 +59,12 @@
 
     _answer: serving.Answer
     _response: _sessions.Response
+    _unread_s: float = 0
+
+    @property
+    def was_unread(self) -> bool:
+        """Whether the worker was not read for long, as there was no room."""
+        return self._unread_s > _UNREAD_S
 
     @property
     def answer(self) -> serving.Answer:
@@ -75,7 +85,7 @@
         parts = []
         size = 0
         length = self._response.content_length or 0
-        await _client_limits.reserve_response(min(length, _MAX_BODY_BYTES))
+        await self._reserve(min(length, _MAX_BODY_BYTES))
         while size <= _MAX_BODY_BYTES:
             part = await self.read_some()
             if isinstance(part, serving.Failed):
@@ -84,7 +94,7 @@
                 return b''.join(parts)
             parts.append(part)
             size += len(part)
-            await _client_limits.reserve_response(size)
+            await self._reserve(size)
         return serving.Failed(
             kind=serving.FailureKind.FOREIGN,
             reason=f'body longer than {_MAX_BODY_BYTES} bytes',
@@ -128,6 +138,11 @@
             and 'chunked' not in headers.get('Transfer-Encoding', '').lower()
         )
 
+    async def _reserve(self, size: int) -> None:
+        started_s = time.monotonic()
+        await _client_limits.reserve_response(size)
+        self._unread_s += time.monotonic() - started_s
+
     async def _check_end(self) -> bytes | serving.Failed:
         # The parser mistakes a reset for the end of a body without a length.
         closed = self._response.closed_connection
