Bound the memory of callers' bodies at the entry

Change: entry/_bodies.py counts them with the gateway's decisions until their request ends. Over 19 of 100 of memory_mb, slow, large and new ones get memory_limit (503); a body without a part for body_idle_s gets body_timeout (408).

--- a/briarknot/entry/_caller_api.py
+++ b/briarknot/entry/_caller_api.py
@@ -9,6 +9,7 @@
 from briarknot import journal, outcomes, telemetry
 from briarknot.entry import (
     _answers,
+    _bodies,
     _completion,
     _context,
     _identity,
@@ -26,6 +27,7 @@
     """Handlers of the callers' port."""
 
     _context: _context.Context
+    _bodies: _bodies.Bodies
     _is_stopping: bool = attrs.field(default=False, init=False)
 
     def make_app(self) -> web.Application:
@@ -92,9 +94,22 @@
         *,
         is_chat: bool,
     ) -> web.StreamResponse:
-        body = await read_limited_body(request)
-        if not isinstance(body, bytes):
-            return _refuse(recorder, body)
+        async with self._bodies.receive(request) as body:
+            if not isinstance(body, bytes):
+                return _refuse(recorder, body)
+            return await self._run_received(
+                request, body, identity, recorder, is_chat=is_chat
+            )
+
+    async def _run_received(
+        self,
+        request: web.Request,
+        body: bytes,
+        identity: _identity.Identity,
+        recorder: _recorder.RequestRecorder,
+        *,
+        is_chat: bool,
+    ) -> web.StreamResponse:
         tree = _requests.parse_body(body, self._context.settings.limits)
         if not isinstance(tree, dict):
             return _refuse(recorder, tree)
@@ -140,16 +155,24 @@
             if not isinstance(identity, _identity.Identity):
                 return _refuse(recorder, identity)
             with self._context.open_requests.counted(identity.account.name):
-                body = await read_limited_body(request)
-                if not isinstance(body, bytes):
-                    return _refuse(recorder, body)
-                call = _service_calls.make_call(request, body, identity)
-                answer = await _service_calls.run_call(
-                    self._context, call, recorder
-                )
-            if isinstance(answer, _service_calls.Answer):
-                return answer.make_response(recorder.request_id)
-            return _refuse(recorder, answer)
+                return await self._run_service(request, identity, recorder)
+
+    async def _run_service(
+        self,
+        request: web.Request,
+        identity: _identity.Identity,
+        recorder: _recorder.RequestRecorder,
+    ) -> web.Response:
+        async with self._bodies.receive(request) as body:
+            if not isinstance(body, bytes):
+                return _refuse(recorder, body)
+            call = _service_calls.make_call(request, body, identity)
+            answer = await _service_calls.run_call(
+                self._context, call, recorder
+            )
+        if isinstance(answer, _service_calls.Answer):
+            return answer.make_response(recorder.request_id)
+        return _refuse(recorder, answer)
 
     def _make_recorder(self, kind: str) -> _recorder.RequestRecorder:
         node = self._context.node
@@ -296,4 +319,5 @@
 
     :param context: components of the process.
     """
-    return CallerApi(context)
+    bodies = _bodies.make_bodies(context.settings.limits)
+    return CallerApi(context, bodies)
--- a/briarknot/outcomes/_causes.py
+++ b/briarknot/outcomes/_causes.py
@@ -14,6 +14,8 @@
     RANK_NOT_ALLOWED = 'rank_not_allowed'
     UNKNOWN_TARGET = 'unknown_target'
     TOO_LARGE = 'too_large'
+    BODY_TIMEOUT = 'body_timeout'
+    MEMORY_LIMIT = 'memory_limit'
     TOO_MANY_STREAMS = 'too_many_streams'
     QUEUE_FULL = 'queue_full'
     QUEUE_TIMEOUT = 'queue_timeout'
@@ -66,6 +68,13 @@
         _STATUS.REQUEST_ENTITY_TOO_LARGE,
         'The request exceeds a size or depth limit.',
     ),
+    Cause.BODY_TIMEOUT: CauseInfo(
+        _STATUS.REQUEST_TIMEOUT, 'No part of the body arrived in time.'
+    ),
+    Cause.MEMORY_LIMIT: CauseInfo(
+        _STATUS.SERVICE_UNAVAILABLE,
+        'The bodies of other requests take the memory of the process.',
+    ),
     Cause.TOO_MANY_STREAMS: CauseInfo(
         _STATUS.TOO_MANY_REQUESTS, 'The account has too many open streams.'
     ),
--- a/briarknot/platform/__init__.py
+++ b/briarknot/platform/__init__.py
@@ -5,6 +5,8 @@
 """
 
 from briarknot.platform._client import Client, make_client
+from briarknot.platform._client_limits import ClientLimits, make_client_limits
+from briarknot.platform._client_states import Limit, Phase
 from briarknot.platform._decoding import (
     MANIFEST_KEY,
     MANIFEST_TABLE,
@@ -47,6 +49,7 @@
     'MANIFEST_TABLE',
     'WORKERS_TABLE',
     'Client',
+    'ClientLimits',
     'Committed',
     'Conflict',
     'EngineOrders',
@@ -54,11 +57,13 @@
     'HistoryLost',
     'Host',
     'Ingress',
+    'Limit',
     'Malformed',
     'Missing',
     'Operation',
     'OrderOutcome',
     'Page',
+    'Phase',
     'Responder',
     'Row',
     'StageOrder',
@@ -68,6 +73,7 @@
     'decode_manifest',
     'decode_worker',
     'make_client',
+    'make_client_limits',
     'make_engine_orders',
     'make_ingress',
     'make_operation',
--- a/briarknot/platform/_client_limits.py
+++ b/briarknot/platform/_client_limits.py
@@ -333,18 +333,20 @@
 
 
 def make_client_limits(
-    settings: schema.settings.GatewaySettings,
-    get_limits: typing.Callable[[], schema.serving.ClientLimits],
+    memory_mb: int,
+    max_descriptors: int,
+    get_limits: typing.Callable[
+        [], schema.serving.ClientLimits
+    ] = schema.serving.ClientLimits,
 ) -> ClientLimits:
     """Makes the limits of a process without clients.
 
-    :param settings: memory and file descriptors of the host.
+    :param memory_mb: memory of the host; 0 for the default.
+    :param max_descriptors: file descriptors of the process; 0 for the default.
     :param get_limits: returns the manifest's limits; 0 stands for none.
     """
-    memory_mb = settings.memory_mb or _DEFAULT_MEMORY_MB
-    descriptors = settings.max_descriptors or _DEFAULT_DESCRIPTORS
     return ClientLimits(
-        memory_mb * _BYTES_PER_MB * _MEMORY_SHARE,
-        int(descriptors * _CLIENT_SHARE),
+        (memory_mb or _DEFAULT_MEMORY_MB) * _BYTES_PER_MB * _MEMORY_SHARE,
+        int((max_descriptors or _DEFAULT_DESCRIPTORS) * _CLIENT_SHARE),
         get_limits,
     )
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -321,6 +321,8 @@
         handler,
         is_ready,
         get_body_limit,
-        _client_limits.make_client_limits(settings, get_limits),
+        _client_limits.make_client_limits(
+            settings.memory_mb, settings.max_descriptors, get_limits
+        ),
         listener,
     )
--- a/briarknot/platform/tests/test_client_limits.py
+++ b/briarknot/platform/tests/test_client_limits.py
@@ -19,17 +19,8 @@
 def limits():
     """Limits with 18 MB for what is received, and 9 connections."""
     return _client_limits.make_client_limits(
-        schema.settings.GatewaySettings(
-            host='g',
-            domain='a',
-            region='a',
-            address='127.0.0.1',
-            front_address='127.0.0.1:1',
-            readiness_address='127.0.0.1:2',
-            store_address='127.0.0.1:3',
-            memory_mb=96,
-            max_descriptors=20,
-        ),
+        96,
+        20,
         lambda: schema.serving.ClientLimits(
             header_bytes=16384, header_timeout_s=3, idle_timeout_s=15
         ),
--- a/briarknot/schema/_generated/settings.py
+++ b/briarknot/schema/_generated/settings.py
@@ -147,6 +147,20 @@
         unit='bytes',
         default=33554432,
     )
+    memory_mb: int = _fields.make_field(
+        doc='Memory of the host. 19 of 100 hold bodies of callers, each of which may take as much as bodyBytes.',
+        maximum=4294967295,
+        minimum=64.0,
+        unit='MB',
+        default=256,
+    )
+    body_idle_s: float = _fields.make_field(
+        doc='Longest time between two parts of a body.',
+        maximum=600.0,
+        minimum=0.1,
+        unit='s',
+        default=15.0,
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -43,6 +43,8 @@
   jsonDepth @2 :UInt32 = 32 $A.minimum(2) $A.maximum(256) $A.doc("Deepest nesting of a JSON body.");
   storedAnswerBytes @3 :UInt32 = 65536 $A.unit("bytes") $A.doc("Largest answer stored with a claim.");
   journalBytes @4 :UInt32 = 33554432 $A.unit("bytes") $A.minimum(65536) $A.doc("Largest journal buffer in memory.");
+  memoryMb @5 :UInt32 = 256 $A.unit("MB") $A.minimum(64) $A.doc("Memory of the host. 19 of 100 hold bodies of callers, each of which may take as much as bodyBytes.");
+  bodyIdleS @6 :Float64 = 15 $A.unit("s") $A.minimum(0.1) $A.maximum(600) $A.doc("Longest time between two parts of a body.");
 }
 
 struct Timing $A.doc("Periods and time limits.") {
