Count what streams hold that their clients don't read

Cause: an unread stream holds what was received ahead from its worker and what waits to be written, which nothing counted. Change: after a second without reading it counts 512 KB, so that it can be closed for its memory. Not run: a crowd of unread streams at a process.

--- a/briarknot/platform/_client_limits.py
+++ b/briarknot/platform/_client_limits.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import collections
-import contextvars
 import math
 import time
 import typing
@@ -39,6 +38,9 @@
 #: Memory of a byte of a response: its parts and the whole exist at the same time,
 #: and freed parts leave gaps. Five responses of 4 MB, with 35 that waited, took 50 MB.
 _RESPONSE_FACTOR = 2
+#: Memory of a stream whose client doesn't read: what was received from its worker
+#: ahead, and what waits to be written.
+_STREAM_BYTES = 512 << 10
 #: Times without progress are longer than the manifest's by these factors, so that
 #: no client within the limits is cut off by a slow network or a busy host.
 _HEAD_MARGIN = 2.0
@@ -248,6 +250,18 @@
                 late.append((client, limit))
         return late
 
+    def charge_unread(self, now: float) -> None:
+        """Counts what streams hold that their clients have stopped to read.
+
+        :param now: monotonic time.
+        """
+        for client in self._clients:
+            is_stopped = client.is_unread and client.is_slow(now)
+            if is_stopped and not client.response_bytes:
+                client.response_bytes = _STREAM_BYTES
+                self._charge(client, _STREAM_BYTES)
+        self._relieve(now)
+
     def evict(
         self, client: _client_states.Client, limit: _client_states.Limit
     ) -> None:
@@ -315,23 +329,6 @@
         )
 
 
-#: Client of the request that the current task serves, with its limits.
-current: contextvars.ContextVar[
-    tuple[ClientLimits, _client_states.Client] | None
-] = contextvars.ContextVar('current_client', default=None)
-
-
-async def reserve_response(size: int) -> None:
-    """Waits until there is room for the response of the current request.
-
-    :param size: bytes of its body that are known so far.
-    """
-    entry = current.get()
-    if entry is not None:
-        limits, client = entry
-        await limits.reserve_response(client, size)
-
-
 def make_client_limits(
     memory_mb: int,
     max_descriptors: int,
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -15,6 +15,7 @@
     _client_requests,
     _client_states,
     _connections,
+    _current_client,
     _headers,
     _responder,
     _unanswered,
@@ -132,6 +133,7 @@
             checked_s = now
             if is_late or self._limits.is_empty:
                 continue
+            self._limits.charge_unread(now)
             for client, limit in self._limits.list_late(now):
                 self._limits.evict(client, limit)
 
@@ -179,7 +181,7 @@
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         received_s = time.monotonic()
         connection = request.protocol
-        _client_limits.current.set((self._limits, connection.client))
+        _current_client.current.set((self._limits, connection.client))
         responder = _responder.Responder(request, self._closing)
         self._open_requests += 1
         self._idle.clear()
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -12,7 +12,7 @@
 from briarknot import httpclient, schema, serving, telemetry
 from briarknot.platform import (
     _answer_headers,
-    _client_limits,
+    _current_client,
     _headers,
     _sessions,
 )
@@ -140,7 +140,7 @@
 
     async def _reserve(self, size: int) -> None:
         started_s = time.monotonic()
-        await _client_limits.reserve_response(size)
+        await _current_client.reserve_response(size)
         self._unread_s += time.monotonic() - started_s
 
     async def _check_end(self) -> bytes | serving.Failed:
--- a/briarknot/platform/tests/test_client_limits.py
+++ b/briarknot/platform/tests/test_client_limits.py
@@ -78,6 +78,20 @@
     assert len(limits.list_late(31)) == 9
 
 
+def test_unread_streams_are_counted(connect, limits, evicted):
+    """Streams whose clients don't read held memory that nothing counted."""
+    for number in range(8):
+        client = connect(f'c{number}', 0)
+        client.start_phase(_client_states.Phase.RESPONSE, 0)
+        client.is_unread = number != 0
+    connect('runs', 0, 16 * _MB).start_phase(_client_states.Phase.RUN, 0)
+    limits.charge_unread(0.5)
+    assert not evicted
+    limits.charge_unread(2)
+    assert ('c0', _Limit.MEMORY) not in evicted
+    assert 0 < len(evicted) < 7
+
+
 def test_released_memory_is_counted_back(connect, limits):
     """Bytes that were counted and never released would refuse everybody."""
     client = connect('c', 0, 5 * _MB)
