--- a/briarknot/serving/__init__.py
+++ b/briarknot/serving/__init__.py
@@ -21,14 +21,13 @@
     CrashQuarantine,
     make_crash_quarantine,
 )
+from briarknot.serving._destinations import choose_destination
 from briarknot.serving._engine_choice import (
     DECODE_POLICIES,
     DecodeView,
-    rank_names,
-    rank_workers,
 )
 from briarknot.serving._engine_work import EngineWork
-from briarknot.serving._fleet import Fleet, choose_destination, make_fleet
+from briarknot.serving._fleet import Fleet, make_fleet
 from briarknot.serving._placement import (
     PLACEMENT_POLICIES,
     PlacementView,
@@ -45,6 +44,7 @@
     Quarantined,
     Suspected,
 )
+from briarknot.serving._rendezvous import rank_names, rank_workers
 from briarknot.serving._retry_budget import RetryBudget, make_retry_budget
 from briarknot.serving._send_permits import (
     Need,
--- a/briarknot/serving/_worker_records.py
+++ b/briarknot/serving/_worker_records.py
@@ -68,7 +68,7 @@
         :param now: monotonic time in seconds.
         :param work_s: usual time of the work, in seconds.
         """
-        if self._load is None:
+        if self._load is None or self._load.work_time_ratio == 1:
             return 1
         age = (now - self._load_reported_s) / _RATIO_DECAY_S
         weight = math.exp(-age)
@@ -83,7 +83,9 @@
         :param now: monotonic time in seconds.
         :returns: the time in seconds; 0 if it accepts requests.
         """
-        return max(0, self._paused_until_s - now)
+        if self._paused_until_s <= now:
+            return 0
+        return self._paused_until_s - now
 
     def record_pause(self, pause_s: float, now: float) -> None:
         """Records that the worker wants no requests for a time.
@@ -188,7 +190,11 @@
 
         :param worker_id: id of the worker.
         """
-        return self._records.setdefault(worker_id, WorkerRecord())
+        record = self._records.get(worker_id)
+        if record is None:
+            record = WorkerRecord()
+            self._records[worker_id] = record
+        return record
 
     def remove(self, worker_id: str) -> None:
         """Removes the record of a worker that is no longer listed."""
