--- a/briarknot/platform/_http_server.py
+++ b/briarknot/platform/_http_server.py
@@ -1,4 +1,4 @@
-"""HTTP server whose errors don't repeat what a client has sent.
+"""Connections whose errors don't repeat what a client has sent.
 
 The library quotes the line of a request that it can't parse in its log and in its
 answer. The line may hold the key of a client account.
@@ -7,7 +7,7 @@
 from aiohttp import http_exceptions, web, web_protocol
 
 
-class _Connection(web_protocol.RequestHandler):
+class Connection(web_protocol.RequestHandler):
     """Connection of a client."""
 
     __slots__ = ()
@@ -35,11 +35,3 @@
                 else http_exceptions.BadHttpMessage(message)
             )
         return super().handle_error(request, status, exc, message)
-
-
-class Server(web.Server):
-    """HTTP server."""
-
-    def __call__(self) -> web_protocol.RequestHandler:
-        """Makes the handler of a new connection."""
-        return _Connection(self, loop=self._loop, **self._kwargs)
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import time
 
 import aiohttp
 import attrs
@@ -9,7 +10,12 @@
 import yarl
 
 from briarknot import httpclient, schema, serving, telemetry
-from briarknot.platform import _answer_headers, _headers, _sessions
+from briarknot.platform import (
+    _answer_headers,
+    _current_client,
+    _headers,
+    _sessions,
+)
 
 _OK = 200
 _MISDIRECTED = 421
@@ -22,6 +28,9 @@
 #: Longest body of an answer that is not a stream. Several are held at a time
 #: by hosts with 200 MB.
 _MAX_BODY_BYTES = 8 << 20
+#: Time without being read after which a worker is not blamed for a broken answer;
+#: workers cut off what stays unread for some seconds.
+_UNREAD_S = 1.0
 #: Urgency levels of a worker for each rank of a route; prompts that another
 #: worker needs come first within their rank.
 _URGENCIES_PER_RANK = 3
@@ -50,6 +59,12 @@
 
     _answer: serving.Answer
     _response: _sessions.Response
+    _unread_s: float = 0
+
+    @property
+    def was_unread(self) -> bool:
+        """Whether the worker was not read for long, as there was no room."""
+        return self._unread_s > _UNREAD_S
 
     @property
     def answer(self) -> serving.Answer:
@@ -69,6 +84,8 @@
         """Reads the whole body, up to the longest one that is accepted."""
         parts = []
         size = 0
+        length = self._response.content_length or 0
+        await self._reserve(min(length, _MAX_BODY_BYTES))
         while size <= _MAX_BODY_BYTES:
             part = await self.read_some()
             if isinstance(part, serving.Failed):
@@ -77,6 +94,7 @@
                 return b''.join(parts)
             parts.append(part)
             size += len(part)
+            await self._reserve(size)
         return serving.Failed(
             kind=serving.FailureKind.FOREIGN,
             reason=f'body longer than {_MAX_BODY_BYTES} bytes',
@@ -120,6 +138,11 @@
             and 'chunked' not in headers.get('Transfer-Encoding', '').lower()
         )
 
+    async def _reserve(self, size: int) -> None:
+        started_s = time.monotonic()
+        await _current_client.reserve_response(size)
+        self._unread_s += time.monotonic() - started_s
+
     async def _check_end(self) -> bytes | serving.Failed:
         # The parser mistakes a reset for the end of a body without a length.
         closed = self._response.closed_connection
--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -43,6 +43,8 @@
   jsonDepth @2 :UInt32 = 32 $A.minimum(2) $A.maximum(256) $A.doc("Deepest nesting of a JSON body.");
   storedAnswerBytes @3 :UInt32 = 65536 $A.unit("bytes") $A.doc("Largest answer stored with a claim.");
   journalBytes @4 :UInt32 = 33554432 $A.unit("bytes") $A.minimum(65536) $A.doc("Largest journal buffer in memory.");
+  memoryMb @5 :UInt32 = 256 $A.unit("MB") $A.minimum(64) $A.doc("Memory of the host. 19 of 100 hold bodies of callers, each of which may take as much as bodyBytes.");
+  bodyIdleS @6 :Float64 = 15 $A.unit("s") $A.minimum(0.1) $A.maximum(600) $A.doc("Longest time between two parts of a body.");
 }
 
 struct Timing $A.doc("Periods and time limits.") {
@@ -107,4 +109,6 @@
   retryShare @11 :Float64 = 0.2 $A.doc("Retries at a service for each request, over the whole fleet.");
   retryExtra @12 :Float64 = 50 $A.doc("Retries at a service in a window in addition to that share, over the whole fleet.");
   retryWindowS @13 :Float64 = 10 $A.unit("s") $A.doc("Window of the two limits above.");
+  memoryMb @14 :UInt32 = 256 $A.unit("MB") $A.doc("Memory of the host; 0 for 256. A quarter of it holds what clients send and don't read.");
+  maxDescriptors @15 :UInt32 = 1024 $A.doc("File descriptors that the process may open; 0 for 1,024. Clients get 45 of 100.");
 }
