Count requests of client accounts by window

Usage reports need the number of requests of each account that began to run in a window, from all processes, also where messages are lost, and processes are killed, cut off or have wrong clocks.

Counts are cumulative, and messages carry the changes that the receiver has not acknowledged. Relays add up the reports of a failure domain; collectors take the largest sum of any relay. Windows count in true time: the median of the wall clocks of all hosts against the store's clock. The settings name the duty; the store's client can remove rows in a write, and a grant may be given to another process after less than 10 s.

--- a/briarknot/authority/_order_grants.py
+++ b/briarknot/authority/_order_grants.py
@@ -56,13 +56,18 @@
 
 
 async def acquire_grant(
-    client: platform.Client, name: str, holder: str
+    client: platform.Client,
+    name: str,
+    holder: str,
+    other_holder_s: float = _OTHER_HOLDER_S,
 ) -> OrderGrant | NotGranted:
     """Acquires the authority to give orders.
 
     :param client: client of the store.
     :param name: what the orders concern.
     :param holder: this process.
+    :param other_holder_s: time from a grant to one of another process; it must
+        exceed the time in which orders are sent after a grant.
     """
     started_s = _read_clock()
     page = await client.read_row_page(_TABLE, name)
@@ -76,7 +81,7 @@
     if lost is not None:
         return lost
     age_s = page.store_s - known.granted_s
-    if known.holder not in {'', holder} and age_s < _OTHER_HOLDER_S:
+    if known.holder not in {'', holder} and age_s < other_holder_s:
         return NotGranted(f'{known.holder} had it {age_s:.1f} s ago')
     granted = schema.records.GrantRow(
         holder=holder,
--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -14,6 +14,7 @@
     schema,
     serving,
     telemetry,
+    usage,
     versions,
 )
 from briarknot.gateway import _pending_answers, _stopping
@@ -96,6 +97,7 @@
         listed.
     :param send_message: sends a message to other processes, by their hosts.
     :param stop: shortens the time limits of requests when the process stops.
+    :param account_usage: requests of client accounts that began to run.
     :param background_tasks: tasks that outlive the request that started them.
     """
 
@@ -132,6 +134,7 @@
     has_restarted: HasRestarted = _assume_listed
     send_message: SendMessage = _drop_message
     stop: _stopping.Stop = attrs.field(factory=_stopping.Stop)
+    account_usage: usage.Usage = attrs.field(factory=usage.make_usage)
     background_tasks: set[typing.Any] = attrs.field(factory=set)
 
     @property
--- a/briarknot/gateway/_gateway.py
+++ b/briarknot/gateway/_gateway.py
@@ -23,6 +23,8 @@
     _start_checks,
     _stopping,
     _store_sync,
+    _usage_reports,
+    _usage_sync,
     _version_sync,
 )
 
@@ -81,6 +83,12 @@
         stage_orders = _stage_orders.make_stage_orders(
             self._context, self._client, self._orders, peers
         )
+        usage_sync = _usage_sync.make_usage_sync(
+            self._context, self._client, peers
+        )
+        usage_reports = _usage_reports.make_usage_reports(
+            self._context, self._client
+        )
 
         async def follow_store() -> None:
             # What is quarantined, and the versions that began streams, are
@@ -107,6 +115,8 @@
                 ('own_news', peers.broadcast_work),
                 ('relay', peers.relay_work),
                 ('stages', stage_orders.run),
+                ('usage', usage_sync.run),
+                ('usage_reports', usage_reports.run),
                 ('settings', self._watch_settings),
                 ('log', self._flush_lines),
             )
@@ -115,6 +125,7 @@
         await self._stop(ingress)
         for task in tasks:
             task.cancel()
+        await usage_reports.close()
         await metrics.cleanup()
 
     async def _stop(self, ingress: platform.Ingress) -> None:
--- a/briarknot/gateway/_generation_attempts.py
+++ b/briarknot/gateway/_generation_attempts.py
@@ -14,6 +14,7 @@
     _stream,
     _stream_moves,
     _stream_versions,
+    _usage,
 )
 
 _OK = 200
@@ -138,9 +139,7 @@
         return await _forward_answer(request, exchange, relay)
     request.extend_limit(context.stop)
     queued_s = context.prompt_load.get_queued_s(opened.worker, time.monotonic())
-    relay.on_begin = functools.partial(
-        _stream_versions.record_begin, context, request, opened.worker
-    )
+    relay.on_begin = functools.partial(_begin, context, request, opened.worker)
     failure = await relay.run(exchange, move)
     if isinstance(failure, serving.Failed):
         if request.has_time():
@@ -167,6 +166,16 @@
     return None
 
 
+def _begin(
+    context: _context.Context,
+    request: _requests.Request,
+    worker: schema.serving.Worker,
+) -> None:
+    """Records a stream, before its first event is forwarded."""
+    _stream_versions.record_begin(context, request, worker)
+    _usage.begin_stream(context, request)
+
+
 async def _forward_answer(
     request: _requests.Request,
     exchange: platform.Exchange,
--- a/briarknot/gateway/_plain.py
+++ b/briarknot/gateway/_plain.py
@@ -12,6 +12,7 @@
     _crashes,
     _requests,
     _send_permits,
+    _usage,
 )
 
 _Kind = schema.serving.RequestKind
@@ -168,6 +169,7 @@
         worker=worker, remaining_s=remaining_s, rank=request.route.rank
     )
     with _attempts.open_attempt(context, request, worker) as attempt:
+        window = _usage.begin_plain(context, request)
         exchange = await _attempts.send_run(
             context,
             request,
@@ -177,6 +179,8 @@
             timeout_s=timeout_s,
         )
         if isinstance(exchange, serving.Failed):
+            if exchange.not_run:
+                _usage.withdraw_plain(context, request, window)
             has_ended = await _crashes.record_broken_start(
                 context, request, worker, exchange
             )
--- /dev/null
+++ b/briarknot/gateway/_usage_reports.py
@@ -0,0 +1,335 @@
+"""Reports the requests of client accounts to the platform, once per window.
+
+The process that is granted the duty inserts a row with what a window's report says,
+and sends what the row says. The design is in docs/design/usage-reports.md.
+"""
+
+import asyncio
+
+import attrs
+import prometheus_client
+
+from briarknot import authority, platform, telemetry
+from briarknot.gateway import (
+    _clock,
+    _context,
+    _usage,
+    _usage_messages,
+    _usage_rows,
+    _usage_sync,
+)
+
+_REPORTS = prometheus_client.Counter(
+    'briarknot_gateway_usage_reports',
+    'Calls that report usage to the platform by result.',
+    ('result',),
+)
+#: Period of checking whether something is due.
+_PERIOD_S = 0.2
+#: Share of the time until a report is due after which its counts are fixed. A
+#: process that takes over from a killed holder is then in time.
+_FIX_SHARE = 0.3
+#: Time that the holder has before others try, and that each has before the next.
+_FIRST_DELAY_S = 1.5
+_NEXT_DELAY_S = 1.0
+#: Processes that try after these times. The others follow later, so that a store
+#: that is away does not get calls of a whole fleet.
+_FIRST_HOSTS = 4
+_LAST_DELAY_S = 20.0
+#: Time from a grant to one of another process. Calls end 5 s after a grant at the
+#: latest: its 3 s and the time limit of a call.
+_OTHER_HOLDER_S = 6.5
+#: Pause after an attempt that failed.
+_RETRY_S = 1.0
+#: Pause between two rounds of calls.
+_RESEND_S = 0.5
+#: Windows for which an unanswered report is sent again.
+_RESENT_WINDOWS = 3
+#: Calls at the same time. All processes together may make 50 per second.
+_MAX_CALLS = 8
+#: Share of the time until a report is due up to which the first counts of at least
+#: half of the processes are awaited.
+_WAIT_SHARE = 0.6
+_GRANT = 'usage'
+
+
+@attrs.define(eq=False)
+class _Unsent:
+    """A stored report without an answer.
+
+    :param report: the report.
+    :param until_s: time until which it is sent.
+    """
+
+    report: platform.UsageReport
+    until_s: float
+
+
+@attrs.define(eq=False)
+class UsageReports:
+    """Fixes, stores and sends reports while this process holds the duty."""
+
+    _context: _context.Context
+    _client: platform.Client
+    _duties: platform.Duties
+    _rows: _usage_rows.UsageRows
+    _first_window: int = 0
+    _fence: int = 0
+    _is_loaded: bool = False
+    _fixed: dict[int, platform.UsageReport] = attrs.field(factory=dict)
+    _unsent: dict[int, _Unsent] = attrs.field(factory=dict)
+    _taken: set[int] = attrs.field(factory=set)
+    _granted_window: int = 0
+    _refused: str = ''
+
+    async def run(self) -> None:
+        """Reports each window, if this process is to."""
+        while True:
+            await asyncio.sleep(_PERIOD_S)
+            if _usage.is_enabled(self._context) and self._is_due():
+                await self.report()
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._duties.close()
+
+    async def report(self) -> None:
+        """Acquires the duty, and reports all windows that are due."""
+        due = self._compute_due()
+        host = self._context.settings.host
+        started_s = _clock.read_clock()
+        grant = await authority.acquire_grant(
+            self._client, _GRANT, host, _OTHER_HOLDER_S
+        )
+        if not isinstance(grant, authority.OrderGrant):
+            self._log_refused(grant)
+            await asyncio.sleep(_RETRY_S)
+            return
+        self._refused = ''
+        self._granted_window = due
+        status = self._context.account_usage.status
+        if status.record_grant(host, grant.fence, started_s):
+            _usage_messages.log_holder(self._context)
+        if grant.fence != self._fence + 1:
+            # Another process held the duty, or the store was restored.
+            self._is_loaded = False
+        self._fence = grant.fence
+        if await self._store(grant, due):
+            await self._send(grant)
+        else:
+            await asyncio.sleep(_RETRY_S)
+
+    def _is_due(self) -> bool:
+        """Returns whether this process is to report now."""
+        context = self._context
+        status = context.account_usage.status
+        now = _clock.read_clock()
+        if not self._first_window:
+            self._first_window = _usage.read_window(context)
+        due = self._compute_due()
+        if due < self._first_window:
+            return False
+        holder = status.get_holder(now)
+        host = context.settings.host
+        late_s = self._compute_late_s(due, now)
+        if self._is_incomplete(late_s, now):
+            return False
+        ranked = [
+            one for one in _usage_sync.rank_hosts(context) if one != holder
+        ]
+        if holder == host:
+            return due > max(status.fixed_window, self._granted_window)
+        rank = ranked.index(host)
+        step_s = _NEXT_DELAY_S if rank < _FIRST_HOSTS else _LAST_DELAY_S
+        delay_s = rank * step_s
+        if holder:
+            delay_s += _FIRST_DELAY_S
+        return due > status.fixed_window and late_s >= delay_s
+
+    def _compute_due(self) -> int:
+        """Returns the latest window whose counts are to be fixed."""
+        settings = self._context.settings
+        true_s = self._context.account_usage.clock.read(_clock.read_clock())
+        fixed_s = true_s - settings.usage_late_s * _FIX_SHARE
+        return int(fixed_s // settings.usage_window_s) - 1
+
+    def _compute_late_s(self, due: int, now: float) -> float:
+        """Returns the time since the counts of a window were to be fixed."""
+        settings = self._context.settings
+        end_s = (due + 1) * settings.usage_window_s
+        fix_s = end_s + settings.usage_late_s * _FIX_SHARE
+        return self._context.account_usage.clock.read(now) - fix_s
+
+    def _is_incomplete(self, late_s: float, now: float) -> bool:
+        """Returns whether this process has only begun to collect the counts."""
+        processes = 1 + len(self._context.peer_hosts)
+        covered = self._context.account_usage.counts.count_covered(now)
+        wait_s = self._context.settings.usage_late_s * (
+            _WAIT_SHARE - _FIX_SHARE
+        )
+        return 2 * covered < processes and late_s < wait_s
+
+    async def _store(self, grant: authority.OrderGrant, due: int) -> bool:
+        """Stores the reports of all windows up to one.
+
+        :param grant: the duty.
+        :param due: the window.
+        :returns: whether all are stored.
+        """
+        while grant.is_valid:
+            if not self._is_loaded and not await self._load(due):
+                return False
+            self._fix(due)
+            missing = {**self._fixed}
+            for window in self._rows.list_lost():
+                missing[window] = self._rows.reports[window]
+            if not missing:
+                self._context.account_usage.status.record_fixed(due)
+                return True
+            result = await self._rows.insert(missing, grant.holder, grant.fence)
+            if isinstance(result, platform.Unavailable):
+                # The write may have taken effect, and is repeated as it was.
+                telemetry.log_event(
+                    'usage_report_not_stored', reason=result.reason
+                )
+                return False
+            if isinstance(result, platform.Conflict):
+                self._is_loaded = False
+                continue
+            self._take_stored()
+        return False
+
+    async def _load(self, due: int) -> bool:
+        """Reads the rows; what another process has fixed replaces the own."""
+        before = set(self._rows.reports)
+        if not await self._rows.load():
+            return False
+        self._is_loaded = True
+        # What this process has not fixed may have been sent by another one.
+        recent = due - _RESENT_WINDOWS
+        for window in self._rows.reports.keys() - before:
+            self._fixed.pop(window, None)
+            if window > recent and window not in self._taken:
+                self._add_unsent(window)
+        return True
+
+    def _fix(self, due: int) -> None:
+        """Fixes the reports of windows that have none.
+
+        A window that is known to be fixed, and has neither a row nor a remembered
+        report, may have been reported with other counts before a restore of the
+        store.
+
+        :param due: the latest window.
+        """
+        state = self._context.account_usage
+        known = max(
+            state.status.fixed_window,
+            self._rows.latest,
+            max(self._fixed, default=0),
+        )
+        first = known + 1 if known else self._first_window
+        first = max(first, due - _usage_rows.KEPT_WINDOWS + 1)
+        now = _clock.read_clock()
+        for window in range(first, due + 1):
+            counts = state.counts.compute(window)
+            self._fixed[window] = platform.UsageReport(window, counts)
+            telemetry.log_event(
+                'usage_report_fixed',
+                window=window,
+                accounts=len(counts),
+                requests=sum(counts.values()),
+                processes=state.counts.count_covered(now),
+            )
+
+    def _take_stored(self) -> None:
+        """Makes the reports due that the store has now."""
+        for window in self._fixed.keys() & self._rows.reports.keys():
+            del self._fixed[window]
+            self._add_unsent(window)
+        if not self._fixed:
+            self._context.account_usage.status.record_fixed(self._rows.latest)
+
+    def _add_unsent(self, window: int) -> None:
+        settings = self._context.settings
+        until_s = _clock.read_clock() + (
+            _RESENT_WINDOWS * settings.usage_window_s
+        )
+        self._unsent[window] = _Unsent(self._rows.reports[window], until_s)
+
+    async def _send(self, grant: authority.OrderGrant) -> None:
+        """Sends the reports without an answer, while the grant is valid."""
+        while grant.is_valid:
+            self._give_up()
+            batch = sorted(self._unsent)[:_MAX_CALLS]
+            if not batch:
+                return
+            await asyncio.gather(*(self._call(one, grant) for one in batch))
+            if self._unsent:
+                await asyncio.sleep(_RESEND_S)
+
+    async def _call(self, window: int, grant: authority.OrderGrant) -> None:
+        unsent = self._unsent[window]
+        address = self._context.settings.duty_address
+        result = await self._duties.report_usage(
+            address, unsent.report, grant.fence
+        )
+        if isinstance(result, platform.Taken):
+            _REPORTS.labels('sent').inc()
+            telemetry.log_event(
+                'usage_report_sent', window=window, fence=grant.fence
+            )
+            self._end(window)
+            return
+        _REPORTS.labels('refused' if result.is_final else 'failed').inc()
+        telemetry.log_event(
+            'usage_report_failed',
+            window=window,
+            reason=result.reason,
+            is_final=result.is_final,
+        )
+        if result.is_final:
+            self._end(window)
+
+    def _end(self, window: int) -> None:
+        del self._unsent[window]
+        self._taken.add(window)
+        oldest = window - _usage_rows.KEPT_WINDOWS
+        self._taken = {one for one in self._taken if one > oldest}
+
+    def _give_up(self) -> None:
+        """Drops reports that had no answer for too long."""
+        now = _clock.read_clock()
+        for window, unsent in list(self._unsent.items()):
+            if now > unsent.until_s:
+                _REPORTS.labels('given_up').inc()
+                telemetry.log_event(
+                    'usage_report_failed',
+                    window=window,
+                    reason='no answer in time',
+                    is_final=True,
+                )
+                del self._unsent[window]
+
+    def _log_refused(self, refused: authority.NotGranted) -> None:
+        """Logs that the duty was not granted, once for each reason."""
+        kind = refused.reason.partition(' ')[0]
+        if kind != self._refused:
+            self._refused = kind
+            telemetry.log_event('usage_not_granted', reason=refused.reason)
+
+
+def make_usage_reports(
+    context: _context.Context, client: platform.Client
+) -> UsageReports:
+    """Makes what reports usage; a running event loop is needed.
+
+    :param context: state of the process.
+    :param client: client of the store.
+    """
+    return UsageReports(
+        context,
+        client,
+        platform.make_duties(context.settings.host),
+        _usage_rows.make_usage_rows(client),
+    )
--- a/briarknot/platform/_client.py
+++ b/briarknot/platform/_client.py
@@ -200,17 +200,19 @@
 
         :param operations: conditional writes.
         """
+        removals = [one for one in operations if one.is_removal]
+        writes = [one for one in operations if not one.is_removal]
         body = orjson.dumps(
             {
                 'expected': [
                     {**_make_row_key(one), 'ver': one.expected_version or 0}
-                    for one in operations
+                    for one in writes
                 ],
                 'put': [
                     {**_make_row_key(one), 'value': _encode_value(one.value)}
-                    for one in operations
+                    for one in writes
                 ],
-                'remove': [],
+                'remove': [_make_row_key(one) for one in removals],
             }
         )
         answer = await self._call('commit', 'POST', '/v1/rows-tx', body)
@@ -405,7 +407,8 @@
     return tuple(
         index
         for index, one in enumerate(operations)
-        if found.get((one.table, one.key), 0) != (one.expected_version or 0)
+        if not one.is_removal
+        and found.get((one.table, one.key), 0) != (one.expected_version or 0)
     )
 
 
--- a/briarknot/platform/_sessions.py
+++ b/briarknot/platform/_sessions.py
@@ -149,6 +149,11 @@
         self._factory = functools.partial(_LimitedProtocol, loop=self._loop)
 
 
+def make_limited_connector() -> aiohttp.TCPConnector:
+    """Makes a connector without kept connections; a running loop is needed."""
+    return _LimitedConnector(force_close=True)
+
+
 async def read_limited(
     content: aiohttp.StreamReader, limit_bytes: int
 ) -> bytes | None:
--- a/briarknot/platform/_values.py
+++ b/briarknot/platform/_values.py
@@ -50,12 +50,14 @@
     :param key: key.
     :param value: plain tree of the new row.
     :param expected_version: required version of the row; None inserts only.
+    :param is_removal: whether the row is removed, whatever its version is.
     """
 
     table: str
     key: str
     value: typing.Any
     expected_version: int | None = None
+    is_removal: bool = False
 
 
 @attrs.frozen
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -771,6 +771,203 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class UsageCount:
+    """Requests of a client account that began to run in a window."""
+
+    __schema__ = 'messages'
+
+    window: int = _fields.make_field(
+        doc='Index of the window.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    account: str = _fields.make_field(doc='Name of the account.', default='')
+    requests: int = _fields.make_field(
+        doc='Number of requests since the start of the window.',
+        maximum=4294967295,
+        minimum=0,
+        default=0,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class UsageHost:
+    """A process whose counts are part of a domain's sums."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(doc='Host of the process.', default='')
+    clock_ms: int = _fields.make_field(
+        doc="Its wall clock less the store's clock; 0 if it is not known.",
+        maximum=9223372036854775807,
+        minimum=-9223372036854775808,
+        unit='ms',
+        default=0,
+    )
+    clock_era: int = _fields.make_field(
+        doc='Era of the store for which that holds.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class UsageReport:
+    """Counts of a process, as far as they have changed."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(doc='Host of the process.', default='')
+    domain: str = _fields.make_field(
+        doc='Failure domain of the process.', default=''
+    )
+    address: str = _fields.make_field(
+        doc='IP number of the process.', default=''
+    )
+    port: int = _fields.make_field(
+        doc='Port on which the process receives messages.',
+        maximum=65535,
+        minimum=0,
+        default=0,
+    )
+    born_ms: int = _fields.make_field(
+        doc='Start of the process; numbers of changes restart with it.',
+        maximum=18446744073709551615,
+        minimum=0,
+        unit='ms',
+        default=0,
+    )
+    after: int = _fields.make_field(
+        doc='Change after which the message has all changes.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    sequence: int = _fields.make_field(
+        doc='Latest change that the message has.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    counts: tuple[UsageCount, ...] = _fields.make_field(
+        doc='The changed counts.', default=()
+    )
+    clock_ms: int = _fields.make_field(
+        doc="Wall clock of the process less the store's clock; 0 if it is not known.",
+        maximum=9223372036854775807,
+        minimum=-9223372036854775808,
+        unit='ms',
+        default=0,
+    )
+    clock_era: int = _fields.make_field(
+        doc='Era of the store for which that holds.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class UsageSums:
+    """Sums of the counts of a failure domain, as far as they have changed."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(
+        doc='Host of the process that added them up.', default=''
+    )
+    domain: str = _fields.make_field(doc='The failure domain.', default='')
+    born_ms: int = _fields.make_field(
+        doc='Start of that process; numbers of changes restart with it.',
+        maximum=18446744073709551615,
+        minimum=0,
+        unit='ms',
+        default=0,
+    )
+    after: int = _fields.make_field(
+        doc='Change after which the message has all changes.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    sequence: int = _fields.make_field(
+        doc='Latest change that the message has.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    counts: tuple[UsageCount, ...] = _fields.make_field(
+        doc='The changed sums.', default=()
+    )
+    hosts: tuple[UsageHost, ...] = _fields.make_field(
+        doc='Processes that have reported in the last seconds.', default=()
+    )
+
+
+@attrs.frozen(kw_only=True)
+class UsageAck:
+    """Answers a report or sums, and says what is known of usage reports."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(doc='Host of the receiver.', default='')
+    domain: str = _fields.make_field(
+        doc='Failure domain of the sums; empty for a report.', default=''
+    )
+    born_ms: int = _fields.make_field(
+        doc='Start of the process that gets the answer.',
+        maximum=18446744073709551615,
+        minimum=0,
+        unit='ms',
+        default=0,
+    )
+    sequence: int = _fields.make_field(
+        doc='Latest change that the receiver has.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    holder: str = _fields.make_field(
+        doc='Host of the latest known holder; empty if none is known.',
+        default='',
+    )
+    fence: int = _fields.make_field(
+        doc='Fencing number of its latest known grant.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    holder_age_ms: int = _fields.make_field(
+        doc='Time since that grant.',
+        maximum=4294967295,
+        minimum=0,
+        unit='ms',
+        default=0,
+    )
+    fixed_window: int = _fields.make_field(
+        doc='Latest window whose report is stored; 0 if none is known.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    clock_ms: int = _fields.make_field(
+        doc="True time less the store's clock, as most processes see it; 0 if it is not known.",
+        maximum=9223372036854775807,
+        minimum=-9223372036854775808,
+        unit='ms',
+        default=0,
+    )
+    clock_era: int = _fields.make_field(
+        doc='Era of the store for which that holds.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+
+
 #: One frame of a peer link.
 PeerMessage = (
     Hello
@@ -800,6 +997,9 @@
     | StreamOrigin
     | OriginRequest
     | OriginAnswer
+    | UsageReport
+    | UsageSums
+    | UsageAck
 )
 
 #: Names of the members of PeerMessage in the schema.
@@ -831,4 +1031,7 @@
     StreamOrigin: 'streamOrigin',
     OriginRequest: 'originRequest',
     OriginAnswer: 'originAnswer',
+    UsageReport: 'usageReport',
+    UsageSums: 'usageSums',
+    UsageAck: 'usageAck',
 }
--- a/briarknot/schema/_generated/records.py
+++ b/briarknot/schema/_generated/records.py
@@ -553,3 +553,44 @@
     versions: tuple[VersionRecord, ...] = _fields.make_field(
         doc='The versions.', default=()
     )
+
+
+@attrs.frozen(kw_only=True)
+class AccountUsage:
+    """Requests of a client account that began to run in a window."""
+
+    __schema__ = 'records'
+
+    account: str = _fields.make_field(doc='Name of the account.', default='')
+    requests: int = _fields.make_field(
+        doc='Number of requests.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class UsageRow:
+    """Report of a window. It is inserted before it is first sent, and never changes."""
+
+    __schema__ = 'records'
+
+    window: int = _fields.make_field(
+        doc='Index of the window.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    counts: tuple[AccountUsage, ...] = _fields.make_field(
+        doc='Accounts with at least one request.', default=()
+    )
+    holder: str = _fields.make_field(
+        doc='Host of the process that wrote it.', default=''
+    )
+    fence: int = _fields.make_field(
+        doc='Fencing number of its grant.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
--- a/briarknot/schema/_generated/serving.py
+++ b/briarknot/schema/_generated/serving.py
@@ -89,6 +89,9 @@
         unit='s',
         default=0.0,
     )
+    is_public: bool = _fields.make_field(
+        doc='Whether its requests need no key.', default=False
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -180,6 +183,30 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class Account:
+    """A client account: whose requests carry one of its keys."""
+
+    __schema__ = 'serving'
+
+    name: str = _fields.make_field(
+        doc='Name, which workers get with each request.', default=''
+    )
+    key_hashes: tuple[bytes, ...] = _fields.make_field(
+        doc='Keyed hashes of its keys; the hash key is random in each process.',
+        default=(),
+    )
+    has_rank: bool = _fields.make_field(
+        doc='Whether its rank precedes that of the route.', default=False
+    )
+    rank: int = _fields.make_field(
+        doc='Urgency of its requests; 0 is the most urgent.',
+        maximum=255,
+        minimum=0,
+        default=0,
+    )
+
+
 @attrs.frozen(kw_only=True)
 class Manifest:
     """The operators' routes and services at one version."""
@@ -199,6 +226,17 @@
     limits: ClientLimits = _fields.make_field(
         doc='Limits of clients.', default=attrs.Factory(lambda: ClientLimits())
     )
+    accounts: tuple[Account, ...] = _fields.make_field(
+        doc='Client accounts that can be used.', default=()
+    )
+    has_accounts: bool = _fields.make_field(
+        doc='Whether requests need a key, even if no account can be used.',
+        default=False,
+    )
+    invalid_accounts: tuple[str, ...] = _fields.make_field(
+        doc='What is wrong with entries of accounts, without their keys.',
+        default=(),
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/schema/_generated/settings.py
+++ b/briarknot/schema/_generated/settings.py
@@ -454,3 +454,20 @@
     retry_window_s: float = _fields.make_field(
         doc='Window of the two limits above.', unit='s', default=10.0
     )
+    duty_address: str = _fields.make_field(
+        doc='IP number and port at which the platform takes the reports of duties; empty for none.',
+        default='',
+    )
+    duties: tuple[str, ...] = _fields.make_field(
+        doc='Duties of the fleet; usage_report reports the requests of client accounts, others are ignored.',
+        default=(),
+    )
+    usage_window_s: float = _fields.make_field(
+        doc='Window of usage reports.', minimum=0.1, unit='s', default=5.0
+    )
+    usage_late_s: float = _fields.make_field(
+        doc='Time after the end of its window at which a usage report is due.',
+        minimum=0.1,
+        unit='s',
+        default=10.0,
+    )
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -34,6 +34,9 @@
     streamOrigin @24 :StreamOrigin;
     originRequest @25 :OriginRequest;
     originAnswer @26 :OriginAnswer;
+    usageReport @27 :UsageReport;
+    usageSums @28 :UsageSums;
+    usageAck @29 :UsageAck;
   }
 }
 
@@ -267,3 +270,51 @@
   isKnown @2 :Bool $A.doc("Whether the process knows the origin.");
   origin @3 :StreamOrigin $A.doc("The origin.");
 }
+
+struct UsageCount $A.doc("Requests of a client account that began to run in a window.") {
+  window @0 :UInt64 $A.doc("Index of the window.");
+  account @1 :Text $A.doc("Name of the account.");
+  requests @2 :UInt32 $A.doc("Number of requests since the start of the window.");
+}
+
+struct UsageHost $A.doc("A process whose counts are part of a domain's sums.") {
+  host @0 :Text $A.doc("Host of the process.");
+  clockMs @1 :Int64 $A.unit("ms") $A.doc("Its wall clock less the store's clock; 0 if it is not known.");
+  clockEra @2 :UInt64 $A.doc("Era of the store for which that holds.");
+}
+
+struct UsageReport $A.doc("Counts of a process, as far as they have changed.") {
+  host @0 :Text $A.doc("Host of the process.");
+  domain @1 :Text $A.doc("Failure domain of the process.");
+  address @2 :Text $A.doc("IP number of the process.");
+  port @3 :UInt16 $A.doc("Port on which the process receives messages.");
+  bornMs @4 :UInt64 $A.unit("ms") $A.doc("Start of the process; numbers of changes restart with it.");
+  after @5 :UInt64 $A.doc("Change after which the message has all changes.");
+  sequence @6 :UInt64 $A.doc("Latest change that the message has.");
+  counts @7 :List(UsageCount) $A.doc("The changed counts.");
+  clockMs @8 :Int64 $A.unit("ms") $A.doc("Wall clock of the process less the store's clock; 0 if it is not known.");
+  clockEra @9 :UInt64 $A.doc("Era of the store for which that holds.");
+}
+
+struct UsageSums $A.doc("Sums of the counts of a failure domain, as far as they have changed.") {
+  host @0 :Text $A.doc("Host of the process that added them up.");
+  domain @1 :Text $A.doc("The failure domain.");
+  bornMs @2 :UInt64 $A.unit("ms") $A.doc("Start of that process; numbers of changes restart with it.");
+  after @3 :UInt64 $A.doc("Change after which the message has all changes.");
+  sequence @4 :UInt64 $A.doc("Latest change that the message has.");
+  counts @5 :List(UsageCount) $A.doc("The changed sums.");
+  hosts @6 :List(UsageHost) $A.doc("Processes that have reported in the last seconds.");
+}
+
+struct UsageAck $A.doc("Answers a report or sums, and says what is known of usage reports.") {
+  host @0 :Text $A.doc("Host of the receiver.");
+  domain @1 :Text $A.doc("Failure domain of the sums; empty for a report.");
+  bornMs @2 :UInt64 $A.unit("ms") $A.doc("Start of the process that gets the answer.");
+  sequence @3 :UInt64 $A.doc("Latest change that the receiver has.");
+  holder @4 :Text $A.doc("Host of the latest known holder; empty if none is known.");
+  fence @5 :UInt64 $A.doc("Fencing number of its latest known grant.");
+  holderAgeMs @6 :UInt32 $A.unit("ms") $A.doc("Time since that grant.");
+  fixedWindow @7 :UInt64 $A.doc("Latest window whose report is stored; 0 if none is known.");
+  clockMs @8 :Int64 $A.unit("ms") $A.doc("True time less the store's clock, as most processes see it; 0 if it is not known.");
+  clockEra @9 :UInt64 $A.doc("Era of the store for which that holds.");
+}
--- a/briarknot/schema/definitions/records.capnp
+++ b/briarknot/schema/definitions/records.capnp
@@ -174,3 +174,15 @@
   knownAgeMs @2 :Int64 $A.unit("ms") $A.doc("Time since which the row has all versions that began streams.");
   versions @3 :List(VersionRecord) $A.doc("The versions.");
 }
+
+struct AccountUsage $A.doc("Requests of a client account that began to run in a window.") {
+  account @0 :Text $A.doc("Name of the account.");
+  requests @1 :UInt64 $A.doc("Number of requests.");
+}
+
+struct UsageRow $A.doc("Report of a window. It is inserted before it is first sent, and never changes.") {
+  window @0 :UInt64 $A.doc("Index of the window.");
+  counts @1 :List(AccountUsage) $A.doc("Accounts with at least one request.");
+  holder @2 :Text $A.doc("Host of the process that wrote it.");
+  fence @3 :UInt64 $A.doc("Fencing number of its grant.");
+}
--- a/briarknot/schema/definitions/serving.capnp
+++ b/briarknot/schema/definitions/serving.capnp
@@ -32,6 +32,7 @@
   resumable @9 :Bool $A.doc("Whether a stream may be resumed at another worker.");
   eventGapS @10 :Float64 $A.unit("s") $A.doc("Longest gap between events of an answer that is on time.");
   maxSilenceS @11 :Float64 $A.unit("s") $A.doc("Time without an event after which clients abandon an answer; 0 where they don't.");
+  isPublic @12 :Bool $A.doc("Whether its requests need no key.");
 }
 
 struct EngineLimits $A.doc("Properties that all engines of a service share.") {
@@ -57,11 +58,21 @@
   idleTimeoutS @3 :Float64 $A.unit("s") $A.doc("Longest time that a connection stays idle.");
 }
 
+struct Account $A.doc("A client account: whose requests carry one of its keys.") {
+  name @0 :Text $A.doc("Name, which workers get with each request.");
+  keyHashes @1 :List(Data) $A.doc("Keyed hashes of its keys; the hash key is random in each process.");
+  hasRank @2 :Bool $A.doc("Whether its rank precedes that of the route.");
+  rank @3 :UInt8 $A.doc("Urgency of its requests; 0 is the most urgent.");
+}
+
 struct Manifest $A.doc("The operators' routes and services at one version.") {
   version @0 :UInt64 $A.doc("Version; it only increases.");
   routes @1 :List(Route) $A.doc("Routes.");
   services @2 :List(Service) $A.doc("Services.");
   limits @3 :ClientLimits $A.doc("Limits of clients.");
+  accounts @4 :List(Account) $A.doc("Client accounts that can be used.");
+  hasAccounts @5 :Bool $A.doc("Whether requests need a key, even if no account can be used.");
+  invalidAccounts @6 :List(Text) $A.doc("What is wrong with entries of accounts, without their keys.");
 }
 
 struct Worker $A.doc("A worker as it last registered itself.") {
--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -107,4 +107,8 @@
   retryShare @11 :Float64 = 0.2 $A.doc("Retries at a service for each request, over the whole fleet.");
   retryExtra @12 :Float64 = 50 $A.doc("Retries at a service in a window in addition to that share, over the whole fleet.");
   retryWindowS @13 :Float64 = 10 $A.unit("s") $A.doc("Window of the two limits above.");
+  dutyAddress @14 :Text $A.doc("IP number and port at which the platform takes the reports of duties; empty for none.");
+  duties @15 :List(Text) $A.doc("Duties of the fleet; usage_report reports the requests of client accounts, others are ignored.");
+  usageWindowS @16 :Float64 = 5 $A.unit("s") $A.minimum(0.1) $A.doc("Window of usage reports.");
+  usageLateS @17 :Float64 = 10 $A.unit("s") $A.minimum(0.1) $A.doc("Time after the end of its window at which a usage report is due.");
 }
--- a/briarknot/serving/_calls.py
+++ b/briarknot/serving/_calls.py
@@ -53,6 +53,7 @@
     :param last_event: id of the last event that the client has; empty if none.
     :param resumes: id of the attempt that brought the first event of a stream
         that the client takes up again; empty if none.
+    :param account: name of the client account that holds the key; empty if none.
     """
 
     id: str
@@ -66,6 +67,7 @@
     prompt: Prompt | None = None
     last_event: str = ''
     resumes: str = ''
+    account: str = ''
 
     @property
     def continues_stream(self) -> bool:
