--- a/briarknot/authority/_order_grants.py
+++ b/briarknot/authority/_order_grants.py
@@ -59,15 +59,16 @@
     client: platform.Client,
     name: str,
     holder: str,
-    other_holder_s: float = _OTHER_HOLDER_S,
+    other_holder_s: float | None = None,
 ) -> OrderGrant | NotGranted:
     """Acquires the authority to give orders.
 
     :param client: client of the store.
     :param name: what the orders concern.
     :param holder: this process.
-    :param other_holder_s: time from a grant to one of another process; it must
-        exceed the time in which orders are sent after a grant.
+    :param other_holder_s: time from a grant to one of another process, which must
+        exceed the time in which orders are sent after a grant; None for that of
+        orders to engines.
     """
     started_s = _read_clock()
     page = await client.read_row_page(_TABLE, name)
@@ -81,7 +82,8 @@
     if lost is not None:
         return lost
     age_s = page.store_s - known.granted_s
-    if known.holder not in {'', holder} and age_s < other_holder_s:
+    pause_s = _OTHER_HOLDER_S if other_holder_s is None else other_holder_s
+    if known.holder not in {'', holder} and age_s < pause_s:
         return NotGranted(f'{known.holder} had it {age_s:.1f} s ago')
     granted = schema.records.GrantRow(
         holder=holder,
