--- a/briarknot/gateway/_usage.py
+++ b/briarknot/gateway/_usage.py
@@ -38,7 +38,7 @@
     :param request: the request.
     :returns: the window in which it was counted; None where it was not.
     """
-    if request.may_have_run or not _has_account(context, request):
+    if request.may_have_run or not _is_counted(context, request):
         return None
     window = read_window(context)
     context.account_usage.counts.count(request.call.account, window)
@@ -66,11 +66,11 @@
     :param context: state of the process.
     :param request: the request.
     """
-    if _has_account(context, request) and not request.call.continues_stream:
+    if _is_counted(context, request) and not request.call.continues_stream:
         context.account_usage.counts.count(
             request.call.account, read_window(context)
         )
 
 
-def _has_account(context: _context.Context, request: _requests.Request) -> bool:
+def _is_counted(context: _context.Context, request: _requests.Request) -> bool:
     return bool(request.call.account) and is_enabled(context)
--- a/briarknot/usage/_state.py
+++ b/briarknot/usage/_state.py
@@ -115,10 +115,13 @@
 
 def make_usage() -> Usage:
     """Makes the state of a process that has counted nothing."""
+    wall_s = time.time()
+    clock = _clock.TrueClock()
+    clock.observe(wall_s, time.clock_gettime(time.CLOCK_BOOTTIME))
     return Usage(
-        int(time.time() * _MS_PER_S),
+        int(wall_s * _MS_PER_S),
         _counts.Counts(),
-        _clock.TrueClock(),
+        clock,
         Status(),
         _receivers.Receivers(),
     )
