Tell those that would replace the holder of usage reports what is fixed

They learned it with the answers to their own messages, up to 4 s later in an idle fleet, and read the grant meanwhile.

--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -93,11 +93,11 @@
         the store was restored.
     :param origins: workers that began streams.
     :param origin_answers: answers of other processes that know such a worker.
+    :param account_usage: requests of client accounts that began to run.
     :param has_restarted: returns whether a worker has started again since it was
         listed.
     :param send_message: sends a message to other processes, by their hosts.
     :param stop: shortens the time limits of requests when the process stops.
-    :param account_usage: requests of client accounts that began to run.
     :param background_tasks: tasks that outlive the request that started them.
     """
 
@@ -131,10 +131,10 @@
     origin_answers: _pending_answers.PendingAnswers = attrs.field(
         factory=_pending_answers.PendingAnswers
     )
+    account_usage: usage.Usage = attrs.field(factory=usage.make_usage)
     has_restarted: HasRestarted = _assume_listed
     send_message: SendMessage = _drop_message
     stop: _stopping.Stop = attrs.field(factory=_stopping.Stop)
-    account_usage: usage.Usage = attrs.field(factory=usage.make_usage)
     background_tasks: set[typing.Any] = attrs.field(factory=set)
 
     @property
--- a/briarknot/gateway/_usage_messages.py
+++ b/briarknot/gateway/_usage_messages.py
@@ -1,5 +1,7 @@
 """Messages with the counts of client accounts, and their answers."""
 
+import attrs
+
 from briarknot import schema, telemetry, usage
 from briarknot.gateway import _clock, _context, _peers
 
@@ -108,21 +110,16 @@
     )
 
 
-def _acknowledge(
-    peers: _peers.Peers, message: _Message, domain: str, sequence: int
-) -> None:
-    context = peers.context
+def _make_ack(context: _context.Context) -> schema.messages.UsageAck:
+    """Makes an answer that says what is known of the reports."""
     state = context.account_usage
     status = state.status
     clock = state.clock.agreed
     holder_age_s: float = 0
     if status.holder:
         holder_age_s = max(0, _clock.read_clock() - status.granted_s)
-    answer = schema.messages.UsageAck(
+    return schema.messages.UsageAck(
         host=context.settings.host,
-        domain=domain,
-        born_ms=message.born_ms,
-        sequence=sequence,
         holder=status.holder,
         fence=status.fence,
         holder_age_ms=int(holder_age_s * _MS_PER_S),
@@ -130,6 +127,26 @@
         clock_ms=encode_clock(clock),
         clock_era=clock.era if clock else 0,
     )
+
+
+def send_status(context: _context.Context, hosts: tuple[str, ...]) -> None:
+    """Says what is known of the reports to processes that have not asked.
+
+    :param context: state of this process.
+    :param hosts: hosts of the processes.
+    """
+    context.send_message(_make_ack(context), hosts)
+
+
+def _acknowledge(
+    peers: _peers.Peers, message: _Message, domain: str, sequence: int
+) -> None:
+    answer = attrs.evolve(
+        _make_ack(peers.context),
+        domain=domain,
+        born_ms=message.born_ms,
+        sequence=sequence,
+    )
     peers.send(answer, (message.host,))
 
 
@@ -173,10 +190,9 @@
     :param now: monotonic time in seconds.
     """
     state = peers.context.account_usage
-    if message.born_ms != state.born_ms:
-        return
-    state.acknowledged[message.host, message.domain] = message.sequence
-    state.receivers.record_answer(message.host)
+    if message.born_ms == state.born_ms:
+        state.acknowledged[message.host, message.domain] = message.sequence
+        state.receivers.record_answer(message.host)
     granted_s = _clock.read_clock() - message.holder_age_ms / _MS_PER_S
     if state.status.record_grant(message.holder, message.fence, granted_s):
         log_holder(peers.context)
--- a/briarknot/gateway/_usage_reports.py
+++ b/briarknot/gateway/_usage_reports.py
@@ -115,6 +115,8 @@
             self._is_loaded = False
         self._fence = grant.fence
         if await self._store(grant, due):
+            first = self._list_others(host)[:_FIRST_HOSTS]
+            _usage_messages.send_status(self._context, tuple(first))
             await self._send(grant)
         else:
             await asyncio.sleep(_RETRY_S)
@@ -134,17 +136,20 @@
         late_s = self._compute_late_s(due, now)
         if self._is_incomplete(late_s, now):
             return False
-        ranked = [
-            one for one in _usage_sync.rank_hosts(context) if one != holder
-        ]
         if holder == host:
             return due > max(status.fixed_window, self._granted_window)
-        rank = ranked.index(host)
-        step_s = _NEXT_DELAY_S if rank < _FIRST_HOSTS else _LAST_DELAY_S
-        delay_s = rank * step_s
         if holder:
-            delay_s += _FIRST_DELAY_S
-        return due > status.fixed_window and late_s >= delay_s
+            late_s -= _FIRST_DELAY_S
+        if due <= status.fixed_window or late_s < 0:
+            return False
+        rank = self._list_others(holder).index(host)
+        step_s = _NEXT_DELAY_S if rank < _FIRST_HOSTS else _LAST_DELAY_S
+        return late_s >= rank * step_s
+
+    def _list_others(self, one: str) -> list[str]:
+        """Lists all processes but one in the order in which they take the duty."""
+        ranked = _usage_sync.rank_hosts(self._context)
+        return [host for host in ranked if host != one]
 
     def _compute_due(self) -> int:
         """Returns the latest window whose counts are to be fixed."""
@@ -200,11 +205,23 @@
         return False
 
     async def _load(self, due: int) -> bool:
-        """Reads the rows; what another process has fixed replaces the own."""
+        """Reads the rows; what another process has fixed replaces the own.
+
+        That process has sent what is too old by now.
+
+        :param due: the latest window that is due.
+        :returns: whether the rows could be read.
+        """
         before = set(self._rows.reports)
         if not await self._rows.load():
             return False
         self._is_loaded = True
+        now = _clock.read_clock()
+        self._unsent = {
+            window: unsent
+            for window, unsent in self._unsent.items()
+            if now <= unsent.until_s
+        }
         # What this process has not fixed may have been sent by another one.
         recent = due - _RESENT_WINDOWS
         for window in self._rows.reports.keys() - before:
--- a/briarknot/gateway/tests/test_usage_reports.py
+++ b/briarknot/gateway/tests/test_usage_reports.py
@@ -32,6 +32,24 @@
         assert stats['operations'] <= 2 + 2 * len(windows) + 2
 
 
+async def test_others_ask_for_the_duty_only_without_a_holder(monkeypatch):
+    """Each process read the grant in each window, and store calls are billed."""
+    refused = []
+    acquire = authority.acquire_grant
+
+    async def count(client, name, host, pause_s):
+        grant = await acquire(client, name, host, pause_s)
+        if not grant:
+            refused.append(host)
+        return grant
+
+    async with support.open_fleet(monkeypatch, _HOSTS) as fleet:
+        await fleet.wait_for_reports(3)
+        monkeypatch.setattr(authority, 'acquire_grant', count)
+        await fleet.wait_for_reports(6)
+    assert len(refused) <= 2
+
+
 async def test_counts_pass_relays_of_large_fleets(monkeypatch):
     """In a large fleet the holder got a message of each process."""
     monkeypatch.setattr(_usage_sync, '_MAX_DIRECT_HOSTS', 0)
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -909,7 +909,7 @@
 
 @attrs.frozen(kw_only=True)
 class UsageAck:
-    """Answers a report or sums, and says what is known of usage reports."""
+    """Answers a report or sums, and says what is known of usage reports. The holder also sends it to those that would replace it."""
 
     __schema__ = 'messages'
 
@@ -918,7 +918,7 @@
         doc='Failure domain of the sums; empty for a report.', default=''
     )
     born_ms: int = _fields.make_field(
-        doc='Start of the process that gets the answer.',
+        doc='Start of the process that gets the answer; 0 where it has not asked.',
         maximum=18446744073709551615,
         minimum=0,
         unit='ms',
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -306,10 +306,10 @@
   hosts @6 :List(UsageHost) $A.doc("Processes that have reported in the last seconds.");
 }
 
-struct UsageAck $A.doc("Answers a report or sums, and says what is known of usage reports.") {
+struct UsageAck $A.doc("Answers a report or sums, and says what is known of usage reports. The holder also sends it to those that would replace it.") {
   host @0 :Text $A.doc("Host of the receiver.");
   domain @1 :Text $A.doc("Failure domain of the sums; empty for a report.");
-  bornMs @2 :UInt64 $A.unit("ms") $A.doc("Start of the process that gets the answer.");
+  bornMs @2 :UInt64 $A.unit("ms") $A.doc("Start of the process that gets the answer; 0 where it has not asked.");
   sequence @3 :UInt64 $A.doc("Latest change that the receiver has.");
   holder @4 :Text $A.doc("Host of the latest known holder; empty if none is known.");
   fence @5 :UInt64 $A.doc("Fencing number of its latest known grant.");
