--- a/briarknot/gateway/_usage_reports.py
+++ b/briarknot/gateway/_usage_reports.py
@@ -7,7 +7,6 @@
 import asyncio
 
 import attrs
-import prometheus_client
 
 from briarknot import authority, platform, telemetry
 from briarknot.gateway import (
@@ -16,14 +15,10 @@
     _usage,
     _usage_messages,
     _usage_rows,
+    _usage_sending,
     _usage_sync,
 )
 
-_REPORTS = prometheus_client.Counter(
-    'briarknot_gateway_usage_reports',
-    'Calls that report usage to the platform by result.',
-    ('result',),
-)
 #: Period of checking whether something is due.
 _PERIOD_S = 0.2
 #: Share of the time until a report is due after which its counts are fixed. A
@@ -41,44 +36,24 @@
 _OTHER_HOLDER_S = 6.5
 #: Pause after an attempt that failed.
 _RETRY_S = 1.0
-#: Pause between two rounds of calls.
-_RESEND_S = 0.5
-#: Windows for which an unanswered report is sent again.
-_RESENT_WINDOWS = 3
-#: Calls at the same time. All processes together may make 50 per second.
-_MAX_CALLS = 8
 #: Share of the time until a report is due up to which the first counts of at least
 #: half of the processes are awaited.
 _WAIT_SHARE = 0.6
 _GRANT = 'usage'
 
 
-@attrs.define(eq=False)
-class _Unsent:
-    """A stored report without an answer.
-
-    :param report: the report.
-    :param until_s: time until which it is sent.
-    """
-
-    report: platform.UsageReport
-    until_s: float
-
-
 @attrs.define(eq=False)
 class UsageReports:
     """Fixes, stores and sends reports while this process holds the duty."""
 
     _context: _context.Context
     _client: platform.Client
-    _duties: platform.Duties
+    _sending: _usage_sending.UsageSending
     _rows: _usage_rows.UsageRows
     _first_window: int = 0
     _fence: int = 0
     _is_loaded: bool = False
     _fixed: dict[int, platform.UsageReport] = attrs.field(factory=dict)
-    _unsent: dict[int, _Unsent] = attrs.field(factory=dict)
-    _taken: set[int] = attrs.field(factory=set)
     _granted_window: int = 0
     _refused: str = ''
 
@@ -91,7 +66,7 @@
 
     async def close(self) -> None:
         """Closes the connections."""
-        await self._duties.close()
+        await self._sending.close()
 
     async def report(self) -> None:
         """Acquires the duty, and reports all windows that are due."""
@@ -117,7 +92,7 @@
         if await self._store(grant, due):
             first = self._list_others(host)[:_FIRST_HOSTS]
             _usage_messages.send_status(self._context, tuple(first))
-            await self._send(grant)
+            await self._sending.send(grant)
         else:
             await asyncio.sleep(_RETRY_S)
 
@@ -216,18 +191,13 @@
         if not await self._rows.load():
             return False
         self._is_loaded = True
-        now = _clock.read_clock()
-        self._unsent = {
-            window: unsent
-            for window, unsent in self._unsent.items()
-            if now <= unsent.until_s
-        }
+        self._sending.drop_outdated()
         # What this process has not fixed may have been sent by another one.
-        recent = due - _RESENT_WINDOWS
+        recent = due - _usage_sending.RESENT_WINDOWS
         for window in self._rows.reports.keys() - before:
             self._fixed.pop(window, None)
-            if window > recent and window not in self._taken:
-                self._add_unsent(window)
+            if window > recent:
+                self._sending.add(self._rows.reports[window])
         return True
 
     def _fix(self, due: int) -> None:
@@ -263,71 +233,10 @@
         """Makes the reports due that the store has now."""
         for window in self._fixed.keys() & self._rows.reports.keys():
             del self._fixed[window]
-            self._add_unsent(window)
+            self._sending.add(self._rows.reports[window])
         if not self._fixed:
             self._context.account_usage.status.record_fixed(self._rows.latest)
 
-    def _add_unsent(self, window: int) -> None:
-        settings = self._context.settings
-        until_s = _clock.read_clock() + (
-            _RESENT_WINDOWS * settings.usage_window_s
-        )
-        self._unsent[window] = _Unsent(self._rows.reports[window], until_s)
-
-    async def _send(self, grant: authority.OrderGrant) -> None:
-        """Sends the reports without an answer, while the grant is valid."""
-        while grant.is_valid:
-            self._give_up()
-            batch = sorted(self._unsent)[:_MAX_CALLS]
-            if not batch:
-                return
-            await asyncio.gather(*(self._call(one, grant) for one in batch))
-            if self._unsent:
-                await asyncio.sleep(_RESEND_S)
-
-    async def _call(self, window: int, grant: authority.OrderGrant) -> None:
-        unsent = self._unsent[window]
-        address = self._context.settings.duty_address
-        result = await self._duties.report_usage(
-            address, unsent.report, grant.fence
-        )
-        if isinstance(result, platform.Taken):
-            _REPORTS.labels('sent').inc()
-            telemetry.log_event(
-                'usage_report_sent', window=window, fence=grant.fence
-            )
-            self._end(window)
-            return
-        _REPORTS.labels('refused' if result.is_final else 'failed').inc()
-        telemetry.log_event(
-            'usage_report_failed',
-            window=window,
-            reason=result.reason,
-            is_final=result.is_final,
-        )
-        if result.is_final:
-            self._end(window)
-
-    def _end(self, window: int) -> None:
-        del self._unsent[window]
-        self._taken.add(window)
-        oldest = window - _usage_rows.KEPT_WINDOWS
-        self._taken = {one for one in self._taken if one > oldest}
-
-    def _give_up(self) -> None:
-        """Drops reports that had no answer for too long."""
-        now = _clock.read_clock()
-        for window, unsent in list(self._unsent.items()):
-            if now > unsent.until_s:
-                _REPORTS.labels('given_up').inc()
-                telemetry.log_event(
-                    'usage_report_failed',
-                    window=window,
-                    reason='no answer in time',
-                    is_final=True,
-                )
-                del self._unsent[window]
-
     def _log_refused(self, refused: authority.NotGranted) -> None:
         """Logs that the duty was not granted, once for each reason."""
         kind = refused.reason.partition(' ')[0]
@@ -347,6 +256,6 @@
     return UsageReports(
         context,
         client,
-        platform.make_duties(context.settings.host),
+        _usage_sending.make_usage_sending(context),
         _usage_rows.make_usage_rows(client),
     )
--- a/briarknot/gateway/tests/_usage_support.py
+++ b/briarknot/gateway/tests/_usage_support.py
@@ -15,6 +15,7 @@
     _peers,
     _usage,
     _usage_reports,
+    _usage_sending,
     _usage_sync,
 )
 from briarknot.gateway.tests import test_store_sync as stores
@@ -31,7 +32,7 @@
     (_usage_reports, '_NEXT_DELAY_S', 0.15),
     (_usage_reports, '_OTHER_HOLDER_S', 0.9),
     (_usage_reports, '_RETRY_S', 0.1),
-    (_usage_reports, '_RESEND_S', 0.05),
+    (_usage_sending, '_RESEND_S', 0.05),
     (_order_grants, '_VALID_S', 0.45),
     (_order_grants, '_OTHER_HOLDER_S', 0.5),
 )
@@ -270,21 +271,21 @@
     return authority.OrderGrant(host, fence, math.inf)
 
 
-def stop_at(monkeypatch, node, name):
+def stop_at(monkeypatch, node, kind, name):
     """Makes a process stop at a step of its reports.
 
     :returns: an event that is set when it gets there.
     """
     reached = asyncio.Event()
-    function = getattr(_usage_reports.UsageReports, name)
+    function = getattr(kind, name)
 
-    async def wait(reports, *values):
-        if reports is not node.reports:
-            return await function(reports, *values)
+    async def wait(stopped, *values):
+        if stopped not in {node.reports, node.reports._sending}:
+            return await function(stopped, *values)
         reached.set()
         return await asyncio.sleep(60)
 
-    monkeypatch.setattr(_usage_reports.UsageReports, name, wait)
+    monkeypatch.setattr(kind, name, wait)
     return reached
 
 
--- a/briarknot/gateway/tests/test_usage_reports.py
+++ b/briarknot/gateway/tests/test_usage_reports.py
@@ -6,7 +6,13 @@
 import pytest
 
 from briarknot import authority, usage
-from briarknot.gateway import _clock, _usage, _usage_reports, _usage_sync
+from briarknot.gateway import (
+    _clock,
+    _usage,
+    _usage_reports,
+    _usage_sending,
+    _usage_sync,
+)
 from briarknot.gateway.tests import _usage_support as support
 
 _HOSTS = ('a1', 'a2', 'a3')
@@ -102,7 +108,9 @@
     async with support.open_fleet(monkeypatch, _HOSTS) as fleet:
         await fleet.wait_for_reports(2)
         holder = fleet.get_holder()
-        granted = support.stop_at(monkeypatch, holder, '_store')
+        granted = support.stop_at(
+            monkeypatch, holder, _usage_reports.UsageReports, '_store'
+        )
         window = fleet.get_others()[0].count('x', 3)
         holder.count('x', 2)
         await granted.wait()
@@ -116,7 +124,9 @@
     async with support.open_fleet(monkeypatch, _HOSTS) as fleet:
         await fleet.wait_for_reports(2)
         holder = fleet.get_holder()
-        stored = support.stop_at(monkeypatch, holder, '_send')
+        stored = support.stop_at(
+            monkeypatch, holder, _usage_sending.UsageSending, 'send'
+        )
         await stored.wait()
         window = holder.reports._rows.latest
         row = holder.reports._rows.reports[window]
