Test that no usage report is sent before it is stored, or fixed twice

Two faults that were put in by hand passed the tests: a report sent after a write without confirmation, and a window fixed again by the next holder after a restore of the store. The new tests fail with them.

--- a/briarknot/gateway/tests/test_usage_reports.py
+++ b/briarknot/gateway/tests/test_usage_reports.py
@@ -5,11 +5,12 @@
 
 import pytest
 
-from briarknot import authority, usage
+from briarknot import authority, platform, usage
 from briarknot.gateway import (
     _clock,
     _usage,
     _usage_reports,
+    _usage_rows,
     _usage_sending,
     _usage_sync,
 )
@@ -163,6 +164,42 @@
         assert [one['account'] for one in row['counts']] == ['x']
 
 
+async def test_nothing_is_sent_before_it_is_stored(monkeypatch):
+    """After a kill, another process could report the window differently."""
+    rows = _usage_rows.UsageRows
+    insert = rows.insert
+    is_away = True
+
+    async def fail(*values):
+        if is_away:
+            return platform.Unavailable('away')
+        return await insert(*values)
+
+    monkeypatch.setattr(rows, 'insert', fail)
+    async with support.open_fleet(monkeypatch, ('a1',)) as fleet:
+        window = fleet.nodes['a1'].count('x')
+        await asyncio.sleep(2.5)
+        assert not fleet.server.calls
+        is_away = False
+        assert await fleet.wait_for_window(window) == {'x': 1}
+
+
+async def test_window_that_was_fixed_is_not_fixed_by_another(monkeypatch):
+    """After a restore, the next holder reported windows without their counts."""
+    async with support.open_fleet(monkeypatch, _HOSTS) as fleet:
+        await fleet.wait_for_reports(1)
+        await fleet.store._post('/copy', {})
+        window = fleet.nodes['a1'].count('x')
+        assert await fleet.wait_for_window(window) == {'x': 1}
+        await asyncio.sleep(0.3)
+        holder = fleet.get_holder()
+        holder.kill()
+        await fleet.store._post('/restore', {})
+        await fleet.wait_for_window(window + 4)
+        assert fleet.get_holder() is not holder
+        assert {} not in fleet.server.list_counts(window)
+
+
 async def test_restored_store_gets_the_missing_rows(monkeypatch):
     """Windows after the copy were reported again with other counts."""
     async with support.open_fleet(monkeypatch, _HOSTS) as fleet:
