--- a/briarknot/usage/_clock.py
+++ b/briarknot/usage/_clock.py
@@ -4,7 +4,6 @@
 includes suspension and the store's clock are steady, but neither is the time of day.
 """
 
-import statistics
 import typing
 
 import attrs
@@ -105,7 +104,7 @@
     :param clocks: a clock of each host.
     :param era: era of the store.
     """
-    offsets_s = [one.offset_s for one in clocks if one.era == era]
+    offsets_s = sorted(one.offset_s for one in clocks if one.era == era)
     if not offsets_s:
         return None
-    return Clock(statistics.median_low(offsets_s), era)
+    return Clock(offsets_s[(len(offsets_s) - 1) // 2], era)
