--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -14,6 +14,7 @@
     schema,
     serving,
     telemetry,
+    usage,
     versions,
 )
 from briarknot.gateway import (
@@ -97,6 +98,7 @@
         the store was restored.
     :param origins: workers that began streams.
     :param origin_answers: answers of other processes that know such a worker.
+    :param account_usage: requests of client accounts that began to run.
     :param has_restarted: returns whether a worker has started again since it was
         listed.
     :param send_message: sends a message to other processes, by their hosts.
@@ -137,6 +139,7 @@
     origin_answers: _pending_answers.PendingAnswers = attrs.field(
         factory=_pending_answers.PendingAnswers
     )
+    account_usage: usage.Usage = attrs.field(factory=usage.make_usage)
     has_restarted: HasRestarted = _assume_listed
     send_message: SendMessage = _drop_message
     stop: _stopping.Stop = attrs.field(factory=_stopping.Stop)
