--- a/briarknot/gateway/tests/_support.py
+++ b/briarknot/gateway/tests/_support.py
@@ -3,8 +3,6 @@
 import asyncio
 import contextlib
 import functools
-import socket
-import struct
 import time
 
 import aiohttp
@@ -21,15 +19,20 @@
     _requests,
     _version_sync,
 )
+from briarknot.gateway.tests import _wire
 from briarknot_standins import launcher
 
 _SERVING = schema.serving
 SEAL = 'Server-Seal: s\r\n'
 CLOSE = 'close'
 RESET = 'reset'
+HALF_CLOSE = 'half_close'
 KEEP = 'keep'
 HANG = 'hang'
 SILENT = 'silent'
+_BODY_BYTES = 1 << 20
+#: Time between the end of an answer and the close, in seconds.
+_HALF_CLOSED_S = 0.2
 
 
 @attrs.frozen
@@ -41,6 +44,7 @@
     :param delay_s: time before it sends, in seconds.
     :param later: texts that it sends afterwards, each after ``pause_s``.
     :param pause_s: time before each of them, in seconds.
+    :param early: whether it answers without reading the body.
     """
 
     text: str
@@ -48,6 +52,7 @@
     delay_s: float = 0
     later: tuple[str, ...] = ()
     pause_s: float = 0
+    early: bool = False
 
 
 def make_reply(status, body='', header='', then=KEEP):
@@ -136,16 +141,20 @@
                 if reply.then == SILENT:
                     await reader.read()
                 if reply.then == RESET:
-                    _send_reset(writer)
+                    _wire.send_reset(writer)
+                if reply.then == HALF_CLOSE:
+                    writer.write_eof()
+                    await asyncio.sleep(_HALF_CLOSED_S)
                 if reply.then != KEEP:
                     break
         writer.close()
 
     async def _take_reply(self, head, reader):
-        fields = _read_fields(head)
-        fields['body'] = await reader.readexactly(
-            int(fields.get('content-length', 0))
-        )
+        fields = _wire.read_fields(head)
+        if not (self.script and self.script[0].early):
+            fields['body'] = await reader.readexactly(
+                int(fields.get('content-length', 0))
+            )
         self.requests.append(fields)
         async with self.request_arrived:
             self.request_arrived.notify_all()
@@ -155,22 +164,6 @@
         return text.replace('{id}', self.requests[-1].get('request-id', ''))
 
 
-def _read_fields(head):
-    first, *lines = head.split('\r\n')
-    fields = {'first': first}
-    for line in lines:
-        name, _, value = line.partition(':')
-        fields[name.strip().lower()] = value.strip()
-    return fields
-
-
-def _send_reset(writer):
-    connection = writer.get_extra_info('socket')
-    linger = struct.pack('ii', 1, 0)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
-
-
 def find_port():
     """Finds a free port that no other test run uses meanwhile."""
     return launcher.choose_port()
@@ -211,12 +204,11 @@
             return response.status, response.headers, await response.read()
 
 
-async def _serve_worker(stack, worker):
+async def serve_worker(stack, worker):
     """Serves a worker, and closes its connections before the loop ends.
 
-    Python 3.11.6 leaves a connection open whose handler has failed. A writer
-    that is collected after its loop has ended breaks the report of a failed
-    test.
+    Python 3.11.6 leaves a connection open whose handler has failed. A writer that
+    is collected after its loop has ended breaks the report of a failed test.
     """
 
     async def answer(reader, writer):
@@ -234,13 +226,13 @@
 
 
 @contextlib.asynccontextmanager
-async def open_gateway(route, *workers, hosts=1):
+async def open_gateway(route, *workers, hosts=1, body_bytes=_BODY_BYTES):
     """Runs a gateway with one route to the given workers."""
     async with contextlib.AsyncExitStack() as stack:
         for worker in workers:
-            await _serve_worker(stack, worker)
+            await serve_worker(stack, worker)
         yield await stack.enter_async_context(
-            _run_gateway(route, workers, hosts=hosts)
+            _run_gateway(route, workers, hosts=hosts, limit=body_bytes)
         )
 
 
@@ -249,7 +241,7 @@
     """Runs gateways that send each other messages, with the same workers."""
     async with contextlib.AsyncExitStack() as stack:
         for worker in workers:
-            await _serve_worker(stack, worker)
+            await serve_worker(stack, worker)
         gateways = [
             await stack.enter_async_context(
                 _run_gateway(route, workers, hosts=count, host=f'g{number}')
@@ -290,7 +282,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _run_gateway(route, workers, *, hosts, host='g'):
+async def _run_gateway(route, workers, *, hosts, host='g', limit=_BODY_BYTES):
     port = find_port()
     settings = schema.settings.GatewaySettings(
         host=host,
@@ -314,7 +306,7 @@
                     _SERVING.Service(name=one.service)
                     for one in route.destinations
                 ),
-                limits=_SERVING.ClientLimits(body_bytes=1 << 20),
+                limits=_SERVING.ClientLimits(body_bytes=limit),
             )
         )
         context.fleet.apply_workers(
@@ -327,7 +319,7 @@
             settings,
             functools.partial(_requests.serve_call, context),
             lambda: True,
-            lambda: 1 << 20,
+            lambda: limit,
         )
         await ingress.start()
         session = await stack.enter_async_context(httpclient.make_session())
--- a/briarknot/gateway/tests/test_generation.py
+++ b/briarknot/gateway/tests/test_generation.py
@@ -10,7 +10,7 @@
 from briarknot.gateway.tests import _support
 
 _Kind = schema.serving.RequestKind
-_PROMPT = {
+PROMPT = {
     'Model': 'm',
     'Token-Counts': '9000,5',
     'Prompt-Prefix': 'aa:6000,bb:3000',
@@ -47,7 +47,7 @@
     async with _support.open_gateway(
         make_stream_route(), prefill, decode
     ) as gateway:
-        status, _, body = await gateway.send(headers=_PROMPT)
+        status, _, body = await gateway.send(headers=PROMPT)
     assert (status, read_data(body)) == (200, ['x', 'y'])
     assert prefill.requests[0]['serving-stage'] == 'prefill'
     assert decode.requests[0]['kv-source'] == f'127.0.0.1:{prefill.port}/k1'
@@ -67,7 +67,7 @@
     route = make_stream_route()
     async with _support.open_gateway(route, *workers) as gateway:
         _support.get_worker_record(gateway.context, workers[2]).in_flight = 1
-        status, _, body = await gateway.send(headers=_PROMPT)
+        status, _, body = await gateway.send(headers=PROMPT)
     assert (status, read_data(body)) == (200, ['x', 'y', 'z'])
     assert 'last-event-id' not in workers[1].requests[0]
     assert workers[2].requests[0]['last-event-id'] == '2'
@@ -80,7 +80,7 @@
     route = make_stream_route(resumable=False)
     async with _support.open_gateway(route, *workers) as gateway:
         with pytest.raises(aiohttp.ClientPayloadError):
-            await gateway.send(headers=_PROMPT)
+            await gateway.send(headers=PROMPT)
     assert sum(len(worker.requests) for worker in workers[1:]) == 1
 
 
@@ -92,7 +92,7 @@
     route = make_stream_route(resumable=False, max_attempts=1)
     async with _support.open_gateway(route, *workers, hosts=1) as gateway:
         _support.get_worker_record(gateway.context, workers[2]).in_flight = 1
-        status, _, body = await gateway.send(headers=_PROMPT)
+        status, _, body = await gateway.send(headers=PROMPT)
     assert (status, read_data(body)) == (200, ['x'])
     assert len(workers[0].requests) == 1
 
@@ -102,7 +102,7 @@
     freed = _support.make_reply(200)
     workers = make_workers([_support.HANDLE, freed], [_support.REJECTED])
     async with _support.open_gateway(make_stream_route(), *workers) as gateway:
-        status, _, _ = await gateway.send(headers=_PROMPT)
+        status, _, _ = await gateway.send(headers=PROMPT)
         async with asyncio.timeout(2):
             await workers[0].wait_requests(2)
     assert status == 503
@@ -117,7 +117,7 @@
     async with _support.open_gateway(make_stream_route(), *workers) as gateway:
         with pytest.raises(TimeoutError):
             await gateway.send(
-                headers=_PROMPT, timeout=aiohttp.ClientTimeout(total=0.2)
+                headers=PROMPT, timeout=aiohttp.ClientTimeout(total=0.2)
             )
         async with asyncio.timeout(2):
             await workers[1].disconnected.wait()
@@ -131,7 +131,7 @@
     workers = make_workers([_support.HANDLE, _support.HANDLE], [silent], [rest])
     async with _support.open_gateway(make_stream_route(), *workers) as gateway:
         _support.get_worker_record(gateway.context, workers[2]).in_flight = 1
-        status, _, body = await gateway.send(headers=_PROMPT)
+        status, _, body = await gateway.send(headers=PROMPT)
     assert (status, read_data(body)) == (200, ['x', 'y'])
     assert workers[2].requests[0]['last-event-id'] == '1'
 
@@ -154,7 +154,7 @@
             record.in_flight = busy
             # Otherwise the workers would prefill the prompt themselves.
             record.failure_rate = 5
-        status, _, body = await gateway.send(headers=_PROMPT)
+        status, _, body = await gateway.send(headers=PROMPT)
     assert (status, read_data(body)) == (200, ['x'])
     sources = [
         worker.requests[0].get('kv-source', '').rpartition('/')[2]
@@ -174,7 +174,7 @@
         [_support.HANDLE, freed], [rejected, _support.make_stream('x')]
     )
     async with _support.open_gateway(make_stream_route(), *workers) as gateway:
-        status, _, body = await gateway.send(headers=_PROMPT)
+        status, _, body = await gateway.send(headers=PROMPT)
     assert (status, read_data(body)) == (200, ['x'])
     assert 'kv-source' in workers[1].requests[0]
     assert 'kv-source' not in workers[1].requests[1]
@@ -188,7 +188,7 @@
     )
     async with _support.open_gateway(make_stream_route(), decode) as gateway:
         load = gateway.context.prompt_load
-        sent = asyncio.ensure_future(gateway.send(headers=_PROMPT))
+        sent = asyncio.ensure_future(gateway.send(headers=PROMPT))
         await decode.wait_requests(1)
         assert load.get_queued_work(decode.entry, time.monotonic())
         async with asyncio.timeout(2):
--- a/briarknot/gateway/tests/test_stream_versions.py
+++ b/briarknot/gateway/tests/test_stream_versions.py
@@ -122,7 +122,7 @@
     route = generations.make_stream_route()
     async with _support.open_gateway(route, prefill, same, other) as gateway:
         set_order(gateway, other, same)
-        status, _, _ = await gateway.send(headers=generations._PROMPT)
+        status, _, _ = await gateway.send(headers=generations.PROMPT)
     assert status == 200
     assert len(prefill.requests) == len(same.requests)
 
@@ -133,7 +133,7 @@
     other = make_decode([_support.make_stream('x')], 'v2')
     route = generations.make_stream_route()
     async with _support.open_gateway(route, prefill, other) as gateway:
-        status, _, _ = await gateway.send(headers=generations._PROMPT)
+        status, _, _ = await gateway.send(headers=generations.PROMPT)
     assert status == 200
     assert not prefill.requests
 
@@ -149,7 +149,7 @@
     async with _support.open_gateway(route, prefill, broken, other) as gateway:
         set_order(gateway, broken, other)
         with pytest.raises(aiohttp.ClientPayloadError):
-            await gateway.send(headers=generations._PROMPT)
+            await gateway.send(headers=generations.PROMPT)
     assert len(prefill.requests) <= 1
     assert not other.requests
 
