Reject answers that were cut, and statuses that are not final

Cause: the parser takes a reset for the end of a body without a length; only gateways' calls to workers checked how the connection had ended. A close while a request was still being sent was a regular end everywhere. Statuses of 600 and more passed as final ones. The client of the store raised an error for an undecodable answer, reports counted with any status, and the body of the answer to an order was not read.

Change: the check is now part of every response of the project's sessions (httpclient.Response), also for read(). A connection that the server closes before it has acknowledged the whole request counts as broken (httpclient.Protocol, used by gateways, the store, orders and the entry processes' calls to endpoints). Workers and services need a status of 200 to 599. The store's undecodable answers are Unavailable. A report needs status 200; an order whose answer is cut or has no final status is UNKNOWN. A prefill answer without a handle at an entry process is a broken attempt.

--- a/briarknot/entry/_attempts.py
+++ b/briarknot/entry/_attempts.py
@@ -18,6 +18,8 @@
 _SERVICE_UNAVAILABLE = 503
 _CLIENT_ERRORS = range(400, 500)
 _TOO_MANY_REQUESTS = 429
+#: Why an answer of a prefill engine holds no handle.
+_DECODE_ERRORS = (KeyError, TypeError, ValueError)
 #: Read limit for answers other than streams, which are short.
 _MAX_PROBLEM_BYTES = 65536
 #: Failures before the connection is established; no byte has been sent.
@@ -193,7 +195,14 @@
         ) as response:
             if response.status != _OK:
                 return await _read_refusal(response)
-            return orjson.loads(await response.read())['kv_handle']
+            return _decode_handle(await response.read())
+
+
+def _decode_handle(body: bytes) -> str | _stream.Broken:
+    try:
+        return str(orjson.loads(body)['kv_handle'])
+    except _DECODE_ERRORS as error:
+        return _stream.Broken(f'prefill answer: {type(error).__name__}')
 
 
 def _make_headers(target: Target) -> dict[str, str]:
@@ -255,7 +264,7 @@
     :param timing: time limits.
     """
     return httpclient.make_session(
-        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        connector=httpclient.Connector(limit=0, force_close=True),
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=timing.connect_timeout_s
         ),
--- a/briarknot/entry/_service_calls.py
+++ b/briarknot/entry/_service_calls.py
@@ -27,6 +27,8 @@
 _REQUEST_ID = _answers.REQUEST_ID_HEADER
 _KEY_HEADER = 'Idempotency-Key'
 _MAX_ATTEMPTS = 4
+#: Statuses of final responses; others are not part of HTTP.
+_FINAL_STATUSES = range(200, 600)
 #: Hop-by-hop headers, and headers that the entry process consumes or sets
 #: itself. They are not forwarded.
 _UNFORWARDED_HEADERS = frozenset(
@@ -462,6 +464,8 @@
         Only the refusal of a peer states whether the call ran. A service's
         answer with the same content is passed to the caller.
         """
+        if response.status not in _FINAL_STATUSES:
+            return _stream.Broken(f'status {response.status}')
         answered_id = response.headers.get(_REQUEST_ID)
         if answered_id not in {None, self._recorder.request_id}:
             return _stream.Broken(f'answer to request {answered_id}')
--- a/briarknot/gateway/tests/test_cut_answers.py
+++ b/briarknot/gateway/tests/test_cut_answers.py
@@ -88,6 +88,16 @@
     assert (status, body) == (502, b'')
 
 
+async def test_answer_to_head_has_no_end_to_wait_for():
+    """The gateway waited for the close of a kept connection."""
+    reply = _support.Reply(f'HTTP/1.1 200 OK\r\n{_FIELDS}\r\n')
+    worker = _support.ScriptedWorker([reply])
+    route = _support.make_route(_Kind.IDEMPOTENT, max_attempts=1)
+    async with _support.open_gateway(route, worker) as gateway:
+        status, _, body = await gateway.send('HEAD')
+    assert (status, body) == (200, b'')
+
+
 async def test_unfinished_upload_is_not_followed_by_a_request():
     """The worker read the next request as the rest of the upload."""
     early = _support.make_reply(200, 'early', _support.SEAL.strip())
--- a/briarknot/httpclient/__init__.py
+++ b/briarknot/httpclient/__init__.py
@@ -1,5 +1,12 @@
 """HTTP client sessions of all programs, which never repeat a request unseen."""
 
+from briarknot.httpclient._responses import Connector, Protocol, Response
 from briarknot.httpclient._sessions import ConnectionLostError, make_session
 
-__all__ = ('ConnectionLostError', 'make_session')
+__all__ = (
+    'ConnectionLostError',
+    'Connector',
+    'Protocol',
+    'Response',
+    'make_session',
+)
--- a/briarknot/httpclient/_sessions.py
+++ b/briarknot/httpclient/_sessions.py
@@ -5,6 +5,8 @@
 import aiohttp
 from aiohttp import hdrs
 
+from briarknot.httpclient import _responses
+
 
 class ConnectionLostError(aiohttp.ClientError):
     """A connection ended after a request was sent, and before its answer.
@@ -58,7 +60,11 @@
     :returns: a session that sends each other request once. It reports a
         connection that ended without an answer as :class:`ConnectionLostError`,
         and errors of aiohttp's connector only where no byte of this try was sent.
+        Its responses raise an error where the body that was read is cut.
     """
+    options.setdefault('response_class', _responses.Response)
+    if options.get('connector') is None:
+        options['connector'] = _responses.Connector()
     middlewares = (_send_once,)
     if repeats_reads:
         # The first one is the outermost.
--- a/briarknot/platform/_client.py
+++ b/briarknot/platform/_client.py
@@ -1,7 +1,10 @@
 """Client of the platform's metadata store."""
 
 import base64
+import collections.abc
+import functools
 import time
+import typing
 import urllib.parse
 
 import aiohttp
@@ -13,6 +16,8 @@
 from briarknot import telemetry
 from briarknot.platform import _sessions, _store_clock, _values
 
+Decoded = typing.TypeVar('Decoded')
+
 _CALLS = prometheus_client.Counter(
     'briarknot_platform_calls',
     'Calls to the platform by operation and result.',
@@ -24,6 +29,7 @@
     ('operation',),
 )
 _MS_PER_S = 1000
+_DECODE_ERRORS = (AttributeError, LookupError, TypeError, ValueError)
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
@@ -191,7 +197,7 @@
             return answer
         if answer.status == _GONE:
             return _values.HistoryLost()
-        return _decode_page(answer)
+        return _decode(_decode_page, answer)
 
     async def commit(
         self, *operations: _values.Operation
@@ -217,7 +223,8 @@
         if isinstance(answer, _values.Unavailable):
             return answer
         if answer.status == _CONFLICT:
-            return _values.Conflict(_find_conflicts(operations, answer.body))
+            find = functools.partial(_find_conflicts, operations)
+            return _decode(find, answer)
         return _values.Committed()
 
     async def read_object(
@@ -267,9 +274,12 @@
             )
             if isinstance(answer, _values.Unavailable):
                 return answer
-            tree = orjson.loads(answer.body)
-            names.extend(tree['names'])
-            if not tree['morePages'] or not tree['names']:
+            page = _decode(_decode_names, answer)
+            if isinstance(page, _values.Unavailable):
+                return page
+            found, has_more = page
+            names.extend(found)
+            if not has_more or not found:
                 return tuple(names)
             after = names[-1]
 
@@ -295,7 +305,9 @@
         answer = await self._call('read_rows', 'GET', f'/v1/rows-get?{query}')
         if isinstance(answer, _values.Unavailable):
             return answer
-        page = _decode_page(answer)
+        page = _decode(_decode_page, answer)
+        if isinstance(page, _values.Unavailable):
+            return page
         if page.era == self._era and page.store_s:
             self._clock.record(sent_s, page.store_s)
         return page
@@ -331,9 +343,7 @@
             ) as response:
                 era = _decode_era(response.headers.get(_ERA, ''))
                 self.record_era(era)
-                body = await _sessions.read_limited(
-                    response.content, _MAX_BODY_BYTES
-                )
+                body = await _sessions.read_limited(response, _MAX_BODY_BYTES)
                 if body is None:
                     response.close()
                     return _values.Unavailable('the answer does not end')
@@ -365,6 +375,21 @@
     return base64.b64encode(orjson.dumps(value)).decode()
 
 
+def _decode(
+    decode: collections.abc.Callable[[_Answer], Decoded], answer: _Answer
+) -> Decoded | _values.Unavailable:
+    """Decodes an answer, which may end early where it has no length."""
+    try:
+        return decode(answer)
+    except _DECODE_ERRORS as error:
+        return _values.Unavailable(f'{type(error).__name__}: {error}')
+
+
+def _decode_names(answer: _Answer) -> tuple[list[str], bool]:
+    tree = orjson.loads(answer.body)
+    return tree['names'], tree['morePages']
+
+
 def _decode_page(answer: _Answer) -> _values.Page:
     tree = orjson.loads(answer.body)
     return _values.Page(
@@ -390,22 +415,24 @@
 
 
 def _find_conflicts(
-    operations: tuple[_values.Operation, ...], body: bytes
-) -> tuple[int, ...]:
+    operations: tuple[_values.Operation, ...], answer: _Answer
+) -> _values.Conflict:
     """Returns the indexes of operations whose expected version did not match.
 
     :param operations: operations of the refused transaction.
-    :param body: answer with the current rows.
+    :param answer: answer with the current rows.
     """
     found = {
         (row['table'], row['key']): row['ver']
-        for row in orjson.loads(body)['rows']
+        for row in orjson.loads(answer.body)['rows']
         if not row.get('deleted')
     }
-    return tuple(
-        index
-        for index, one in enumerate(operations)
-        if found.get((one.table, one.key), 0) != (one.expected_version or 0)
+    return _values.Conflict(
+        tuple(
+            index
+            for index, one in enumerate(operations)
+            if found.get((one.table, one.key), 0) != (one.expected_version or 0)
+        )
     )
 
 
--- a/briarknot/platform/_engine_orders.py
+++ b/briarknot/platform/_engine_orders.py
@@ -15,6 +15,8 @@
 _MAX_ANSWER_BYTES = 1 << 20
 _OK = 200
 _ACCEPTED = 202
+#: Statuses of final responses; others don't tell what the engine does.
+_FINAL_STATUSES = range(200, 600)
 _STAGES = {
     schema.serving.Stage.PREFILL: 'prefill',
     schema.serving.Stage.DECODE: 'decode',
@@ -79,9 +81,9 @@
             async with self._session.get(
                 url, headers={_headers.EXPECTED_WORKER: engine.id}
             ) as response:
-                body = await _sessions.read_limited(
-                    response.content, _MAX_ANSWER_BYTES
-                )
+                body = await _sessions.read_limited(response, _MAX_ANSWER_BYTES)
+                if response.status != _OK:
+                    return Unreported(f'status {response.status}')
         except _CALL_ERRORS as error:
             return Unreported(f'{type(error).__name__}: {error}')
         return _decode_count(body)
@@ -107,6 +109,7 @@
                     'Content-Type': 'application/json',
                 },
             ) as response:
+                await _sessions.read_limited(response, _MAX_ANSWER_BYTES)
                 status = response.status
         except aiohttp.ClientConnectorError:
             return OrderOutcome.REFUSED
@@ -117,6 +120,13 @@
             return OrderOutcome.UNKNOWN
         if status in {_OK, _ACCEPTED}:
             return OrderOutcome.ACCEPTED
+        if status not in _FINAL_STATUSES:
+            telemetry.log_event(
+                'order_unanswered',
+                worker=order.engine.id,
+                reason=f'status {status}',
+            )
+            return OrderOutcome.UNKNOWN
         telemetry.log_event(
             'order_refused', worker=order.engine.id, status=status
         )
--- a/briarknot/platform/_sessions.py
+++ b/briarknot/platform/_sessions.py
@@ -1,7 +1,5 @@
 """HTTP sessions that detect silent connections and endless answers."""
 
-import asyncio
-import functools
 import socket
 
 import aiohttp
@@ -53,7 +51,7 @@
     return made
 
 
-class _LimitedProtocol(client_proto.ResponseHandler):
+class _LimitedProtocol(httpclient.Protocol):
     """A connection that closes when an answer does not end.
 
     The parser bounds lines and headers, but neither interim answers nor the
@@ -105,25 +103,15 @@
         body.set_exception(aiohttp.ClientPayloadError(str(error)))
 
 
-class Response(aiohttp.ClientResponse):
-    """A response that knows how its connection ended."""
+class Response(httpclient.Response):
+    """A response whose connection can be closed, and that has a limit."""
 
-    #: Set when the connection is closed, with an exception after a reset.
-    closed_connection: asyncio.Future | None = None
     _used_protocol: client_proto.ResponseHandler | None = None
 
     async def start(
         self, connection: aiohttp.connector.Connection
     ) -> aiohttp.ClientResponse:
         """Waits for the head of the answer."""
-        # The connection of a short answer is released once its head is read,
-        # so the future is obtained before.
-        if connection.protocol is not None:
-            self.closed_connection = connection.protocol.closed
-        if self.closed_connection is not None:
-            # Only a body without a length awaits this future; otherwise
-            # asyncio would log its exception as never retrieved.
-            self.closed_connection.add_done_callback(_retrieve_exception)
         protocol = connection.protocol
         self._used_protocol = protocol
         started = await super().start(connection)
@@ -141,30 +129,31 @@
             self._used_protocol.close()
 
 
-class _LimitedConnector(aiohttp.TCPConnector):
+class _LimitedConnector(httpclient.Connector):
     """Opens connections that close when an answer does not end."""
 
-    def __init__(self, **options: object) -> None:
-        super().__init__(**options)
-        self._factory = functools.partial(_LimitedProtocol, loop=self._loop)
+    protocol_class = _LimitedProtocol
 
 
 async def read_limited(
-    content: aiohttp.StreamReader, limit_bytes: int
+    response: aiohttp.ClientResponse, limit_bytes: int
 ) -> bytes | None:
     """Reads a whole body.
 
-    :param content: the body.
+    :param response: the response; only one of this project's sessions knows
+        whether a body without a length was cut.
     :param limit_bytes: longest body.
     :returns: the body; None where it is longer.
     """
     parts = []
     size = 0
-    async for part in content.iter_any():
+    async for part in response.content.iter_any():
         size += len(part)
         if size > limit_bytes:
             return None
         parts.append(part)
+    if isinstance(response, httpclient.Response):
+        await response.check_end()
     return b''.join(parts)
 
 
@@ -212,8 +201,3 @@
         max_field_size=_MAX_LINE_BYTES,
         read_bufsize=_MAX_LINE_BYTES,
     )
-
-
-def _retrieve_exception(closed: asyncio.Future) -> None:
-    if not closed.cancelled():
-        closed.exception()
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -12,6 +12,9 @@
 from briarknot.platform import _answer_headers, _headers, _sessions
 
 _OK = 200
+#: Statuses of final responses. A client would wait for another answer after a
+#: lower one; higher ones are not part of HTTP.
+_FINAL_STATUSES = range(200, 600)
 _MISDIRECTED = 421
 #: Statuses of answers without a body, which end with their head.
 _NO_BODY_STATUSES = frozenset((204, 304))
@@ -320,8 +323,7 @@
             load=load,
             backpressure=backpressure,
         )
-    # A status below 200 is not final; its client would wait for the answer.
-    if status < _OK or status in _NOT_RUN_STATUSES:
+    if status not in _FINAL_STATUSES or status in _NOT_RUN_STATUSES:
         return serving.Failed(
             kind=serving.FailureKind.BROKEN,
             reason=f'status {status} without a statement that it did not run',
