--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -18,6 +18,9 @@
 )
 
 _OK = 200
+#: Statuses of final responses. A client would wait for another answer after a
+#: lower one; higher ones are not part of HTTP.
+_FINAL_STATUSES = range(200, 600)
 _MISDIRECTED = 421
 #: Statuses of answers without a body, which end with their head.
 _NO_BODY_STATUSES = frozenset((204, 304))
@@ -343,8 +346,7 @@
             load=load,
             backpressure=backpressure,
         )
-    # A status below 200 is not final; its client would wait for the answer.
-    if status < _OK or status in _NOT_RUN_STATUSES:
+    if status not in _FINAL_STATUSES or status in _NOT_RUN_STATUSES:
         return serving.Failed(
             kind=serving.FailureKind.BROKEN,
             reason=f'status {status} without a statement that it did not run',
