Choose engines by water filling on stale load, as a setting

Many gateways choose on load that is up to 1.3 s old, and all prefer the engines that had the least load then. With load_spreading water_filling, a gateway assumes that others have filled the lowest load since. The default, near_cheapest, keeps the present policies.

--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -19,7 +19,11 @@
 )
 
 _Stage = schema.serving.Stage
-_DECODE_POLICY = 'least_tokens'
+_Spreading = schema.settings.LoadSpreading
+_DECODE_POLICIES = {
+    _Spreading.NEAR_CHEAPEST: 'least_tokens',
+    _Spreading.WATER_FILLING: 'least_tokens_filled',
+}
 #: Attempts to send one generation. After a rejection another worker is tried
 #: while the retry budget allows.
 _MAX_SENDS = 4
@@ -307,7 +311,9 @@
     workers = _match_source(workers, source)
     if not workers:
         return None
-    policy = serving.DECODE_POLICIES.get(_DECODE_POLICY)
+    policy = serving.DECODE_POLICIES.get(
+        _DECODE_POLICIES[context.settings.load_spreading]
+    )
     waits_s = _send_permits.list_waits_s(context, request)
     view = context.make_decode_view(request.route.event_gap_s, waits_s)
     return policy(view, workers, source, time.monotonic())
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -19,7 +19,11 @@
 )
 
 _Stage = schema.serving.Stage
-_PLACEMENT_POLICY = 'predicted'
+_Spreading = schema.settings.LoadSpreading
+_PLACEMENT_POLICIES = {
+    _Spreading.NEAR_CHEAPEST: 'predicted',
+    _Spreading.WATER_FILLING: 'predicted_filled',
+}
 #: Attempts to prefill a prompt. After a rejection another worker is tried
 #: while the retry budget allows.
 _MAX_PREFILLS = 3
@@ -115,6 +119,9 @@
     prompt = request.call.prompt
     tokens = prompt.tokens + prompt.output_tokens if prompt else 0
     work = context.prompt_load.work
+    context.prompt_load.sent_streams.record(
+        worker.service, worker.version, 1, time.monotonic()
+    )
     work.add(worker.id, streams=1, stream_tokens=tokens)
     try:
         yield
@@ -186,7 +193,9 @@
         turn_waits_s=_send_permits.list_waits_s(context, request),
     )
     context.prompt_load.caches.set_engine_limits(request.service.engine)
-    policy = serving.PLACEMENT_POLICIES.get(_PLACEMENT_POLICY)
+    policy = serving.PLACEMENT_POLICIES.get(
+        _PLACEMENT_POLICIES[context.settings.load_spreading]
+    )
     return policy(view, prompt, now)
 
 
--- a/briarknot/schema/_generated/settings.py
+++ b/briarknot/schema/_generated/settings.py
@@ -18,6 +18,15 @@
     OTLP = 'otlp'
 
 
+class LoadSpreading(enum.StrEnum):
+    """Choice among engines of nearly equal cost."""
+
+    #: By chance near the lowest known cost.
+    NEAR_CHEAPEST = 'nearCheapest'
+    #: By chance among the engines that are expected to be the cheapest once the requests of other gateways have filled the lowest load.
+    WATER_FILLING = 'waterFilling'
+
+
 @attrs.frozen(kw_only=True)
 class Tracing:
     """Export of spans."""
@@ -454,3 +463,7 @@
     retry_window_s: float = _fields.make_field(
         doc='Window of the two limits above.', unit='s', default=10.0
     )
+    load_spreading: LoadSpreading = _fields.make_field(
+        doc='Choice among engines of nearly equal cost.',
+        default=LoadSpreading.NEAR_CHEAPEST,
+    )
--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -8,6 +8,11 @@
   otlp @2 $A.doc("OTLP over HTTP.");
 }
 
+enum LoadSpreading $A.doc("Choice among engines of nearly equal cost.") {
+  nearCheapest @0 $A.doc("By chance near the lowest known cost.");
+  waterFilling @1 $A.doc("By chance among the engines that are expected to be the cheapest once the requests of other gateways have filled the lowest load.");
+}
+
 struct Node $A.doc("Identity and shared connections of a process.") {
   host @0 :Text $A.required $A.pattern("[a-z0-9][a-z0-9-]*") $A.doc("Name of the host, unique in the fleet.");
   domain @1 :Text $A.required $A.doc("Failure domain of the host.");
@@ -107,4 +112,5 @@
   retryShare @11 :Float64 = 0.2 $A.doc("Retries at a service for each request, over the whole fleet.");
   retryExtra @12 :Float64 = 50 $A.doc("Retries at a service in a window in addition to that share, over the whole fleet.");
   retryWindowS @13 :Float64 = 10 $A.unit("s") $A.doc("Window of the two limits above.");
+  loadSpreading @14 :LoadSpreading = nearCheapest $A.doc("Choice among engines of nearly equal cost.");
 }
--- a/briarknot/serving/_engine_choice.py
+++ b/briarknot/serving/_engine_choice.py
@@ -14,6 +14,7 @@
     _prefill_time,
     _prompt_load,
     _topology,
+    _water_filling,
     _worker_records,
 )
 
@@ -87,14 +88,10 @@
     now: float,
 ) -> schema.serving.Worker:
     """Chooses the worker with the lowest sum of load and KV transfer cost."""
-    start = source.worker.domain if source else view.topology.domain
-    distances = view.topology.list_distances(
-        start, (worker.domain for worker in workers)
-    )
+    transfers = _list_transfer_costs(view, workers, source)
     costs = [
-        _compute_load(view, worker, now)
-        + _KV_TRANSFER_COST[distances[worker.domain]]
-        for worker in workers
+        _compute_load(view, worker, now) + transfer
+        for worker, transfer in zip(workers, transfers, strict=True)
     ]
     return _chance.choose_near_cheapest(
         workers,
@@ -104,6 +101,45 @@
     )
 
 
+@DECODE_POLICIES.register('least_tokens_filled')
+def choose_by_filling(
+    view: DecodeView,
+    workers: Workers,
+    source: _calls.KvSource | None,
+    now: float,
+) -> schema.serving.Worker:
+    """Chooses by the same cost, and expects that others fill free slots."""
+    if view.processes == 1:
+        return choose_least_tokens(view, workers, source, now)
+    transfers = _list_transfer_costs(view, workers, source)
+    costs = [
+        _compute_load(view, worker, now) + transfer
+        for worker, transfer in zip(workers, transfers, strict=True)
+    ]
+    slots = sum(max(1, worker.slots) for worker in workers)
+    versions = {(worker.service, worker.version) for worker in workers}
+    own_per_s = sum(
+        view.load.sent_streams.get_per_s(service, version, now, 1)
+        for service, version in versions
+    )
+    others = _water_filling.estimate_others_load(own_per_s, view.processes)
+    arrivals = _water_filling.Arrivals(others / slots, len(workers) / slots)
+    return _water_filling.choose(
+        workers, costs, transfers, arrivals, _LOAD_SPREAD, view.random_source
+    )
+
+
+def _list_transfer_costs(
+    view: DecodeView, workers: Workers, source: _calls.KvSource | None
+) -> list[float]:
+    """Returns the cost of the KV transfer to each worker."""
+    start = source.worker.domain if source else view.topology.domain
+    distances = view.topology.list_distances(
+        start, (worker.domain for worker in workers)
+    )
+    return [_KV_TRANSFER_COST[distances[worker.domain]] for worker in workers]
+
+
 def _compute_load(
     view: DecodeView, worker: schema.serving.Worker, now: float
 ) -> float:
--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -9,8 +9,10 @@
     _placement_costs,
     _placement_view,
     _plain_choice,
+    _prefill_time,
     _prompt_load,
     _transfers,
+    _water_filling,
 )
 
 _Placement = _prompt_load.Placement
@@ -24,6 +26,16 @@
 
 PlacementView = _placement_view.PlacementView
 _Engines = _placement_view.Engines
+_Choose = typing.Callable[
+    [
+        PlacementView,
+        _placement_costs.PlacementCosts,
+        _Engines,
+        list[float],
+        float,
+    ],
+    _placement_view.Engine,
+]
 
 
 class PlacementPolicy(typing.Protocol):
@@ -63,6 +75,80 @@
     recomputed shared parts, other regions, interference with decode, the KV
     transfer, and late first tokens.
     """
+    return _place(view, prompt, now, _choose_near_cheapest)
+
+
+@PLACEMENT_POLICIES.register('predicted_filled')
+def place_by_filling(
+    view: PlacementView, prompt: _calls.Prompt, now: float
+) -> _Placement | None:
+    """Chooses by the same cost, and expects that others fill short queues."""
+    is_alone = view.processes == 1
+    choose = _choose_near_cheapest if is_alone else _choose_by_filling
+    return _place(view, prompt, now, choose)
+
+
+def _choose_near_cheapest(
+    view: PlacementView,
+    costs: _placement_costs.PlacementCosts,
+    options: _Engines,
+    costs_s: list[float],
+    now: float,
+) -> _placement_view.Engine:
+    return _chance.choose_near_cheapest(
+        options,
+        costs_s,
+        _COST_SPREAD_S * _chance.compute_share(view.processes),
+        view.random_source,
+    )
+
+
+def _choose_by_filling(
+    view: PlacementView,
+    costs: _placement_costs.PlacementCosts,
+    options: _Engines,
+    costs_s: list[float],
+    now: float,
+) -> _placement_view.Engine:
+    queues_s = [
+        one.queued / _prefill_time.get_prefill_speed(one.worker.stage)
+        for one in options
+    ]
+    cheapest = options[costs_s.index(min(costs_s))]
+    work = costs.make_placement(cheapest, None).work
+    workers = view.prefills or view.decodes
+    speed = _prefill_time.get_prefill_speed(workers[0].stage)
+    versions = {(one.service, one.version) for one in workers}
+    own_per_s = sum(
+        view.load.sent_work.get_per_s(service, version, now, work)
+        for service, version in versions
+    )
+    others = _water_filling.estimate_others_load(own_per_s, view.processes)
+    arrivals = _water_filling.Arrivals(
+        others / speed / len(workers), work / speed
+    )
+    bases_s = [
+        cost_s - queue_s
+        for cost_s, queue_s in zip(costs_s, queues_s, strict=True)
+    ]
+    return _water_filling.choose(
+        options, costs_s, bases_s, arrivals, _COST_SPREAD_S, view.random_source
+    )
+
+
+def _place(
+    view: PlacementView,
+    prompt: _calls.Prompt,
+    now: float,
+    choose: _Choose,
+) -> _Placement | None:
+    """Chooses a worker, unless the cheapest computes parts for the first time.
+
+    :param view: input of the policy.
+    :param prompt: the prompt.
+    :param now: monotonic time in seconds.
+    :param choose: chooses among the candidates by their costs.
+    """
     prefills, decodes = (
         _placement_view.list_engines(view, workers, prompt, now)
         for workers in (view.prefills, view.decodes)
@@ -92,12 +178,7 @@
     if cheapest.worker.id == first_id:
         # All processes must have a new part computed by the same worker.
         return model.make_placement(cheapest, first_id)
-    chosen = _chance.choose_near_cheapest(
-        options,
-        costs,
-        _COST_SPREAD_S * _chance.compute_share(view.processes),
-        view.random_source,
-    )
+    chosen = choose(view, model, options, costs, now)
     return model.make_placement(chosen, first_id)
 
 
--- a/briarknot/serving/_prompt_load.py
+++ b/briarknot/serving/_prompt_load.py
@@ -10,6 +10,7 @@
     _event_gaps,
     _prefill_time,
     _rendezvous,
+    _send_rates,
 )
 
 _Stage = schema.serving.Stage
@@ -63,6 +64,8 @@
     :param caches: shared parts of prompts in the engines' caches.
     :param gaps: gaps between the events of streams.
     :param ranks: orders of the engines by hash of a shared part.
+    :param sent_work: prefill work that this process sends, in tokens.
+    :param sent_streams: generations that this process sends.
     """
 
     work: _engine_work.EngineWork = attrs.field(
@@ -77,6 +80,12 @@
     ranks: _rendezvous.WorkerRanks = attrs.field(
         factory=_rendezvous.WorkerRanks
     )
+    sent_work: _send_rates.SendRates = attrs.field(
+        factory=_send_rates.SendRates
+    )
+    sent_streams: _send_rates.SendRates = attrs.field(
+        factory=_send_rates.SendRates
+    )
     _slowdowns: dict[str, float] = attrs.field(factory=dict)
 
     def add(
@@ -88,10 +97,12 @@
         :param prompt: the prompt.
         :param now: monotonic time in seconds.
         """
-        self.work.add(placement.prefill_worker.id, tokens=placement.work)
-        self.caches.record_prompt(
-            placement.prefill_worker.id, prompt, now, placement.expected_s
+        worker = placement.prefill_worker
+        self.work.add(worker.id, tokens=placement.work)
+        self.sent_work.record(
+            worker.service, worker.version, placement.work, now
         )
+        self.caches.record_prompt(worker.id, prompt, now, placement.expected_s)
 
     def remove(
         self,
