--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -8,6 +8,11 @@
   otlp @2 $A.doc("OTLP over HTTP.");
 }
 
+enum LoadSpreading $A.doc("Choice among engines of nearly equal cost.") {
+  nearCheapest @0 $A.doc("By chance near the lowest known cost.");
+  waterFilling @1 $A.doc("By chance among the engines that are expected to be the cheapest once the requests of other gateways have filled the lowest load.");
+}
+
 struct Node $A.doc("Identity and shared connections of a process.") {
   host @0 :Text $A.required $A.pattern("[a-z0-9][a-z0-9-]*") $A.doc("Name of the host, unique in the fleet.");
   domain @1 :Text $A.required $A.doc("Failure domain of the host.");
@@ -115,4 +120,5 @@
   duties @17 :List(Text) $A.doc("Duties of the fleet; usage_report reports the requests of client accounts, others are ignored.");
   usageWindowS @18 :Float64 = 5 $A.unit("s") $A.minimum(0.1) $A.doc("Window of usage reports.");
   usageLateS @19 :Float64 = 10 $A.unit("s") $A.minimum(0.1) $A.doc("Time after the end of its window at which a usage report is due.");
+  loadSpreading @20 :LoadSpreading = nearCheapest $A.doc("Choice among engines of nearly equal cost.");
 }
