--- a/briarknot/gateway/tests/test_accounts.py
+++ b/briarknot/gateway/tests/test_accounts.py
@@ -15,7 +15,7 @@
 
 _KEY = 'secret-key'
 _AUTHORIZED = {'Authorization': f'Bearer {_KEY}'}
-_PROMPT = {**generation._PROMPT, **_AUTHORIZED}
+PROMPT = {**generation.PROMPT, **_AUTHORIZED}
 _IDENTITY = ('authorization', 'tenant')
 
 
@@ -138,7 +138,7 @@
     async with _support.open_gateway(route, *workers) as gateway:
         put_accounts(gateway, make_entry())
         _support.get_worker_record(gateway.context, workers[2]).in_flight = 1
-        status, _, body = await gateway.send(headers=_PROMPT)
+        status, _, body = await gateway.send(headers=PROMPT)
     assert (status, generation.read_data(body)) == (200, ['x', 'y'])
     received = [one for worker in workers for one in worker.requests]
     assert {one.get('serving-stage') for one in received} == {None, 'prefill'}
@@ -160,7 +160,7 @@
     async with _support.open_gateway(route, *workers) as gateway:
         put_accounts(gateway, make_entry())
         _support.get_worker_record(gateway.context, workers[2]).in_flight = 1
-        status, _, body = await gateway.send(headers=_PROMPT)
+        status, _, body = await gateway.send(headers=PROMPT)
     assert (status, generation.read_data(body)) == (200, ['x', 'y'])
     assert read_identity(workers[2].requests[0]) == (None, 'a')
 
@@ -245,7 +245,7 @@
     route = generation.make_stream_route(rank=2)
     async with _support.open_gateway(route, *workers) as gateway:
         put_accounts(gateway, make_entry(priority=priority))
-        await gateway.send(headers=_PROMPT)
+        await gateway.send(headers=PROMPT)
     urgencies = [
         one['request-urgency'] for worker in workers for one in worker.requests
     ]
