--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -136,8 +136,10 @@
         return ''
     if default in {'', ()}:
         return 'empty'
+    if isinstance(default, bool):
+        default = str(default).lower()
     unit = f' {info.unit}' if info.unit else ''
-    return f'`{str(default).lower()}`{unit}'
+    return f'`{default}`{unit}'
 
 
 def _format_limits(info):
