Keep background tasks and the exchange running in three rare cases

Causes and changes: - From 140 domain peers, the planned wait of an idle process exceeded the limit by which it detects its suspension, so it forgot the work of others in each round. Waits are now at most 0.3 s, and each is checked by itself. - A failed task was logged by a module imported at that moment. Without a free file descriptor the import failed, and the task ended. The standard library's logging needs no import there. - A wait that handled the cancellation of its read timer left the task marked as cancelled. The mark is now removed in each case. - A malformed message was dropped by its forwarder without a log line.

--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -1,6 +1,7 @@
 """Messages between gateway processes: work at engines and fleet updates."""
 
 import asyncio
+import math
 import time
 import typing
 
@@ -27,8 +28,8 @@
 #: Longest pause of a process that is no relay at the time. A report or sum of
 #: another domain ends it.
 _IDLE_PERIOD_S = 0.3
-#: A longer pause of the relay task means that the process was suspended, and
-#: what it knows of others is outdated.
+#: A longer wait of the relay task, which takes at most ``_IDLE_PERIOD_S``, means
+#: that the process was suspended, and what it knows of others is outdated.
 _MAX_SUSPENSION_S = 1.0
 #: Longest time between messages while the work does not change; peers drop
 #: work that has not been reported for 1.5 s.
@@ -64,6 +65,7 @@
     _domain_work_s: float = float('-inf')
     _far_parts: list[schema.messages.CachedPart] = attrs.field(factory=list)
     _far_sent_s: float = float('-inf')
+    _checked_s: float = float('inf')
 
     @property
     def context(self) -> _context.Context:
@@ -147,15 +149,17 @@
         otherwise the relays of idle domains would keep each other active.
         """
         domain_sent_s = float('-inf')
-        woke_s = _clock.read_clock()
+        self._checked_s = _clock.read_clock()
         while True:
             if not self._is_relay(time.monotonic()):
                 await self._relay_needed.wait(_IDLE_PERIOD_S)
+                self._check_suspension()
             near = self._socket.list_near()
-            await asyncio.sleep(max(_PERIOD_S / 2, len(near) / _MAX_SENT_PER_S))
-            suspended_s, woke_s = woke_s, _clock.read_clock()
-            if woke_s - suspended_s > _MAX_SUSPENSION_S:
-                self._forget_peers(woke_s - suspended_s)
+            pause_s = max(_PERIOD_S / 2, len(near) / _MAX_SENT_PER_S)
+            waits = math.ceil(pause_s / _IDLE_PERIOD_S)
+            for _ in range(waits):
+                await asyncio.sleep(pause_s / waits)
+                self._check_suspension()
             _log_malformed(self._context.prompt_load.work)
             now = time.monotonic()
             has_reports = now - self._reported_s < _MAX_RELAY_IDLE_S
@@ -174,6 +178,8 @@
         :param message: the message.
         :param now: monotonic time in seconds.
         """
+        if message.forward and not self._forward(message):
+            return
         self.record_host(message)
         self._inform_started(message)
         load = self._context.prompt_load
@@ -185,22 +191,22 @@
                 self._relay_needed.notify()
         else:
             load.work.apply_peer_work(message, now)
-        if message.forward:
-            self._forward(message)
 
     def _is_relay(self, now: float) -> bool:
         """Whether processes or relays of other domains report to this one."""
         last_s = max(self._reported_s, self._domain_work_s)
         return now - last_s < _MAX_RELAY_IDLE_S
 
-    def _forward(self, message: schema.messages.EngineWork) -> None:
-        """Sends a message of another domain to the domain peers."""
+    def _forward(self, message: schema.messages.EngineWork) -> bool:
+        """Sends a message of another domain on, unless it is malformed."""
         workers = schema.read_list(message.workers)
-        # A malformed list is logged by whatever uses it.
-        if not isinstance(workers, schema.DecodeError):
-            data = schema.encode(attrs.evolve(message, forward=False))
-            for peer in self._socket.list_near():
-                self._socket.send(data, peer.address)
+        if isinstance(workers, schema.DecodeError):
+            telemetry.log_event('peer_message_malformed', message=repr(workers))
+            return False
+        data = schema.encode(attrs.evolve(message, forward=False))
+        for peer in self._socket.list_near():
+            self._socket.send(data, peer.address)
+        return True
 
     @HANDLERS.register('DomainWork')
     def apply_domain_work(
@@ -284,11 +290,17 @@
             if peer is not None:
                 self._socket.send(data, peer.address)
 
-    def _forget_peers(self, seconds: float) -> None:
-        telemetry.log_event('peer_work_outdated', suspended_s=round(seconds, 2))
-        self._context.prompt_load.work.forget_peers()
-        self._context.permits.forget_issued()
-        self._sums.clear()
+    def _check_suspension(self) -> None:
+        """Forgets the work of others if the last wait took too long."""
+        waited_s = _clock.read_clock() - self._checked_s
+        self._checked_s += waited_s
+        if waited_s > _MAX_SUSPENSION_S:
+            telemetry.log_event(
+                'peer_work_outdated', suspended_s=round(waited_s, 2)
+            )
+            self._context.prompt_load.work.forget_peers()
+            self._context.permits.forget_issued()
+            self._sums.clear()
 
     def _send_to_all(self, message: schema.messages.EngineWork) -> None:
         """Sends to the domain peers, and to one process of each other domain.
--- a/briarknot/gateway/_read_timer.py
+++ b/briarknot/gateway/_read_timer.py
@@ -40,11 +40,14 @@
         try:
             return await wait
         except asyncio.CancelledError as error:
-            if self._has_expired and self._task.uncancel() <= cancels:
+            if self._has_expired and self._task.cancelling() <= cancels + 1:
                 raise TimeoutError from error
             raise
         finally:
             self._is_waiting = False
+            if self._has_expired:
+                # Also where the wait has handled the cancellation itself.
+                self._task.uncancel()
 
     def close(self) -> None:
         """Cancels the timer."""
--- a/briarknot/gateway/tests/test_peers.py
+++ b/briarknot/gateway/tests/test_peers.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from briarknot import schema, serving
+from briarknot import schema, serving, telemetry
 from briarknot.gateway import _context, _peers
 from briarknot.gateway.tests import _support
 
@@ -131,6 +131,24 @@
             await asyncio.sleep(0.02)
 
 
+def test_malformed_message_is_logged_by_its_forwarder(monkeypatch):
+    """A message that was dropped instead of sent on left no trace."""
+    events = []
+    monkeypatch.setattr(
+        telemetry, 'log_event', lambda event, **_: events.append(event)
+    )
+    message = schema.messages.EngineWork(
+        host='g2',
+        domain='b',
+        forward=True,
+        workers=(schema.messages.WorkerWork(worker='bad-worker'),),
+    )
+    data = schema.encode(message).replace(b'bad-', b'b\xff\xff-')
+    peers = _peers.make_peers(make_peer_context('g1'))
+    peers.apply_work(schema.decode(data), 0)
+    assert events == ['peer_message_malformed']
+
+
 def test_late_message_is_ignored():
     """Datagrams may be reordered, so an old one would replace newer work."""
     load = serving.make_prompt_load()
--- a/briarknot/gateway/tests/test_read_timer.py
+++ b/briarknot/gateway/tests/test_read_timer.py
@@ -1,6 +1,7 @@
 """Tests the timer of many waits."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -39,6 +40,23 @@
         await task
 
 
+@pytest.mark.parametrize('error', [None, ValueError])
+async def test_handled_timeout_leaves_no_cancellation(error):
+    """The next time limit of the task was taken for its cancellation."""
+
+    async def wait():
+        try:
+            await asyncio.sleep(5)
+        except asyncio.CancelledError:
+            if error:
+                raise error from None
+
+    timer = _read_timer.make_read_timer(0.02)
+    with contextlib.suppress(ValueError):
+        await timer.wait_for(wait())
+    assert not asyncio.current_task().cancelling()
+
+
 async def test_limit_of_the_request_ends_a_wait():
     """A stream whose time is over would be taken for silent instead."""
     timer = _read_timer.make_read_timer(_PERIOD_S)
--- a/briarknot/gateway/tests/test_work_relays.py
+++ b/briarknot/gateway/tests/test_work_relays.py
@@ -147,6 +147,19 @@
         )
 
 
+async def test_idle_process_of_a_large_domain_is_not_suspended(monkeypatch):
+    """Each idle process forgot the work of others in each round."""
+    context = make_context(170)
+    peers = _peers.make_peers(context)
+    forgotten = []
+    monkeypatch.setattr(
+        serving.EngineWork, 'forget_peers', lambda _: forgotten.append(1)
+    )
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(peers.relay_work(), 1.5)
+    assert not forgotten
+
+
 def test_messages_of_a_process_do_not_grow_with_the_fleet():
     """With reports to all, a process decoded 150 messages a second."""
     relays = {
--- a/briarknot/program/_background_tasks.py
+++ b/briarknot/program/_background_tasks.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections.abc
-import importlib
+import logging
 
 import prometheus_client
 
@@ -35,9 +35,10 @@
             await make_task()
         except Exception:
             _FAILURES.labels(name).inc()
-            # A gateway starts without this library.
-            logging = importlib.import_module('absl.logging')
-            logging.exception('Background task %s failed', name)
+            # Nothing is imported here: no file descriptor may be free.
+            logging.getLogger(__name__).exception(
+                'Background task %s failed', name
+            )
         else:
             return
         await asyncio.sleep(restart_delay_s)
--- a/briarknot/program/tests/test_background_tasks.py
+++ b/briarknot/program/tests/test_background_tasks.py
@@ -1,6 +1,7 @@
 """Guards against failed background tasks that end or are not restarted."""
 
 import asyncio
+import sys
 
 import pytest
 
@@ -20,6 +21,22 @@
     assert runs == [0, 1, 2]
 
 
+async def test_task_is_restarted_without_free_descriptors(monkeypatch):
+    """A process without descriptors never ran the task again."""
+    runs = []
+
+    async def run():
+        runs.append(len(runs))
+        if len(runs) < 2:
+            raise OSError
+
+    # Imports need descriptors.
+    monkeypatch.setattr(sys, 'meta_path', [])
+    monkeypatch.delitem(sys.modules, 'absl.logging', raising=False)
+    await asyncio.wait_for(program.run_background_task('peers', run, 0), 20)
+    assert runs == [0, 1]
+
+
 async def test_cancelled_task_ends():
     """A planned stop would never end."""
     task = asyncio.create_task(
