Keep valid work until a newer list is read, and drop outdated messages

Causes and changes: - A list that turned out malformed had already replaced the valid one, so the work of a host or relay counted as 0. The message before it is kept. - Unread work keeps its whole message in memory.

The new tests of the first two fail before the change. 219 tests of serving, schema, program, test_peers, test_work_relays and test_read_timer pass.

--- a/briarknot/serving/_engine_work.py
+++ b/briarknot/serving/_engine_work.py
@@ -20,6 +20,7 @@
 
 WorkerWork = _work_parts.WorkerWork
 Work = _work_parts.Work
+_NO_REPORT: Work = {}
 
 
 @attrs.frozen
@@ -30,12 +31,14 @@
     :param version: start of the process and sequence number of its message.
     :param received_s: monotonic time at which the message was received.
     :param work: the work.
+    :param previous: an earlier message, used if this one is malformed.
     """
 
     domain: str
     version: tuple[int, int]
     received_s: float
     work: _work_parts.ReceivedWork
+    previous: '_PeerWork | None' = None
 
 
 @attrs.frozen(eq=False)
@@ -48,6 +51,7 @@
     :param work: the work.
     :param included: sequence number of the local report that is part of it; 0
         for none.
+    :param previous: an earlier sum, used if this one is malformed.
     """
 
     version: tuple[int, int]
@@ -55,6 +59,7 @@
     processes: int
     work: _work_parts.ReceivedWork
     included: int
+    previous: '_FleetSum | None' = None
 
 
 @attrs.define(eq=False)
@@ -67,7 +72,11 @@
     """
 
     _local: Work = attrs.field(factory=dict)
-    _peers: dict[str, _PeerWork] = attrs.field(factory=dict)
+    _versions: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    #: In the order of their receipt.
+    _peers: collections.OrderedDict[str, _PeerWork] = attrs.field(
+        factory=collections.OrderedDict
+    )
     _sums: dict[str, _FleetSum] = attrs.field(factory=dict)
     _reports: collections.OrderedDict[int, Work] = attrs.field(
         factory=collections.OrderedDict
@@ -148,15 +157,23 @@
         :param now: monotonic time in seconds.
         """
         version = (message.born_ms, message.sequence)
-        known = self._peers.get(message.host)
-        if known is None or known.version < version:
+        known_version = self._versions.get(message.host)
+        if known_version is None or known_version < version:
+            work = _work_parts.ReceivedWork(message.workers)
+            if message.parts:
+                # Unread work keeps the whole message in memory.
+                work.read()
+            known = self._peers.pop(message.host, None)
+            self._versions[message.host] = version
             self._peers[message.host] = _PeerWork(
                 message.domain,
                 version,
                 now,
-                _work_parts.ReceivedWork(message.workers),
+                work,
+                _work_parts.choose_previous(known),
             )
             self._is_changed = True
+        self._drop_outdated(now)
 
     def apply_fleet_work(
         self, message: schema.messages.FleetWork, host: str, now: float
@@ -181,6 +198,7 @@
                 message.processes,
                 _work_parts.ReceivedWork(message.workers),
                 sequence,
+                _work_parts.choose_previous(known),
             )
             self._is_changed = True
 
@@ -233,6 +251,7 @@
 
     def forget_peers(self) -> None:
         """Forgets the work of all other processes, after a suspension."""
+        self._versions.clear()
         self._peers.clear()
         self._sums.clear()
         self._is_changed = True
@@ -240,15 +259,16 @@
     def _record_change(self, worker_id: str) -> None:
         self._snapshot = None
         self._totals.pop(worker_id, None)
+        self._is_changed = True
 
     def _choose_base(self, now: float) -> None:
         """Chooses the work of others that totals are computed from."""
         best = self._choose_sum(now)
         if best is None:
-            report: Work = {}
+            report = _NO_REPORT
             is_new = self._peer_sum.update(self._read_peers(now))
         else:
-            report = self._reports.get(best.included, {})
+            report = self._reports.get(best.included, _NO_REPORT)
             is_new = report is not self._base_report
         if is_new or best is not self._base:
             self._totals.clear()
@@ -273,17 +293,33 @@
 
     def _read_peers(self, now: float) -> dict[str, Work]:
         """Returns the recent work of each other process."""
+        self._drop_outdated(now)
         works = {}
-        for host, peer in tuple(self._peers.items()):
-            if now - peer.received_s < _MAX_PEER_AGE_S:
-                work = peer.work.read()
-                if isinstance(work, schema.DecodeError):
-                    self.record_malformed(work)
-                    del self._peers[host]
-                else:
-                    works[host] = work
+        for host in tuple(self._peers):
+            work = self._read_peer(host, now)
+            if work is not None:
+                works[host] = work
         return works
 
+    def _read_peer(self, host: str, now: float) -> Work | None:
+        peer = self._peers.get(host)
+        if peer is None or now - peer.received_s >= _MAX_PEER_AGE_S:
+            return None
+        work = peer.work.read()
+        if isinstance(work, schema.DecodeError):
+            self.record_malformed(work)
+            _work_parts.restore_previous(self._peers, host)
+            return self._read_peer(host, now)
+        return work
+
+    def _drop_outdated(self, now: float) -> None:
+        """Drops outdated messages, but remembers their versions."""
+        while self._peers:
+            host, peer = next(iter(self._peers.items()))
+            if now - peer.received_s < _MAX_PEER_AGE_S:
+                break
+            del self._peers[host]
+
     def _choose_sum(self, now: float) -> _FleetSum | None:
         """Returns the recent sum that covers most processes, or None.
 
@@ -303,7 +339,8 @@
             if not isinstance(work, schema.DecodeError):
                 return self._sums[relay]
             self.record_malformed(work)
-            del self._sums[relay]
+            _work_parts.restore_previous(self._sums, relay)
+            return self._choose_sum(now)
         return None
 
 
--- a/briarknot/serving/_work_parts.py
+++ b/briarknot/serving/_work_parts.py
@@ -1,6 +1,7 @@
 """Work at engines as messages carry it, and sums of it."""
 
 import collections.abc
+import typing
 
 import attrs
 
@@ -19,6 +20,11 @@
     _workers: collections.abc.Sequence[WorkerWork]
     _work: Work | schema.DecodeError | None = None
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether the work has been read and is not malformed."""
+        return isinstance(self._work, dict)
+
     def read(self) -> Work | schema.DecodeError:
         """Returns the work, or what is wrong with the message."""
         if self._work is None:
@@ -31,6 +37,34 @@
         return self._work
 
 
+Entry = typing.TypeVar('Entry')
+
+
+def choose_previous(known: Entry | None) -> Entry | None:
+    """Chooses what is used again if the next message turns out malformed.
+
+    :param known: entry of the last message, with its own ``previous`` one.
+    :returns: the later of the two, but rather one whose work has been read.
+    """
+    if known is None or known.previous is None or known.work.is_valid:
+        return known and attrs.evolve(known, previous=None)
+    return known.previous
+
+
+def restore_previous(
+    entries: dict[collections.abc.Hashable, Entry],
+    key: collections.abc.Hashable,
+) -> None:
+    """Replaces the entry of a malformed message by the one before it.
+
+    :param entries: entries of the latest messages.
+    :param key: key of the entry.
+    """
+    previous = entries.pop(key).previous
+    if previous is not None:
+        entries[key] = previous
+
+
 @attrs.define
 class _Total:
     """Sum of the work at one worker.
--- a/briarknot/serving/_work_sums.py
+++ b/briarknot/serving/_work_sums.py
@@ -23,12 +23,14 @@
     :param received_s: monotonic time at which it was received.
     :param work: the work.
     :param processes: number of processes whose work is part of it.
+    :param previous: an earlier sum, used if this one is malformed.
     """
 
     version: tuple[int, int]
     received_s: float
     work: _work_parts.ReceivedWork
     processes: int
+    previous: '_DomainSum | None' = None
 
 
 @attrs.define(eq=False)
@@ -76,6 +78,7 @@
                 now,
                 _work_parts.ReceivedWork(message.workers),
                 message.processes,
+                _work_parts.choose_previous(known),
             )
 
     def make_domain_work(self, now: float) -> schema.messages.DomainWork:
@@ -152,7 +155,8 @@
             work = one.work.read()
             if isinstance(work, schema.DecodeError):
                 self._work.record_malformed(work)
-                del self._domains[domain, relays[domain]]
+                key = (domain, relays[domain])
+                _work_parts.restore_previous(self._domains, key)
                 return self._choose_domain_sums(now)
         return chosen
 
--- a/briarknot/serving/tests/test_work_parts.py
+++ b/briarknot/serving/tests/test_work_parts.py
@@ -1,5 +1,8 @@
 """Guards against sums that differ from those computed from scratch."""
 
+import weakref
+
+import attrs
 import hypothesis
 import pytest
 from hypothesis import strategies as st
@@ -172,3 +175,51 @@
     assert [one.worker for one in made.workers] == ['w']
     assert made.processes == 1
     assert len(relay.work.take_malformed()) == 1
+
+
+@pytest.mark.parametrize('kind', ['EngineWork', 'DomainWork', 'FleetWork'])
+def test_malformed_work_does_not_replace_valid_work(kind):
+    """The work of a host counted as 0 when its next message was malformed."""
+    relay = Relay()
+    message = {
+        'EngineWork': make_report('a1', 1, {'bad-worker': (7, 0, 0)}),
+        'DomainWork': schema.messages.DomainWork(
+            domain='b', relay='b1', sequence=1, processes=4
+        ),
+        'FleetWork': make_fleet_work('a1', 'w', 3),
+    }[kind]
+    for sequence, worker in enumerate(('w', 'bad-worker', 'bad-worker'), 1):
+        work = (_WorkerWork(worker=worker, tokens=7),)
+        sent = attrs.evolve(message, sequence=sequence, workers=work)
+        received = schema.decode(schema.encode(sent))
+        if sequence > 1:
+            received = damage(sent)
+        if kind == 'EngineWork':
+            relay.sums.apply_report(received, 0)
+        elif kind == 'DomainWork':
+            relay.sums.apply_domain_work(received, 0)
+        else:
+            relay.work.apply_fleet_work(received, 'a0', 0)
+        if kind != 'FleetWork':
+            made = relay.sums.make_fleet_work(1, 0)
+            relay.work.apply_fleet_work(made, 'a2', 0)
+        assert relay.work.get_total('w', 0).tokens == 7
+
+
+@pytest.mark.parametrize('parts', [0, 300])
+def test_unread_work_keeps_no_message_in_memory(parts):
+    """A process kept the last message of each other one, with all its parts."""
+    work = serving.EngineWork()
+    sent = attrs.evolve(
+        make_report('a1', 2, {'w': (7, 0, 0)}),
+        parts=(schema.messages.CachedPart(worker='w', part='k'),) * parts,
+    )
+    message = schema.decode(schema.encode(sent))
+    unread = weakref.ref(message.workers)
+    work.apply_peer_work(message, 0)
+    del message
+    if not parts:
+        work.apply_peer_work(make_report('a2', 1, {}), 2)
+    assert unread() is None
+    work.apply_peer_work(attrs.evolve(sent, sequence=1), 2)
+    assert work.get_total('w', 2).tokens == 0
