List crashed workers without a scan for each choice, and reword names

Each choice scanned up to 1,000 crashes. The workers that crashed recently are now listed again only after another crash, or when one drops out of the list. Only this list reads the times; other readers use the records of keys.

test_work_relays, test_read_timer and test_host_groups pass.

--- a/briarknot/gateway/_crashes.py
+++ b/briarknot/gateway/_crashes.py
@@ -207,7 +207,7 @@
         context.quarantine_changed.notify()
 
 
-def list_up(
+def list_live(
     context: _context.Context,
     workers: tuple[schema.serving.Worker, ...],
     now: float,
@@ -218,10 +218,12 @@
     :param workers: listed workers.
     :param now: monotonic time in seconds.
     """
-    down = context.quarantine.list_down(now)
-    if not down:
+    crashed = context.quarantine.list_crashed(now)
+    if not crashed:
         return workers
-    return tuple(one for one in workers if serving.name_start(one) not in down)
+    return tuple(
+        one for one in workers if serving.name_start(one) not in crashed
+    )
 
 
 def _compute_turn_s(context: _context.Context, key: str) -> float:
@@ -239,7 +241,7 @@
     """Returns whether only one of several workers is left, or none."""
     now = time.monotonic()
     listed = context.fleet.list_usable(request.service.name, stage, now)
-    return len(listed) > 1 and len(list_up(context, listed, now)) <= 1
+    return len(listed) > 1 and len(list_live(context, listed, now)) <= 1
 
 
 def _make_delay(key: str, reason: str) -> serving.Quarantined:
--- a/briarknot/gateway/_host_groups.py
+++ b/briarknot/gateway/_host_groups.py
@@ -44,6 +44,7 @@
         :param domain: its failure domain.
         :param peers: the other processes; each change makes another list.
         """
+        # The size shows hosts that were added to the same list in place.
         is_same = peers is self._peers and len(peers) == self._size
         return is_same and (host, domain) == (self._host, self._domain)
 
@@ -69,7 +70,7 @@
         """
         return self._rank(key, 'all', (self._host, *self._peers))
 
-    def get_first_rank(self, key: str) -> int | None:
+    def get_reader_rank(self, key: str) -> int | None:
         """Returns the rank of this process among the first of each domain.
 
         :param key: key of the orders.
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -271,8 +271,8 @@
     unblocked = tuple(
         worker for worker, record in untried if not record.is_blocked(now)
     )
-    up = _crashes.list_up(context, unblocked, now)
-    return up or tuple(worker for worker, _ in untried)
+    live = _crashes.list_live(context, unblocked, now)
+    return live or tuple(worker for worker, _ in untried)
 
 
 def is_fetchable(
--- a/briarknot/gateway/_store_readers.py
+++ b/briarknot/gateway/_store_readers.py
@@ -30,7 +30,7 @@
     :returns: 0 for the leader, which reads for all; None for a process that is
         no store reader and reads only where no updates arrive.
     """
-    return context.host_groups.get_first_rank(_KEY)
+    return context.host_groups.get_reader_rank(_KEY)
 
 
 async def wait_for_update(
--- a/briarknot/gateway/tests/test_host_groups.py
+++ b/briarknot/gateway/tests/test_host_groups.py
@@ -36,4 +36,4 @@
             firsts.append(serving.rank_names('k', hosts)[0])
         ranked = enumerate(serving.rank_names('k', firsts))
         ranks = {host: rank for rank, host in ranked}
-        assert groups.get_first_rank('k') == ranks.get('h0')
+        assert groups.get_reader_rank('k') == ranks.get('h0')
--- a/briarknot/serving/_chance.py
+++ b/briarknot/serving/_chance.py
@@ -1,6 +1,6 @@
 """Choice by chance among options of nearly the same cost.
 
-Many processes choose on the same late picture of the engines. If each took the
+Many processes choose on the same stale snapshot of the engines. If each took the
 cheapest option, all would send their requests to the same one.
 """
 
@@ -19,7 +19,7 @@
 def compute_share(processes: int) -> float:
     """Returns the share of a spread by which the choices of a fleet differ.
 
-    :param processes: processes that choose on the same late picture.
+    :param processes: processes that choose on the same stale snapshot.
 
     >>> compute_share(25), compute_share(300)
     (0.25, 1)
--- a/briarknot/serving/_crash_quarantine.py
+++ b/briarknot/serving/_crash_quarantine.py
@@ -45,7 +45,8 @@
     request in order, the first part of its prompt first.
 
     Established crashes are those that one key explains; they are computed after
-    each change.
+    each change. The workers that have crashed recently are listed after each
+    change, and at the time at which the first of them drops out.
     """
 
     _records: collections.OrderedDict[str, _crash_records.Record] = attrs.field(
@@ -59,6 +60,8 @@
     _crashed_s: collections.OrderedDict[str, float] = attrs.field(
         factory=collections.OrderedDict
     )
+    _recently_crashed: frozenset[str] = frozenset()
+    _crashed_until_s: float = _NEVER
 
     def check(
         self, keys: tuple[str, ...], now: float
@@ -95,16 +98,21 @@
             )
         return _quarantine_results.Clear()
 
-    def list_down(self, now: float) -> frozenset[str]:
+    def list_crashed(self, now: float) -> frozenset[str]:
         """Lists the workers that have crashed a moment ago, with their starts.
 
         :param now: monotonic time in seconds.
         """
-        return frozenset(
-            worker
-            for worker, crashed_s in self._crashed_s.items()
-            if now - crashed_s < _LISTED_S
-        )
+        if now >= self._crashed_until_s:
+            recent = {
+                worker: crashed_s
+                for worker, crashed_s in self._crashed_s.items()
+                if now - crashed_s < _LISTED_S
+            }
+            first_s = min(recent.values(), default=float('inf'))
+            self._recently_crashed = frozenset(recent)
+            self._crashed_until_s = first_s + _LISTED_S
+        return self._recently_crashed
 
     def start_trial(self, keys: tuple[str, ...], now: float) -> None:
         """Records that a request tries suspected or quarantined keys.
@@ -244,6 +252,7 @@
 
     def _record_down(self, worker: str, crashed_s: float) -> None:
         self._crashed_s.setdefault(worker, crashed_s)
+        self._crashed_until_s = _NEVER
         if len(self._crashed_s) > _MAX_RECORDS:
             self._crashed_s.popitem(last=False)
 
--- a/briarknot/serving/_engine_choice.py
+++ b/briarknot/serving/_engine_choice.py
@@ -48,7 +48,7 @@
     :param random_source: source of randomness.
     :param load: prompts and streams at the engines.
     :param event_gap_s: gap from which an event is late, in seconds; 0 for none.
-    :param processes: processes that choose on the same late picture.
+    :param processes: processes that choose on the same stale snapshot.
     :param turn_waits_s: time until another request may be sent to a worker, by
         the ids of the workers that have a limit.
     """
--- a/briarknot/serving/_placement_costs.py
+++ b/briarknot/serving/_placement_costs.py
@@ -69,7 +69,7 @@
     :param fetch_cost_s: cost of the volume that is fetched.
     :param stage_cost_s: cost of the interference at a decode worker, or of the KV
         transfer from a prefill worker.
-    :param hand_over_s: time of the KV transfer to the decode worker.
+    :param kv_transfer_s: time of the KV transfer to the decode worker.
     :param is_decode: whether the worker generates the tokens too.
     """
 
@@ -85,7 +85,7 @@
     turn_cost_s: float
     fetch_cost_s: float
     stage_cost_s: float
-    hand_over_s: float
+    kv_transfer_s: float
     is_decode: bool
 
 
@@ -200,7 +200,7 @@
         cost_s += terms.fetch_cost_s
         cost_s += terms.stage_cost_s
         in_time = 1 - _lateness.compute_late_probability(
-            expected_s + terms.hand_over_s, view.target_s
+            expected_s + terms.kv_transfer_s, view.target_s
         )
         if terms.is_decode:
             cost_s += _DECODE_QUEUEING_FACTOR * engine.queued / terms.speed
@@ -243,13 +243,13 @@
         recomputed = max(0, uncached - unshared)
         recomputed_s = recomputed / _prefill_time.PREFILL_TOKENS_PER_S
         speed = _prefill_time.get_prefill_speed(worker.stage)
-        hand_over_s: float = 0
+        kv_transfer_s: float = 0
         if worker.stage == _Stage.DECODE:
             stage_cost_s = _INTERFERENCE_FACTOR * work / speed
         else:
             # The decode worker is chosen near the prefill worker.
-            hand_over_s = _KV_TRANSFER_S + _prefill_time.get_call_s(distance)
-            stage_cost_s = hand_over_s + self._get_crowding_s(worker.version)
+            kv_transfer_s = _KV_TRANSFER_S + _prefill_time.get_call_s(distance)
+            stage_cost_s = kv_transfer_s + self._get_crowding_s(worker.version)
         is_far = distance == _topology.Distance.OTHER_REGION
         return _Terms(
             source=holder.worker if holder else None,
@@ -266,7 +266,7 @@
             turn_cost_s=_TURN_COST_S / (1 + work / _TURN_TOKENS),
             fetch_cost_s=self._compute_fetch_cost_s(holder, worker, fetched),
             stage_cost_s=stage_cost_s,
-            hand_over_s=hand_over_s,
+            kv_transfer_s=kv_transfer_s,
             is_decode=worker.stage == _Stage.DECODE,
         )
 
--- a/briarknot/serving/tests/test_herding.py
+++ b/briarknot/serving/tests/test_herding.py
@@ -1,4 +1,4 @@
-"""Pattern: many processes choose engines on the same late picture.
+"""Pattern: many processes choose engines on the same stale snapshot.
 
 All send their prompts to the engine that looked best, which then has a queue
 while others are idle.
