Check accounts at each send and bound the waits for the manifest

Cause: whether workers get the client's headers was fixed when a request was admitted, so a retry after the first manifest with accounts still sent the key. After a suspension, one failed read of the store ended the wait of known keys. Unknown keys could fill the waits of known ones; the two waits ran one after the other, each with the client's whole time, and held up to 200 bodies of 4 MB.

Change: each send asks the directory. Answers and failed attempts are dated separately; a suspension ends with an answer, or as an outage 4 s after the first failed attempt. Known and unknown keys have separate waits with one end time, by the time that remains, and at most 16 MB of bodies each. The event of a known key that waited in vain is `served_without_confirmation`, and the count of findings that are not logged is `account_findings_omitted`.

Measured: the new tests fail on the code before; 283 tests of platform, serving, and the gateway's accounts, manifest and store synchronization pass.

--- a/briarknot/gateway/_accounts.py
+++ b/briarknot/gateway/_accounts.py
@@ -1,14 +1,13 @@
 """Checks the keys of requests, and reports on client accounts."""
 
 import asyncio
-import math
 import time
 
 import attrs
 import prometheus_client
 
 from briarknot import schema, serving, telemetry
-from briarknot.gateway import _clock, _context
+from briarknot.gateway import _clock, _context, _manifest_status
 
 UNAUTHORIZED = 401
 _NOT_FOUND = 404
@@ -17,18 +16,14 @@
 #: that began after its arrival, in seconds. A new manifest reaches all processes
 #: within about 0.9 s.
 _MAX_WAIT_S = 1.0
-#: Longest wait as a share of the client's time.
+#: Longest wait as a share of the client's remaining time.
 _MAX_WAIT_SHARE = 1 / 3
-#: Requests that may wait at the same time; each holds its body and its connection.
-_MAX_WAITING = 200
 #: Retry-After where the manifest is not known to be current, in seconds; the next
 #: confirmation usually follows within a second. Clients honour at most a third of
 #: their remaining time.
 _RETRY_AFTER_S = 0.5
 _MIN_RETRY_AFTER_S = 0.05
 _MAX_RETRY_AFTER_SHARE = 1 / 3
-#: Time before all confirmations.
-_ALWAYS_S = -math.inf
 #: Accounts with a label of their own, and the label of all others.
 _MAX_LABELS = 100
 _OTHER_LABEL = 'other'
@@ -127,9 +122,9 @@
         )
     if len(findings) > _MAX_FINDINGS:
         telemetry.log_event(
-            'accounts_invalid',
+            'account_findings_omitted',
             manifest_version=manifest.version,
-            findings=len(findings),
+            findings=len(findings) - _MAX_FINDINGS,
         )
 
 
@@ -145,23 +140,25 @@
     """
     arrived_s = _clock.read_clock()
     decision = _decide(context, call)
-    if not context.accounts.are_required:
+    if not context.accounts.requires_key:
         return decision
+    wait_s = min(_MAX_WAIT_S, _find_remaining_s(call) * _MAX_WAIT_SHARE)
+    end_s = asyncio.get_running_loop().time() + wait_s
     if isinstance(decision, Admitted):
         if not context.manifest_status.was_suspended:
             return decision
-        decision = await _wait_after_suspension(context, call, decision)
+        decision = await _wait_after_suspension(context, call, decision, end_s)
         if isinstance(decision, Admitted):
             return decision
     # A key may have been added a moment ago; a missing one can't have been.
     is_key_unknown = decision.status == UNAUTHORIZED and call.key_hash
-    since_s = arrived_s if is_key_unknown else _ALWAYS_S
-    if context.waiting_for_manifest < _MAX_WAITING:
-        decision = await _wait(context, call, decision, since_s)
+    since_s = arrived_s if is_key_unknown else _manifest_status.NEVER_S
+    decision = await _wait(context, call, decision, since_s, end_s)
     if isinstance(decision, Admitted) or _is_current(context):
         return decision
-    remaining_s = call.received_s + call.timeout_s - time.monotonic()
-    longest_s = max(_MIN_RETRY_AFTER_S, remaining_s * _MAX_RETRY_AFTER_SHARE)
+    longest_s = max(
+        _MIN_RETRY_AFTER_S, _find_remaining_s(call) * _MAX_RETRY_AFTER_SHARE
+    )
     return NotAdmitted(
         status=_UNAVAILABLE,
         cause='manifest_not_confirmed',
@@ -179,36 +176,43 @@
     _REQUESTS.labels(_LABELS.get(account), outcome).inc()
 
 
-def _is_current(context: _context.Context, since_s: float = _ALWAYS_S) -> bool:
+def _is_current(
+    context: _context.Context, since_s: float = _manifest_status.NEVER_S
+) -> bool:
     return context.manifest_status.is_current(context.fleet.version, since_s)
 
 
+def _find_remaining_s(call: serving.Call) -> float:
+    return call.received_s + call.timeout_s - time.monotonic()
+
+
 async def _wait_after_suspension(
-    context: _context.Context, call: serving.Call, decision: Admitted
+    context: _context.Context,
+    call: serving.Call,
+    decision: Admitted,
+    end_s: float,
 ) -> Admitted | NotAdmitted:
-    """Waits until the process has heard of the manifest since a suspension.
+    """Waits until the process has had an answer or update since a suspension.
 
     The key may have been withdrawn meanwhile.
 
     :param context: state of the process.
     :param call: the request.
     :param decision: its admission.
+    :param end_s: time of the event loop at which the wait ends.
     :returns: the last decision.
     """
     status = context.manifest_status
-    if context.waiting_for_manifest >= _MAX_WAITING:
+    if not status.known_waiters.try_add(len(call.body)):
         return decision
-    context.waiting_for_manifest += 1
     try:
-        async with asyncio.timeout(
-            min(_MAX_WAIT_S, call.timeout_s * _MAX_WAIT_SHARE)
-        ):
-            while status.is_suspected(context.fleet.version):
+        async with asyncio.timeout_at(end_s):
+            while status.may_have_missed_manifest(context.fleet.version):
                 await status.changed.wait(_MAX_WAIT_S)
     except TimeoutError:
-        telemetry.log_event('manifest_not_confirmed', request=call.id)
+        telemetry.log_event('served_without_confirmation', request=call.id)
     finally:
-        context.waiting_for_manifest -= 1
+        status.known_waiters.remove(len(call.body))
     return _decide(context, call)
 
 
@@ -217,6 +221,7 @@
     call: serving.Call,
     decision: NotAdmitted,
     since_s: float,
+    end_s: float,
 ) -> Admitted | NotAdmitted:
     """Waits until a refusal is certain, or no longer due.
 
@@ -224,23 +229,24 @@
     :param call: the request.
     :param decision: its refusal.
     :param since_s: time from which on the manifest must have been the newest.
+    :param end_s: time of the event loop at which the wait ends.
     :returns: the last decision.
     """
-    wait_s = min(_MAX_WAIT_S, call.timeout_s * _MAX_WAIT_SHARE)
-    deadline_s = asyncio.get_running_loop().time() + wait_s
-    context.waiting_for_manifest += 1
+    status = context.manifest_status
+    if not status.unknown_waiters.try_add(len(call.body)):
+        return decision
     try:
         while not _is_current(context, since_s):
-            remaining_s = deadline_s - asyncio.get_running_loop().time()
+            remaining_s = end_s - asyncio.get_running_loop().time()
             if remaining_s <= 0:
                 break
-            await context.manifest_status.changed.wait(remaining_s)
+            await status.changed.wait(remaining_s)
             new_decision = _decide(context, call)
             if isinstance(new_decision, Admitted):
                 return new_decision
             decision = new_decision
     finally:
-        context.waiting_for_manifest -= 1
+        status.unknown_waiters.remove(len(call.body))
     return decision
 
 
@@ -252,13 +258,9 @@
     if route is None:
         return NotAdmitted(status=_NOT_FOUND, cause='unknown_target')
     directory = context.accounts
-    if not directory.are_required:
+    if not directory.requires_key:
         if call.identity_headers:
-            call = attrs.evolve(
-                call,
-                forwards_key=not directory.have_been_required,
-                forwards_name=True,
-            )
+            call = attrs.evolve(call, directory=directory)
         return Admitted(call=call, route=route)
     account = directory.find(call.key_hash)
     if account is not None:
--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -103,7 +103,6 @@
     :param stop: shortens the time limits of requests when the process stops.
     :param accounts: client accounts of the manifest.
     :param manifest_status: whether the manifest is known to be the newest.
-    :param waiting_for_manifest: requests that wait for its confirmation.
     :param background_tasks: tasks that outlive the request that started them.
     """
 
@@ -146,7 +145,6 @@
     manifest_status: _manifest_status.ManifestStatus = attrs.field(
         factory=_manifest_status.ManifestStatus
     )
-    waiting_for_manifest: int = 0
     background_tasks: set[typing.Any] = attrs.field(factory=set)
     _groups: _host_groups.HostGroups | None = None
 
--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -136,7 +136,7 @@
             return False
         status = self._context.manifest_status
         status.record_version(update.manifest_version)
-        status.record_contact(_date_update(self._client, update))
+        status.record_answer(_date_update(self._client, update))
         if update.manifest_version > self._context.fleet.version:
             return False
         self._manifest_confirmed_s = time.monotonic()
@@ -160,7 +160,7 @@
             return True
         confirmed_s = self._client.convert_store_time(update.manifest_store_s)
         if math.isinf(confirmed_s):
-            return not context.accounts.are_required
+            return not context.accounts.requires_key
         context.manifest_status.confirm(min(confirmed_s, _clock.read_clock()))
         return True
 
@@ -298,7 +298,7 @@
         if isinstance(page, platform.Page) and page.era == self._manifest_era:
             self._apply_manifest(page.rows, started_s)
             dated_s = _date_feed(self._client, page, read_s)
-            status.record_contact(dated_s)
+            status.record_answer(dated_s)
             if self._is_stored_in_force and not page.more:
                 status.confirm(dated_s)
             return page.version
@@ -321,6 +321,7 @@
         page = await self._client.read_table(platform.MANIFEST_TABLE)
         self._context.manifest_status.record_contact(read_s)
         if isinstance(page, platform.Page):
+            self._context.manifest_status.record_answer(read_s)
             self._manifest_era = page.era
             self._is_stored_in_force = False
             self._apply_manifest(page.rows, started_s)
--- a/briarknot/gateway/tests/test_accounts.py
+++ b/briarknot/gateway/tests/test_accounts.py
@@ -3,12 +3,13 @@
 import asyncio
 import contextlib
 import logging
+import time
 
 import attrs
 import pytest
 
-from briarknot import platform, telemetry
-from briarknot.gateway import _accounts, _clock
+from briarknot import platform, serving, telemetry
+from briarknot.gateway import _accounts, _clock, _manifest_status
 from briarknot.gateway.tests import _support
 from briarknot.gateway.tests import test_generation as generation
 from briarknot.gateway.tests import test_store_sync as stores
@@ -234,6 +235,21 @@
     assert _KEY not in worker.requests[1]['head']
 
 
+async def test_retry_after_the_first_accounts_carries_no_key():
+    """A request of before the accounts would bring its key to a worker."""
+    rejected = attrs.evolve(_support.REJECTED, delay_s=0.2)
+    workers = [_support.ScriptedWorker([rejected]) for _ in range(2)]
+    route = _support.make_route(generation._Kind.IDEMPOTENT)
+    async with _support.open_gateway(route, *workers) as gateway:
+        headers = {'Tenant': 't', **_AUTHORIZED}
+        sent = asyncio.ensure_future(gateway.send(headers=headers))
+        await asyncio.sleep(0.1)
+        put_accounts(gateway, make_entry())
+        await sent
+    identities = {read_identity(worker.requests[0]) for worker in workers}
+    assert identities == {(f'Bearer {_KEY}', 't'), (None, None)}
+
+
 @pytest.mark.parametrize(('priority', 'urgency'), [(0, '0'), (None, '6')])
 async def test_priority_of_the_account_precedes_that_of_the_route(
     priority, urgency, lines
@@ -298,9 +314,9 @@
         status._confirmed_s = status._contact_s
         sent = asyncio.ensure_future(gateway.send(headers=_AUTHORIZED))
         await asyncio.sleep(0.1)
-        # The update names a newer manifest, which is read afterwards.
+        # The update states a newer manifest, which is read afterwards.
         status.record_version(3)
-        status.record_contact(_clock.read_clock())
+        status.record_answer(_clock.read_clock())
         await asyncio.sleep(0.1)
         assert not sent.done()
         put_accounts(gateway, make_entry(keys=()))
@@ -322,7 +338,7 @@
 
 async def test_requests_that_wait_for_the_manifest_are_bounded(monkeypatch):
     """Unknown keys would hold the memory and the connections of a process."""
-    monkeypatch.setattr(_accounts, '_MAX_WAITING', 0)
+    monkeypatch.setattr(_manifest_status, 'MAX_WAITERS', 0)
     async with open_gateway() as (gateway, _):
         confirm = gateway.context.manifest_status
         confirm._confirmed_s = _clock.read_clock()
@@ -333,6 +349,60 @@
     assert status == 401
 
 
+def suspend(gateway):
+    """Has a process miss the manifest for longer than an outage lasts."""
+    status = gateway.context.manifest_status
+    status._contact_s = _clock.read_clock() - 9
+    status._confirmed_s = status._contact_s
+
+
+async def test_unknown_keys_do_not_displace_known_ones(monkeypatch):
+    """Withdrawn keys were served while unknown ones filled the waits."""
+    async with open_gateway() as (gateway, _):
+        status = gateway.context.manifest_status
+        status.unknown_waiters._count = _manifest_status.MAX_WAITERS
+        suspend(gateway)
+        sent = asyncio.ensure_future(gateway.send(headers=_AUTHORIZED))
+        await asyncio.sleep(0.2)
+        put_accounts(gateway, make_entry(keys=()))
+        confirm_manifest(gateway.context, later_s=60)
+        assert (await sent)[0] == 401
+
+
+def test_bodies_of_waiting_requests_are_bounded():
+    """200 bodies of 4 MB would fill a host with 200 MB."""
+    waiters = _manifest_status.Waiters()
+    added = [waiters.try_add(4 << 20) for _ in range(6)]
+    assert added == [True, True, True, True, False, False]
+    waiters.remove(4 << 20)
+    assert waiters.try_add(4 << 20)
+
+
+async def test_waits_share_the_time_that_remains():
+    """A request would wait twice, beyond its deadline."""
+    async with open_gateway() as (gateway, _):
+        suspend(gateway)
+        call = serving.Call(
+            id='1',
+            host='',
+            method='GET',
+            path='/r/x',
+            headers=(),
+            body=b'',
+            received_s=time.monotonic() - 1.4,
+            timeout_s=2.0,
+            key_hash=next(iter(gateway.context.accounts._by_hash)),
+        )
+        withdraw = asyncio.get_running_loop().call_later
+        withdraw(
+            0.1,
+            lambda: put_accounts(gateway, make_entry(keys=()), confirm=False),
+        )
+        async with asyncio.timeout(0.3):
+            decision = await _accounts.admit(gateway.context, call)
+    assert decision.status == 503
+
+
 def test_labels_of_accounts_are_bounded():
     """A manifest with 16,000 accounts would fill the metrics."""
     labels = _accounts.AccountLabels()
--- a/briarknot/gateway/tests/test_manifest_status.py
+++ b/briarknot/gateway/tests/test_manifest_status.py
@@ -227,6 +227,25 @@
         assert context.fleet.version == 3
 
 
+def test_failed_attempt_does_not_end_a_suspension(monkeypatch):
+    """One failed read after a suspension let withdrawn keys through."""
+    status = _manifest_status.ManifestStatus()
+    now = _clock.read_clock()
+    monkeypatch.setattr(_clock, 'read_clock', lambda: now + 30)
+    status.record_answer(now)
+    status.record_contact(now + 30)
+    assert status.was_suspended
+    assert status.may_have_missed_manifest(4)
+    # Without any answer it is an outage, in which known keys are served.
+    status.record_contact(now + 33)
+    monkeypatch.setattr(_clock, 'read_clock', lambda: now + 34.1)
+    assert not status.was_suspended
+    monkeypatch.setattr(_clock, 'read_clock', lambda: now + 31)
+    assert status.was_suspended
+    status.record_answer(now + 31)
+    assert not status.was_suspended
+
+
 def test_newer_version_of_another_process_counts(monkeypatch):
     """A process that started from a copy refused keys of the others."""
     status = _manifest_status.ManifestStatus()
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -383,14 +383,16 @@
 def _list_client_headers(call: serving.Call) -> list[serving.Header]:
     """Lists the headers of the client in their order."""
     headers = list(call.headers)
+    directory = call.directory
+    if directory is None:
+        return headers
     dropped = 0
     for position, header in call.identity_headers:
         is_key = header[0].lower() == _headers.AUTHORIZATION.lower()
-        is_forwarded = call.forwards_key if is_key else call.forwards_name
-        if is_forwarded:
-            headers.insert(position - dropped, header)
-        else:
+        if directory.requires_key or (is_key and directory.has_required_key):
             dropped += 1
+        else:
+            headers.insert(position - dropped, header)
     return headers
 
 
--- a/briarknot/serving/_accounts.py
+++ b/briarknot/serving/_accounts.py
@@ -41,7 +41,7 @@
 class AccountDirectory:
     """Client accounts of the manifest in force, by the hashes of their keys.
 
-    >>> AccountDirectory().are_required
+    >>> AccountDirectory().requires_key
     False
     """
 
@@ -49,18 +49,18 @@
         factory=dict, repr=False
     )
     _names: set[str] = attrs.field(factory=set, repr=False)
-    _are_required: bool = False
-    _have_been_required: bool = False
+    _requires_key: bool = False
+    _has_required_key: bool = False
 
     @property
-    def are_required(self) -> bool:
-        """Whether the manifest in force has accounts."""
-        return self._are_required
+    def requires_key(self) -> bool:
+        """Whether requests need a key by the manifest in force."""
+        return self._requires_key
 
     @property
-    def have_been_required(self) -> bool:
-        """Whether any manifest of this process had accounts."""
-        return self._have_been_required
+    def has_required_key(self) -> bool:
+        """Whether they did by any manifest of this process."""
+        return self._has_required_key
 
     @property
     def accounts_count(self) -> int:
@@ -92,8 +92,8 @@
         index, shared = _index_keys(manifest.accounts)
         self._by_hash = index
         self._names = {account.name for account in manifest.accounts}
-        self._are_required = manifest.has_accounts
-        self._have_been_required |= manifest.has_accounts
+        self._requires_key = manifest.has_accounts
+        self._has_required_key |= manifest.has_accounts
         added = self._names - names_before
         withdrawn = names_before - self._names
         changed = _list_changed(before, self._by_hash) - added - withdrawn
--- a/briarknot/serving/_calls.py
+++ b/briarknot/serving/_calls.py
@@ -5,7 +5,7 @@
 import attrs
 
 from briarknot import schema, sentinels
-from briarknot.serving import _backpressure
+from briarknot.serving import _accounts, _backpressure
 
 Header = tuple[str, str]
 Backpressure = _backpressure.Backpressure
@@ -57,8 +57,7 @@
         key, empty where the key can't be read.
     :param identity_headers: headers by which the client says who it is, with
         their positions among all headers; they may hold a key.
-    :param forwards_key: whether workers get those of them that hold a key.
-    :param forwards_name: whether workers get the others.
+    :param directory: says at each send whether workers get them; None if never.
     :param account: name of the client account that holds the key; empty if none.
     """
 
@@ -77,8 +76,9 @@
     identity_headers: tuple[tuple[int, Header], ...] = attrs.field(
         default=(), repr=False
     )
-    forwards_key: bool = False
-    forwards_name: bool = False
+    directory: _accounts.AccountDirectory | None = attrs.field(
+        default=None, repr=False
+    )
     account: str = ''
 
     @property
--- a/briarknot/serving/tests/test_accounts.py
+++ b/briarknot/serving/tests/test_accounts.py
@@ -70,6 +70,6 @@
     directory.apply_manifest(manifest)
     without = attrs.evolve(manifest, accounts=(), has_accounts=False)
     directory.apply_manifest(without)
-    assert not directory.are_required
-    assert directory.have_been_required
+    assert not directory.requires_key
+    assert directory.has_required_key
     assert directory.find(b'1') is None
