Take manifests and updates that can't be dated for unconfirmed

Cause: an update without a comparable time, and a page that was read late, counted as of now, so that what had waited over a suspension ended it and was sent on as confirmed. `"tenants": null` opened all routes. The repr of a row of the store held the keys of the manifest.

Change: what can't be dated is no contact; in fleets with accounts the store is read. The manifest is sent as confirmed as of the dated time. A null is malformed, and a row is shown without its value.

--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -136,10 +136,15 @@
             return False
         status = self._context.manifest_status
         status.record_version(update.manifest_version)
-        status.record_answer(_date_update(self._client, update))
+        dated_s = _date_update(self._client, update)
+        status.record_answer(dated_s)
         if update.manifest_version > self._context.fleet.version:
             return False
-        self._manifest_confirmed_s = time.monotonic()
+        if math.isinf(dated_s):
+            if self._context.accounts.requires_key:
+                return False
+            dated_s = _clock.read_clock()
+        self._manifest_confirmed_s = dated_s
         return self._confirm_manifest_by(update)
 
     def _confirm_manifest_by(self, update: schema.messages.FleetUpdate) -> bool:
@@ -242,9 +247,10 @@
 
     def _send_update(self) -> None:
         """Sends the result of the last read to the other processes."""
-        now = time.monotonic()
-        if now - self._manifest_confirmed_s > _MAX_MANIFEST_AGE_S:
+        age_s = _clock.read_clock() - self._manifest_confirmed_s
+        if age_s > _MAX_MANIFEST_AGE_S:
             return
+        now = time.monotonic()
         self._changes = {
             worker_id: change
             for worker_id, change in self._changes.items()
@@ -296,8 +302,9 @@
             platform.MANIFEST_TABLE, version, _MANIFEST_WAIT_S
         )
         if isinstance(page, platform.Page) and page.era == self._manifest_era:
-            self._apply_manifest(page.rows, started_s)
             dated_s = _date_feed(self._client, page, read_s)
+            self._manifest_confirmed_s = dated_s
+            self._apply_manifest(page.rows, started_s)
             status.record_answer(dated_s)
             if self._is_stored_in_force and not page.more:
                 status.confirm(dated_s)
@@ -324,6 +331,7 @@
             self._context.manifest_status.record_answer(read_s)
             self._manifest_era = page.era
             self._is_stored_in_force = False
+            self._manifest_confirmed_s = read_s
             self._apply_manifest(page.rows, started_s)
             if self._is_stored_in_force:
                 self._context.manifest_status.confirm(read_s)
@@ -335,7 +343,6 @@
     def _apply_manifest(
         self, rows: tuple[platform.Row, ...], started_s: float
     ) -> None:
-        self._manifest_confirmed_s = time.monotonic()
         for row in rows:
             if row.key != platform.MANIFEST_KEY:
                 continue
@@ -462,12 +469,12 @@
 
     :param client: client of the store.
     :param update: the update.
-    :returns: the time; the present one where the clocks can't be compared.
+    :returns: the time; minus infinity where the clocks can't be compared.
     """
-    now = _clock.read_clock()
+    if update.store_era != client.era or not update.list_store_s:
+        return -math.inf
     dated_s = client.convert_store_time(update.list_store_s)
-    is_comparable = update.store_era == client.era
-    return min(dated_s, now) if is_comparable and dated_s > 0 else now
+    return min(dated_s, _clock.read_clock())
 
 
 def _date_feed(
--- a/briarknot/gateway/tests/test_manifest_status.py
+++ b/briarknot/gateway/tests/test_manifest_status.py
@@ -167,6 +167,39 @@
     assert is_current(context)
 
 
+@pytest.mark.parametrize('changes', [{'store_era': 2}, {'list_store_s': 0}])
+async def test_update_that_cannot_be_dated_ends_no_suspension(changes):
+    """An update that waited over a suspension let withdrawn keys through."""
+    context, store_sync = make_store_sync(_Client())
+    now = _clock.read_clock()
+    context.accounts.apply_manifest(schema.serving.Manifest(has_accounts=True))
+    update = schema.messages.FleetUpdate(
+        manifest_version=4, store_era=1, list_store_s=now
+    )
+    for received, is_dated in (
+        (attrs.evolve(update, **changes), False),
+        (update, True),
+    ):
+        context.fleet_update = received
+        context.fleet_update_received.set()
+        assert await store_sync._is_manifest_confirmed() is is_dated
+        assert context.manifest_status.was_suspended is not is_dated
+        assert (store_sync._manifest_confirmed_s > 0) is is_dated
+
+
+async def test_page_that_was_read_late_is_not_sent_as_confirmed(monkeypatch):
+    """A leader that woke up told others that their manifest is the newest."""
+    async with stores.open_store() as store:
+        client = platform.make_client(store.session, store.url, 1)
+        _, store_sync = make_store_sync(client)
+        now = _clock.read_clock()
+        times_s = iter((now - 30,))
+        monkeypatch.setattr(_clock, 'read_clock', lambda: next(times_s, now))
+        await store_sync._read_manifest(0)
+        # No peers are known, so that a broadcast would fail.
+        store_sync._send_update()
+
+
 @pytest.mark.parametrize('has_accounts', [True, False])
 async def test_store_is_read_where_its_clock_is_not_known(has_accounts):
     """After a restore, no update would confirm the manifest any more."""
--- a/briarknot/platform/_decoding.py
+++ b/briarknot/platform/_decoding.py
@@ -59,18 +59,16 @@
     :param tree: plain value of its row.
     """
     try:
-        # A null is taken as an absent list, as in other optional fields.
-        accounts = tree.get('tenants')
-        decoded = _client_accounts.decode_accounts(
-            [] if accounts is None else accounts
-        )
+        # Unlike in other optional fields, a null is no absent list: it would open
+        # all routes.
+        decoded = _client_accounts.decode_accounts(tree.get('tenants', []))
         return schema.serving.Manifest(
             version=_check_number(tree['version'], int),
             routes=tuple(_decode_route(one) for one in tree['routes']),
             services=tuple(_decode_service(one) for one in tree['services']),
             limits=_decode_limits(tree['limits']),
             accounts=decoded.accounts,
-            has_accounts=accounts is not None,
+            has_accounts='tenants' in tree,
             invalid_accounts=decoded.findings,
         )
     except _SHAPE_ERRORS as error:
--- a/briarknot/platform/_values.py
+++ b/briarknot/platform/_values.py
@@ -18,7 +18,8 @@
     """
 
     key: str
-    value: typing.Any
+    #: May hold the keys of client accounts.
+    value: typing.Any = attrs.field(repr=False)
     version: int
     deleted: bool = False
 
--- a/briarknot/platform/tests/test_client_accounts.py
+++ b/briarknot/platform/tests/test_client_accounts.py
@@ -109,3 +109,15 @@
     account = decode(entry).accounts[0]
     assert len(account.key_hashes) == 1
     assert (account.has_rank, account.rank) == (True, 200)
+
+
+def test_null_is_no_absent_list():
+    """All routes would be open."""
+    manifest = platform.decode_manifest({**_MANIFEST, 'tenants': None})
+    assert isinstance(manifest, platform.Malformed)
+
+
+def test_row_is_shown_without_its_value():
+    """Keys would be in each log line that shows a row."""
+    page = platform.Page((platform.Row('config', {'apiKeys': [_KEY]}, 1),), 1)
+    assert _KEY not in repr(page)
