--- a/briarknot/gateway/tests/test_accounts.py
+++ b/briarknot/gateway/tests/test_accounts.py
@@ -325,7 +325,7 @@
     assert not worker.requests
 
 
-async def test_suspended_process_that_hears_nothing_serves_known_keys():
+async def test_suspended_process_without_answers_serves_known_keys():
     """Callers would be refused where the store is unavailable."""
     reply = _support.make_reply(200, 'x', _support.SEAL.strip())
     async with open_gateway(reply) as (gateway, _):
--- a/briarknot/gateway/tests/test_manifest_status.py
+++ b/briarknot/gateway/tests/test_manifest_status.py
@@ -55,7 +55,7 @@
         yield store, contexts
 
 
-async def test_manifest_stays_current_in_calm():
+async def test_manifest_stays_current_in_normal_operation():
     """Unknown keys would get no final answer, or new ones would be refused."""
     async with run_gateways('g1', 'g2', 'g3') as (_, contexts):
         await stores.wait_until(lambda: are_current(contexts))
