--- a/briarknot/gateway/tests/test_manifest_status.py
+++ b/briarknot/gateway/tests/test_manifest_status.py
@@ -55,7 +55,7 @@
         yield store, contexts
 
 
-async def test_manifest_stays_current_in_calm():
+async def test_manifest_stays_current_in_normal_operation():
     """Unknown keys would get no final answer, or new ones would be refused."""
     async with run_gateways('g1', 'g2', 'g3') as (_, contexts):
         await stores.wait_until(lambda: are_current(contexts))
@@ -167,6 +167,39 @@
     assert is_current(context)
 
 
+@pytest.mark.parametrize('changes', [{'store_era': 2}, {'list_store_s': 0}])
+async def test_update_that_cannot_be_dated_ends_no_suspension(changes):
+    """An update that waited over a suspension let withdrawn keys through."""
+    context, store_sync = make_store_sync(_Client())
+    now = _clock.read_clock()
+    context.accounts.apply_manifest(schema.serving.Manifest(has_accounts=True))
+    update = schema.messages.FleetUpdate(
+        manifest_version=4, store_era=1, list_store_s=now
+    )
+    for received, is_dated in (
+        (attrs.evolve(update, **changes), False),
+        (update, True),
+    ):
+        context.fleet_update = received
+        context.fleet_update_received.set()
+        assert await store_sync._is_manifest_confirmed() is is_dated
+        assert context.manifest_status.was_suspended is not is_dated
+        assert (store_sync._manifest_confirmed_s > 0) is is_dated
+
+
+async def test_page_that_was_read_late_is_not_sent_as_confirmed(monkeypatch):
+    """A leader that woke up told others that their manifest is the newest."""
+    async with stores.open_store() as store:
+        client = platform.make_client(store.session, store.url, 1)
+        _, store_sync = make_store_sync(client)
+        now = _clock.read_clock()
+        times_s = iter((now - 30,))
+        monkeypatch.setattr(_clock, 'read_clock', lambda: next(times_s, now))
+        await store_sync._read_manifest(0)
+        # No peers are known, so that a broadcast would fail.
+        store_sync._send_update()
+
+
 @pytest.mark.parametrize('has_accounts', [True, False])
 async def test_store_is_read_where_its_clock_is_not_known(has_accounts):
     """After a restore, no update would confirm the manifest any more."""
@@ -227,6 +260,25 @@
         assert context.fleet.version == 3
 
 
+def test_failed_attempt_does_not_end_a_suspension(monkeypatch):
+    """One failed read after a suspension let withdrawn keys through."""
+    status = _manifest_status.ManifestStatus()
+    now = _clock.read_clock()
+    monkeypatch.setattr(_clock, 'read_clock', lambda: now + 30)
+    status.record_answer(now)
+    status.record_contact(now + 30)
+    assert status.was_suspended
+    assert status.may_have_missed_manifest(4)
+    # Without any answer it is an outage, in which known keys are served.
+    status.record_contact(now + 33)
+    monkeypatch.setattr(_clock, 'read_clock', lambda: now + 34.1)
+    assert not status.was_suspended
+    monkeypatch.setattr(_clock, 'read_clock', lambda: now + 31)
+    assert status.was_suspended
+    status.record_answer(now + 31)
+    assert not status.was_suspended
+
+
 def test_newer_version_of_another_process_counts(monkeypatch):
     """A process that started from a copy refused keys of the others."""
     status = _manifest_status.ManifestStatus()
