Fix what the reviews of usage reports and client limits found

Counts: the holder always gets them, also while it doesn't answer; one lost message passes no receiver over; processes that come late in the order take the duty over; rows that were removed as old are not written again; grants of an earlier era of the store don't block later ones; a fleet without the duty wakes up once a second. Limits: one response at a time may exceed the bound, so that responses which each have a part of their room don't wait for each other; a client that reads slowly but steadily is kept; a closed connection holds nothing; an entry process doesn't go on with a body that it has refused. Spreading: the request being sent counts once.

--- a/briarknot/authority/_order_grants.py
+++ b/briarknot/authority/_order_grants.py
@@ -83,7 +83,10 @@
         return lost
     age_s = page.store_s - known.granted_s
     pause_s = _OTHER_HOLDER_S if other_holder_s is None else other_holder_s
-    if known.holder not in {'', holder} and age_s < pause_s:
+    # Clocks of different eras can't be compared; a pause after a restore was checked.
+    is_comparable = max(known.store_era, _FIRST_ERA) >= client.era
+    is_other = known.holder not in {'', holder}
+    if is_other and is_comparable and age_s < pause_s:
         return NotGranted(f'{known.holder} had it {age_s:.1f} s ago')
     granted = schema.records.GrantRow(
         holder=holder,
--- a/briarknot/entry/_bodies.py
+++ b/briarknot/entry/_bodies.py
@@ -79,6 +79,9 @@
         max_bytes = request.client_max_size
         body = bytearray()
         while part := await request.content.readany():
+            if client.evicted_by is not None:
+                # The part arrived before the end of the scope was noticed.
+                raise TimeoutError
             scope.reschedule(loop.time() + self._idle_s)
             if len(body) + len(part) > max_bytes:
                 return outcomes.make_refusal(
--- a/briarknot/entry/tests/test_bodies.py
+++ b/briarknot/entry/tests/test_bodies.py
@@ -5,7 +5,7 @@
 import pytest
 from aiohttp import test_utils, web
 
-from briarknot import schema
+from briarknot import platform, schema
 from briarknot.entry import _bodies
 
 _MB = 1 << 20
@@ -55,3 +55,31 @@
     """A body that never ended was kept for ever."""
     send, _ = upload
     assert await send(_MB, ends=False) == 'body_timeout'
+
+
+class _EvictedRequest:
+    """A request whose second part arrives as its client is evicted."""
+
+    body_exists = True
+    remote = 'a'
+    content_length = None
+    client_max_size = 16 * _MB
+
+    def __init__(self, bodies):
+        self.content = self
+        self._bodies = bodies
+        self._parts = iter((b'x', b'y', b''))
+
+    async def readany(self):
+        part = next(self._parts)
+        if part == b'y':
+            client = next(iter(self._bodies._limits._clients))
+            self._bodies._limits.evict(client, platform.Limit.MEMORY)
+        return part
+
+
+async def test_refused_body_is_not_received_further():
+    """A part that had arrived undid the refusal of a body."""
+    bodies = _bodies.make_bodies(schema.settings.Limits(memory_mb=64))
+    async with bodies.receive(_EvictedRequest(bodies)) as body:
+        assert body.cause == 'memory_limit'
--- a/briarknot/gateway/_usage_reports.py
+++ b/briarknot/gateway/_usage_reports.py
@@ -21,6 +21,8 @@
 
 #: Period of checking whether something is due.
 _PERIOD_S = 0.2
+#: Period of checking whether usage is reported at all; each wake-up costs.
+_IDLE_PERIOD_S = 1.0
 #: Share of the time until a report is due after which its counts are fixed. A
 #: process that takes over from a killed holder is then in time.
 _FIX_SHARE = 0.3
@@ -60,8 +62,9 @@
     async def run(self) -> None:
         """Reports each window, if this process is to."""
         while True:
-            await asyncio.sleep(_PERIOD_S)
-            if _usage.is_enabled(self._context) and self._is_due():
+            is_enabled = _usage.is_enabled(self._context)
+            await asyncio.sleep(_PERIOD_S if is_enabled else _IDLE_PERIOD_S)
+            if is_enabled and self._is_due():
                 await self.report()
 
     async def close(self) -> None:
@@ -113,9 +116,14 @@
             return False
         if holder == host:
             return due > max(status.fixed_window, self._granted_window)
+        if due <= status.fixed_window:
+            return False
+        # Later windows don't reset the wait of the processes that come last.
+        first = max(self._first_window, status.fixed_window + 1)
+        late_s = self._compute_late_s(first, now)
         if holder:
             late_s -= _FIRST_DELAY_S
-        if due <= status.fixed_window or late_s < 0:
+        if late_s < 0:
             return False
         rank = self._list_others(holder).index(host)
         step_s = _NEXT_DELAY_S if rank < _FIRST_HOSTS else _LAST_DELAY_S
--- a/briarknot/gateway/_usage_rows.py
+++ b/briarknot/gateway/_usage_rows.py
@@ -48,6 +48,11 @@
             report = _decode_row(window, row.value)
             if report is not None:
                 self.reports[window] = report
+        # Rows of old windows were removed, and are not missing.
+        oldest = max(self._stored, default=0) - KEPT_WINDOWS
+        for window in sorted(self.reports):
+            if window <= oldest:
+                del self.reports[window]
         return True
 
     def list_lost(self) -> list[int]:
--- a/briarknot/gateway/_usage_sync.py
+++ b/briarknot/gateway/_usage_sync.py
@@ -24,6 +24,8 @@
 KEY = 'usage'
 #: Period of sending changed counts, which must be sent within 0.5 s.
 _PERIOD_S = 0.4
+#: Period of checking whether usage is reported at all; each wake-up costs.
+_IDLE_PERIOD_S = 1.0
 #: Longest time between messages while nothing changes. Their answers say who holds
 #: the duty.
 _MAX_SILENCE_S = 2.0
@@ -51,8 +53,9 @@
     async def run(self) -> None:
         """Sends counts and sums while usage is reported."""
         while True:
-            await asyncio.sleep(_PERIOD_S)
-            if _usage.is_enabled(self._context):
+            is_enabled = _usage.is_enabled(self._context)
+            await asyncio.sleep(_PERIOD_S if is_enabled else _IDLE_PERIOD_S)
+            if is_enabled:
                 self.send(_clock.read_clock(), time.time())
 
     def send(self, now: float, wall_s: float) -> None:
@@ -74,11 +77,17 @@
                 self._send_sums(host, domain, now)
 
     def _choose_collectors(self, now: float) -> tuple[str, ...]:
+        """Returns the processes that collect the counts.
+
+        The holder is always one of them, also while it doesn't answer: as long as
+        it renews its grant, it decides what the reports say.
+        """
         ranked = self._rank_hosts()
         holder = self._context.account_usage.status.get_holder(now)
-        if holder in ranked:
-            ranked = (holder, *(host for host in ranked if host != holder))
-        return self._choose(ranked, now)
+        if holder not in ranked:
+            return self._choose(ranked, now)
+        others = [host for host in ranked if host != holder]
+        return (holder, *self._choose(others, now))
 
     def _choose_relays(
         self, collectors: tuple[str, ...], now: float
--- a/briarknot/gateway/tests/test_usage.py
+++ b/briarknot/gateway/tests/test_usage.py
@@ -71,7 +71,7 @@
         [_support.HANDLE, _support.HANDLE], [broken], [rest]
     )
     route = generations.make_stream_route(is_public=True)
-    assert await send_counted(route, workers, headers=generations._PROMPT) == 1
+    assert await send_counted(route, workers, headers=generations.PROMPT) == 1
 
 
 async def test_nothing_is_counted_without_the_duty():
--- a/briarknot/httpclient/__init__.py
+++ b/briarknot/httpclient/__init__.py
@@ -1,6 +1,11 @@
 """HTTP client sessions of all programs, which never repeat a request unseen."""
 
-from briarknot.httpclient._responses import Connector, Protocol, Response
+from briarknot.httpclient._responses import (
+    Connector,
+    Protocol,
+    Response,
+    count_unsent_bytes,
+)
 from briarknot.httpclient._sessions import ConnectionLostError, make_session
 
 __all__ = (
@@ -8,5 +13,6 @@
     'Connector',
     'Protocol',
     'Response',
+    'count_unsent_bytes',
     'make_session',
 )
--- a/briarknot/httpclient/_responses.py
+++ b/briarknot/httpclient/_responses.py
@@ -13,6 +13,25 @@
 _NO_BODY_STATUSES = frozenset((204, 304))
 
 
+def count_unsent_bytes(transport: asyncio.Transport) -> int:
+    """Returns how many written bytes the other side has not acknowledged.
+
+    :param transport: the connection.
+    :returns: only the bytes in this process where the system doesn't tell of its own.
+    """
+    buffered = transport.get_write_buffer_size()
+    connection = transport.get_extra_info('socket')
+    if connection is None or connection.fileno() < 0:
+        return buffered
+    try:
+        packed = fcntl.ioctl(
+            connection.fileno(), termios.TIOCOUTQ, struct.pack('i', 0)
+        )
+    except OSError:
+        return buffered
+    return buffered + struct.unpack('i', packed)[0]
+
+
 class Protocol(client_proto.ResponseHandler):
     """A connection that reports a close before its request was received.
 
@@ -24,7 +43,8 @@
     def eof_received(self) -> None:
         """Marks the connection as broken if a part of the request is left."""
         super().eof_received()
-        if not self._count_unreceived():
+        # The end of the answer acknowledges all bytes that have arrived.
+        if self.transport is None or not count_unsent_bytes(self.transport):
             return
         closed = self.closed
         if closed is not None and not closed.done():
@@ -34,22 +54,6 @@
             # Otherwise asyncio would log it where no response awaits it.
             closed.exception()
 
-    def _count_unreceived(self) -> int:
-        """Returns how many sent bytes the server has not acknowledged.
-
-        The end of the answer acknowledges all bytes that have arrived.
-        """
-        if self.transport is None:
-            return 0
-        buffered = self.transport.get_write_buffer_size()
-        connection = self.transport.get_extra_info('socket')
-        if buffered or connection is None:
-            return buffered
-        packed = fcntl.ioctl(
-            connection.fileno(), termios.TIOCOUTQ, struct.pack('i', 0)
-        )
-        return struct.unpack('i', packed)[0]
-
 
 class Connector(aiohttp.TCPConnector):
     """Opens connections that report a close before a request was received."""
--- a/briarknot/platform/_client_limits.py
+++ b/briarknot/platform/_client_limits.py
@@ -65,6 +65,8 @@
     _counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
     _held_bytes: int = 0
     _room_made: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _waiting: list[_client_states.Client] = attrs.field(factory=list)
+    _oversized: _client_states.Client | None = None
     _log: _limit_log.LimitLog = attrs.field(factory=_limit_log.LimitLog)
 
     @property
@@ -109,6 +111,7 @@
         if not self._counts[client.address]:
             self._counts.pop(client.address)
         self._charge(client, -client.held_bytes)
+        self._end_oversized(client)
 
     def record_head(
         self, client: _client_states.Client, size: int, now: float
@@ -171,6 +174,7 @@
         """Releases what a request and its response held."""
         if client not in self._clients:
             return
+        self._end_oversized(client)
         kept = _CONNECTION_BYTES + client.head_bytes * _HEAD_FACTOR
         self._charge(client, kept - client.held_bytes)
         client.response_bytes = 0
@@ -187,6 +191,10 @@
     ) -> None:
         """Waits until there is room for the body of a response.
 
+        One response at a time may exceed the bound: the one that has waited
+        longest. Otherwise responses that have a part of their room would wait for
+        each other.
+
         :param client: the client that gets it.
         :param size: bytes of the body that are known so far.
         """
@@ -194,20 +202,41 @@
         added = size - client.response_bytes
         if added <= 0 or client not in self._clients:
             return
-        # One response always has room, whatever its size.
-        while self._held_bytes + added > self._max_bytes and self._has_others(
-            client
+        self._waiting.append(client)
+        try:
+            while not self._has_room(client, added):
+                await self._wait_for_room(added)
+        finally:
+            self._waiting.remove(client)
+        if client in self._clients:
+            client.response_bytes = size
+            self._charge(client, added)
+
+    def _has_room(self, client: _client_states.Client, added: int) -> bool:
+        if (
+            client not in self._clients
+            or client is self._oversized
+            or self._held_bytes + added <= self._max_bytes
         ):
-            if self._relieve(time.monotonic(), added):
-                continue
-            self._room_made.clear()
-            try:
-                async with asyncio.timeout(_ROOM_CHECK_S):
-                    await self._room_made.wait()
-            except TimeoutError:
-                continue
-        client.response_bytes = size
-        self._charge(client, added)
+            return True
+        if self._oversized is None and self._waiting[0] is client:
+            self._oversized = client
+        return client is self._oversized
+
+    async def _wait_for_room(self, added: int) -> None:
+        if self._relieve(time.monotonic(), added):
+            return
+        self._room_made.clear()
+        try:
+            async with asyncio.timeout(_ROOM_CHECK_S):
+                await self._room_made.wait()
+        except TimeoutError:
+            return
+
+    def _end_oversized(self, client: _client_states.Client) -> None:
+        if client is self._oversized:
+            self._oversized = None
+            self._room_made.set()
 
     def list_late(
         self, now: float
@@ -256,6 +285,7 @@
         :param now: monotonic time.
         """
         for client in self._clients:
+            client.check_progress(now)
             is_stopped = client.is_unread and client.is_slow(now)
             if is_stopped and not client.response_bytes:
                 client.response_bytes = _STREAM_BYTES
@@ -286,11 +316,6 @@
         if size < 0:
             self._room_made.set()
 
-    def _has_others(self, client: _client_states.Client) -> bool:
-        """Returns whether other clients hold requests or responses."""
-        idle_bytes = _CONNECTION_BYTES * len(self._clients)
-        return self._held_bytes - client.held_bytes > idle_bytes
-
     def _relieve(self, now: float, added: int = 0) -> bool:
         """Evicts clients until the bound is kept.
 
--- a/briarknot/platform/_client_states.py
+++ b/briarknot/platform/_client_states.py
@@ -52,6 +52,8 @@
     :param response_bytes: reserved bytes of the response.
     :param has_tiny_chunks: whether its body comes in small chunks.
     :param is_unread: whether a part of the response waits to be read.
+    :param unsent_bytes: written bytes that the client had not acknowledged.
+    :param count_unsent: counts them.
     :param evicted_by: why it was refused or closed.
     """
 
@@ -67,6 +69,8 @@
     response_bytes: int = 0
     has_tiny_chunks: bool = False
     is_unread: bool = False
+    unsent_bytes: int = 0
+    count_unsent: typing.Callable[[], int] | None = None
     evicted_by: Limit | None = None
 
     @property
@@ -85,6 +89,21 @@
         self.phase = phase
         self.progress_s = now
 
+    def check_progress(self, now: float) -> None:
+        """Records progress where the client has read since the last check.
+
+        One write lasts until the system has room for most of it, which takes a slow
+        client many seconds.
+
+        :param now: monotonic time.
+        """
+        if not self.is_unread or self.count_unsent is None:
+            return
+        unsent = self.count_unsent()
+        if unsent < self.unsent_bytes:
+            self.progress_s = now
+        self.unsent_bytes = unsent
+
     def may_go(self, now: float) -> bool:
         """Returns whether it may be refused or closed for its memory.
 
--- a/briarknot/platform/_connections.py
+++ b/briarknot/platform/_connections.py
@@ -1,11 +1,13 @@
 """Connections of clients, which keep the limits of the process."""
 
 import asyncio
+import functools
 import time
 import typing
 
 from aiohttp import streams, web
 
+from briarknot import httpclient
 from briarknot.platform import (
     _client_limits,
     _client_states,
@@ -73,6 +75,9 @@
         transport.max_size = _RECEIVE_BYTES
         peer = transport.get_extra_info('peername') or ('',)
         self.client = self.limits.open(peer[0], time.monotonic(), self._evict)
+        self.client.count_unsent = functools.partial(
+            httpclient.count_unsent_bytes, transport
+        )
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Releases what the connection held."""
--- a/briarknot/platform/tests/test_client_limits.py
+++ b/briarknot/platform/tests/test_client_limits.py
@@ -1,5 +1,7 @@
 """Guards the choice of the clients that are refused or closed for a limit."""
 
+import asyncio
+
 import pytest
 
 from briarknot import schema
@@ -103,3 +105,42 @@
     limits.close(client)
     assert limits.held_bytes == 0
     assert limits.is_empty
+
+
+async def test_responses_do_not_wait_for_each_other(connect, limits):
+    """Responses that each had a part of their room waited until their deadlines."""
+    clients = [connect(f'c{number}', 0) for number in range(4)]
+    for one in clients:
+        await limits.reserve_response(one, 2 * _MB)
+
+    async def finish(client):
+        await limits.reserve_response(client, 5 * _MB)
+        limits.end_request(client, 1)
+
+    async with asyncio.timeout(20):
+        await asyncio.gather(*(finish(one) for one in clients))
+
+
+async def test_client_that_leaves_while_it_waits_holds_nothing(connect, limits):
+    """Room that was reserved for a closed connection was never released."""
+    first, second = connect('first', 0), connect('second', 0)
+    await limits.reserve_response(first, 16 * _MB)
+    third = asyncio.create_task(limits.reserve_response(second, 16 * _MB))
+    await asyncio.sleep(0)
+    limits.close(second)
+    limits.close(first)
+    async with asyncio.timeout(20):
+        await third
+    assert not limits.held_bytes
+
+
+def test_slow_reader_that_goes_on_is_kept(connect, limits):
+    """A response whose client read slowly but steadily was closed."""
+    client = connect('slow', 0)
+    unsent = iter(range(1000, 0, -10))
+    client.count_unsent = lambda: next(unsent)
+    client.start_phase(_client_states.Phase.RESPONSE, 0)
+    client.is_unread = True
+    for now in range(60):
+        limits.charge_unread(now)
+        assert not limits.list_late(now)
--- a/briarknot/serving/_engine_choice.py
+++ b/briarknot/serving/_engine_choice.py
@@ -119,8 +119,8 @@
     slots = sum(max(1, worker.slots) for worker in workers)
     versions = {(worker.service, worker.version) for worker in workers}
     own_per_s = sum(
-        view.load.sent_streams.get_per_s(service, version, now, 1)
-        for service, version in versions
+        view.load.sent_streams.get_per_s(service, version, now, int(not index))
+        for index, (service, version) in enumerate(sorted(versions))
     )
     others = _water_filling.estimate_others_load(own_per_s, view.processes)
     arrivals = _water_filling.Arrivals(others / slots, len(workers) / slots)
--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -120,8 +120,10 @@
     speed = _prefill_time.get_prefill_speed(workers[0].stage)
     versions = {(one.service, one.version) for one in workers}
     own_per_s = sum(
-        view.load.sent_work.get_per_s(service, version, now, work)
-        for service, version in versions
+        view.load.sent_work.get_per_s(
+            service, version, now, 0 if index else work
+        )
+        for index, (service, version) in enumerate(sorted(versions))
     )
     others = _water_filling.estimate_others_load(own_per_s, view.processes)
     arrivals = _water_filling.Arrivals(
