--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -14,9 +14,15 @@
     schema,
     serving,
     telemetry,
+    usage,
     versions,
 )
-from briarknot.gateway import _host_groups, _pending_answers, _stopping
+from briarknot.gateway import (
+    _host_groups,
+    _manifest_status,
+    _pending_answers,
+    _stopping,
+)
 
 REQUESTS = prometheus_client.Counter(
     'briarknot_gateway_requests',
@@ -92,10 +98,13 @@
         the store was restored.
     :param origins: workers that began streams.
     :param origin_answers: answers of other processes that know such a worker.
+    :param account_usage: requests of client accounts that began to run.
     :param has_restarted: returns whether a worker has started again since it was
         listed.
     :param send_message: sends a message to other processes, by their hosts.
     :param stop: shortens the time limits of requests when the process stops.
+    :param accounts: client accounts of the manifest.
+    :param manifest_status: whether the manifest is known to be the newest.
     :param background_tasks: tasks that outlive the request that started them.
     """
 
@@ -129,9 +138,16 @@
     origin_answers: _pending_answers.PendingAnswers = attrs.field(
         factory=_pending_answers.PendingAnswers
     )
+    account_usage: usage.Usage = attrs.field(factory=usage.make_usage)
     has_restarted: HasRestarted = _assume_listed
     send_message: SendMessage = _drop_message
     stop: _stopping.Stop = attrs.field(factory=_stopping.Stop)
+    accounts: serving.AccountDirectory = attrs.field(
+        factory=serving.AccountDirectory
+    )
+    manifest_status: _manifest_status.ManifestStatus = attrs.field(
+        factory=_manifest_status.ManifestStatus
+    )
     background_tasks: set[typing.Any] = attrs.field(factory=set)
     _groups: _host_groups.HostGroups | None = None
 
--- a/briarknot/gateway/_gateway.py
+++ b/briarknot/gateway/_gateway.py
@@ -23,6 +23,8 @@
     _start_checks,
     _stopping,
     _store_sync,
+    _usage_reports,
+    _usage_sync,
     _version_sync,
 )
 
@@ -32,7 +34,13 @@
 _FLUSH_PERIOD_S = 0.2
 #: Period of checking the settings file for changes where no signal arrives.
 _SETTINGS_PERIOD_S = 1.0
-_DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
+#: Limits of clients while no manifest is known.
+_DEFAULT_LIMITS = schema.serving.ClientLimits(
+    header_bytes=16_384,
+    body_bytes=4 << 20,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
 
 
 @attrs.define(eq=False)
@@ -59,8 +67,9 @@
             self._context.settings,
             functools.partial(_requests.serve_call, self._context),
             self._is_ready,
-            self._get_body_limit,
+            lambda: self._get_limits().body_bytes,
             self._listener,
+            self._get_limits,
         )
         await ingress.start()
         settings = self._context.settings
@@ -81,6 +90,12 @@
         stage_orders = _stage_orders.make_stage_orders(
             self._context, self._client, self._orders, peers
         )
+        usage_sync = _usage_sync.make_usage_sync(
+            self._context, self._client, peers
+        )
+        usage_reports = _usage_reports.make_usage_reports(
+            self._context, self._client
+        )
 
         async def follow_store() -> None:
             # What is quarantined, and the versions that began streams, are
@@ -107,6 +122,8 @@
                 ('own_news', peers.broadcast_work),
                 ('relay', peers.relay_work),
                 ('stages', stage_orders.run),
+                ('usage', usage_sync.run),
+                ('usage_reports', usage_reports.run),
                 ('settings', self._watch_settings),
                 ('log', self._flush_lines),
             )
@@ -115,6 +132,7 @@
         await self._stop(ingress)
         for task in tasks:
             task.cancel()
+        await usage_reports.close()
         await metrics.cleanup()
 
     async def _stop(self, ingress: platform.Ingress) -> None:
@@ -135,11 +153,9 @@
     def _is_ready(self) -> bool:
         return self._context.is_ready and not self._stop_requested.is_set()
 
-    def _get_body_limit(self) -> int:
+    def _get_limits(self) -> schema.serving.ClientLimits:
         manifest = self._context.fleet.manifest
-        if manifest is None:
-            return _DEFAULT_MAX_BODY_BYTES
-        return manifest.limits.body_bytes
+        return _DEFAULT_LIMITS if manifest is None else manifest.limits
 
     async def _flush_lines(self) -> None:
         while True:
--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -1,12 +1,19 @@
 """Synchronizes the manifest and the workers with the store."""
 
 import asyncio
+import math
 import time
 
 import attrs
 
 from briarknot import platform, schema, telemetry
-from briarknot.gateway import _clock, _context, _peers, _store_readers
+from briarknot.gateway import (
+    _accounts,
+    _clock,
+    _context,
+    _peers,
+    _store_readers,
+)
 
 #: Longest wait for a changed manifest. A dead connection is detected after this
 #: wait and the time limit of a call, which together are shorter than the time
@@ -59,6 +66,7 @@
     _is_store_unavailable: bool = False
     _malformed: set[str] = attrs.field(factory=set)
     _manifest_era: int = 0
+    _is_stored_in_force: bool = False
     _list_era: int = 0
     _list_position: _Position = _Position()
     _list_store_s: float = 0
@@ -126,9 +134,39 @@
         update = await _store_readers.wait_for_update(self._context)
         if update is None:
             return False
+        status = self._context.manifest_status
+        status.record_version(update.manifest_version)
+        dated_s = _date_update(self._client, update)
+        status.record_answer(dated_s)
         if update.manifest_version > self._context.fleet.version:
             return False
-        self._manifest_confirmed_s = time.monotonic()
+        if math.isinf(dated_s):
+            if self._context.accounts.requires_key:
+                return False
+            dated_s = _clock.read_clock()
+        self._manifest_confirmed_s = dated_s
+        return self._confirm_manifest_by(update)
+
+    def _confirm_manifest_by(self, update: schema.messages.FleetUpdate) -> bool:
+        """Confirms the manifest as of the time that another process states.
+
+        The update may have waited in the socket while this process was suspended,
+        so its arrival says nothing about its age.
+
+        :param update: the update.
+        :returns: False where that time can only be known by reading the store.
+        """
+        context = self._context
+        if (
+            update.manifest_version != context.fleet.version
+            or update.store_era != self._client.era
+            or not update.manifest_store_s
+        ):
+            return True
+        confirmed_s = self._client.convert_store_time(update.manifest_store_s)
+        if math.isinf(confirmed_s):
+            return not context.accounts.requires_key
+        context.manifest_status.confirm(min(confirmed_s, _clock.read_clock()))
         return True
 
     async def _is_list_confirmed(self) -> bool:
@@ -209,9 +247,10 @@
 
     def _send_update(self) -> None:
         """Sends the result of the last read to the other processes."""
-        now = time.monotonic()
-        if now - self._manifest_confirmed_s > _MAX_MANIFEST_AGE_S:
+        age_s = _clock.read_clock() - self._manifest_confirmed_s
+        if age_s > _MAX_MANIFEST_AGE_S:
             return
+        now = time.monotonic()
         self._changes = {
             worker_id: change
             for worker_id, change in self._changes.items()
@@ -227,6 +266,7 @@
                 list_version=self._list_position.version,
                 store_era=self._list_position.era,
                 list_store_s=self._list_store_s,
+                manifest_store_s=self._find_manifest_store_s(),
                 changed=tuple(one for one in workers if one is not None),
                 gone=tuple(
                     worker_id
@@ -236,19 +276,40 @@
             )
         )
 
+    def _find_manifest_store_s(self) -> float:
+        """Returns a time of the store's clock at which the manifest was the newest.
+
+        The list of workers was read before now, so the manifest was confirmed at
+        most its age before that read.
+
+        :returns: the time, or an earlier one; 0 if it is not known.
+        """
+        age_s = self._context.manifest_status.age_s
+        if not self._list_store_s or math.isinf(age_s):
+            return 0
+        return max(0, self._list_store_s - max(0, age_s))
+
     async def _wait_for_manifest(self, version: int) -> int:
         """Waits for a change of the manifest.
 
         :param version: version of the store after which changes are requested.
         :returns: the version after which to request the next changes.
         """
+        status = self._context.manifest_status
         started_s = time.monotonic()
+        read_s = _clock.read_clock()
         page = await self._client.watch_table(
             platform.MANIFEST_TABLE, version, _MANIFEST_WAIT_S
         )
         if isinstance(page, platform.Page) and page.era == self._manifest_era:
+            dated_s = _date_feed(self._client, page, read_s)
+            self._manifest_confirmed_s = dated_s
             self._apply_manifest(page.rows, started_s)
+            status.record_answer(dated_s)
+            if self._is_stored_in_force and not page.more:
+                status.confirm(dated_s)
             return page.version
+        status.record_contact(read_s)
         if isinstance(page, (platform.Page, platform.HistoryLost)):
             # The version may stand for other content in a later era.
             telemetry.log_event('manifest_history_lost', after=version)
@@ -263,10 +324,17 @@
         :returns: version of the store after which to request changes.
         """
         started_s = time.monotonic()
+        read_s = _clock.read_clock()
         page = await self._client.read_table(platform.MANIFEST_TABLE)
+        self._context.manifest_status.record_contact(read_s)
         if isinstance(page, platform.Page):
+            self._context.manifest_status.record_answer(read_s)
             self._manifest_era = page.era
+            self._is_stored_in_force = False
+            self._manifest_confirmed_s = read_s
             self._apply_manifest(page.rows, started_s)
+            if self._is_stored_in_force:
+                self._context.manifest_status.confirm(read_s)
             return page.version
         self._record_outage(page.reason)
         await self._pause()
@@ -275,16 +343,25 @@
     def _apply_manifest(
         self, rows: tuple[platform.Row, ...], started_s: float
     ) -> None:
-        self._manifest_confirmed_s = time.monotonic()
         for row in rows:
-            if row.key != platform.MANIFEST_KEY or row.deleted:
+            if row.key != platform.MANIFEST_KEY:
+                continue
+            self._is_stored_in_force = False
+            if row.deleted:
+                continue
+            fleet = self._context.fleet
+            # Decoding 16,000 accounts takes 0.2 s.
+            if fleet.version == platform.read_manifest_version(row.value):
+                self._is_stored_in_force = fleet.manifest is not None
                 continue
             manifest = platform.decode_manifest(row.value)
             if isinstance(manifest, platform.Malformed):
                 telemetry.log_event(
                     'manifest_malformed', reason=manifest.reason
                 )
-            elif self._context.fleet.apply_manifest(manifest):
+                continue
+            if fleet.apply_manifest(manifest):
+                _accounts.apply_manifest(self._context, manifest)
                 telemetry.log_event(
                     'manifest_in_force',
                     manifest_version=manifest.version,
@@ -292,6 +369,7 @@
                     age_s=round(time.monotonic() - started_s, 3),
                 )
                 self._context.notify_if_ready()
+            self._is_stored_in_force = manifest.version == fleet.version
 
     def _apply_workers(
         self,
@@ -384,6 +462,41 @@
         return was_unavailable
 
 
+def _date_update(
+    client: platform.Client, update: schema.messages.FleetUpdate
+) -> float:
+    """Returns the time at which the list of an update was read, or an earlier one.
+
+    :param client: client of the store.
+    :param update: the update.
+    :returns: the time; minus infinity where the clocks can't be compared.
+    """
+    if update.store_era != client.era or not update.list_store_s:
+        return -math.inf
+    dated_s = client.convert_store_time(update.list_store_s)
+    return min(dated_s, _clock.read_clock())
+
+
+def _date_feed(
+    client: platform.Client, page: platform.Page, read_s: float
+) -> float:
+    """Returns the time as of which a page of the feed is complete.
+
+    A process that was suspended reads it late, so its arrival says nothing.
+
+    :param client: client of the store.
+    :param page: the page.
+    :param read_s: time before the feed was requested.
+    """
+    now = _clock.read_clock()
+    if page.store_s and page.era == client.era:
+        dated_s = client.convert_store_time(page.store_s)
+        return max(read_s, min(dated_s, now))
+    if page.rows:
+        return read_s
+    return min(read_s + _MANIFEST_WAIT_S, now)
+
+
 def _is_restarted(
     old: schema.serving.Worker, new: schema.serving.Worker
 ) -> bool:
--- a/briarknot/platform/__init__.py
+++ b/briarknot/platform/__init__.py
@@ -5,6 +5,8 @@
 """
 
 from briarknot.platform._client import Client, make_client
+from briarknot.platform._client_limits import ClientLimits, make_client_limits
+from briarknot.platform._client_states import Limit, Phase
 from briarknot.platform._decoding import (
     MANIFEST_KEY,
     MANIFEST_TABLE,
@@ -12,6 +14,14 @@
     Malformed,
     decode_manifest,
     decode_worker,
+    read_manifest_version,
+)
+from briarknot.platform._duties import (
+    Duties,
+    NotTaken,
+    Taken,
+    UsageReport,
+    make_duties,
 )
 from briarknot.platform._engine_orders import (
     EngineOrders,
@@ -47,31 +57,41 @@
     'MANIFEST_TABLE',
     'WORKERS_TABLE',
     'Client',
+    'ClientLimits',
     'Committed',
     'Conflict',
+    'Duties',
     'EngineOrders',
     'Exchange',
     'HistoryLost',
     'Host',
     'Ingress',
+    'Limit',
     'Malformed',
     'Missing',
+    'NotTaken',
     'Operation',
     'OrderOutcome',
     'Page',
+    'Phase',
     'Responder',
     'Row',
     'StageOrder',
+    'Taken',
     'Unavailable',
     'Unreported',
+    'UsageReport',
     'WorkerCalls',
     'decode_manifest',
     'decode_worker',
     'make_client',
+    'make_client_limits',
+    'make_duties',
     'make_engine_orders',
     'make_ingress',
     'make_operation',
     'make_order_session',
     'make_store_session',
     'make_worker_calls',
+    'read_manifest_version',
 )
--- a/briarknot/platform/_decoding.py
+++ b/briarknot/platform/_decoding.py
@@ -6,6 +6,7 @@
 import attrs
 
 from briarknot import schema, sentinels
+from briarknot.platform import _client_accounts
 
 #: Table and key of the operators' manifest.
 MANIFEST_TABLE = 'op'
@@ -58,16 +59,32 @@
     :param tree: plain value of its row.
     """
     try:
+        # Unlike in other optional fields, a null is no absent list: it would open
+        # all routes.
+        decoded = _client_accounts.decode_accounts(tree.get('tenants', []))
         return schema.serving.Manifest(
             version=_check_number(tree['version'], int),
             routes=tuple(_decode_route(one) for one in tree['routes']),
             services=tuple(_decode_service(one) for one in tree['services']),
             limits=_decode_limits(tree['limits']),
+            accounts=decoded.accounts,
+            has_accounts='tenants' in tree,
+            invalid_accounts=decoded.findings,
         )
     except _SHAPE_ERRORS as error:
         return Malformed(f'{type(error).__name__}: {error}')
 
 
+def read_manifest_version(tree: typing.Any) -> int | None:
+    """Returns the version of the operators' configuration without decoding it.
+
+    :param tree: plain value of its row.
+    :returns: the version; None where it can't be read.
+    """
+    version = tree.get('version') if isinstance(tree, dict) else None
+    return version if isinstance(version, int) else None
+
+
 def decode_worker(
     worker_id: str, tree: typing.Any
 ) -> schema.serving.Worker | Malformed:
@@ -122,6 +139,7 @@
         resumable=tree.get('resumable', False),
         event_gap_s=event_gap_s,
         max_silence_s=max_silence_s,
+        is_public=tree.get('public', False) is True,
     )
 
 
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import time
 
 import aiohttp
 import attrs
@@ -9,9 +10,17 @@
 import yarl
 
 from briarknot import httpclient, schema, serving, telemetry
-from briarknot.platform import _answer_headers, _headers, _sessions
+from briarknot.platform import (
+    _answer_headers,
+    _current_client,
+    _headers,
+    _sessions,
+)
 
 _OK = 200
+#: Statuses of final responses. A client would wait for another answer after a
+#: lower one; higher ones are not part of HTTP.
+_FINAL_STATUSES = range(200, 600)
 _MISDIRECTED = 421
 #: Statuses of answers without a body, which end with their head.
 _NO_BODY_STATUSES = frozenset((204, 304))
@@ -22,6 +31,9 @@
 #: Longest body of an answer that is not a stream. Several are held at a time
 #: by hosts with 200 MB.
 _MAX_BODY_BYTES = 8 << 20
+#: Time without being read after which a worker is not blamed for a broken answer;
+#: workers cut off what stays unread for some seconds.
+_UNREAD_S = 1.0
 #: Urgency levels of a worker for each rank of a route; prompts that another
 #: worker needs come first within their rank.
 _URGENCIES_PER_RANK = 3
@@ -50,6 +62,12 @@
 
     _answer: serving.Answer
     _response: _sessions.Response
+    _unread_s: float = 0
+
+    @property
+    def was_unread(self) -> bool:
+        """Whether the worker was not read for long, as there was no room."""
+        return self._unread_s > _UNREAD_S
 
     @property
     def answer(self) -> serving.Answer:
@@ -69,6 +87,8 @@
         """Reads the whole body, up to the longest one that is accepted."""
         parts = []
         size = 0
+        length = self._response.content_length or 0
+        await self._reserve(min(length, _MAX_BODY_BYTES))
         while size <= _MAX_BODY_BYTES:
             part = await self.read_some()
             if isinstance(part, serving.Failed):
@@ -77,6 +97,7 @@
                 return b''.join(parts)
             parts.append(part)
             size += len(part)
+            await self._reserve(size)
         return serving.Failed(
             kind=serving.FailureKind.FOREIGN,
             reason=f'body longer than {_MAX_BODY_BYTES} bytes',
@@ -120,6 +141,11 @@
             and 'chunked' not in headers.get('Transfer-Encoding', '').lower()
         )
 
+    async def _reserve(self, size: int) -> None:
+        started_s = time.monotonic()
+        await _current_client.reserve_response(size)
+        self._unread_s += time.monotonic() - started_s
+
     async def _check_end(self) -> bytes | serving.Failed:
         # The parser mistakes a reset for the end of a body without a length.
         closed = self._response.closed_connection
@@ -320,8 +346,7 @@
             load=load,
             backpressure=backpressure,
         )
-    # A status below 200 is not final; its client would wait for the answer.
-    if status < _OK or status in _NOT_RUN_STATUSES:
+    if status not in _FINAL_STATUSES or status in _NOT_RUN_STATUSES:
         return serving.Failed(
             kind=serving.FailureKind.BROKEN,
             reason=f'status {status} without a statement that it did not run',
@@ -360,7 +385,7 @@
 def _make_headers(
     call: serving.Call, dispatch: serving.Dispatch
 ) -> list[serving.Header]:
-    headers = list(call.headers)
+    headers = _list_client_headers(call)
     urgency = min(_LEAST_URGENT, dispatch.rank * _URGENCIES_PER_RANK)
     remaining_ms = max(1, int(dispatch.remaining_s * _MS_PER_S))
     headers.extend(
@@ -369,6 +394,8 @@
             (_headers.EXPECTED_WORKER, dispatch.worker.id),
         )
     )
+    if call.account:
+        headers.append((_headers.ACCOUNT, call.account))
     if call.prompt is not None:
         headers.append((_headers.URGENCY, str(urgency)))
     if dispatch.last_event:
@@ -378,6 +405,22 @@
     return headers
 
 
+def _list_client_headers(call: serving.Call) -> list[serving.Header]:
+    """Lists the headers of the client in their order."""
+    headers = list(call.headers)
+    directory = call.directory
+    if directory is None:
+        return headers
+    dropped = 0
+    for position, header in call.identity_headers:
+        is_key = header[0].lower() == _headers.AUTHORIZATION.lower()
+        if directory.requires_key or (is_key and directory.has_required_key):
+            dropped += 1
+        else:
+            headers.insert(position - dropped, header)
+    return headers
+
+
 def _classify_error(error: BaseException) -> serving.FailureKind:
     for kind_of_error, kind in _KINDS_BY_ERROR:
         if isinstance(error, kind_of_error):
--- a/briarknot/schema/_generated/settings.py
+++ b/briarknot/schema/_generated/settings.py
@@ -18,6 +18,15 @@
     OTLP = 'otlp'
 
 
+class LoadSpreading(enum.StrEnum):
+    """Choice among engines of nearly equal cost."""
+
+    #: By chance near the lowest known cost.
+    NEAR_CHEAPEST = 'nearCheapest'
+    #: By chance among the engines that are expected to be the cheapest once the requests of other gateways have filled the lowest load.
+    WATER_FILLING = 'waterFilling'
+
+
 @attrs.frozen(kw_only=True)
 class Tracing:
     """Export of spans."""
@@ -147,6 +156,20 @@
         unit='bytes',
         default=33554432,
     )
+    memory_mb: int = _fields.make_field(
+        doc='Memory of the host. 19 of 100 hold bodies of callers, each of which may take as much as bodyBytes.',
+        maximum=4294967295,
+        minimum=64.0,
+        unit='MB',
+        default=256,
+    )
+    body_idle_s: float = _fields.make_field(
+        doc='Longest time between two parts of a body.',
+        maximum=600.0,
+        minimum=0.1,
+        unit='s',
+        default=15.0,
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -454,3 +477,37 @@
     retry_window_s: float = _fields.make_field(
         doc='Window of the two limits above.', unit='s', default=10.0
     )
+    memory_mb: int = _fields.make_field(
+        doc="Memory of the host; 0 for 256. A quarter of it holds what clients send and don't read.",
+        maximum=4294967295,
+        minimum=0,
+        unit='MB',
+        default=256,
+    )
+    max_descriptors: int = _fields.make_field(
+        doc='File descriptors that the process may open; 0 for 1,024. Clients get 45 of 100.',
+        maximum=4294967295,
+        minimum=0,
+        default=1024,
+    )
+    duty_address: str = _fields.make_field(
+        doc='IP number and port at which the platform takes the reports of duties; empty for none.',
+        default='',
+    )
+    duties: tuple[str, ...] = _fields.make_field(
+        doc='Duties of the fleet; usage_report reports the requests of client accounts, others are ignored.',
+        default=(),
+    )
+    usage_window_s: float = _fields.make_field(
+        doc='Window of usage reports.', minimum=0.1, unit='s', default=5.0
+    )
+    usage_late_s: float = _fields.make_field(
+        doc='Time after the end of its window at which a usage report is due.',
+        minimum=0.1,
+        unit='s',
+        default=10.0,
+    )
+    load_spreading: LoadSpreading = _fields.make_field(
+        doc='Choice among engines of nearly equal cost.',
+        default=LoadSpreading.NEAR_CHEAPEST,
+    )
--- a/briarknot/schema/_plain.py
+++ b/briarknot/schema/_plain.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from briarknot.schema import _deferred
+
 
 @functools.cache
 def get_field_types(kind: type) -> dict[str, typing.Any]:
@@ -25,7 +27,7 @@
     """
     if isinstance(value, enum.Enum):
         return value.value
-    if isinstance(value, (tuple, list)):
+    if isinstance(value, (tuple, list, _deferred.DeferredList)):
         return [to_plain(element) for element in value]
     if attrs.has(type(value)):
         return {
--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -8,6 +8,11 @@
   otlp @2 $A.doc("OTLP over HTTP.");
 }
 
+enum LoadSpreading $A.doc("Choice among engines of nearly equal cost.") {
+  nearCheapest @0 $A.doc("By chance near the lowest known cost.");
+  waterFilling @1 $A.doc("By chance among the engines that are expected to be the cheapest once the requests of other gateways have filled the lowest load.");
+}
+
 struct Node $A.doc("Identity and shared connections of a process.") {
   host @0 :Text $A.required $A.pattern("[a-z0-9][a-z0-9-]*") $A.doc("Name of the host, unique in the fleet.");
   domain @1 :Text $A.required $A.doc("Failure domain of the host.");
@@ -43,6 +48,8 @@
   jsonDepth @2 :UInt32 = 32 $A.minimum(2) $A.maximum(256) $A.doc("Deepest nesting of a JSON body.");
   storedAnswerBytes @3 :UInt32 = 65536 $A.unit("bytes") $A.doc("Largest answer stored with a claim.");
   journalBytes @4 :UInt32 = 33554432 $A.unit("bytes") $A.minimum(65536) $A.doc("Largest journal buffer in memory.");
+  memoryMb @5 :UInt32 = 256 $A.unit("MB") $A.minimum(64) $A.doc("Memory of the host. 19 of 100 hold bodies of callers, each of which may take as much as bodyBytes.");
+  bodyIdleS @6 :Float64 = 15 $A.unit("s") $A.minimum(0.1) $A.maximum(600) $A.doc("Longest time between two parts of a body.");
 }
 
 struct Timing $A.doc("Periods and time limits.") {
@@ -107,4 +114,11 @@
   retryShare @11 :Float64 = 0.2 $A.doc("Retries at a service for each request, over the whole fleet.");
   retryExtra @12 :Float64 = 50 $A.doc("Retries at a service in a window in addition to that share, over the whole fleet.");
   retryWindowS @13 :Float64 = 10 $A.unit("s") $A.doc("Window of the two limits above.");
+  memoryMb @14 :UInt32 = 256 $A.unit("MB") $A.doc("Memory of the host; 0 for 256. A quarter of it holds what clients send and don't read.");
+  maxDescriptors @15 :UInt32 = 1024 $A.doc("File descriptors that the process may open; 0 for 1,024. Clients get 45 of 100.");
+  dutyAddress @16 :Text $A.doc("IP number and port at which the platform takes the reports of duties; empty for none.");
+  duties @17 :List(Text) $A.doc("Duties of the fleet; usage_report reports the requests of client accounts, others are ignored.");
+  usageWindowS @18 :Float64 = 5 $A.unit("s") $A.minimum(0.1) $A.doc("Window of usage reports.");
+  usageLateS @19 :Float64 = 10 $A.unit("s") $A.minimum(0.1) $A.doc("Time after the end of its window at which a usage report is due.");
+  loadSpreading @20 :LoadSpreading = nearCheapest $A.doc("Choice among engines of nearly equal cost.");
 }
