--- a/briarknot/platform/tests/test_client_limits.py
+++ b/briarknot/platform/tests/test_client_limits.py
@@ -118,7 +118,7 @@
         limits.end_request(client, 1)
 
     async with asyncio.timeout(20):
-        await asyncio.gather(*(finish(one) for one in clients))
+        await asyncio.gather(*map(finish, clients))
 
 
 async def test_client_that_leaves_while_it_waits_holds_nothing(connect, limits):
