--- a/briarknot/gateway/tests/test_accounts.py
+++ b/briarknot/gateway/tests/test_accounts.py
@@ -64,7 +64,7 @@
 
 
 def read_identity(fields):
-    """Returns what a worker was told about the client."""
+    """Returns the headers about the client that a worker received."""
     return tuple(fields.get(name) for name in _IDENTITY)
 
 
--- a/briarknot/gateway/tests/test_manifest_status.py
+++ b/briarknot/gateway/tests/test_manifest_status.py
@@ -188,7 +188,7 @@
 
 
 async def test_page_that_was_read_late_is_not_sent_as_confirmed(monkeypatch):
-    """A leader that woke up told others that their manifest is the newest."""
+    """A leader that was suspended stated an outdated manifest as the newest."""
     async with stores.open_store() as store:
         client = platform.make_client(store.session, store.url, 1)
         _, store_sync = make_store_sync(client)
--- a/briarknot/httpclient/_responses.py
+++ b/briarknot/httpclient/_responses.py
@@ -17,7 +17,7 @@
     """Returns how many written bytes the other side has not acknowledged.
 
     :param transport: the connection.
-    :returns: only the bytes in this process where the system doesn't tell of its own.
+    :returns: their number; bytes in the kernel are left out where it doesn't report them.
     """
     buffered = transport.get_write_buffer_size()
     connection = transport.get_extra_info('socket')
--- a/briarknot/platform/_engine_orders.py
+++ b/briarknot/platform/_engine_orders.py
@@ -15,7 +15,7 @@
 _MAX_ANSWER_BYTES = 1 << 20
 _OK = 200
 _ACCEPTED = 202
-#: Statuses of final responses; others don't tell what the engine does.
+#: Statuses of final responses; others don't say what the engine does.
 _FINAL_STATUSES = range(200, 600)
 _STAGES = {
     schema.serving.Stage.PREFILL: 'prefill',
