Let any process take the duty of usage reports over, however many are lost

The wait of processes that come late in the order, and the wait for the counts of half of the processes, were measured from the latest window, which is never more than one window late: with more than half of the processes, or the first five, lost, nobody reported until they were back. Both are measured from the first window that is not fixed. Tests for this, for old rows, and for grants of an earlier era.

--- a/briarknot/authority/tests/test_order_grants.py
+++ b/briarknot/authority/tests/test_order_grants.py
@@ -78,3 +78,15 @@
         await client.commit(platform.Operation('grants', 'lm', value))
         grant = await authority.acquire_grant(client, 'lm', 'g1')
     assert isinstance(grant, authority.NotGranted)
+
+
+async def test_clock_of_an_earlier_era_delays_no_grant(monkeypatch):
+    """After a restore to an earlier clock, no other process got a grant."""
+    async with open_client() as (client, session, url):
+        assert await authority.acquire_grant(client, 'lm', 'g1')
+        for path in ('copy', 'restore'):
+            async with session.post(f'{url}/{path}', json={}) as response:
+                assert response.ok
+        monkeypatch.setattr(_order_grants, '_OTHER_HOLDER_S', 0)
+        granted = await authority.acquire_grant(client, 'lm', 'g2', 100)
+    assert granted
--- a/briarknot/gateway/_usage_reports.py
+++ b/briarknot/gateway/_usage_reports.py
@@ -111,16 +111,15 @@
             return False
         holder = status.get_holder(now)
         host = context.settings.host
-        late_s = self._compute_late_s(due, now)
+        # Later windows don't reset the waits for counts and for other processes.
+        first = max(self._first_window, status.fixed_window + 1)
+        late_s = self._compute_late_s(min(first, due), now)
         if self._is_incomplete(late_s, now):
             return False
         if holder == host:
             return due > max(status.fixed_window, self._granted_window)
         if due <= status.fixed_window:
             return False
-        # Later windows don't reset the wait of the processes that come last.
-        first = max(self._first_window, status.fixed_window + 1)
-        late_s = self._compute_late_s(first, now)
         if holder:
             late_s -= _FIRST_DELAY_S
         if late_s < 0:
--- a/briarknot/gateway/tests/test_usage_reports.py
+++ b/briarknot/gateway/tests/test_usage_reports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from unittest import mock
 
 import pytest
 
@@ -316,3 +317,27 @@
         assert not fleet.server.calls
         counts = fleet.nodes['a1'].context.account_usage.counts
         assert not counts.sums
+
+
+async def test_process_that_comes_last_takes_the_duty_over(monkeypatch):
+    """Where the first ones were lost, no process reported until they were back."""
+    monkeypatch.setattr(_usage_reports, '_LAST_DELAY_S', 0.3)
+    hosts = tuple(f'a{number}' for number in range(6))
+    async with support.open_fleet(monkeypatch, hosts) as fleet:
+        context = fleet.nodes['a0'].context
+        *first, last = _usage_sync.rank_hosts(context)
+        for host in first:
+            fleet.nodes[host].kill()
+        await fleet.wait_for_reports(1)
+        assert fleet.server.calls[-1].holder == last
+
+
+async def test_rows_that_were_removed_as_old_are_not_missing():
+    """A process that got the duty back wrote rows that nobody needs any more."""
+
+    latest = platform.Row(str(_usage_rows.KEPT_WINDOWS + 10), {}, 1)
+    client = mock.Mock()
+    client.read_table = mock.AsyncMock(return_value=platform.Page((latest,), 1))
+    rows = _usage_rows.UsageRows(client, dict.fromkeys((9, 10, 11)))
+    assert await rows.load()
+    assert rows.list_lost() == [11]
