--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -8,7 +8,7 @@
 import attrs
 from aiohttp import web
 
-from briarknot import schema, serving, telemetry
+from briarknot import program, schema, serving, telemetry
 from briarknot.platform import (
     _chunk_turns,
     _client_limits,
@@ -103,7 +103,9 @@
         )
         await self._listen(check, self._settings.readiness_address, None)
         await self._listen(front, self._settings.front_address, self._listener)
-        self._checks = asyncio.create_task(self._close_late())
+        self._checks = asyncio.create_task(
+            program.run_background_task('client_limits', self._close_late)
+        )
 
     async def _listen(
         self, server: web.Server, address: str, listener: socket.socket | None
