--- a/briarknot/gateway/_usage_reports.py
+++ b/briarknot/gateway/_usage_reports.py
@@ -41,6 +41,10 @@
 #: Share of the time until a report is due up to which the first counts of at least
 #: half of the processes are awaited.
 _WAIT_SHARE = 0.6
+#: Windows before the first one of this process that it reports if requests were
+#: counted in them: processes don't start at the same moment. A host whose clock is
+#: far behind must not add more.
+_EARLIER_WINDOWS = 2
 _GRANT = 'usage'
 
 
@@ -222,7 +226,7 @@
             self._rows.latest,
             max(self._fixed, default=0),
         )
-        first = known + 1 if known else self._first_window
+        first = known + 1 if known else self._find_first_window()
         first = max(first, due - _usage_rows.KEPT_WINDOWS + 1)
         now = _clock.read_clock()
         for window in range(first, due + 1):
@@ -236,6 +240,19 @@
                 processes=state.counts.count_covered(now),
             )
 
+    def _find_first_window(self) -> int:
+        """Returns the first window to report where no report is known.
+
+        Requests may have been counted before this process first checked whether
+        something is due, or started.
+        """
+        counted = self._context.account_usage.counts.find_first_window(
+            self._first_window - _EARLIER_WINDOWS
+        )
+        if counted is None:
+            return self._first_window
+        return min(counted, self._first_window)
+
     def _take_stored(self) -> None:
         """Makes the reports due that the store has now."""
         for window in self._fixed.keys() & self._rows.reports.keys():
--- a/briarknot/gateway/tests/test_usage_reports.py
+++ b/briarknot/gateway/tests/test_usage_reports.py
@@ -40,6 +40,20 @@
         assert stats['operations'] <= 2 + 2 * len(windows) + 2
 
 
+async def test_requests_before_the_first_check_are_reported(monkeypatch):
+    """Requests were never reported if their window ended before the first check."""
+    windows = []
+
+    def count(nodes):
+        for node in nodes:
+            windows.append(_usage.read_window(node.context) - 1)
+            node.context.account_usage.counts.count('x', windows[-1])
+
+    async with support.open_fleet(monkeypatch, _HOSTS, prepare=count) as fleet:
+        counts = await fleet.wait_for_window(windows[0])
+    assert counts == {'x': windows.count(windows[0])}
+
+
 async def test_others_ask_for_the_duty_only_without_a_holder(monkeypatch):
     """Each process read the grant in each window, and store calls are billed."""
     refused = []
--- a/briarknot/usage/_counts.py
+++ b/briarknot/usage/_counts.py
@@ -91,6 +91,10 @@
             after = last
         yield Changes(after, self.sequence, _get_counts(recent))
 
+    def list_windows(self) -> set[int]:
+        """Lists the windows with counts."""
+        return {window for window, _ in self._entries}
+
     def forget(self, until: int) -> None:
         """Forgets windows.
 
@@ -239,6 +243,17 @@
             totals[account] += largest_count
         return dict(+totals)
 
+    def find_first_window(self, since: int) -> int | None:
+        """Returns the earliest window in which requests were counted.
+
+        :param since: earlier windows are passed over.
+        :returns: the window; None if nothing was counted.
+        """
+        windows = self.local.list_windows()
+        for feed in self._received.values():
+            windows.update(feed.windows)
+        return min((one for one in windows if one >= since), default=None)
+
     def forget(self, fixed: int, current: int) -> None:
         """Forgets windows that are fixed, and those that are too old.
 
