Refuse rejected prompts that no other worker can prefill in time

With prompt_order onTimeFirst, the refusal on arrival also counts the time since the request arrived, and a rejected prompt whose client will have left before its first event is refused, not sent to another worker.

--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -13,6 +13,7 @@
     _attempts,
     _context,
     _crashes,
+    _hopeless,
     _requests,
     _send_permits,
     _stream_versions,
@@ -56,6 +57,11 @@
         )
         if placement is None:
             return None, None
+        if tried and _hopeless.is_hopeless_elsewhere(
+            context, request, placement
+        ):
+            request.hopeless = placement
+            return None, None
         _log_placement(context, request, placement)
         if placement.is_colocated:
             return None, placement
