Send prompts of accounts above their share one level later

With prompt_order onTimeFirst, an account whose prompts had more work than the mean account in the last 5 s, as far as this process sent them, comes one level later in its rank at engines with a queue.

--- a/benchmarks/_prompt_order.py
+++ b/benchmarks/_prompt_order.py
@@ -240,7 +240,7 @@
             target_s=_TARGET_S,
             random_source=self.source,
             processes=self.processes,
-            levels=self.order(attempt.rank),
+            levels=self.order(attempt.rank, is_above_share=False),
         )
         policy = serving.PLACEMENT_POLICIES.get('predicted')
         placement = policy(view, attempt.prompt, self.now)
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -102,6 +102,12 @@
         return
     started_s = time.monotonic()
     context.prompt_load.add(placement, request.call.prompt, started_s)
+    context.prompt_load.account_shares.record(
+        _get_share_group(request),
+        request.call.account,
+        placement.work,
+        started_s,
+    )
     try:
         yield counted
     finally:
@@ -205,7 +211,12 @@
         random_source=context.random_source,
         processes=1 + len(context.peer_hosts),
         turn_waits_s=_send_permits.list_waits_s(context, request),
-        levels=order(request.route.rank),
+        levels=order(
+            request.route.rank,
+            is_above_share=context.prompt_load.account_shares.is_above(
+                _get_share_group(request), request.call.account, now
+            ),
+        ),
     )
     context.prompt_load.caches.set_engine_limits(request.service.engine)
     policy = serving.PLACEMENT_POLICIES.get(
@@ -214,6 +225,11 @@
     return policy(view, prompt, now)
 
 
+def _get_share_group(request: _requests.Request) -> tuple[str, int]:
+    """Returns the service and rank within which accounts have shares."""
+    return request.service.name, request.route.rank
+
+
 def _choose_other(
     context: _context.Context,
     request: _requests.Request,
--- a/briarknot/serving/_placement_costs.py
+++ b/briarknot/serving/_placement_costs.py
@@ -154,7 +154,7 @@
             overhead_s=terms.overhead_s,
             cache_holder=terms.source,
             fetched_tokens=terms.fetched,
-            level=levels.late if is_late else levels.on_time,
+            level=levels.choose(is_late=is_late, has_queue=engine.queued > 0),
             is_late=is_late,
             is_level_reported=levels.are_reported,
         )
--- a/briarknot/serving/_prompt_load.py
+++ b/briarknot/serving/_prompt_load.py
@@ -4,6 +4,7 @@
 
 from briarknot import schema
 from briarknot.serving import (
+    _account_shares,
     _calls,
     _engine_caches,
     _engine_work,
@@ -77,6 +78,7 @@
     :param ranks: orders of the engines by hash of a shared part.
     :param sent_work: prefill work that this process sends, in tokens.
     :param sent_streams: generations that this process sends.
+    :param account_shares: shares of accounts in the work that this process sends.
     """
 
     work: _engine_work.EngineWork = attrs.field(
@@ -97,6 +99,9 @@
     sent_streams: _send_rates.SendRates = attrs.field(
         factory=_send_rates.SendRates
     )
+    account_shares: _account_shares.AccountShares = attrs.field(
+        factory=_account_shares.AccountShares
+    )
     _slowdowns: dict[str, float] = attrs.field(factory=dict)
 
     def add(
--- a/briarknot/serving/_prompt_order.py
+++ b/briarknot/serving/_prompt_order.py
@@ -20,20 +20,33 @@
     :param late: its level where it can't.
     :param are_reported: whether processes report the work by level. Otherwise
         all work at an engine counts as work ahead of the prompt.
+    :param share_delay: levels by which it comes later at an engine with a queue, as
+        its account is above its share.
     """
 
     on_time: int = 0
     late: int = 0
     are_reported: bool = False
+    share_delay: int = 0
+
+    def choose(self, *, is_late: bool, has_queue: bool) -> int:
+        """Returns the level of the prompt at an engine.
+
+        :param is_late: whether it can't be on time there.
+        :param has_queue: whether other prompts wait there.
+        """
+        level = self.late if is_late else self.on_time
+        return level if has_queue else level - self.share_delay
 
 
 class PromptOrder(typing.Protocol):
     """Chooses the levels of a prompt.
 
     :param rank: rank of its route.
+    :param is_above_share: whether its account is above its share of the work.
     """
 
-    def __call__(self, rank: int) -> Levels: ...
+    def __call__(self, rank: int, *, is_above_share: bool) -> Levels: ...
 
 
 PROMPT_ORDERS: registry.Registry[PromptOrder] = registry.Registry(
@@ -42,29 +55,36 @@
 
 
 @PROMPT_ORDERS.register('by_rank')
-def order_by_rank(rank: int) -> Levels:
+def order_by_rank(rank: int, *, is_above_share: bool) -> Levels:
     """Has engines admit the prompts of a rank in the order of their arrival.
 
     :param rank: rank of the route.
+    :param is_above_share: whether its account is above its share; unused.
 
-    >>> order_by_rank(2)
-    Levels(on_time=6, late=6, are_reported=False)
+    >>> order_by_rank(2, is_above_share=True)
+    Levels(on_time=6, late=6, are_reported=False, share_delay=0)
     """
     level = get_first_level(rank)
     return Levels(level, level)
 
 
 @PROMPT_ORDERS.register('on_time_first')
-def order_on_time_first(rank: int) -> Levels:
+def order_on_time_first(rank: int, *, is_above_share: bool) -> Levels:
     """Has engines admit late prompts after the other ones of their rank.
 
     :param rank: rank of the route.
+    :param is_above_share: whether its account is above its share; its prompts come
+        one level later, and late ones of it two.
 
-    >>> order_on_time_first(2)
-    Levels(on_time=6, late=7, are_reported=True)
+    >>> order_on_time_first(2, is_above_share=False)
+    Levels(on_time=6, late=7, are_reported=True, share_delay=0)
+    >>> order_on_time_first(2, is_above_share=True)
+    Levels(on_time=7, late=8, are_reported=True, share_delay=1)
     """
-    level = get_first_level(rank)
-    return Levels(level, min(_LAST_LEVEL, level + 1), are_reported=True)
+    first = get_first_level(rank)
+    on_time = min(_LAST_LEVEL, first + is_above_share)
+    late = min(_LAST_LEVEL, on_time + 1)
+    return Levels(on_time, late, are_reported=True, share_delay=on_time - first)
 
 
 def get_first_level(rank: int) -> int:
--- a/briarknot/serving/tests/test_prompt_order.py
+++ b/briarknot/serving/tests/test_prompt_order.py
@@ -11,9 +11,11 @@
 _QUEUE = 110_000
 
 
-def place(view, order='on_time_first', rank=1):
+def place(view, order='on_time_first', rank=1, *, is_above_share=False):
     """Places a prompt by the present policy."""
-    levels = _prompt_order.PROMPT_ORDERS.get(order)(rank)
+    levels = _prompt_order.PROMPT_ORDERS.get(order)(
+        rank, is_above_share=is_above_share
+    )
     policy = serving.PLACEMENT_POLICIES.get('predicted')
     prompt = choices.make_prompt('k')
     return policy(attrs.evolve(view, levels=levels), prompt, 0)
@@ -74,3 +76,25 @@
     assert view.load.work.local[0].level_tokens == (0, 0, 0, _QUEUE)
     # Prompts that overtook it say nothing on the speed of the engine.
     assert view.load.get_slowdown(placement.prefill_worker) == 1
+
+
+def test_account_above_its_share_comes_later_where_others_wait():
+    """One account's burst made the prompts of all others late."""
+    assert place(make_view(4), is_above_share=True).level == 5
+    assert place(make_view(5), is_above_share=True).level == 4
+    assert place(make_view(), is_above_share=True).level == 3
+    assert place(make_view(9), rank=3, is_above_share=True).level == 9
+
+
+def test_only_accounts_with_recent_work_have_shares():
+    """An account would come later although the others ask for nothing."""
+    shares = serving.make_prompt_load().account_shares
+    group = ('s', 1)
+    for account, work in (('a', 30), ('b', 10), ('', 99)):
+        shares.record(group, account, work, now=0)
+    shares.record(('s', 2), 'b', 99, now=4)
+    assert shares.is_above(group, 'a', now=5)
+    assert not shares.is_above(group, 'b', now=5)
+    assert not shares.is_above(group, 'c', now=5)
+    shares.record(group, 'a', 5, now=5)
+    assert not shares.is_above(group, 'a', now=6)
