--- a/benchmarks/_prompt_order.py
+++ b/benchmarks/_prompt_order.py
@@ -9,14 +9,17 @@
 import collections
 import collections.abc
 import concurrent.futures
+import functools
 import heapq
 import itertools
 import math
 import random
+import typing
 
 import attrs
 
-from briarknot import registry, schema, serving
+from benchmarks import _prompt_arrivals
+from briarknot import schema, serving
 from briarknot.serving import _prefill_time, _work_parts
 
 #: Prefill workers of a fleet by its number of gateways, as in ``_load_spreading``.
@@ -40,57 +43,19 @@
 _MAX_ATTEMPTS = 3
 _KV_TRANSFER_S = 0.042
 _PREFILL = schema.serving.Stage.PREFILL
-_WARM_UP_S = 4.0
-_END_S = 24.0
 _SEEDS = (1, 2, 3)
 #: Ranks of requests, which are equally frequent.
 RANKS = (0, 1, 2)
 
 #: How requests end: with a first event on time or late, or without a response.
 OUTCOMES = ('on time', 'late', 'silent')
-Results = collections.Counter[tuple[int, str]]
-
-#: Yields the times of arrival of a pattern, by the usual rate per second.
-Arrivals = collections.abc.Callable[
-    [float, random.Random], collections.abc.Iterator[float]
-]
-PATTERNS: registry.Registry[Arrivals] = registry.Registry('pattern')
-
-
-def _arrive(
-    rate: float, source: random.Random, start_s: float, end_s: float
-) -> collections.abc.Iterator[float]:
-    now = start_s + source.expovariate(rate)
-    while now < end_s:
-        yield now
-        now += source.expovariate(rate)
-
-
-@PATTERNS.register('burst')
-def arrive_in_burst(
-    rate: float, source: random.Random
-) -> collections.abc.Iterator[float]:
-    """Yields 1.7 times the usual demand for 6 s."""
-    yield from _arrive(rate, source, 0, _END_S)
-    yield from _arrive(0.7 * rate, source, 6, 12)
-
-
-@PATTERNS.register('empty_caches')
-def arrive_at_start(
-    rate: float, source: random.Random
-) -> collections.abc.Iterator[float]:
-    """Yields the usual demand, from the start of all engines on."""
-    yield from _arrive(rate, source, _WARM_UP_S, _END_S)
-
-
-@PATTERNS.register('return')
-def return_after_outage(
-    rate: float, source: random.Random
-) -> collections.abc.Iterator[float]:
-    """Yields the demand of 4 s within 1 s after an outage."""
-    yield from _arrive(rate, source, 0, 5)
-    yield from _arrive(4 * rate, source, 9, 10)
-    yield from _arrive(rate, source, 9, _END_S)
+Results = collections.Counter[tuple[int | str, str]]
+#: Shares of 20 accounts in the demand; those of a mean account are 0.05.
+ACCOUNTS = {
+    **{f'large {number}': 0.35 for number in range(2)},
+    **{f'mean {number}': 0.05 for number in range(4)},
+    **{f'small {number}': 0.1 / 14 for number in range(14)},
+}
 
 
 @attrs.frozen(eq=False)
@@ -102,6 +67,7 @@
     :param first_s: time at which the client sent its first attempt.
     :param sent_s: time at which it sent this one.
     :param number: number of earlier attempts.
+    :param account: its account; empty without accounts.
     """
 
     rank: int
@@ -109,6 +75,7 @@
     first_s: float
     sent_s: float
     number: int = 0
+    account: str = ''
 
 
 @attrs.frozen(eq=False)
@@ -143,6 +110,7 @@
     processes: int
     order: collections.abc.Callable
     source: random.Random
+    accounts: dict[str, float] = attrs.field(factory=dict)
     results: Results = attrs.field(factory=collections.Counter)
     workers: tuple[schema.serving.Worker, ...] = ()
     loads: list[serving.PromptLoad] = attrs.field(factory=list)
@@ -171,7 +139,7 @@
             for _ in range(self.processes)
         ]
 
-    def run(self, arrivals: Arrivals) -> None:
+    def run(self, arrivals: _prompt_arrivals.Arrivals) -> None:
         """Runs until all requests have ended.
 
         :param arrivals: pattern of the arrivals.
@@ -180,7 +148,9 @@
         for arrival_s in arrivals(rate, self.source):
             attempt = self._make_attempt(arrival_s)
             self._call_at(arrival_s, self._receive, attempt)
-        for tick in range(int((_END_S + 3 * _SILENCE_S) / _TICK_S)):
+        for tick in range(
+            int((_prompt_arrivals.END_S + 3 * _SILENCE_S) / _TICK_S)
+        ):
             self._call_at(tick * _TICK_S, self._spread_sums, tick)
         while self._events:
             event = heapq.heappop(self._events)
@@ -205,7 +175,12 @@
             parts=parts, tokens=_SHARED_TOKENS + own, output_tokens=100
         )
         rank = self.source.choice(RANKS)
-        return _Attempt(rank, prompt, arrival_s, arrival_s)
+        account = ''
+        if self.accounts:
+            account = self.source.choices(
+                *zip(*self.accounts.items(), strict=True)
+            )[0]
+        return _Attempt(rank, prompt, arrival_s, arrival_s, 0, account)
 
     def _spread_sums(self, tick: int) -> None:
         """Takes the sum of all work, and gives each process an older one."""
@@ -231,6 +206,9 @@
 
     def _receive(self, attempt: _Attempt) -> None:
         load = self.source.choice(self.loads)
+        group = (_PREFILL, attempt.rank)
+        shares = load.account_shares
+        is_above = shares.is_above(group, attempt.account, self.now)
         view = serving.PlacementView(
             load=load,
             worker_records=serving.make_worker_records(),
@@ -240,7 +218,7 @@
             target_s=_TARGET_S,
             random_source=self.source,
             processes=self.processes,
-            levels=self.order(attempt.rank, is_above_share=False),
+            levels=self.order(attempt.rank, is_above_share=is_above),
         )
         policy = serving.PLACEMENT_POLICIES.get('predicted')
         placement = policy(view, attempt.prompt, self.now)
@@ -248,6 +226,7 @@
             self._refuse(attempt, placement.expected_s - _SILENCE_S / 2)
             return
         load.add(placement, attempt.prompt, self.now)
+        shares.record(group, attempt.account, placement.work, self.now)
         engine = self.engines[placement.prefill_worker.id]
         job = _Job(attempt, placement, load)
         entry = (placement.level, next(self._numbers), job)
@@ -274,12 +253,11 @@
             self._end_job(entry[-1], is_prefilled=False)
 
     def _serve(self, engine: _Engine) -> None:
-        if engine.is_busy or not engine.waiting:
-            return
-        job = heapq.heappop(engine.waiting)[-1]
-        engine.is_busy = True
-        prefill_s = engine.compute_prefill_s(job.attempt.prompt)
-        self._call_at(self.now + prefill_s, self._finish, engine, job)
+        if engine.waiting and not engine.is_busy:
+            job = heapq.heappop(engine.waiting)[-1]
+            engine.is_busy = True
+            prefill_s = engine.compute_prefill_s(job.attempt.prompt)
+            self._call_at(self.now + prefill_s, self._finish, engine, job)
 
     def _finish(self, engine: _Engine, job: _Job) -> None:
         engine.is_busy = False
@@ -299,15 +277,19 @@
         self._end(job.attempt, event_s if is_heard else math.inf)
 
     def _end(self, attempt: _Attempt, event_s: float) -> None:
-        if attempt.first_s < _WARM_UP_S:
+        if attempt.first_s < _prompt_arrivals.WARM_UP_S:
             return
         is_late = event_s - attempt.first_s > _TARGET_S
         outcome = OUTCOMES[is_late + (event_s == math.inf)]
-        self.results[attempt.rank, outcome] += 1
+        self.results[attempt.account or attempt.rank, outcome] += 1
 
 
 def simulate(
-    pattern: str, order: str, processes: int, seeds: tuple[int, ...] = _SEEDS
+    pattern: str,
+    order: str,
+    processes: int,
+    seeds: tuple[int, ...] = _SEEDS,
+    accounts: dict[str, float] | None = None,
 ) -> Results:
     """Counts the requests that end in each way.
 
@@ -315,51 +297,75 @@
     :param order: name of the order.
     :param processes: number of processes.
     :param seeds: seeds of the arrivals.
-    :returns: requests by rank and outcome.
+    :param accounts: shares of accounts in the demand; None without accounts.
+    :returns: requests by rank, or by account, and outcome.
     """
     results: Results = collections.Counter()
     for seed in seeds:
         fleet = _Fleet(
-            processes, serving.PROMPT_ORDERS.get(order), random.Random(seed)
+            processes,
+            serving.PROMPT_ORDERS.get(order),
+            random.Random(seed),
+            accounts or {},
         )
-        fleet.run(PATTERNS.get(pattern))
+        fleet.run(_prompt_arrivals.PATTERNS.get(pattern))
         results += fleet.results
     return results
 
 
 def compute_shares(
-    results: Results, ranks: tuple[int, ...] = RANKS
+    results: Results, ranks: typing.Iterable[int | str] = RANKS
 ) -> list[float]:
     """Returns the share of each outcome.
 
     :param results: requests by rank and outcome.
-    :param ranks: ranks of the requests that count.
+    :param ranks: ranks, or accounts, of the requests that count.
     """
     counts = [sum(results[rank, one] for rank in ranks) for one in OUTCOMES]
     return [count / max(1, sum(counts)) for count in counts]
 
 
-def _make_row(case: tuple[str, int, str]) -> str:
+def list_accounts(kind: str) -> list[str]:
+    """Lists the accounts of a kind.
+
+    :param kind: first word of their names.
+    """
+    return [one for one in ACCOUNTS if one.startswith(kind)]
+
+
+def _make_row(
+    accounts: dict[str, float] | None,
+    groups: dict[str, typing.Iterable[int | str]],
+    case: tuple[str, int, str],
+) -> str:
     pattern, processes, order = case
-    results = simulate(pattern, order, processes)
+    results = simulate(pattern, order, processes, accounts=accounts)
     cells = [
-        ' / '.join(f'{one:.3f}' for one in compute_shares(results, ranks))
-        for ranks in (*zip(RANKS, strict=True), RANKS)
+        ' / '.join(f'{one:.3f}' for one in compute_shares(results, group))
+        for group in groups.values()
     ]
     return f'| {" | ".join((pattern, str(processes), order, *cells))} |'
 
 
 def main() -> None:
-    """Prints the shares of the outcomes by rank."""
-    titles = ('pattern', 'processes', 'order', *map('rank {}'.format, RANKS))
-    print('|', ' | '.join(titles), '| all |')
-    print('| --- ' * (len(titles) + 1) + '|')
-    cases = itertools.product(
-        PATTERNS.names, ENGINES, serving.PROMPT_ORDERS.names
+    """Prints the shares of the outcomes by rank and by kind of account."""
+    kinds = ('large', 'mean', 'small')
+    tables = (
+        (None, {**{f'rank {rank}': (rank,) for rank in RANKS}, 'all': RANKS}),
+        (ACCOUNTS, {f'{kind} accounts': list_accounts(kind) for kind in kinds}),
+    )
+    names = (
+        _prompt_arrivals.PATTERNS.names,
+        ENGINES,
+        serving.PROMPT_ORDERS.names,
     )
     with concurrent.futures.ProcessPoolExecutor(3) as executor:
-        for row in executor.map(_make_row, cases):
-            print(row, flush=True)
+        for accounts, groups in tables:
+            print('| pattern | processes | order |', ' | '.join(groups), '|')
+            print('| --- ' * (3 + len(groups)) + '|')
+            make_row = functools.partial(_make_row, accounts, groups)
+            for row in executor.map(make_row, itertools.product(*names)):
+                print(row, flush=True)
 
 
 if __name__ == '__main__':
--- a/benchmarks/tests/test_prompt_order.py
+++ b/benchmarks/tests/test_prompt_order.py
@@ -39,3 +39,29 @@
     for on_time, _, silent in gains:
         # Late prompts must not be given up for the others.
         assert silent <= max(0, on_time)
+
+
+@pytest.mark.parametrize('processes', list(_prompt_order.ENGINES))
+def test_large_accounts_leave_others_their_share(processes):
+    """Two accounts with most of the demand made all others late."""
+    before, after = (
+        _prompt_order.simulate(
+            'return', order, processes, (1,), _prompt_order.ACCOUNTS
+        )
+        for order in ('by_rank', 'on_time_first')
+    )
+    small = _prompt_order.list_accounts('small')
+    gains = [
+        new - old
+        for old, new in zip(
+            _prompt_order.compute_shares(before, small),
+            _prompt_order.compute_shares(after, small),
+            strict=True,
+        )
+    ]
+    assert gains[0] > 0
+    assert gains[-1] < gains[0]
+    for account in _prompt_order.list_accounts('mean'):
+        # The target is half of what it asks for; a quarter is required.
+        on_time, _, _ = _prompt_order.compute_shares(after, (account,))
+        assert on_time >= 1 / 2
