--- a/briarknot/schema/_codec.py
+++ b/briarknot/schema/_codec.py
@@ -34,14 +34,10 @@
 
 
 def _write_list(
-    struct: typing.Any, camel: str, elements: typing.Sequence[typing.Any]
+    target: typing.Any, kind: type, elements: typing.Sequence[typing.Any]
 ) -> None:
-    if not elements:
-        return
-    target = struct.init(camel, len(elements))
-    first = elements[0]
-    if attrs.has(type(first)):
-        write = _make_writer(type(first))
+    if attrs.has(kind):
+        write = _make_writer(kind)
         for index, element in enumerate(elements):
             write(target[index], element)
     else:
@@ -49,29 +45,40 @@
             target[index] = element
 
 
+def _get_fields(kind: type) -> typing.Any:
+    """Returns the fields of a struct by name."""
+    return getattr(_load(kind.__schema__), kind.__name__).schema.fields
+
+
 @functools.cache
 def _make_writer(
     kind: type,
 ) -> typing.Callable[[typing.Any, typing.Any], None]:
     """Returns a function that writes a value of a class to a struct."""
     lists, structs, scalars = [], [], []
+    fields = _get_fields(kind)
     for name, field_kind in _plain.get_field_types(kind).items():
         if typing.get_origin(field_kind) is tuple:
-            lists.append((name, _to_camel(name)))
+            element_kind = typing.get_args(field_kind)[0]
+            lists.append((name, fields[_to_camel(name)], element_kind))
         elif attrs.has(field_kind):
             nested = _make_writer(field_kind)
             structs.append((name, _to_camel(name), nested))
         else:
-            scalars.append((name, _to_camel(name)))
+            scalars.append((name, fields[_to_camel(name)]))
 
     def write(struct: typing.Any, value: typing.Any) -> None:
-        for name, camel in scalars:
+        # Access by field takes two thirds of the time of access by name.
+        for name, field in scalars:
             scalar = getattr(value, name)
             if isinstance(scalar, enum.Enum):
                 scalar = scalar.value
-            setattr(struct, camel, scalar)
-        for name, camel in lists:
-            _write_list(struct, camel, getattr(value, name))
+            struct._set_by_field(field, scalar)
+        for name, field, element_kind in lists:
+            elements = getattr(value, name)
+            if elements:
+                target = struct._init_by_field(field, len(elements))
+                _write_list(target, element_kind, elements)
         for name, camel, write_nested in structs:
             write_nested(struct.init(camel), getattr(value, name))
 
@@ -96,7 +103,7 @@
 
 
 def _make_struct_builder(kind: type) -> _Builder:
-    fields = getattr(_load(kind.__schema__), kind.__name__).schema.fields
+    fields = _get_fields(kind)
     builders = tuple(
         (
             attribute.name,
