Send changes of workers' limits when they happen instead of polling for them

Each gateway woke up 20 times a second to look for changes of limits, and 4 times a second to see whether it plans stages. It now waits for a notification, and looks once a second whether it is the leader.

--- a/briarknot/gateway/_attempts.py
+++ b/briarknot/gateway/_attempts.py
@@ -170,6 +170,7 @@
     start = serving.name_start(worker)
     limits = context.permits.limits
     if limits.record_answer(start, backpressure, attempt.started_s, now):
+        context.backpressure_changed.notify()
         telemetry.log_event(
             'worker_limit_changed',
             worker=worker.id,
@@ -180,6 +181,7 @@
     if backpressure is None:
         return
     if backpressure.is_leaving and context.fleet.record_leaving(start, now):
+        context.backpressure_changed.notify()
         telemetry.log_event(
             'worker_leaving', worker=worker.id, domain=worker.domain
         )
--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -92,6 +92,8 @@
     :param fleet_known: set when the manifest and the workers are known.
     :param quarantine: evidence on what makes workers crash.
     :param quarantine_changed: notified when the evidence changes.
+    :param backpressure_changed: notified when a worker has named another limit, or
+        has said that it is leaving.
     :param permit_answers: answers of other processes that issue permits.
     :param software_versions: versions of the software that may have begun streams.
     :param versions_changed: notified when a version is new or is stored, and when
@@ -125,6 +127,7 @@
         factory=serving.make_crash_quarantine
     )
     quarantine_changed: program.Signal = attrs.field(factory=program.Signal)
+    backpressure_changed: program.Signal = attrs.field(factory=program.Signal)
     permit_answers: _pending_answers.PendingAnswers = attrs.field(
         factory=_pending_answers.PendingAnswers
     )
--- a/briarknot/gateway/_limit_sync.py
+++ b/briarknot/gateway/_limit_sync.py
@@ -21,8 +21,8 @@
 #: Time for which it is repeated that a worker is leaving; its entry has expired or
 #: says so by then.
 _LEAVING_REPEAT_S = 30.0
-#: Period of checking for changes.
-_CHECK_S = 0.05
+#: Pause after a change, so that what many answers state at once is sent together.
+_PAUSE_S = 0.05
 #: Records in a datagram; each takes about 100 bytes.
 _RECORDS_PER_DATAGRAM = 200
 _MS_PER_S = 1000
@@ -43,14 +43,24 @@
         repeated_s = float('-inf')
         while True:
             now = time.monotonic()
-            changed = limits.take_changed(now)
+            records = limits.take_changed(now)
             leaving = fleet.list_leaving(checked_s)
             checked_s = now
-            self._send(changed, leaving, tuple(self._context.peer_hosts))
+            self._send(records, leaving, tuple(self._context.peer_hosts))
             if now - repeated_s >= _PERIOD_S:
                 repeated_s = now
                 self._repeat(now)
-            await asyncio.sleep(_CHECK_S)
+            await asyncio.sleep(_PAUSE_S)
+            if not self._has_changes(checked_s):
+                await self._context.backpressure_changed.wait(
+                    repeated_s + _PERIOD_S - time.monotonic()
+                )
+
+    def _has_changes(self, checked_s: float) -> bool:
+        """Returns whether something has changed since a check."""
+        return self._context.permits.limits.has_changed or bool(
+            self._context.fleet.list_leaving(checked_s)
+        )
 
     def _repeat(self, now: float) -> None:
         """Sends all that is known to a few processes."""
@@ -105,7 +115,8 @@
     permits = peers.context.permits
     permits.record_heard(message.host, now)
     for start in message.leaving:
-        peers.context.fleet.record_leaving(start, now)
+        if peers.context.fleet.record_leaving(start, now):
+            peers.context.backpressure_changed.notify()
     changed = permits.limits.merge(message.limits, now)
     if changed:
         telemetry.log_event(
--- a/briarknot/gateway/_stage_orders.py
+++ b/briarknot/gateway/_stage_orders.py
@@ -15,6 +15,8 @@
 _Stage = schema.serving.Stage
 _POLICY = 'queue_pressure'
 _PERIOD_S = 0.25
+#: Period of checking whether this process is the leader; each wake-up costs.
+_IDLE_PERIOD_S = 1.0
 #: A pause of this process after which its view of the load is outdated.
 _MAX_PERIOD_S = 1.0
 #: Time from the word that engines change to their orders, so that the other
@@ -41,8 +43,9 @@
     async def run(self) -> None:
         """Plans and changes stages until it is cancelled."""
         planned_s = float('-inf')
+        is_leader = False
         while True:
-            await asyncio.sleep(_PERIOD_S)
+            await asyncio.sleep(_PERIOD_S if is_leader else _IDLE_PERIOD_S)
             now = _clock.read_clock()
             is_current = now - planned_s < _MAX_PERIOD_S
             planned_s = now
--- a/briarknot/serving/_worker_limits.py
+++ b/briarknot/serving/_worker_limits.py
@@ -60,6 +60,11 @@
         """Whether no worker has stated anything that is remembered."""
         return not self._statements
 
+    @property
+    def has_changed(self) -> bool:
+        """Whether a limit has changed here since the last ``take_changed``."""
+        return bool(self._changed)
+
     def get(self, start: str, now: float) -> float | None:
         """Returns the limit of a worker, or None if it has none.
 
