--- a/briarknot/platform/_client.py
+++ b/briarknot/platform/_client.py
@@ -1,10 +1,7 @@
 """Client of the platform's metadata store."""
 
-import base64
-import collections.abc
 import functools
 import time
-import typing
 import urllib.parse
 
 import aiohttp
@@ -14,9 +11,12 @@
 import yarl
 
 from briarknot import telemetry
-from briarknot.platform import _sessions, _store_clock, _values
-
-Decoded = typing.TypeVar('Decoded')
+from briarknot.platform import (
+    _sessions,
+    _store_answers,
+    _store_clock,
+    _values,
+)
 
 _CALLS = prometheus_client.Counter(
     'briarknot_platform_calls',
@@ -28,14 +28,6 @@
     'Duration of calls to the platform.',
     ('operation',),
 )
-_MS_PER_S = 1000
-_DECODE_ERRORS = (AttributeError, LookupError, TypeError, ValueError)
-_OK = 200
-_NOT_FOUND = 404
-_GONE = 410
-_CONFLICT = 412
-#: Statuses of requests that were refused before they had any effect.
-_REFUSED = frozenset((403, 429, 503, 507))
 #: Table of the list of live and leaving hosts.
 _HOSTS_TABLE = 'hosts'
 #: Header with the number of times that the store was restored from a copy.
@@ -48,15 +40,6 @@
 _LAST_KEY = '\U0010ffff'
 
 
-@attrs.frozen
-class _Answer:
-    """Status and body of an answer, and the era that it states."""
-
-    status: int
-    body: bytes
-    era: int = 0
-
-
 @attrs.define
 class Client:
     """Calls the store; no method raises on an outage.
@@ -195,9 +178,9 @@
         )
         if isinstance(answer, _values.Unavailable):
             return answer
-        if answer.status == _GONE:
+        if answer.status == _store_answers.GONE:
             return _values.HistoryLost()
-        return _decode(_decode_page, answer)
+        return _store_answers.decode(_store_answers.decode_page, answer)
 
     async def commit(
         self, *operations: _values.Operation
@@ -211,22 +194,30 @@
         body = orjson.dumps(
             {
                 'expected': [
-                    {**_make_row_key(one), 'ver': one.expected_version or 0}
+                    {
+                        **_store_answers.make_row_key(one),
+                        'ver': one.expected_version or 0,
+                    }
                     for one in writes
                 ],
                 'put': [
-                    {**_make_row_key(one), 'value': _encode_value(one.value)}
+                    {
+                        **_store_answers.make_row_key(one),
+                        'value': _store_answers.encode_value(one.value),
+                    }
                     for one in writes
                 ],
-                'remove': [_make_row_key(one) for one in removals],
+                'remove': [
+                    _store_answers.make_row_key(one) for one in removals
+                ],
             }
         )
         answer = await self._call('commit', 'POST', '/v1/rows-tx', body)
         if isinstance(answer, _values.Unavailable):
             return answer
-        if answer.status == _CONFLICT:
-            find = functools.partial(_find_conflicts, operations)
-            return _decode(find, answer)
+        if answer.status == _store_answers.CONFLICT:
+            find = functools.partial(_store_answers.find_conflicts, operations)
+            return _store_answers.decode(find, answer)
         return _values.Committed()
 
     async def read_object(
@@ -240,7 +231,7 @@
         answer = await self._call('read_object', 'GET', path)
         if isinstance(answer, _values.Unavailable):
             return answer
-        if answer.status == _NOT_FOUND:
+        if answer.status == _store_answers.NOT_FOUND:
             return _values.Missing()
         return answer.body
 
@@ -276,7 +267,7 @@
             )
             if isinstance(answer, _values.Unavailable):
                 return answer
-            page = _decode(_decode_names, answer)
+            page = _store_answers.decode(_store_answers.decode_names, answer)
             if isinstance(page, _values.Unavailable):
                 return page
             found, has_more = page
@@ -292,7 +283,7 @@
         rows = await self.scan_rows(_HOSTS_TABLE)
         if isinstance(rows, _values.Unavailable):
             return rows
-        return tuple(_decode_host(row) for row in rows)
+        return tuple(_store_answers.decode_host(row) for row in rows)
 
     async def _read_page(
         self, table: str, start: str, end: str
@@ -307,7 +298,7 @@
         answer = await self._call('read_rows', 'GET', f'/v1/rows-get?{query}')
         if isinstance(answer, _values.Unavailable):
             return answer
-        page = _decode(_decode_page, answer)
+        page = _store_answers.decode(_store_answers.decode_page, answer)
         if isinstance(page, _values.Unavailable):
             return page
         if page.era == self._era and page.store_s:
@@ -321,20 +312,20 @@
         path: str,
         body: bytes | None = None,
         timeout_s: float = 0,
-    ) -> _Answer | _values.Unavailable:
+    ) -> _store_answers.Answer | _values.Unavailable:
         with _SECONDS.labels(operation).time():
             answer = await self._send(
                 method, path, body, timeout_s or self._timeout_s
             )
         result = 'unavailable'
-        if isinstance(answer, _Answer):
+        if isinstance(answer, _store_answers.Answer):
             result = str(answer.status)
         _CALLS.labels(operation, result).inc()
         return answer
 
     async def _send(
         self, method: str, path: str, body: bytes | None, timeout_s: float
-    ) -> _Answer | _values.Unavailable:
+    ) -> _store_answers.Answer | _values.Unavailable:
         url = _make_url(self._url, path)
         try:
             async with self._session.request(
@@ -349,7 +340,7 @@
                 if body is None:
                     response.close()
                     return _values.Unavailable('the answer does not end')
-                return _check_answer(response.status, body, era)
+                return _store_answers.check_answer(response.status, body, era)
         except aiohttp.ClientConnectorError as error:
             return _values.Unavailable(str(error), may_have_applied=False)
         except (TimeoutError, aiohttp.ClientError) as error:
@@ -369,97 +360,6 @@
     return urllib.parse.quote(name, safe='')
 
 
-def _make_row_key(operation: _values.Operation) -> dict[str, str]:
-    return {'table': operation.table, 'part': '', 'key': operation.key}
-
-
-def _encode_value(value: object) -> str:
-    return base64.b64encode(orjson.dumps(value)).decode()
-
-
-def _decode(
-    decode: collections.abc.Callable[[_Answer], Decoded], answer: _Answer
-) -> Decoded | _values.Unavailable:
-    """Decodes an answer, which may end early where it has no length."""
-    try:
-        return decode(answer)
-    except _DECODE_ERRORS as error:
-        return _values.Unavailable(f'{type(error).__name__}: {error}')
-
-
-def _decode_names(answer: _Answer) -> tuple[list[str], bool]:
-    tree = orjson.loads(answer.body)
-    return tree['names'], tree['morePages']
-
-
-def _decode_page(answer: _Answer) -> _values.Page:
-    tree = orjson.loads(answer.body)
-    return _values.Page(
-        tuple(_decode_row(row) for row in tree['rows']),
-        tree['ver'],
-        more=tree.get('morePages', False),
-        store_s=tree.get('nowMs', 0) / _MS_PER_S,
-        era=answer.era,
-    )
-
-
-def _decode_row(row: dict[str, object]) -> _values.Row:
-    if row.get('deleted'):
-        return _values.Row(row['key'], None, row['ver'], deleted=True)
-    text = base64.b64decode(row['value'])
-    try:
-        value = orjson.loads(text)
-    except orjson.JSONDecodeError:
-        # Other writers may store values that are not JSON; these must not hide
-        # the other rows of the page.
-        return _values.Row(row['key'], text, row['ver'])
-    return _values.Row(row['key'], value, row['ver'])
-
-
-def _find_conflicts(
-    operations: tuple[_values.Operation, ...], answer: _Answer
-) -> _values.Conflict:
-    """Returns the indexes of operations whose expected version did not match.
-
-    :param operations: operations of the refused transaction.
-    :param answer: answer with the current rows.
-    """
-    found = {
-        (row['table'], row['key']): row['ver']
-        for row in orjson.loads(answer.body)['rows']
-        if not row.get('deleted')
-    }
-    return _values.Conflict(
-        tuple(
-            index
-            for index, one in enumerate(operations)
-            if not one.is_removal
-            and found.get((one.table, one.key), 0)
-            != (one.expected_version or 0)
-        )
-    )
-
-
-def _decode_host(row: _values.Row) -> _values.Host:
-    return _values.Host(
-        host=row.value['host'],
-        domain=row.value['domain'],
-        peer_url=row.value['peer_url'],
-        leaving=row.value['state'] == 'leaving',
-    )
-
-
-def _check_answer(
-    status: int, body: bytes, era: int
-) -> _Answer | _values.Unavailable:
-    if status in {_OK, _NOT_FOUND, _GONE, _CONFLICT}:
-        return _Answer(status, body, era)
-    return _values.Unavailable(
-        f'the platform answered {status}',
-        may_have_applied=status not in _REFUSED,
-    )
-
-
 def make_client(
     session: aiohttp.ClientSession, url: str, timeout_s: float
 ) -> Client:
