--- a/briarknot/gateway/_quarantine_sync.py
+++ b/briarknot/gateway/_quarantine_sync.py
@@ -39,9 +39,15 @@
     _is_loaded: bool = False
     _stored: frozenset[tuple[str, int]] = frozenset()
     _stored_era: int = 0
+    _loading: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
     async def load(self) -> None:
         """Reads what is quarantined, once, before the first request."""
+        async with self._loading:
+            if not self._is_loaded:
+                await self._load()
+
+    async def _load(self) -> None:
         page = await self._client.read_row_page(_TABLE, _KEY)
         if isinstance(page, platform.Unavailable):
             telemetry.log_event('quarantine_unknown', reason=page.reason)
@@ -70,8 +76,7 @@
         """
         stored_s = time.monotonic()
         while True:
-            if not self._is_loaded:
-                await self.load()
+            await self.load()
             now = time.monotonic()
             if self._client.era != self._stored_era:
                 # What was stored may be lost.
--- a/briarknot/gateway/_version_row.py
+++ b/briarknot/gateway/_version_row.py
@@ -4,6 +4,7 @@
 after the loss of all others reads it.
 """
 
+import asyncio
 import math
 
 import attrs
@@ -67,18 +68,22 @@
     _pending: frozenset[_Key | int] = frozenset()
     _pending_s: float = math.inf
     _attempted_s: float = -math.inf
+    _loading: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
     async def load(self) -> None:
         """Reads the stored versions, before the first request."""
-        await self._read()
+        async with self._loading:
+            if not self._context.software_versions.is_loaded:
+                await self._read()
 
     async def store(self) -> None:
         """Stores the versions, if no other process has."""
         known = self._context.software_versions
         while True:
-            is_restored = self._client.era > self._row.read_era
-            if is_restored or not known.is_loaded:
-                await self._load_again()
+            async with self._loading:
+                is_restored = self._client.era > self._row.read_era
+                if is_restored or not known.is_loaded:
+                    await self._load_again()
             await self._store_in_turn()
             is_stored = not known.list_unstored()
             await self._context.versions_changed.wait(
