--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -18,11 +18,13 @@
     versions,
 )
 from briarknot.gateway import (
+    _clock,
     _host_groups,
     _manifest_status,
     _pending_answers,
     _stopping,
 )
+from briarknot.serving import cache_lists
 
 REQUESTS = prometheus_client.Counter(
     'briarknot_gateway_requests',
@@ -73,6 +75,10 @@
     return False
 
 
+def _make_cache_listing() -> cache_lists.CacheListing:
+    return cache_lists.make_cache_listing(_clock.read_clock())
+
+
 @attrs.define(eq=False)
 class Context:
     """State of a gateway process.
@@ -87,6 +93,8 @@
     :param permits: limits that workers have named, and permits to send to them.
     :param random_source: source of randomness.
     :param peer_hosts: the other gateway processes by host.
+    :param heard_starts: starts of the other processes that have sent messages on
+        their work, by host.
     :param fleet_update: latest update that another process sent.
     :param fleet_update_received: set when an update arrives.
     :param fleet_known: set when the manifest and the workers are known.
@@ -105,6 +113,8 @@
     :param stop: shortens the time limits of requests when the process stops.
     :param accounts: client accounts of the manifest.
     :param manifest_status: whether the manifest is known to be the newest.
+    :param hosts_known: set when the list of gateway processes was read.
+    :param cache_listing: reads of the lists of engines' caches after the start.
     :param background_tasks: tasks that outlive the request that started them.
     """
 
@@ -118,6 +128,7 @@
     permits: serving.SendPermits
     random_source: random.Random = attrs.field(factory=random.Random)
     peer_hosts: dict[str, PeerHost] = attrs.field(factory=dict)
+    heard_starts: dict[str, int] = attrs.field(factory=dict)
     fleet_update: schema.messages.FleetUpdate | None = None
     fleet_update_received: asyncio.Event = attrs.field(factory=asyncio.Event)
     fleet_known: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -148,6 +159,10 @@
     manifest_status: _manifest_status.ManifestStatus = attrs.field(
         factory=_manifest_status.ManifestStatus
     )
+    hosts_known: asyncio.Event = attrs.field(factory=asyncio.Event)
+    cache_listing: cache_lists.CacheListing = attrs.field(
+        factory=_make_cache_listing
+    )
     background_tasks: set[typing.Any] = attrs.field(factory=set)
     _groups: _host_groups.HostGroups | None = None
 
--- a/briarknot/gateway/_gateway.py
+++ b/briarknot/gateway/_gateway.py
@@ -10,6 +10,7 @@
 
 from briarknot import document, platform, program, schema, telemetry
 from briarknot.gateway import (  # noqa: F401
+    _cache_listing,
     _context,
     _generation,
     _hosts,
@@ -122,6 +123,10 @@
                 ('own_news', peers.broadcast_work),
                 ('relay', peers.relay_work),
                 ('stages', stage_orders.run),
+                (
+                    'cache_listing',
+                    _cache_listing.make_listing_task(self._context, peers).run,
+                ),
                 ('usage', usage_sync.run),
                 ('usage_reports', usage_reports.run),
                 ('settings', self._watch_settings),
--- a/briarknot/gateway/_hosts.py
+++ b/briarknot/gateway/_hosts.py
@@ -68,6 +68,7 @@
                 # its version is known now.
                 await self._register()
             self._peers.announce()
+            self._context.hosts_known.set()
             is_large = len(self._context.peer_hosts) > _MAX_SMALL_FLEET
             if self._period == 1 and is_large:
                 await self._read_after_start()
--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -8,7 +8,13 @@
 import attrs
 
 from briarknot import program, registry, schema, serving, telemetry
-from briarknot.gateway import _clock, _context, _peer_socket, _work_relays
+from briarknot.gateway import (
+    _clock,
+    _context,
+    _peer_socket,
+    _started_hosts,
+    _work_relays,
+)
 
 #: Period of reports. The prefill of a prompt takes a few hundred milliseconds,
 #: so a later message would arrive after its end.
@@ -37,10 +43,6 @@
 #: Processes of another domain that take turns in forwarding the messages of
 #: this one, so that the loss of one costs only every second message.
 _FORWARDERS_PER_DOMAIN = 2
-#: Processes that tell one that has just started what the engines' caches hold.
-_INFORMERS = 2
-#: Cached parts in a datagram; each takes about 50 bytes.
-_PARTS_PER_DATAGRAM = 300
 _MS_PER_S = 1000
 #: Apply received messages, by the name of their class.
 HANDLERS: registry.Registry[typing.Callable[..., None]] = registry.Registry(
@@ -57,9 +59,9 @@
     _born_ms: int
     _relays: _work_relays.WorkRelays
     _sums: serving.WorkSums
+    _started_hosts: _started_hosts.StartedHosts
     _is_announced: bool = True
     _sequence: int = 0
-    _known_starts: dict[str, int] = attrs.field(factory=dict)
     _relay_needed: program.Signal = attrs.field(factory=program.Signal)
     _reported_s: float = float('-inf')
     _domain_work_s: float = float('-inf')
@@ -106,6 +108,23 @@
         """Makes the next message due even if there is no work to report."""
         self._is_announced = False
 
+    def send_caches(self, host: str, now: float) -> None:
+        """Sends a process that started what is known of the engines' caches.
+
+        :param host: host of the process.
+        :param now: monotonic time in seconds.
+        """
+        parts = self._context.prompt_load.caches.list_parts(now)
+        for batch in _started_hosts.split_parts(parts):
+            self.send(self._make_report(batch), (host,))
+        status = _started_hosts.make_status(self._context, has_parts=True)
+        if status.is_known or status.listed:
+            self.send(status, (host,))
+        if parts:
+            telemetry.log_event(
+                'started_host_informed', peer=host, parts=len(parts)
+            )
+
     def record_host(self, message: typing.Any) -> None:
         """Adds a process that started after the list of hosts was read.
 
@@ -181,7 +200,8 @@
         if message.forward and not self._forward(message):
             return
         self.record_host(message)
-        self._inform_started(message)
+        if self._started_hosts.is_informer(message):
+            self.send_caches(message.host, now)
         load = self._context.prompt_load
         load.caches.record_parts(message.parts, now)
         if message.domain == self._context.settings.domain:
@@ -323,42 +343,6 @@
             forwarder = ranked[min(index, len(ranked) - 1)]
             self._socket.send(data, self._context.peer_hosts[forwarder].address)
 
-    def _inform_started(self, message: schema.messages.EngineWork) -> None:
-        """Sends the contents of the engines' caches to a process that started.
-
-        Two processes of its domain do, so that the loss of one does no harm.
-        Without it the process would have shared parts prefilled again.
-        """
-        is_known = self._known_starts.get(message.host) == message.born_ms
-        self._known_starts[message.host] = message.born_ms
-        peer = self._context.peer_hosts.get(message.host)
-        if is_known or peer is None:
-            return
-        local = self._context.settings.host
-        domains = {
-            local: self._context.settings.domain,
-            **{
-                host: other.domain
-                for host, other in self._context.peer_hosts.items()
-            },
-        }
-        del domains[message.host]
-        near = [
-            host for host, domain in domains.items() if domain == peer.domain
-        ]
-        informers = serving.rank_names(message.host, near or domains)
-        if local not in informers[:_INFORMERS]:
-            return
-        parts = self._context.prompt_load.caches.list_parts(time.monotonic())
-        for start in range(0, len(parts), _PARTS_PER_DATAGRAM):
-            batch = parts[start : start + _PARTS_PER_DATAGRAM]
-            data = schema.encode(self._make_report(batch))
-            self._socket.send(data, peer.address)
-        if parts:
-            telemetry.log_event(
-                'started_host_informed', peer=message.host, parts=len(parts)
-            )
-
     def _make_report(
         self, parts: tuple[schema.messages.CachedPart, ...]
     ) -> schema.messages.EngineWork:
@@ -436,6 +420,7 @@
         serving.make_work_sums(
             settings.host, settings.domain, born_ms, context.prompt_load.work
         ),
+        _started_hosts.StartedHosts(context),
     )
     context.send_message = peers.send
     return peers
--- a/briarknot/platform/__init__.py
+++ b/briarknot/platform/__init__.py
@@ -4,6 +4,11 @@
 workers, and the decoding of the operators' manifest and workers' entries.
 """
 
+from briarknot.platform._cache_lists import (
+    CacheContents,
+    CacheLists,
+    make_cache_lists,
+)
 from briarknot.platform._client import Client, make_client
 from briarknot.platform._client_limits import ClientLimits, make_client_limits
 from briarknot.platform._client_states import Limit, Phase
@@ -56,6 +61,8 @@
     'MANIFEST_KEY',
     'MANIFEST_TABLE',
     'WORKERS_TABLE',
+    'CacheContents',
+    'CacheLists',
     'Client',
     'ClientLimits',
     'Committed',
@@ -84,6 +91,7 @@
     'WorkerCalls',
     'decode_manifest',
     'decode_worker',
+    'make_cache_lists',
     'make_client',
     'make_client_limits',
     'make_duties',
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -1042,3 +1042,92 @@
     UsageSums: 'usageSums',
     UsageAck: 'usageAck',
 }
+
+
+@attrs.frozen(kw_only=True)
+class HeldPart:
+    """A shared part of prompts that an engine has reported."""
+
+    __schema__ = 'messages'
+
+    part: str = _fields.make_field(doc='Identity of the part.', default='')
+    tokens: int = _fields.make_field(
+        doc='Number of its tokens in the cache.',
+        maximum=4294967295,
+        minimum=0,
+        unit='tokens',
+        default=0,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class CacheList:
+    """Contents of an engine's KV cache that a gateway process has read from the engine."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(doc='Host of the process.', default='')
+    worker: str = _fields.make_field(doc='Id of the engine.', default='')
+    born_ms: int = _fields.make_field(
+        doc="Unix time of the engine's start as it was listed before the read.",
+        maximum=18446744073709551615,
+        minimum=0,
+        unit='ms',
+        default=0,
+    )
+    parts: tuple[HeldPart, ...] = _fields.make_field(
+        doc='The parts, or some of them.', default=()
+    )
+    is_read: bool = _fields.make_field(
+        doc='Whether the engine answered with a readable list.', default=False
+    )
+    forward: bool = _fields.make_field(
+        doc='Whether the receiver forwards the message to its domain peers.',
+        default=False,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class CacheStatusRequest:
+    """Asks, after a start, whether a process knows the engines' caches."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(doc='Host of the process.', default='')
+    domain: str = _fields.make_field(
+        doc='Failure domain of the process.', default=''
+    )
+    address: str = _fields.make_field(
+        doc='IP number of the process.', default=''
+    )
+    port: int = _fields.make_field(
+        doc='Port on which the process receives messages.',
+        maximum=65535,
+        minimum=0,
+        default=0,
+    )
+    wants_parts: bool = _fields.make_field(
+        doc='Whether the receiver sends what it knows of the caches too.',
+        default=False,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class CacheStatus:
+    """Whether a process knows the engines' caches."""
+
+    __schema__ = 'messages'
+
+    host: str = _fields.make_field(doc='Host of the process.', default='')
+    is_known: bool = _fields.make_field(
+        doc='Whether it was told of the caches, or has run long enough to know their use.',
+        default=False,
+    )
+    has_parts: bool = _fields.make_field(
+        doc='Whether it has sent what it knows before this message.',
+        default=False,
+    )
+    listed: tuple[str, ...] = _fields.make_field(
+        doc='Ids and starts of engines whose lists are part of what it knows.',
+        default=(),
+    )
--- a/briarknot/schema/_generated/settings.py
+++ b/briarknot/schema/_generated/settings.py
@@ -27,6 +27,15 @@
     WATER_FILLING = 'waterFilling'
 
 
+class CacheListing(enum.StrEnum):
+    """When gateways read the lists of cached prompt parts from engines."""
+
+    #: Never.
+    OFF = 'off'
+    #: Once after a start at which no other gateway knows the caches.
+    AT_START = 'atStart'
+
+
 @attrs.frozen(kw_only=True)
 class Tracing:
     """Export of spans."""
@@ -511,3 +520,7 @@
         doc='Choice among engines of nearly equal cost.',
         default=LoadSpreading.NEAR_CHEAPEST,
     )
+    cache_listing: CacheListing = _fields.make_field(
+        doc="When the engines' lists of cached prompt parts are read.",
+        default=CacheListing.OFF,
+    )
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -319,3 +319,32 @@
   clockMs @8 :Int64 $A.unit("ms") $A.doc("True time less the store's clock, as most processes see it; 0 if it is not known.");
   clockEra @9 :UInt64 $A.doc("Era of the store for which that holds.");
 }
+
+struct HeldPart $A.doc("A shared part of prompts that an engine has reported.") {
+  part @0 :Text $A.doc("Identity of the part.");
+  tokens @1 :UInt32 $A.unit("tokens") $A.doc("Number of its tokens in the cache.");
+}
+
+struct CacheList $A.doc("Contents of an engine's KV cache that a gateway process has read from the engine.") {
+  host @0 :Text $A.doc("Host of the process.");
+  worker @1 :Text $A.doc("Id of the engine.");
+  bornMs @2 :UInt64 $A.unit("ms") $A.doc("Unix time of the engine's start as it was listed before the read.");
+  parts @3 :List(HeldPart) $A.doc("The parts, or some of them.");
+  isRead @4 :Bool $A.doc("Whether the engine answered with a readable list.");
+  forward @5 :Bool $A.doc("Whether the receiver forwards the message to its domain peers.");
+}
+
+struct CacheStatusRequest $A.doc("Asks, after a start, whether a process knows the engines' caches.") {
+  host @0 :Text $A.doc("Host of the process.");
+  domain @1 :Text $A.doc("Failure domain of the process.");
+  address @2 :Text $A.doc("IP number of the process.");
+  port @3 :UInt16 $A.doc("Port on which the process receives messages.");
+  wantsParts @4 :Bool $A.doc("Whether the receiver sends what it knows of the caches too.");
+}
+
+struct CacheStatus $A.doc("Whether a process knows the engines' caches.") {
+  host @0 :Text $A.doc("Host of the process.");
+  isKnown @1 :Bool $A.doc("Whether it was told of the caches, or has run long enough to know their use.");
+  hasParts @2 :Bool $A.doc("Whether it has sent what it knows before this message.");
+  listed @3 :List(Text) $A.doc("Ids and starts of engines whose lists are part of what it knows.");
+}
--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -13,6 +13,11 @@
   waterFilling @1 $A.doc("By chance among the engines that are expected to be the cheapest once the requests of other gateways have filled the lowest load.");
 }
 
+enum CacheListing $A.doc("When gateways read the lists of cached prompt parts from engines.") {
+  off @0 $A.doc("Never.");
+  atStart @1 $A.doc("Once after a start at which no other gateway knows the caches.");
+}
+
 struct Node $A.doc("Identity and shared connections of a process.") {
   host @0 :Text $A.required $A.pattern("[a-z0-9][a-z0-9-]*") $A.doc("Name of the host, unique in the fleet.");
   domain @1 :Text $A.required $A.doc("Failure domain of the host.");
@@ -121,4 +126,5 @@
   usageWindowS @18 :Float64 = 5 $A.unit("s") $A.minimum(0.1) $A.doc("Window of usage reports.");
   usageLateS @19 :Float64 = 10 $A.unit("s") $A.minimum(0.1) $A.doc("Time after the end of its window at which a usage report is due.");
   loadSpreading @20 :LoadSpreading = nearCheapest $A.doc("Choice among engines of nearly equal cost.");
+  cacheListing @21 :CacheListing = off $A.doc("When the engines' lists of cached prompt parts are read.");
 }
--- a/briarknot/serving/_engine_caches.py
+++ b/briarknot/serving/_engine_caches.py
@@ -55,6 +55,20 @@
             _, evicted = self.parts.popitem(last=False)
             self.tokens -= evicted.tokens
 
+    def record_listed(self, part_id: str, part: _Part) -> None:
+        """Records a part of unknown last use that the engine has reported.
+
+        It counts as used before all known ones, so that it is the first to be
+        evicted, and evicts none itself.
+        """
+        known = self.parts.get(part_id)
+        if known is None:
+            self.tokens += part.tokens
+            self.parts[part_id] = part
+            self.parts.move_to_end(part_id, last=False)
+        elif known.ready_s > part.ready_s:
+            self.parts[part_id] = attrs.evolve(known, ready_s=part.ready_s)
+
     def remove(self, part_id: str) -> _Part | None:
         """Removes a part, and returns it if it was there."""
         part = self.parts.pop(part_id, None)
@@ -152,6 +166,22 @@
             else:
                 cache.remove(one.part)
 
+    def record_list(
+        self,
+        worker_id: str,
+        parts: tuple[schema.messages.HeldPart, ...],
+        now: float,
+    ) -> None:
+        """Records parts that an engine has reported; no known part is removed.
+
+        :param worker_id: id of the engine.
+        :param parts: parts that are in its cache.
+        :param now: monotonic time in seconds.
+        """
+        cache = self._caches.setdefault(worker_id, _Cache())
+        for one in parts:
+            cache.record_listed(one.part, _Part(one.tokens, now))
+
     def take_unsent_parts(self) -> tuple[CachedPart, ...]:
         """Returns the parts that were not yet sent to other processes."""
         unsent = tuple(self._unsent)
