--- /dev/null
+++ b/briarknot/gateway/tests/test_cache_listing.py
@@ -0,0 +1,170 @@
+"""Tests the exchange of engines' lists of cached parts after a start."""
+
+import asyncio
+import contextlib
+import time
+
+import attrs
+
+from briarknot import schema
+from briarknot.gateway import _cache_listing, _context, _peers
+from briarknot.gateway.tests import _support
+from briarknot.gateway.tests import test_peers as peers_tests
+from briarknot_standins import serving, worker
+
+_PART = schema.messages.HeldPart(part='k', tokens=800)
+_LIST = schema.messages.CacheList(
+    host='g2', worker='w', born_ms=5, parts=(_PART,), is_read=True
+)
+
+
+def make_context(host, peer, engine):
+    """Makes the state of a process that knows one engine and another process."""
+    context = peers_tests.make_peer_context(host)
+    context.settings = attrs.evolve(
+        context.settings,
+        cache_listing=schema.settings.CacheListing.AT_START,
+        peer_port=_support.find_port(),
+    )
+    context.fleet.apply_workers((engine,), 0, after_outage=False)
+    context.fleet_known.set()
+    context.hosts_known.set()
+    if peer is not None:
+        address = ('127.0.0.1', peer.settings.peer_port)
+        context.peer_hosts = {
+            peer.settings.host: _context.PeerHost(address, 'a')
+        }
+    return context
+
+
+@contextlib.asynccontextmanager
+async def serve_engine():
+    """Serves an engine that holds a part; returns its entry and its state."""
+    app = worker.make_app(
+        worker.WorkerConfig(stage='prefill', id='w', keep_id=True)
+    )
+    state = next(one for one in app.values() if hasattr(one, 'held'))
+    state.held['k'] = 800
+    async with serving.serve(app) as url:
+        yield (
+            schema.serving.Worker(
+                id='w',
+                service='s',
+                address=url.removeprefix('http://'),
+                domain='a',
+                stage=schema.serving.Stage.PREFILL,
+                born_ms=5,
+            ),
+            state,
+        )
+
+
+@contextlib.asynccontextmanager
+async def run_process(context, *, reads):
+    """Runs the messages of a process, and its reads of lists where it reads."""
+    peers = _peers.make_peers(context)
+    tasks = [
+        asyncio.create_task(peers.receive()),
+        asyncio.create_task(peers.broadcast_work()),
+    ]
+    if reads:
+        task = _cache_listing.make_listing_task(context, peers)
+        tasks.append(asyncio.create_task(task.run()))
+    try:
+        yield peers
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+
+
+async def wait_for_parts(context):
+    """Waits until a process knows a part, and returns the known ones."""
+    async with asyncio.timeout(5):
+        while True:
+            parts = context.prompt_load.caches.list_parts(time.monotonic())
+            if parts:
+                return [(one.worker, one.part, one.tokens) for one in parts]
+            await asyncio.sleep(0.02)
+
+
+async def test_list_is_read_by_one_process_and_known_to_both(capsys):
+    """Prompts would be prefilled again at engines without their parts."""
+    async with contextlib.AsyncExitStack() as stack:
+        engine, _ = await stack.enter_async_context(serve_engine())
+        first = make_context('g1', None, engine)
+        second = make_context('g2', first, engine)
+        address = ('127.0.0.1', second.settings.peer_port)
+        first.peer_hosts = {'g2': _context.PeerHost(address, 'a')}
+        for context in (first, second):
+            await stack.enter_async_context(run_process(context, reads=True))
+        for context in (first, second):
+            assert await wait_for_parts(context) == [('w', 'k', 800)]
+        await asyncio.sleep(0.1)
+        assert first.cache_listing.knows_caches(0)
+        assert second.cache_listing.knows_caches(0)
+    assert capsys.readouterr().out.count('kv-list') == 1
+
+
+async def test_nothing_is_read_where_a_peer_knows_the_caches(capsys):
+    """Each restart of one process would cost a read of all engines."""
+    async with contextlib.AsyncExitStack() as stack:
+        engine, _ = await stack.enter_async_context(serve_engine())
+        first = make_context('g1', None, engine)
+        first.cache_listing.enable()
+        first.cache_listing.end()
+        first.prompt_load.caches.record_list(
+            'w', (attrs.evolve(_PART, tokens=700),), 0
+        )
+        await stack.enter_async_context(run_process(first, reads=False))
+        second = make_context('g2', first, engine)
+        await stack.enter_async_context(run_process(second, reads=True))
+        # The first process has not heard of the second one before.
+        assert await wait_for_parts(second) == [('w', 'k', 700)]
+        await asyncio.sleep(0.1)
+        assert second.cache_listing.is_told
+    assert 'kv-list' not in capsys.readouterr().out
+
+
+async def test_list_of_an_engine_that_has_restarted_is_ignored():
+    """Prompts would be sent to an engine whose cache is empty."""
+    engine = schema.serving.Worker(
+        id='w', stage=schema.serving.Stage.PREFILL, born_ms=6
+    )
+    context = make_context('g1', None, engine)
+    peers = _peers.make_peers(context)
+    _cache_listing.apply_cache_list(peers, _LIST, 0)
+    assert not context.prompt_load.caches.list_parts(0)
+    assert not context.cache_listing.listed
+    current = attrs.evolve(_LIST, born_ms=6)
+    _cache_listing.apply_cache_list(peers, current, 0)
+    assert context.prompt_load.caches.list_parts(0)
+
+
+async def test_list_is_forwarded_within_the_domain():
+    """Processes of other domains would read the list again."""
+    engine = schema.serving.Worker(
+        id='w', stage=schema.serving.Stage.PREFILL, born_ms=5
+    )
+    last = make_context('g3', None, engine)
+    context = make_context('g1', last, engine)
+    async with run_process(last, reads=False):
+        _cache_listing.apply_cache_list(
+            _peers.make_peers(context), attrs.evolve(_LIST, forward=True), 0
+        )
+        assert await wait_for_parts(last) == [('w', 'k', 800)]
+
+
+async def test_nothing_is_read_by_default(capsys):
+    """Engines without such a list would get calls that they don't know."""
+    async with serve_engine() as (engine, _):
+        context = make_context('g1', None, engine)
+        context.settings = attrs.evolve(
+            context.settings, cache_listing=schema.settings.CacheListing.OFF
+        )
+        task = _cache_listing.make_listing_task(
+            context, _peers.make_peers(context)
+        )
+        await task.run()
+        assert not context.cache_listing.knows_caches(0)
+    assert 'kv-list' not in capsys.readouterr().out
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -975,75 +975,6 @@
     )
 
 
-#: One frame of a peer link.
-PeerMessage = (
-    Hello
-    | Heartbeat
-    | Suspicion
-    | Revision
-    | DocumentRequest
-    | DocumentBody
-    | EngineLoad
-    | Quarantine
-    | DrainMark
-    | DrainAck
-    | CreditRequest
-    | CreditGrant
-    | DomainSummary
-    | EngineCache
-    | EngineWork
-    | FleetUpdate
-    | DomainWork
-    | FleetWork
-    | StageChanges
-    | CrashRecords
-    | LimitRecords
-    | PermitRequest
-    | PermitAnswer
-    | VersionRecords
-    | StreamOrigin
-    | OriginRequest
-    | OriginAnswer
-    | UsageReport
-    | UsageSums
-    | UsageAck
-)
-
-#: Names of the members of PeerMessage in the schema.
-PEER_MESSAGE_MEMBERS = {
-    Hello: 'hello',
-    Heartbeat: 'heartbeat',
-    Suspicion: 'suspicion',
-    Revision: 'revision',
-    DocumentRequest: 'documentRequest',
-    DocumentBody: 'documentBody',
-    EngineLoad: 'engineLoad',
-    Quarantine: 'quarantine',
-    DrainMark: 'drainMark',
-    DrainAck: 'drainAck',
-    CreditRequest: 'creditRequest',
-    CreditGrant: 'creditGrant',
-    DomainSummary: 'domainSummary',
-    EngineCache: 'engineCache',
-    EngineWork: 'engineWork',
-    FleetUpdate: 'fleetNews',
-    DomainWork: 'domainWork',
-    FleetWork: 'fleetWork',
-    StageChanges: 'stageChanges',
-    CrashRecords: 'crashRecords',
-    LimitRecords: 'limitRecords',
-    PermitRequest: 'permitRequest',
-    PermitAnswer: 'permitAnswer',
-    VersionRecords: 'versionRecords',
-    StreamOrigin: 'streamOrigin',
-    OriginRequest: 'originRequest',
-    OriginAnswer: 'originAnswer',
-    UsageReport: 'usageReport',
-    UsageSums: 'usageSums',
-    UsageAck: 'usageAck',
-}
-
-
 @attrs.frozen(kw_only=True)
 class HeldPart:
     """A shared part of prompts that an engine has reported."""
@@ -1131,3 +1062,78 @@
         doc='Ids and starts of engines whose lists are part of what it knows.',
         default=(),
     )
+
+
+#: One frame of a peer link.
+PeerMessage = (
+    Hello
+    | Heartbeat
+    | Suspicion
+    | Revision
+    | DocumentRequest
+    | DocumentBody
+    | EngineLoad
+    | Quarantine
+    | DrainMark
+    | DrainAck
+    | CreditRequest
+    | CreditGrant
+    | DomainSummary
+    | EngineCache
+    | EngineWork
+    | FleetUpdate
+    | DomainWork
+    | FleetWork
+    | StageChanges
+    | CrashRecords
+    | LimitRecords
+    | PermitRequest
+    | PermitAnswer
+    | VersionRecords
+    | StreamOrigin
+    | OriginRequest
+    | OriginAnswer
+    | UsageReport
+    | UsageSums
+    | UsageAck
+    | CacheList
+    | CacheStatusRequest
+    | CacheStatus
+)
+
+#: Names of the members of PeerMessage in the schema.
+PEER_MESSAGE_MEMBERS = {
+    Hello: 'hello',
+    Heartbeat: 'heartbeat',
+    Suspicion: 'suspicion',
+    Revision: 'revision',
+    DocumentRequest: 'documentRequest',
+    DocumentBody: 'documentBody',
+    EngineLoad: 'engineLoad',
+    Quarantine: 'quarantine',
+    DrainMark: 'drainMark',
+    DrainAck: 'drainAck',
+    CreditRequest: 'creditRequest',
+    CreditGrant: 'creditGrant',
+    DomainSummary: 'domainSummary',
+    EngineCache: 'engineCache',
+    EngineWork: 'engineWork',
+    FleetUpdate: 'fleetNews',
+    DomainWork: 'domainWork',
+    FleetWork: 'fleetWork',
+    StageChanges: 'stageChanges',
+    CrashRecords: 'crashRecords',
+    LimitRecords: 'limitRecords',
+    PermitRequest: 'permitRequest',
+    PermitAnswer: 'permitAnswer',
+    VersionRecords: 'versionRecords',
+    StreamOrigin: 'streamOrigin',
+    OriginRequest: 'originRequest',
+    OriginAnswer: 'originAnswer',
+    UsageReport: 'usageReport',
+    UsageSums: 'usageSums',
+    UsageAck: 'usageAck',
+    CacheList: 'cacheList',
+    CacheStatusRequest: 'cacheStatusRequest',
+    CacheStatus: 'cacheStatus',
+}
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -37,6 +37,9 @@
     usageReport @27 :UsageReport;
     usageSums @28 :UsageSums;
     usageAck @29 :UsageAck;
+    cacheList @30 :CacheList;
+    cacheStatusRequest @31 :CacheStatusRequest;
+    cacheStatus @32 :CacheStatus;
   }
 }
 
--- a/briarknot_standins/worker/_app.py
+++ b/briarknot_standins/worker/_app.py
@@ -21,6 +21,12 @@
 _SEAL_HEADER = 'Server-Seal'
 _EVENT_COUNT = 6
 _NO_STAGE = 'none'
+#: Model of the parts in the list of cached parts.
+_MODEL = 'm'
+#: Reads of that list that are answered at the same time; others get 429.
+_MAX_LISTS = 4
+#: Time that a read of the list takes.
+_LIST_S = 0.002
 _STATE = web.AppKey('worker', 'Worker')
 
 
@@ -33,6 +39,8 @@
     :param running: number of requests in progress.
     :param handles: request ids of prefilled prompts that are not released yet,
         by KV handle.
+    :param held: tokens of the prompt parts in the KV cache, by part.
+    :param lists: reads of the list of these parts that are in progress.
     :param random_source: random generator of failures.
     :param draining: whether the worker drains.
     """
@@ -42,6 +50,8 @@
     random_source: random.Random
     running: int = 0
     handles: dict[str, str] = attrs.field(factory=dict)
+    held: dict[str, int] = attrs.field(factory=dict)
+    lists: int = 0
     draining: bool = False
     _sequence: int = 0
 
@@ -90,6 +100,7 @@
     app[_STATE] = Worker(config, worker_id, random.Random(config.seed))
     app.router.add_post('/drain', _drain)
     app.router.add_delete('/v1/kv-handle/{handle}', _release_handle)
+    app.router.add_get('/v1/kv-list', _list_held)
     app.router.add_route('*', '/{path:.*}', _run)
     app.cleanup_ctx.append(_keep_registered)
     return app
@@ -128,6 +139,32 @@
     return web.Response()
 
 
+async def _list_held(request: web.Request) -> web.Response:
+    """Lists the prompt parts in the KV cache."""
+    worker = request.app[_STATE]
+    if request.headers.get('Expect-Instance', worker.id) != worker.id:
+        return web.Response(status=421)
+    if worker.lists >= _MAX_LISTS:
+        return web.Response(status=429)
+    # Tests count these lines to know how often the list was read.
+    print('kv-list', flush=True)
+    worker.lists += 1
+    try:
+        await asyncio.sleep(_LIST_S)
+    finally:
+        worker.lists -= 1
+    held = [['', part, tokens, _MODEL] for part, tokens in worker.held.items()]
+    return web.json_response({'epoch': 1, 'next': len(held), 'held': held})
+
+
+def _hold_parts(worker: Worker, request: web.Request) -> None:
+    """Keeps the parts of a prefilled prompt in the KV cache."""
+    for part in request.headers.get('Prompt-Prefix', '').split(','):
+        part_id, _, tokens = part.strip().partition(':')
+        if tokens.isdigit():
+            worker.held[part_id] = int(tokens)
+
+
 async def _run(request: web.Request) -> web.StreamResponse:
     worker = request.app[_STATE]
     body = await request.read()
@@ -170,6 +207,7 @@
 
 async def _prefill(worker: Worker, request: web.Request) -> web.Response:
     await asyncio.sleep(worker.config.work_s)
+    _hold_parts(worker, request)
     handle = uuid.uuid4().hex
     request_id = request.headers['Request-Id']
     worker.handles[handle] = request_id
@@ -194,6 +232,8 @@
 
 async def _stream(worker: Worker, request: web.Request) -> web.StreamResponse:
     request_id = request.headers['Request-Id']
+    if 'Kv-Source' not in request.headers:
+        _hold_parts(worker, request)
     response = web.StreamResponse(
         headers={
             'Request-Id': request_id,
