--- a/briarknot_standins/soak/_config.py
+++ b/briarknot_standins/soak/_config.py
@@ -17,6 +17,8 @@
     :param workers: workers of each kind; of decode workers, this many of each
         software version.
     :param clients: clients, each of which sends one request at a time.
+    :param cache_listing: whether gateways read what the engines' caches hold
+        after a start of all of them.
     :param keep: folder to which the output of all processes is copied where a
         guarantee was violated; None to copy nothing.
     """
@@ -26,6 +28,7 @@
     gateways: int = 3
     workers: int = 2
     clients: int = 12
+    cache_listing: bool = False
     keep: str | None = None
 
 
--- a/briarknot_standins/soak/_fleet.py
+++ b/briarknot_standins/soak/_fleet.py
@@ -253,6 +253,9 @@
         self, name: str, port: int, store_port: int
     ) -> pathlib.Path:
         choose_port = self.cluster.choose_port
+        cache_listing = schema.settings.CacheListing.OFF
+        if self.config.cache_listing:
+            cache_listing = schema.settings.CacheListing.AT_START
         return self.cluster.write_settings(
             name,
             schema.settings.GatewaySettings(
@@ -265,5 +268,6 @@
                 metrics_port=choose_port(),
                 store_address=f'{_HOST}:{store_port}',
                 peer_port=choose_port(),
+                cache_listing=cache_listing,
             ),
         )
