--- a/briarknot/serving/tests/test_cache_lists.py
+++ b/briarknot/serving/tests/test_cache_lists.py
@@ -1,6 +1,7 @@
 """Tests which process reads the list of an engine's cache, in virtual time."""
 
 import itertools
+import random
 
 import attrs
 import pytest
@@ -158,6 +159,18 @@
     assert max(len(times) for times in reads.values()) <= 2
 
 
+@pytest.mark.parametrize('count', [8, 90, 340])
+def test_starts_within_a_second_leave_two_reads(count):
+    """Hosts don't start at the same moment after a power loss."""
+    hosts = group_hosts(count)
+    source = random.Random(1)
+    late_s = {
+        host: source.random() for group in hosts.values() for host in group
+    }
+    reads = Fleet(hosts, late_s=late_s).run(make_engines())
+    assert {len(times) for times in reads.values()} <= {1, 2}
+
+
 def make_listing():
     """Makes the state of a process that has begun at 0 s."""
     listing = cache_lists.make_cache_listing(0)
