Mend faults in reads of the engines' lists of cached parts

Gateways that read no lists no longer send a status after the parts that they send to a started process. A process whose address has changed is answered at its new one. The order of reads of an engine that starts during the listing begins when it is first seen; all processes whose turn had passed read it at once. Checks of many engines let other tasks run in between. Ids are limited in bytes, so that a list of 300 parts fits into a datagram.

The tests wait for events instead of fixed times.

--- a/briarknot/gateway/_cache_listing.py
+++ b/briarknot/gateway/_cache_listing.py
@@ -28,6 +28,9 @@
 #: Calls of this process to engines at a time. Each takes a file descriptor and
 #: some milliseconds, or its time limit.
 _MAX_READS = 32
+#: Engines that are checked before other tasks run. Computing the ranks of 600
+#: engines would delay the requests of a large fleet by 0.1 s.
+_CHECKED_AT_ONCE = 50
 #: Processes of the own domain that are asked whether they know the caches: those
 #: that inform a started one, and some more in case these have started too.
 _ASKED_NEAR = _started_hosts.INFORMERS + 3
@@ -99,18 +102,22 @@
             if not is_current:
                 continue
             self._ask_source(now)
-            for engine in self._take_due(now):
+            for engine in await self._take_due(now):
                 self._reading += 1
                 group.create_task(self._read_list(lists, engine))
 
-    def _take_due(self, now: float) -> tuple[schema.serving.Worker, ...]:
+    async def _take_due(self, now: float) -> tuple[schema.serving.Worker, ...]:
         """Takes the engines that are due, as far as calls to them are free."""
         listing = self._context.cache_listing
+        engines = _list_engines(self._context)
         due: list[schema.serving.Worker] = []
-        for engine in _list_engines(self._context):
-            if self._reading + len(due) >= _MAX_READS:
-                break
-            due.extend(listing.take_due((engine,), self._get_order(now), now))
+        for start in range(0, len(engines), _CHECKED_AT_ONCE):
+            for engine in engines[start : start + _CHECKED_AT_ONCE]:
+                if self._reading + len(due) >= _MAX_READS:
+                    return tuple(due)
+                order = self._get_order(now)
+                due.extend(listing.take_due((engine,), order, now))
+            await asyncio.sleep(0)
         return tuple(due)
 
     def _get_order(self, now: float) -> cache_lists.ListingOrder:
@@ -271,9 +278,10 @@
     :param message: the request.
     :param now: monotonic time in seconds.
     """
-    peers.record_host(message)
+    # The process may have another address since its start.
+    _started_hosts.record_address(peers.context, message)
     if message.wants_parts:
-        peers.send_caches(message.host, now)
+        peers.send_caches(message.host, now, has_status=True)
         return
     status = _started_hosts.make_status(peers.context, has_parts=False)
     if status.is_known or status.listed:
--- a/briarknot/gateway/_peers.py
+++ b/briarknot/gateway/_peers.py
@@ -108,17 +108,18 @@
         """Makes the next message due even if there is no work to report."""
         self._is_announced = False
 
-    def send_caches(self, host: str, now: float) -> None:
+    def send_caches(self, host: str, now: float, *, has_status: bool) -> None:
         """Sends a process that started what is known of the engines' caches.
 
         :param host: host of the process.
         :param now: monotonic time in seconds.
+        :param has_status: whether a status follows the parts.
         """
         parts = self._context.prompt_load.caches.list_parts(now)
         for batch in _started_hosts.split_parts(parts):
             self.send(self._make_report(batch), (host,))
         status = _started_hosts.make_status(self._context, has_parts=True)
-        if status.is_known or status.listed:
+        if has_status and (status.is_known or status.listed):
             self.send(status, (host,))
         if parts:
             telemetry.log_event(
@@ -130,12 +131,8 @@
 
         :param message: message of the process, with its address.
         """
-        hosts = self._context.peer_hosts
-        is_local = message.host == self._context.settings.host
-        if message.host not in hosts and message.port and not is_local:
-            address = (message.address, message.port)
-            peer = _context.PeerHost(address, message.domain)
-            self._context.set_peer_hosts({**hosts, message.host: peer})
+        if message.host not in self._context.peer_hosts:
+            _started_hosts.record_address(self._context, message)
 
     async def broadcast_work(self) -> None:
         """Sends this process's work at engines to the others on a change."""
@@ -201,7 +198,10 @@
             return
         self.record_host(message)
         if self._started_hosts.is_informer(message):
-            self.send_caches(message.host, now)
+            # Processes of a fleet that reads no lists don't need the status,
+            # and those of an earlier version can't decode it.
+            has_status = self._context.cache_listing.is_enabled
+            self.send_caches(message.host, now, has_status=has_status)
         load = self._context.prompt_load
         load.caches.record_parts(message.parts, now)
         if message.domain == self._context.settings.domain:
--- a/briarknot/gateway/_started_hosts.py
+++ b/briarknot/gateway/_started_hosts.py
@@ -1,5 +1,7 @@
 """Which started processes this one informs of the engines' caches, and of what."""
 
+import typing
+
 import attrs
 
 from briarknot import schema, serving
@@ -65,6 +67,19 @@
     )
 
 
+def record_address(context: _context.Context, message: typing.Any) -> None:
+    """Records the address of another process, which may have changed.
+
+    :param context: state of this process.
+    :param message: message of the other process, with its address.
+    """
+    hosts = context.peer_hosts
+    is_local = message.host == context.settings.host
+    peer = _context.PeerHost((message.address, message.port), message.domain)
+    if message.port and not is_local and hosts.get(message.host) != peer:
+        context.set_peer_hosts({**hosts, message.host: peer})
+
+
 def make_status(
     context: _context.Context, *, has_parts: bool
 ) -> schema.messages.CacheStatus:
--- a/briarknot/gateway/tests/test_cache_listing.py
+++ b/briarknot/gateway/tests/test_cache_listing.py
@@ -5,9 +5,10 @@
 import time
 
 import attrs
+import pytest
 
 from briarknot import schema
-from briarknot.gateway import _cache_listing, _context, _peers
+from briarknot.gateway import _cache_listing, _clock, _context, _peers
 from briarknot.gateway.tests import _support
 from briarknot.gateway.tests import test_peers as peers_tests
 from briarknot_standins import serving, worker
@@ -88,6 +89,13 @@
             await asyncio.sleep(0.02)
 
 
+async def wait_until_known(context):
+    """Waits until a process knows the caches."""
+    async with asyncio.timeout(5):
+        while not context.cache_listing.knows_caches(0):  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+
+
 async def test_list_is_read_by_one_process_and_known_to_both(capsys):
     """Prompts would be prefilled again at engines without their parts."""
     async with contextlib.AsyncExitStack() as stack:
@@ -100,9 +108,7 @@
             await stack.enter_async_context(run_process(context, reads=True))
         for context in (first, second):
             assert await wait_for_parts(context) == [('w', 'k', 800)]
-        await asyncio.sleep(0.1)
-        assert first.cache_listing.knows_caches(0)
-        assert second.cache_listing.knows_caches(0)
+            await wait_until_known(context)
     assert capsys.readouterr().out.count('kv-list') == 1
 
 
@@ -121,7 +127,7 @@
         await stack.enter_async_context(run_process(second, reads=True))
         # The first process has not heard of the second one before.
         assert await wait_for_parts(second) == [('w', 'k', 700)]
-        await asyncio.sleep(0.1)
+        await wait_until_known(second)
         assert second.cache_listing.is_told
     assert 'kv-list' not in capsys.readouterr().out
 
@@ -168,3 +174,66 @@
         await task.run()
         assert not context.cache_listing.knows_caches(0)
     assert 'kv-list' not in capsys.readouterr().out
+
+
+@pytest.mark.parametrize('is_enabled', [False, True])
+def test_started_process_gets_a_status_only_where_lists_are_read(
+    monkeypatch, is_enabled
+):
+    """Processes of an earlier version can't decode a status."""
+    context = make_context('g1', None, schema.serving.Worker(id='w'))
+    if is_enabled:
+        context.cache_listing.enable()
+        context.cache_listing.end()
+    context.prompt_load.caches.record_list('w', (_PART,), 0)
+    # A process that reads no lists knows the caches after some time.
+    later_s = _clock.read_clock() + 100
+    monkeypatch.setattr(_clock, 'read_clock', lambda: later_s)
+    assert context.cache_listing.knows_caches(_clock.read_clock())
+    sent = []
+    monkeypatch.setattr(
+        _peers.Peers, 'send', lambda _, message, hosts: sent.append(message)
+    )
+    started = schema.messages.EngineWork(
+        host='g2', domain='a', address='127.0.0.1', port=9, born_ms=3
+    )
+    _peers.make_peers(context).apply_work(started, 0)
+    names = [type(message).__name__ for message in sent]
+    assert names == ['EngineWork', 'CacheStatus'][: 1 + is_enabled]
+
+
+def test_process_with_another_address_is_answered_there():
+    """It would read all lists, as its earlier address gets the answers."""
+    context = make_context('g1', None, schema.serving.Worker(id='w'))
+    context.peer_hosts = {'g2': _context.PeerHost(('127.0.0.1', 9), 'a')}
+    request = schema.messages.CacheStatusRequest(
+        host='g2', domain='a', address='127.0.0.2', port=10
+    )
+    _cache_listing.answer_status_request(_peers.make_peers(context), request, 0)
+    assert context.peer_hosts['g2'].address == ('127.0.0.2', 10)
+
+
+async def test_requests_go_on_while_many_engines_are_checked():
+    """The ranks of 600 engines held up all requests at a start."""
+    context = make_context('g1', None, schema.serving.Worker(id='w'))
+    engines = tuple(
+        schema.serving.Worker(
+            id=f'i-{number}', stage=schema.serving.Stage.PREFILL
+        )
+        for number in range(600)
+    )
+    context.fleet.apply_workers(engines, 0, after_outage=False)
+    # This process reads few of the lists, and so checks all engines.
+    context.peer_hosts = {
+        f'g{number}': _context.PeerHost(('127.0.0.1', 9), 'a')
+        for number in range(2, 70)
+    }
+    context.cache_listing.begin(0)
+    task = _cache_listing.make_listing_task(context, _peers.make_peers(context))
+    check = asyncio.create_task(task._take_due(0.5))
+    turns = 0
+    while not check.done():
+        turns += 1
+        await asyncio.sleep(0)
+    assert check.result()
+    assert turns >= 10
--- a/briarknot/platform/_cache_lists.py
+++ b/briarknot/platform/_cache_lists.py
@@ -18,8 +18,9 @@
 #: Entries that are read. The KV cache of an engine holds some hundred thousand
 #: tokens, and a shared part has some hundred at least.
 _MAX_PARTS = 3000
-#: Longest identity of a part, as long as other texts of the platform may be.
-_MAX_ID = 200
+#: Longest identity of a part in bytes, as long as other texts of the platform
+#: may be. 300 of them fit into a datagram.
+_MAX_ID_BYTES = 200
 _MAX_TOKENS = 0xFFFFFFFF
 _ENTRY_FIELDS = 4
 _CALL_ERRORS = (TimeoutError, aiohttp.ClientError, OSError, ValueError)
@@ -109,7 +110,8 @@
     scope, part_id, tokens, model = tree
     if [type(one) for one in tree] != [str, str, int, str] or scope:
         return None
-    if not (0 < len(part_id) <= _MAX_ID and 0 < tokens <= _MAX_TOKENS):
+    id_bytes = len(part_id.encode())
+    if not (0 < id_bytes <= _MAX_ID_BYTES and 0 < tokens <= _MAX_TOKENS):
         return None
     return _Entry(schema.messages.HeldPart(part=part_id, tokens=tokens), model)
 
--- a/briarknot/platform/tests/test_cache_lists.py
+++ b/briarknot/platform/tests/test_cache_lists.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 
+import orjson
 import pytest
 
 from briarknot import platform, schema
@@ -13,7 +14,7 @@
 
 def make_answer(body, status=200):
     """Makes a whole answer."""
-    return f'HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n{body}'
+    return f'HTTP/1.1 {status} X\r\nContent-Length: {len(body.encode())}\r\n\r\n{body}'
 
 
 async def read_list(answer, *, is_endless=False):
@@ -58,6 +59,16 @@
     assert 'expect-instance: i-1' in requests[0].lower()
 
 
+async def test_long_ids_are_left_out():
+    """The list would exceed a datagram, and no other process would get it."""
+    part_ids = ['k' * 201, 'ž' * 101, 'k' * 200]
+    held = [['', part_id, 800, 'm'] for part_id in part_ids]
+    contents, _ = await read_list(
+        make_answer(orjson.dumps({'held': held}).decode())
+    )
+    assert [one.part for one in contents.parts] == part_ids[2:]
+
+
 @pytest.mark.parametrize(
     'answer',
     [
--- a/briarknot/serving/cache_lists.py
+++ b/briarknot/serving/cache_lists.py
@@ -89,11 +89,17 @@
     _listed: set[str] = attrs.field(factory=set)
     _failures: dict[str, set[str]] = attrs.field(factory=dict)
     _read_s: dict[str, float] = attrs.field(factory=dict)
+    _seen_s: dict[str, float] = attrs.field(factory=dict)
     _sources: dict[str, frozenset[str]] = attrs.field(factory=dict)
     _knowing: list[str] = attrs.field(factory=list)
     _asked: set[str] = attrs.field(factory=set)
     _asked_s: float = float('-inf')
 
+    @property
+    def is_enabled(self) -> bool:
+        """Whether this process reads lists after its start."""
+        return self._is_enabled
+
     @property
     def is_told(self) -> bool:
         """Whether a process that knows the caches has sent them."""
@@ -203,17 +209,13 @@
         :param order: order of the processes.
         :param now: time in seconds.
         """
-        waited_s = now - self._begun_s - _ANSWER_S
-        if waited_s < 0 or self._knowing or self._is_told:
+        is_early = now - self._begun_s < _ANSWER_S
+        if is_early or self._knowing or self._is_told:
             return ()
-        last_rank = int(waited_s / _RANK_DELAY_S)
         due = tuple(
             engine
             for engine in engines
-            if self._is_open(engine)
-            and now - self._read_s.get(engine.id, float('-inf'))
-            >= _MIN_REPEAT_S
-            and order.find_rank(engine) <= last_rank
+            if self._is_open(engine) and self._is_turn(engine, order, now)
         )
         self._read_s.update({engine.id: now for engine in due})
         return due
@@ -231,6 +233,21 @@
             return False
         return not any(self._is_open(engine) for engine in engines)
 
+    def _is_turn(
+        self, engine: schema.serving.Worker, order: ListingOrder, now: float
+    ) -> bool:
+        """Returns whether the processes before this one have had their turn.
+
+        The turns of an engine that starts during the listing begin when it is
+        first seen. Otherwise several processes would read it at the same time.
+        """
+        start = _worker_starts.name_start(engine)
+        seen_s = self._seen_s.setdefault(start, now)
+        read_s = self._read_s.get(engine.id, float('-inf'))
+        if now - read_s < _MIN_REPEAT_S:
+            return False
+        return order.find_rank(engine) <= int((now - seen_s) / _RANK_DELAY_S)
+
     def _is_open(self, engine: schema.serving.Worker) -> bool:
         """Returns whether a list is neither known nor given up."""
         start = _worker_starts.name_start(engine)
--- a/briarknot/serving/tests/test_cache_lists.py
+++ b/briarknot/serving/tests/test_cache_lists.py
@@ -223,6 +223,19 @@
     assert not listing.take_due(restarted, order, 29.0)
 
 
+def test_engine_that_starts_later_is_read_in_turn():
+    """All processes whose turn had passed would read it at the same time."""
+    listing, _ = make_listing()
+    order = cache_lists.ListingOrder('g1', 'a', {'a': ('g1', 'g2')})
+    engines = make_engines()
+    later = next(one for one in engines if order.find_rank(one) == 1)
+    others = tuple(one for one in engines if one != later)
+    assert listing.take_due(others, order, 0.4)
+    assert later not in listing.take_due(engines, order, 5.0)
+    assert later not in listing.take_due(engines, order, 5.9)
+    assert listing.take_due(engines, order, 6.0) == (later,)
+
+
 def test_list_removes_nothing_that_is_known():
     """Parts in use would be evicted for parts that nobody asks for."""
     load = serving.make_prompt_load()
--- a/briarknot_standins/soak/tests/test_known_caches.py
+++ b/briarknot_standins/soak/tests/test_known_caches.py
@@ -12,8 +12,8 @@
 
 _OK = 200
 _PART_TOKENS = 8000
-#: Time in which a list is read and sent to all gateways.
-_LISTED_S = 2.0
+#: Time in which lists would be read.
+_READ_S = 2.0
 
 
 @contextlib.asynccontextmanager
@@ -28,6 +28,8 @@
     ):
         fleet = _fleet.Fleet(config, cluster, session)
         await fleet.start()
+        if cache_listing:
+            await wait_until_listed(fleet)
         yield fleet
 
 
@@ -42,6 +44,15 @@
     return [line for line in lines if line['event'] == name]
 
 
+async def wait_until_listed(fleet):
+    """Waits until all gateways have ended their reads after a start."""
+    async with asyncio.timeout(20):
+        while len(read_events(fleet, 'cache_listing_ended')) < len(  # noqa: ASYNC110
+            fleet.gateways
+        ):
+            await asyncio.sleep(0.1)
+
+
 async def send_prompt(fleet, gateway, request_id):
     """Sends a prompt; returns where it was placed, and its uncached tokens."""
     # A gateway refuses streams until all know the software versions.
@@ -94,7 +105,10 @@
             gateway.process.kill()
             await gateway.process.wait()
         await asyncio.gather(*map(fleet.restart, fleet.gateways))
-        await asyncio.sleep(_LISTED_S)
+        if cache_listing:
+            await wait_until_listed(fleet)
+        else:
+            await asyncio.sleep(_READ_S)
         second, uncached = await send_prompt(fleet, fleet.gateways[1], 'q2')
         reads = [
             after - earlier
@@ -112,13 +126,12 @@
     """Each rolling restart would cost a read of all engines by each process."""
     async with run_fleet(cache_listing=True) as fleet:
         await send_prompt(fleet, fleet.gateways[0], 'q1')
-        await asyncio.sleep(_LISTED_S)
         before = count_reads(fleet)
         gateway = fleet.gateways[1]
         gateway.process.kill()
         await gateway.process.wait()
         await fleet.restart(gateway)
-        await asyncio.sleep(_LISTED_S)
+        await wait_until_listed(fleet)
         _, uncached = await send_prompt(fleet, gateway, 'q2')
         assert uncached == 100
         assert count_reads(fleet) == before
