Have the first relay of a domain send shared parts on

Each process of a large fleet got a message of every other one about the prompts that it had sent: 75 a second with 88 gateways, five sixths of the time spent on messages. The processes now report their parts to the relays, as they report their work, and the first relay sends those of its domain on, every 0.15 s in the domain and every second to other domains. The second one takes its place when it sends no sums.

--- a/briarknot/gateway/tests/test_work_relays.py
+++ b/briarknot/gateway/tests/test_work_relays.py
@@ -11,6 +11,7 @@
 from briarknot import schema, serving
 from briarknot.gateway import (
     _context,
+    _part_relays,
     _peer_socket,
     _peers,
     _work_relays,
@@ -147,6 +148,78 @@
         )
 
 
+@pytest.mark.parametrize('is_killed', [False, True])
+async def test_parts_pass_one_relay(monkeypatch, is_killed):
+    """Each process got a message of every other one about each prompt.
+
+    The second relay takes the place of one that was killed.
+    """
+    receivers = collections.defaultdict(set)
+    send = _peer_socket.PeerSocket.send
+
+    def record(peer_socket, data, address):
+        message = schema.decode(data)
+        parts = getattr(message, 'parts', ())
+        if parts and not message.to_relay:
+            receivers[message.host].add(address)
+        send(peer_socket, data, address)
+
+    async with open_nodes(monkeypatch, 'a') as nodes:
+        monkeypatch.setattr(_peer_socket.PeerSocket, 'send', record)
+        ranked = serving.rank_names('relays', nodes)
+        if is_killed:
+            nodes[ranked[0]].stop()
+        left = [nodes[host] for host in ranked[is_killed:]]
+        prompt = serving.Prompt(
+            parts=(
+                schema.serving.PromptPart(id='k', tokens=5000),
+                schema.serving.PromptPart(id='o', tokens=200),
+            ),
+            tokens=5200,
+            output_tokens=1,
+        )
+        # A report shows that the first relay is silent.
+        left[-1].context.prompt_load.work.add('w', tokens=10)
+        left[-1].context.prompt_load.caches.record_prompt(
+            'w', prompt, time.monotonic()
+        )
+        await stores.wait_until(
+            lambda: all(
+                node.context.prompt_load.caches.count_cached('w', prompt)
+                for node in left
+            ),
+            6,
+        )
+    # Others may inform a single process that they have not heard of before.
+    senders = {host for host, heard in receivers.items() if len(heard) > 1}
+    assert senders == {ranked[is_killed]}
+
+
+def test_part_is_sent_once_and_aged():
+    """Reports of several processes were repeated, with times that had passed."""
+    relay = _part_relays.make_part_relay(0.15, 1)
+    part = schema.messages.CachedPart(
+        worker='w', part='k', tokens=5000, ready_in_ms=400
+    )
+    relay.add((part,), 0)
+    relay.add((attrs.evolve(part, ready_in_ms=300),), 0.1)
+    relay.take_far(0)
+    assert [one.ready_in_ms for one in relay.take_near(0.2)] == [200]
+    assert not relay.take_near(1)
+    relay.add((part,), 0.9)
+    assert not relay.take_far(0.95)
+    assert [one.ready_in_ms for one in relay.take_far(1.1)] == [200]
+
+
+def test_part_that_another_relay_sends_is_dropped():
+    """A process that is not the first relay kept all parts for ever."""
+    relay = _part_relays.make_part_relay(0.15, 1)
+    for number in range(100):
+        part = schema.messages.CachedPart(worker='w', part=str(number))
+        relay.add((part,), number)
+    assert len(relay.take_near(100)) <= 2
+
+
 async def test_idle_process_of_a_large_domain_is_not_suspended(monkeypatch):
     """Each idle process forgot the work of others in each round."""
     context = make_context(170)
