--- /dev/null
+++ b/briarknot/scaling/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of role planning."""
