Replace decode workers at once when all of them have left

Three decode workers left, and prompts were prefilled in vain until the end of the run. Full decode workers get help although prompts wait, and a service without prefill workers gets one.

--- a/briarknot/planning/__init__.py
+++ b/briarknot/planning/__init__.py
@@ -26,6 +26,7 @@
         'StagePlanner',
         'StageSnapshot',
         'StagedEngine',
+        'count_least_decode_workers',
     ),
 }
 __all__ = lazy.list_names(_MODULES)
--- a/briarknot/planning/_stages.py
+++ b/briarknot/planning/_stages.py
@@ -176,6 +176,7 @@
     _samples: collections.deque = attrs.field(factory=collections.deque)
     _started_s: float = float('inf')
     _settled_s: float = float('-inf')
+    _had_decodes: bool = False
 
     def plan(
         self, snapshot: StageSnapshot, now: float
@@ -187,9 +188,12 @@
         """
         prefills = snapshot.list_stage(_Stage.PREFILL)
         decodes = snapshot.list_stage(_Stage.DECODE)
-        if not prefills or not decodes or not snapshot.slots:
-            return NoStageChange('one stage has no engines')
+        if not (prefills or decodes) or not snapshot.slots:
+            return NoStageChange('there are no engines')
         self._record(snapshot, prefills, now)
+        if not decodes:
+            return self._replace_decodes(prefills, now)
+        self._had_decodes = True
         if now < self._settled_s:
             return NoStageChange('the last change is not settled')
         stranded = _list_stranded(prefills, decodes)
@@ -199,12 +203,7 @@
                 _Stage.DECODE,
                 f'version {stranded[0].version} has no decode worker',
             )
-        wait_s = self._compute_mean_wait(now)
-        if wait_s is None:
-            return NoStageChange('the load is not known for long enough')
-        if wait_s >= _MIN_WAIT_S:
-            return self._add_prefill(snapshot, decodes, wait_s)
-        return _add_decode(snapshot, prefills, decodes, wait_s)
+        return self._follow_load(snapshot, now)
 
     def record_change(self, now: float) -> None:
         """Records that a change has ended, or failed.
@@ -221,7 +220,8 @@
     ) -> None:
         waits = [one.queued_s for one in prefills]
         streams = sum(one.streams for one in snapshot.engines)
-        self._samples.append(_Sample(now, sum(waits) / len(waits), streams))
+        wait_s = sum(waits) / max(1, len(waits))
+        self._samples.append(_Sample(now, wait_s, streams))
         self._started_s = min(self._started_s, now)
         while self._samples[0].time_s < now - _STREAMS_WINDOW_S:
             self._samples.popleft()
@@ -235,6 +235,38 @@
         ]
         return sum(waits) / len(waits)
 
+    def _follow_load(
+        self, snapshot: StageSnapshot, now: float
+    ) -> StageChange | NoStageChange:
+        prefills = snapshot.list_stage(_Stage.PREFILL)
+        decodes = snapshot.list_stage(_Stage.DECODE)
+        wait_s = self._compute_mean_wait(now)
+        if wait_s is None:
+            return NoStageChange('the load is not known for long enough')
+        is_pressed = wait_s >= _MIN_WAIT_S or not prefills
+        if is_pressed and _has_free_slots(snapshot, decodes):
+            return self._add_prefill(snapshot, decodes, wait_s)
+        return _add_decode(snapshot, prefills, decodes, wait_s)
+
+    def _replace_decodes(
+        self, prefills: tuple[StagedEngine, ...], now: float
+    ) -> StageChange | NoStageChange:
+        """Turns prefill workers into decode workers after the loss of all.
+
+        Prompts are prefilled in vain until then, so that no earlier change has to
+        settle. At a start, the list of workers may not be complete yet.
+        """
+        if not self._had_decodes and now - self._started_s < _WINDOW_S:
+            return NoStageChange('no decode worker is listed yet')
+        # A stream can't use the KV cache of another version.
+        candidates = _list_stranded(prefills, ()) or prefills
+        count = math.ceil(_MIN_DECODE_SHARE * len(candidates))
+        return StageChange(
+            _choose_engines(candidates, count),
+            _Stage.DECODE,
+            f'no decode worker beside {len(prefills)} prefill workers',
+        )
+
     def _add_prefill(
         self,
         snapshot: StageSnapshot,
@@ -265,6 +297,14 @@
         )
 
 
+def _has_free_slots(
+    snapshot: StageSnapshot, decodes: tuple[StagedEngine, ...]
+) -> bool:
+    """Returns whether the decode workers have room for further streams."""
+    streams = sum(one.streams for one in snapshot.engines)
+    return snapshot.count_needed_decode_workers(streams, 1) <= len(decodes)
+
+
 def _add_decode(
     snapshot: StageSnapshot,
     prefills: tuple[StagedEngine, ...],
@@ -273,7 +313,11 @@
 ) -> StageChange | NoStageChange:
     streams = sum(one.streams for one in snapshot.engines)
     needed = snapshot.count_needed_decode_workers(streams, _MIN_USE_FOR_DECODE)
-    is_needed = needed > len(decodes) and wait_s <= _MAX_SPARE_WAIT_S
+    # Without free slots, prompts are prefilled in vain.
+    can_spare = wait_s <= _MAX_SPARE_WAIT_S or not _has_free_slots(
+        snapshot, decodes
+    )
+    is_needed = needed > len(decodes) and can_spare
     if not is_needed or len(prefills) < 2:
         return NoStageChange('no change is needed')
     return StageChange(
@@ -284,6 +328,14 @@
     )
 
 
+def count_least_decode_workers(versions: int) -> int:
+    """Returns the decode workers that a service keeps at any load.
+
+    :param versions: software versions among its engines.
+    """
+    return max(_MIN_DECODE_WORKERS, _MIN_OF_VERSION * versions)
+
+
 def _list_stranded(
     prefills: tuple[StagedEngine, ...], decodes: tuple[StagedEngine, ...]
 ) -> tuple[StagedEngine, ...]:
--- a/briarknot/planning/tests/test_stages.py
+++ b/briarknot/planning/tests/test_stages.py
@@ -149,3 +149,52 @@
     planner.record_change(time_s)
     assert plan(planner, engines, start_s=time_s, seconds=4) is None
     assert plan(planner, engines, start_s=time_s + 4, seconds=4)
+
+
+def test_loss_of_all_decode_workers_is_repaired_at_once():
+    """Three decode workers left; prompts were prefilled in vain until the end."""
+    planner = make_planner()
+    assert plan(planner, make_engines(7, 3, streams=7), seconds=2) is None
+    planner.record_change(2)
+    left = make_engines(7, 0, queued_s=0.4)
+    time_s, change = plan(planner, left, start_s=2)
+    assert time_s == 2
+    assert change.stage == _Stage.DECODE
+    assert len(change.engines) == 3
+    domains = {one.domain for one in left if one.id in change.engines}
+    assert domains == set('abc')
+
+
+@pytest.mark.parametrize(('prefills', 'changed'), [(2, 1), (1, 1), (20, 6)])
+def test_decode_comes_back_in_fleets_of_any_size(prefills, changed):
+    """A lone prefill worker serves nobody; a decode worker prefills too."""
+    time_s, change = plan(make_planner(), make_engines(prefills, 0))
+    # The first list that a process reads may not be complete.
+    assert time_s > 1
+    assert change.stage == _Stage.DECODE
+    assert len(change.engines) == changed
+
+
+def test_one_version_gets_all_new_decode_workers():
+    """KV caches stay within a version, so that one for each serves less."""
+    engines = tuple(
+        attrs.evolve(engine, version='v1' if index < 4 else 'v2')
+        for index, engine in enumerate(make_engines(6, 0))
+    )
+    _, change = plan(make_planner(), engines)
+    assert set(change.engines) <= {'e00', 'e01', 'e02', 'e03'}
+
+
+def test_full_decode_workers_get_help_while_prompts_wait():
+    """Most decode workers left; prompts waited for the slots of the last one."""
+    engines = make_engines(5, 1, queued_s=0.4, streams=90)
+    _, change = plan(make_planner(), engines)
+    assert change.stage == _Stage.DECODE
+
+
+def test_loss_of_all_prefill_workers_is_repaired():
+    """Decode workers prefilled at half the speed, beside running streams."""
+    planner = make_planner()
+    _, change = plan(planner, make_engines(0, 6, streams=5))
+    assert change.stage == _Stage.PREFILL
+    assert plan(make_planner(), make_engines(0, 3, streams=5)) is None
