--- a/briarknot/scaling/_policies.py
+++ b/briarknot/scaling/_policies.py
@@ -20,8 +20,9 @@
         """Returns the orders to send now, the most urgent first.
 
         It is called every 0.25 s, also while orders are being sent. An order is
-        repeated until the group shows it in ``ordered``, or a rejection in
-        ``unavailable_until_s``.
+        repeated after a second until the group shows it in ``ordered``. An order
+        for the number that the group shows already is to be sent too: its workers
+        were unavailable, or didn't come.
 
         :param snapshot: the workers and their load.
         :param now: monotonic time in seconds.
--- a/briarknot/scaling/_snapshot.py
+++ b/briarknot/scaling/_snapshot.py
@@ -39,6 +39,8 @@
     :param is_leaving: whether listed workers are leaving, for any reason.
     :param unavailable_until_s: monotonic time before which no further workers
         can be ordered: :data:`UNAVAILABLE_S` after a rejection.
+    :param is_accepted: False while the latest order has no response. Its workers
+        count as coming, because other orders would get no response either.
     """
 
     domain: str
@@ -47,6 +49,7 @@
     ordered: int | None = None
     is_leaving: bool = False
     unavailable_until_s: float = float('-inf')
+    is_accepted: bool = True
 
 
 @attrs.frozen(kw_only=True)
