Restore decode workers several at a time

The last decode worker of 24 engines had up to 2.5 times its streams, and one engine changed its stage every 8 s. Fewer than three idle decode workers get others while no prompt waits.

--- a/briarknot/planning/__init__.py
+++ b/briarknot/planning/__init__.py
@@ -19,13 +19,15 @@
         'RoleChange',
         'Snapshot',
     ),
-    '_stages': (
-        'STAGE_PLANNERS',
+    '_stage_snapshot': (
         'NoStageChange',
         'StageChange',
-        'StagePlanner',
         'StageSnapshot',
         'StagedEngine',
+    ),
+    '_stages': (
+        'STAGE_PLANNERS',
+        'StagePlanner',
         'count_least_decode_workers',
     ),
 }
--- a/briarknot/planning/_stages.py
+++ b/briarknot/planning/_stages.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from briarknot import registry, schema, sentinels
+from briarknot import registry, schema
+from briarknot.planning import _stage_snapshot
 
 _Stage = schema.serving.Stage
 #: Time over which the queues of prefill workers are averaged. A shorter wave of
@@ -31,99 +32,20 @@
 #: Decode workers of each software version that are left at least. Streams of the only
 #: one can't go on anywhere when it is lost.
 _MIN_OF_VERSION = 2
-#: Share of the decode workers that change their stage at the same time.
+#: Share of the workers of a stage that leave it at the same time.
 _MAX_CHANGE_SHARE = 0.2
+#: Share of the prefill workers that change their stage where streams have no room.
+_MAX_LACKING_CHANGE_SHARE = 0.5
 #: Time after a change until the next one, so that its effect is seen first.
 _SETTLE_S = 5.0
 
 
-@attrs.frozen(kw_only=True)
-class StagedEngine:
-    """An engine as the planner sees it.
-
-    :param id: id of the engine.
-    :param domain: failure domain.
-    :param stage: stage that it performs.
-    :param version: version of its software; a stream goes on at engines of the same
-        version only.
-    :param queued_s: time of the prefill that is queued there, in seconds.
-    :param streams: generations.
-    :param stream_tokens: KV cache of the generations, in tokens.
-    """
-
-    id: str
-    domain: str
-    stage: _Stage
-    version: str = ''
-    queued_s: float = 0
-    streams: int = 0
-    stream_tokens: int = 0
-
-
-@attrs.frozen(kw_only=True)
-class StageSnapshot:
-    """Engines of a service at one moment.
-
-    :param engines: engines that accept requests.
-    :param slots: requests that an engine runs concurrently.
-    :param kv_tokens: KV cache of an engine, in tokens.
-    """
-
-    engines: tuple[StagedEngine, ...]
-    slots: int
-    kv_tokens: int
-
-    def list_stage(self, stage: _Stage) -> tuple[StagedEngine, ...]:
-        """Lists the engines that perform a stage."""
-        return tuple(one for one in self.engines if one.stage == stage)
-
-    def count_needed_decode_workers(self, streams: int, max_use: float) -> int:
-        """Returns how many decode workers streams need.
-
-        :param streams: number of streams.
-        :param max_use: share of slots and KV cache that they may take.
-        """
-        running = sum(one.streams for one in self.engines)
-        tokens = sum(one.stream_tokens for one in self.engines)
-        if running:
-            tokens = tokens * max(1, streams / running)
-        uses = (
-            streams / max(1, self.slots),
-            tokens / max(1, self.kv_tokens),
-        )
-        return math.ceil(max(uses) / max_use)
-
-
-@attrs.frozen
-class StageChange:
-    """Engines that change their stage.
-
-    :param engines: ids of the engines.
-    :param stage: their next stage.
-    :param reason: figures behind the change.
-    """
-
-    engines: tuple[str, ...]
-    stage: _Stage
-    reason: str
-
-
-@attrs.frozen
-class NoStageChange(sentinels.Sentinel):
-    """Sentinel for a plan without a change.
-
-    :param reason: why there is none.
-    """
-
-    reason: str
-
-
 class StagePlanner(typing.Protocol):
     """Plans the stages of the engines of one service."""
 
     def plan(
-        self, snapshot: StageSnapshot, now: float
-    ) -> StageChange | NoStageChange: ...
+        self, snapshot: _stage_snapshot.StageSnapshot, now: float
+    ) -> _stage_snapshot.StageChange | _stage_snapshot.NoStageChange: ...
 
     def record_change(self, now: float) -> None: ...
 
@@ -139,10 +61,10 @@
     """Baseline: changes no stage."""
 
     def plan(
-        self, snapshot: StageSnapshot, now: float
-    ) -> StageChange | NoStageChange:
+        self, snapshot: _stage_snapshot.StageSnapshot, now: float
+    ) -> _stage_snapshot.StageChange | _stage_snapshot.NoStageChange:
         """Returns no change."""
-        return NoStageChange('stages are fixed')
+        return _stage_snapshot.NoStageChange('stages are fixed')
 
     def record_change(self, now: float) -> None:
         """Does nothing, as there are no changes."""
@@ -179,8 +101,8 @@
     _had_decodes: bool = False
 
     def plan(
-        self, snapshot: StageSnapshot, now: float
-    ) -> StageChange | NoStageChange:
+        self, snapshot: _stage_snapshot.StageSnapshot, now: float
+    ) -> _stage_snapshot.StageChange | _stage_snapshot.NoStageChange:
         """Returns the engines that should change their stage now.
 
         :param snapshot: engines and their load.
@@ -189,16 +111,18 @@
         prefills = snapshot.list_stage(_Stage.PREFILL)
         decodes = snapshot.list_stage(_Stage.DECODE)
         if not (prefills or decodes) or not snapshot.slots:
-            return NoStageChange('there are no engines')
+            return _stage_snapshot.NoStageChange('there are no engines')
         self._record(snapshot, prefills, now)
         if not decodes:
             return self._replace_decodes(prefills, now)
         self._had_decodes = True
         if now < self._settled_s:
-            return NoStageChange('the last change is not settled')
+            return _stage_snapshot.NoStageChange(
+                'the last change is not settled'
+            )
         stranded = _list_stranded(prefills, decodes)
         if stranded:
-            return StageChange(
+            return _stage_snapshot.StageChange(
                 _choose_engines(stranded, 1),
                 _Stage.DECODE,
                 f'version {stranded[0].version} has no decode worker',
@@ -214,8 +138,8 @@
 
     def _record(
         self,
-        snapshot: StageSnapshot,
-        prefills: tuple[StagedEngine, ...],
+        snapshot: _stage_snapshot.StageSnapshot,
+        prefills: tuple[_stage_snapshot.StagedEngine, ...],
         now: float,
     ) -> None:
         waits = [one.queued_s for one in prefills]
@@ -236,32 +160,36 @@
         return sum(waits) / len(waits)
 
     def _follow_load(
-        self, snapshot: StageSnapshot, now: float
-    ) -> StageChange | NoStageChange:
+        self, snapshot: _stage_snapshot.StageSnapshot, now: float
+    ) -> _stage_snapshot.StageChange | _stage_snapshot.NoStageChange:
         prefills = snapshot.list_stage(_Stage.PREFILL)
         decodes = snapshot.list_stage(_Stage.DECODE)
         wait_s = self._compute_mean_wait(now)
         if wait_s is None:
-            return NoStageChange('the load is not known for long enough')
+            return _stage_snapshot.NoStageChange(
+                'the load is not known for long enough'
+            )
         is_pressed = wait_s >= _MIN_WAIT_S or not prefills
-        if is_pressed and _has_free_slots(snapshot, decodes):
+        if is_pressed and not _lacks_decode(snapshot, decodes):
             return self._add_prefill(snapshot, decodes, wait_s)
         return _add_decode(snapshot, prefills, decodes, wait_s)
 
     def _replace_decodes(
-        self, prefills: tuple[StagedEngine, ...], now: float
-    ) -> StageChange | NoStageChange:
+        self, prefills: tuple[_stage_snapshot.StagedEngine, ...], now: float
+    ) -> _stage_snapshot.StageChange | _stage_snapshot.NoStageChange:
         """Turns prefill workers into decode workers after the loss of all.
 
         Prompts are prefilled in vain until then, so that no earlier change has to
         settle. At a start, the list of workers may not be complete yet.
         """
         if not self._had_decodes and now - self._started_s < _WINDOW_S:
-            return NoStageChange('no decode worker is listed yet')
+            return _stage_snapshot.NoStageChange(
+                'no decode worker is listed yet'
+            )
         # A stream can't use the KV cache of another version.
         candidates = _list_stranded(prefills, ()) or prefills
         count = math.ceil(_MIN_DECODE_SHARE * len(candidates))
-        return StageChange(
+        return _stage_snapshot.StageChange(
             _choose_engines(candidates, count),
             _Stage.DECODE,
             f'no decode worker beside {len(prefills)} prefill workers',
@@ -269,10 +197,10 @@
 
     def _add_prefill(
         self,
-        snapshot: StageSnapshot,
-        decodes: tuple[StagedEngine, ...],
+        snapshot: _stage_snapshot.StageSnapshot,
+        decodes: tuple[_stage_snapshot.StagedEngine, ...],
         wait_s: float,
-    ) -> StageChange | NoStageChange:
+    ) -> _stage_snapshot.StageChange | _stage_snapshot.NoStageChange:
         streams = max(one.streams for one in self._samples)
         kept = max(
             _MIN_DECODE_WORKERS,
@@ -288,8 +216,10 @@
             max(1, int(_MAX_CHANGE_SHARE * len(decodes))),
         )
         if count <= 0:
-            return NoStageChange('no decode worker can be spared')
-        return StageChange(
+            return _stage_snapshot.NoStageChange(
+                'no decode worker can be spared'
+            )
+        return _stage_snapshot.StageChange(
             _choose_engines(spare, count),
             _Stage.PREFILL,
             f'prompts wait {wait_s:.2f} s, {streams} streams,'
@@ -297,37 +227,52 @@
         )
 
 
-def _has_free_slots(
-    snapshot: StageSnapshot, decodes: tuple[StagedEngine, ...]
-) -> bool:
-    """Returns whether the decode workers have room for further streams."""
-    streams = sum(one.streams for one in snapshot.engines)
-    return snapshot.count_needed_decode_workers(streams, 1) <= len(decodes)
-
-
 def _add_decode(
-    snapshot: StageSnapshot,
-    prefills: tuple[StagedEngine, ...],
-    decodes: tuple[StagedEngine, ...],
+    snapshot: _stage_snapshot.StageSnapshot,
+    prefills: tuple[_stage_snapshot.StagedEngine, ...],
+    decodes: tuple[_stage_snapshot.StagedEngine, ...],
     wait_s: float,
-) -> StageChange | NoStageChange:
+) -> _stage_snapshot.StageChange | _stage_snapshot.NoStageChange:
     streams = sum(one.streams for one in snapshot.engines)
-    needed = snapshot.count_needed_decode_workers(streams, _MIN_USE_FOR_DECODE)
-    # Without free slots, prompts are prefilled in vain.
-    can_spare = wait_s <= _MAX_SPARE_WAIT_S or not _has_free_slots(
-        snapshot, decodes
+    needed = max(
+        snapshot.count_needed_decode_workers(streams, _MIN_USE_FOR_DECODE),
+        _count_safe_decode_workers(snapshot),
     )
-    is_needed = needed > len(decodes) and can_spare
-    if not is_needed or len(prefills) < 2:
-        return NoStageChange('no change is needed')
-    return StageChange(
-        _choose_engines(prefills, 1),
+    is_lacking = _lacks_decode(snapshot, decodes)
+    missing = needed - len(decodes)
+    if missing <= 0 or not (is_lacking or wait_s <= _MAX_SPARE_WAIT_S):
+        return _stage_snapshot.NoStageChange('no change is needed')
+    if len(prefills) < 2:
+        return _stage_snapshot.NoStageChange('no prefill worker can be spared')
+    # Without room for streams, prompts are prefilled in vain.
+    share = _MAX_LACKING_CHANGE_SHARE if is_lacking else _MAX_CHANGE_SHARE
+    return _stage_snapshot.StageChange(
+        _choose_engines(
+            prefills, min(missing, max(1, int(share * len(prefills))))
+        ),
         _Stage.DECODE,
         f'{streams} streams at {len(decodes)} decode workers,'
         f' prompts wait {wait_s:.2f} s',
     )
 
 
+def _count_safe_decode_workers(snapshot: _stage_snapshot.StageSnapshot) -> int:
+    """Returns the decode workers that bear the loss of one, if there are enough."""
+    share = math.ceil(_MIN_DECODE_SHARE * len(snapshot.engines))
+    return min(_MIN_DECODE_WORKERS, share)
+
+
+def _lacks_decode(
+    snapshot: _stage_snapshot.StageSnapshot,
+    decodes: tuple[_stage_snapshot.StagedEngine, ...],
+) -> bool:
+    """Returns whether streams have no room, or lose it with a single engine."""
+    is_single = len(decodes) == 1 and _count_safe_decode_workers(snapshot) > 1
+    streams = sum(one.streams for one in snapshot.engines)
+    full = snapshot.count_needed_decode_workers(streams, 1)
+    return is_single or full > len(decodes)
+
+
 def count_least_decode_workers(versions: int) -> int:
     """Returns the decode workers that a service keeps at any load.
 
@@ -337,8 +282,9 @@
 
 
 def _list_stranded(
-    prefills: tuple[StagedEngine, ...], decodes: tuple[StagedEngine, ...]
-) -> tuple[StagedEngine, ...]:
+    prefills: tuple[_stage_snapshot.StagedEngine, ...],
+    decodes: tuple[_stage_snapshot.StagedEngine, ...],
+) -> tuple[_stage_snapshot.StagedEngine, ...]:
     """Lists the prefill workers of a version that has no decode worker.
 
     KV caches stay within a version, so that none of them has work. A version with a
@@ -358,8 +304,8 @@
 
 
 def _list_spare(
-    decodes: tuple[StagedEngine, ...],
-) -> tuple[StagedEngine, ...]:
+    decodes: tuple[_stage_snapshot.StagedEngine, ...],
+) -> tuple[_stage_snapshot.StagedEngine, ...]:
     """Lists the decode workers beyond those that each of several versions keeps.
 
     The ones with most streams are kept.
@@ -377,7 +323,7 @@
 
 
 def _choose_engines(
-    engines: tuple[StagedEngine, ...], count: int
+    engines: tuple[_stage_snapshot.StagedEngine, ...], count: int
 ) -> tuple[str, ...]:
     """Chooses idle engines, each from the domain that has most left."""
     left = sorted(engines, key=lambda one: (one.streams, one.queued_s, one.id))
--- a/briarknot/planning/tests/test_stages.py
+++ b/briarknot/planning/tests/test_stages.py
@@ -198,3 +198,18 @@
     _, change = plan(planner, make_engines(0, 6, streams=5))
     assert change.stage == _Stage.PREFILL
     assert plan(make_planner(), make_engines(0, 3, streams=5)) is None
+
+
+def test_missing_decode_workers_come_back_together():
+    """One at a time, the last decode worker had 2.5 times its streams for 10 s."""
+    engines = make_engines(22, 1, queued_s=0.4, streams=160)
+    _, change = plan(make_planner(), engines)
+    assert change.stage == _Stage.DECODE
+    assert len(change.engines) == 3
+
+
+def test_few_idle_decode_workers_get_others():
+    """Released workers left one decode worker of seven, which could be lost too."""
+    _, change = plan(make_planner(), make_engines(6, 1, streams=1))
+    assert change.stage == _Stage.DECODE
+    assert len(change.engines) == 2
