--- a/briarknot/scaling/_need.py
+++ b/briarknot/scaling/_need.py
@@ -121,32 +121,32 @@
         observed_s = now - (now if self._first_s is None else self._first_s)
         factor = _CREST if observed_s >= _PERIOD_S else _CREST_OVER_TROUGH
         lasting = factor * self._compute_offered(now, _PERIOD_S)
-        burst = max(lasting, self._compute_offered(now, _SHORT_S))
+        peak = max(lasting, self._compute_offered(now, _SHORT_S))
         decode = max((one.decode for one in self._samples), default=0)
         queued_s = self._compute_queued_s(now)
-        allowed_s = get_allowed_queue_s(snapshot.target_s)
-        late_s = max(0, queued_s - allowed_s) * snapshot.demand.prefill_workers
+        late_s = max(0, queued_s - get_allowed_queue_s(snapshot.target_s))
+        # What waits too long ends within the time of a boot.
+        extra = math.ceil(
+            late_s
+            * snapshot.demand.prefill_workers
+            / max(1, snapshot.limits.boot_s)
+        )
+        usual = _count_with_reserve(lasting)
+        hurried = max(
+            _MIN_PREFILL_WORKERS, math.ceil(peak * _SHORT_TERM_RESERVE)
+        )
         full_decode = max(least, math.ceil(decode / _DECODE_USE))
         return Need(
-            total=_sum_stages(
-                # Also what waits too long, within the time of a boot.
-                _count_with_reserve(burst)
-                + math.ceil(late_s / max(1, snapshot.limits.boot_s)),
-                full_decode,
-            ),
-            lasting=_sum_stages(_count_with_reserve(lasting), full_decode),
+            total=_sum_stages(max(usual, hurried) + extra, full_decode),
+            lasting=_sum_stages(usual, full_decode),
             short_term=_sum_stages(
-                max(
-                    _MIN_PREFILL_WORKERS,
-                    math.ceil(burst * _SHORT_TERM_RESERVE),
-                ),
-                max(least, math.ceil(decode / _SHORT_TERM_DECODE_USE)),
+                hurried, max(least, math.ceil(decode / _SHORT_TERM_DECODE_USE))
             ),
             is_observed=observed_s >= _MIN_OBSERVED_S,
             is_quiet=queued_s <= _MIN_QUEUE_S,
             reason=(
                 f'{lasting:.1f} busy prefill workers at the crest,'
-                f' {burst:.1f} at most, {decode:.1f} decode workers in use,'
+                f' {peak:.1f} at the peak, {decode:.1f} decode workers in use,'
                 f' prompts wait {queued_s:.2f} s'
             ),
         )
