--- a/briarknot/planning/_stages.py
+++ b/briarknot/planning/_stages.py
@@ -99,6 +99,7 @@
     _started_s: float = float('inf')
     _settled_s: float = float('-inf')
     _had_decodes: bool = False
+    _is_replacing: bool = False
 
     def plan(
         self, snapshot: _stage_snapshot.StageSnapshot, now: float
@@ -116,6 +117,7 @@
         if not decodes:
             return self._replace_decodes(prefills, now)
         self._had_decodes = True
+        self._is_replacing = False
         if now < self._settled_s:
             return _stage_snapshot.NoStageChange(
                 'the last change is not settled'
@@ -186,6 +188,9 @@
             return _stage_snapshot.NoStageChange(
                 'no decode worker is listed yet'
             )
+        if self._is_replacing and now < self._settled_s:
+            return _stage_snapshot.NoStageChange('decode workers are coming')
+        self._is_replacing = True
         # A stream can't use the KV cache of another version.
         candidates = _list_stranded(prefills, ()) or prefills
         count = math.ceil(_MIN_DECODE_SHARE * len(candidates))
@@ -257,9 +262,8 @@
 
 
 def _count_safe_decode_workers(snapshot: _stage_snapshot.StageSnapshot) -> int:
-    """Returns the decode workers that bear the loss of one, if there are enough."""
-    share = math.ceil(_MIN_DECODE_SHARE * len(snapshot.engines))
-    return min(_MIN_DECODE_WORKERS, share)
+    """Returns the decode workers that bear a loss; added while no prompt waits."""
+    return math.ceil(_MIN_DECODE_SHARE * len(snapshot.engines))
 
 
 def _lacks_decode(
--- a/briarknot/scaling/_allocation.py
+++ b/briarknot/scaling/_allocation.py
@@ -10,7 +10,7 @@
 
 #: Share of the lasting need that workers carry which can't be reclaimed, so that a
 #: reclaim in several domains leaves capacity for the most urgent requests.
-_SAFE_SHARE = 1 / 3
+_SAFE_SHARE = 0.25
 #: Prefill workers beside the least decode workers that can't be reclaimed.
 _SAFE_PREFILL_WORKERS = 2
 
--- a/briarknot/scaling/_need.py
+++ b/briarknot/scaling/_need.py
@@ -19,6 +19,8 @@
 #: Window in which a step of demand must show. Busy workers, counted over 2 s, vary by
 #: an eighth around their mean with 6 busy workers and prompts of 0.1 s.
 _SHORT_S = 2.0
+#: Time that samples must span: a single one of 8 busy workers on average had 10.
+_MIN_WINDOW_S = 0.5
 #: Window of the queues, longer than a single prompt of 20,000 tokens (0.4 s).
 _QUEUE_S = 0.75
 #: Workers beyond the load, in square roots of the load: less than a quarter of the
@@ -27,14 +29,19 @@
 #: Prefill workers over the load at the crest that suffice for some seconds, until
 #: replacements serve. The mean utilization over a wave stays below three quarters.
 _SHORT_TERM_RESERVE = 1.1
-#: Share of slots and KV cache that streams may take, as the stage planner leaves it
-#: after a change; and for some seconds, until replacements serve.
-_DECODE_USE = 0.3
+#: Share of slots and KV cache that streams may take at the crest. After the loss of one
+#: of six domains, and with 1.7 times the mean demand, it is 0.64; the stage planner
+#: counts decode workers as too few from 0.7.
+_DECODE_USE = 0.4
+#: The same for some seconds, until replacements serve.
 _SHORT_TERM_DECODE_USE = 0.6
 #: Share of the engines that the stage planner keeps for decode.
 _DECODE_SHARE = 0.3
 #: With one prefill worker, its loss stops all prompts.
 _MIN_PREFILL_WORKERS = 2
+#: Time after which demand that began before the first sample is known: figures are
+#: up to 1.3 s old, and queues are averaged.
+_MIN_OPEN_S = 2.0
 #: Time of demand from which the number of workers follows it.
 _MIN_OBSERVED_S = 5.0
 #: Share of the latency target that a prompt may spend in a queue; the rest is for
@@ -52,6 +59,8 @@
     """Workers of both kinds that the demand needs.
 
     :param total: workers needed now.
+    :param kept: workers below which none are released; more than the total before
+        a whole wave was observed.
     :param lasting: workers needed without a burst or a queue of this moment.
     :param short_term: workers that suffice for some seconds after a loss.
     :param is_observed: whether demand was observed for long enough.
@@ -60,6 +69,7 @@
     """
 
     total: int
+    kept: int
     lasting: int
     short_term: int
     is_observed: bool
@@ -86,6 +96,7 @@
         factory=collections.deque
     )
     _first_s: float | None = None
+    _opened_s: float = float('inf')
 
     def add(self, demand: _snapshot.Demand, now: float) -> None:
         """Adds the load at one moment; moments before any load are left out.
@@ -93,6 +104,7 @@
         :param demand: the load.
         :param now: monotonic time in seconds.
         """
+        self._opened_s = min(self._opened_s, now)
         if not self._samples and not (
             demand.busy_prefill or demand.busy_decode_share
         ):
@@ -118,9 +130,9 @@
         :param now: monotonic time in seconds.
         """
         least = planning.count_least_decode_workers(snapshot.demand.versions)
-        observed_s = now - (now if self._first_s is None else self._first_s)
-        factor = _CREST if observed_s >= _PERIOD_S else _CREST_OVER_TROUGH
-        lasting = factor * self._compute_offered(now, _PERIOD_S)
+        observed_s = 0 if self._first_s is None else now - self._first_s
+        mean = self._compute_offered(now, _PERIOD_S)
+        lasting = _CREST * mean
         peak = max(lasting, self._compute_offered(now, _SHORT_S))
         decode = max((one.decode for one in self._samples), default=0)
         queued_s = self._compute_queued_s(now)
@@ -136,14 +148,22 @@
             _MIN_PREFILL_WORKERS, math.ceil(peak * _SHORT_TERM_RESERVE)
         )
         full_decode = max(least, math.ceil(decode / _DECODE_USE))
+        total = _sum_stages(max(usual, hurried) + extra, full_decode)
+        kept = total
+        if observed_s < _PERIOD_S:
+            most = _count_with_reserve(_CREST_OVER_TROUGH * mean)
+            kept = max(total, _sum_stages(most, full_decode))
         return Need(
-            total=_sum_stages(max(usual, hurried) + extra, full_decode),
+            total=total,
+            kept=kept,
             lasting=_sum_stages(usual, full_decode),
             short_term=_sum_stages(
                 hurried, max(least, math.ceil(decode / _SHORT_TERM_DECODE_USE))
             ),
             is_observed=observed_s >= _MIN_OBSERVED_S,
-            is_quiet=queued_s <= _MIN_QUEUE_S,
+            is_quiet=(
+                queued_s <= _MIN_QUEUE_S and now - self._opened_s >= _MIN_OPEN_S
+            ),
             reason=(
                 f'{lasting:.1f} busy prefill workers at the crest,'
                 f' {peak:.1f} at the peak, {decode:.1f} decode workers in use,'
@@ -159,11 +179,11 @@
         recent = self._list_recent(now, window_s)
         if not recent:
             return 0
-        busy = sum(one.prefill for one in recent) / len(recent)
         length_s = recent[-1].time_s - recent[0].time_s
+        if length_s < _MIN_WINDOW_S:
+            return 0
+        busy = sum(one.prefill for one in recent) / len(recent)
         growth_s = recent[-1].backlog_s - recent[0].backlog_s
-        if length_s < _QUEUE_S:
-            return busy
         return busy + max(0, growth_s) / length_s
 
     def _compute_queued_s(self, now: float) -> float:
--- a/briarknot/scaling/_spot_first.py
+++ b/briarknot/scaling/_spot_first.py
@@ -2,9 +2,11 @@
 
 import collections
 import math
+import typing
 
 import attrs
 
+from briarknot import planning
 from briarknot.scaling import _allocation, _groups, _need, _policies, _snapshot
 
 #: Share of the workers that are left before demand has been observed. Caches are
@@ -24,9 +26,10 @@
 
 
 @attrs.frozen
-class _PastNeed:
+class _PastTarget:
     time_s: float
-    total: int
+    kept: int
+    counts: typing.Mapping[_allocation.Key, int]
 
 
 @_policies.SCALING_POLICIES.register('spot_first')
@@ -40,7 +43,7 @@
 
     _window: _need.DemandWindow = attrs.field(factory=_need.DemandWindow)
     _records: _groups.GroupRecords = attrs.field(factory=_groups.GroupRecords)
-    _needs: collections.deque[_PastNeed] = attrs.field(
+    _targets: collections.deque[_PastTarget] = attrs.field(
         factory=collections.deque
     )
     _floor: int = 0
@@ -64,11 +67,15 @@
         target = _allocation.allocate(
             snapshot, need, self._records.list_room(snapshot, now)
         )
-        self._needs.append(_PastNeed(now, max(need.total, target.total)))
-        while self._needs[0].time_s < now - _MEMORY_S:
-            self._needs.popleft()
+        self._targets.append(
+            _PastTarget(now, max(need.kept, target.total), target.counts)
+        )
+        while self._targets[0].time_s < now - _MEMORY_S:
+            self._targets.popleft()
         raised = self._raise(target, now)
-        lowered = self._release(target, now) if need.is_quiet else {}
+        lowered = {}
+        if need.is_quiet:
+            lowered = self._release(snapshot.demand, now)
         return tuple(
             self._make_order(key, desired, need, now)
             for key, desired in (raised | lowered).items()
@@ -91,25 +98,17 @@
         need = self._window.compute_need(snapshot, now)
         if need.is_observed:
             return need
-        self._update_floor()
+        present = self._records.count_expected()
+        if not self._records.has_orders:
+            start = math.ceil(_START_SHARE * present)
+            self._floor = max(self._floor, start)
+        # Where an earlier leader has ordered, the number stays as it is.
         return attrs.evolve(
             need,
             total=max(need.total, self._floor),
-            lasting=max(need.lasting, self._floor),
+            kept=max(need.kept, self._floor or present),
         )
 
-    def _update_floor(self) -> None:
-        """Sets the workers that stay until demand has been observed.
-
-        Stored orders come from a leader that has observed it.
-        """
-        present = self._records.count_expected()
-        if not self._records.has_orders:
-            present = math.ceil(_START_SHARE * present)
-            self._floor = max(self._floor, present)
-        elif not self._floor:
-            self._floor = present
-
     def _raise(
         self, target: _allocation.Allocation, now: float
     ) -> dict[_allocation.Key, int]:
@@ -129,17 +128,30 @@
         }
 
     def _release(
-        self, target: _allocation.Allocation, now: float
+        self,
+        demand: _snapshot.Demand,
+        now: float,
     ) -> dict[_allocation.Key, int]:
         """Returns the lower numbers of groups that have too many workers."""
         surplus = self._records.count_kept() - max(
-            one.total for one in self._needs
+            one.kept for one in self._targets
+        )
+        # The platform may choose decode workers only.
+        spare_decodes = (
+            demand.decode_workers
+            - planning.count_least_decode_workers(demand.versions)
+        )
+        limit = min(
+            int(_RELEASE_SHARE * self._records.count_kept()), spare_decodes
         )
-        limit = max(1, int(_RELEASE_SHARE * self._records.count_kept()))
-        count = min(surplus, limit)
+        count = min(surplus, max(1, limit))
         if count <= 0 or now - self._released_s < _RELEASE_PAUSE_S:
             return {}
-        lowered = self._records.choose_released(target.counts, count, now)
+        wanted: dict[_allocation.Key, int] = {}
+        for past in self._targets:
+            for key, number in past.counts.items():
+                wanted[key] = max(wanted.get(key, 0), number)
+        lowered = self._records.choose_released(wanted, count, now)
         if lowered:
             self._released_s = now
         return lowered
