--- a/briarknot/scaling/_need.py
+++ b/briarknot/scaling/_need.py
@@ -130,7 +130,8 @@
         :param now: monotonic time in seconds.
         """
         least = planning.count_least_decode_workers(snapshot.demand.versions)
-        observed_s = 0 if self._first_s is None else now - self._first_s
+        first_s = now if self._first_s is None else self._first_s
+        observed_s = now - first_s
         mean = self._compute_offered(now, _PERIOD_S)
         lasting = _CREST * mean
         peak = max(lasting, self._compute_offered(now, _SHORT_S))
@@ -161,9 +162,13 @@
                 hurried, max(least, math.ceil(decode / _SHORT_TERM_DECODE_USE))
             ),
             is_observed=observed_s >= _MIN_OBSERVED_S,
-            is_quiet=(
-                queued_s <= _MIN_QUEUE_S and now - self._opened_s >= _MIN_OPEN_S
-            ),
+            is_quiet=queued_s <= _MIN_QUEUE_S
+            and now - self._opened_s >= _MIN_OPEN_S
+            # Without one of the stages, its work doesn't show.
+            and min(
+                snapshot.demand.prefill_workers, snapshot.demand.decode_workers
+            )
+            > 0,
             reason=(
                 f'{lasting:.1f} busy prefill workers at the crest,'
                 f' {peak:.1f} at the peak, {decode:.1f} decode workers in use,'
--- a/briarknot/scaling/_spot_first.py
+++ b/briarknot/scaling/_spot_first.py
@@ -107,6 +107,8 @@
             need,
             total=max(need.total, self._floor),
             kept=max(need.kept, self._floor or present),
+            # Expensive workers aren't ordered for the load of a moment.
+            lasting=0,
         )
 
     def _raise(
