--- a/briarknot/scaling/_need.py
+++ b/briarknot/scaling/_need.py
@@ -19,6 +19,8 @@
 #: Window in which a step of demand must show. Busy workers, counted over 2 s, vary by
 #: an eighth around their mean with 6 busy workers and prompts of 0.1 s.
 _SHORT_S = 2.0
+#: The same while prompts wait too long: the mean of 2 s follows a step too late.
+_URGENT_S = 1.0
 #: Time that samples must span: a single one of 8 busy workers on average had 10.
 _MIN_WINDOW_S = 0.5
 #: Window of the queues, longer than a single prompt of 20,000 tokens (0.4 s).
@@ -139,6 +141,8 @@
         queued_s = self._compute_queued_s(now)
         late_s = max(0, queued_s - get_allowed_queue_s(snapshot.target_s))
         # What waits too long ends within the time of a boot.
+        if late_s:
+            peak = max(peak, self._compute_offered(now, _URGENT_S))
         extra = math.ceil(
             late_s
             * snapshot.demand.prefill_workers
