--- a/briarknot/scaling/_spot_first.py
+++ b/briarknot/scaling/_spot_first.py
@@ -115,14 +115,14 @@
         self, target: _allocation.Allocation, now: float
     ) -> dict[_allocation.Key, int]:
         """Returns the numbers of groups that need more, or whose workers don't come."""
-        raised = {}
+        raised, ended = {}, {}
         for record in self._records.list_all():
             wanted = target.counts.get(record.key, 0)
             if wanted > record.expected and record.can_grow(now):
                 raised[record.key] = wanted
             elif record.is_reclaimed:
-                raised[record.key] = wanted
-        raised |= self._records.list_undelivered(target.counts, now)
+                ended[record.key] = wanted
+        raised |= ended | self._records.list_undelivered(target.counts, now)
         return {
             key: desired
             for key, desired in raised.items()
