--- a/briarknot/scaling/_need.py
+++ b/briarknot/scaling/_need.py
@@ -25,8 +25,8 @@
 _MIN_WINDOW_S = 0.5
 #: Window of the queues, longer than a single prompt of 20,000 tokens (0.4 s).
 _QUEUE_S = 0.75
-#: Workers beyond the load, in square roots of the load: less than a quarter of the
-#: prompts then find all workers busy (Erlang C, at any load).
+#: Workers beyond the load, in square roots of the load: a fifth to a quarter of the
+#: prompts then find all workers busy at loads of 6 to 20 (Erlang C).
 _RESERVE = 1.0
 #: Prefill workers over the load at the crest that suffice for some seconds, until
 #: replacements serve. The mean utilization over a wave stays below three quarters.
--- a/briarknot/scaling/_spot_first.py
+++ b/briarknot/scaling/_spot_first.py
@@ -72,7 +72,7 @@
         )
         while self._targets[0].time_s < now - _MEMORY_S:
             self._targets.popleft()
-        raised = self._raise(target, now)
+        raised = self._raise(target, snapshot.limits.most, now)
         lowered = {}
         if need.is_quiet:
             lowered = self._release(snapshot.demand, now)
@@ -112,12 +112,15 @@
         )
 
     def _raise(
-        self, target: _allocation.Allocation, now: float
+        self, target: _allocation.Allocation, most: int, now: float
     ) -> dict[_allocation.Key, int]:
         """Returns the numbers of groups that need more, or whose workers don't come."""
         raised, ended = {}, {}
         for record in self._records.list_all():
-            wanted = target.counts.get(record.key, 0)
+            domain, is_spot = record.key
+            # Workers of the other kind leave only after these serve.
+            room = most - self._records.get((domain, not is_spot)).desired
+            wanted = max(0, min(target.counts.get(record.key, 0), room))
             if wanted > record.expected and record.can_grow(now):
                 raised[record.key] = wanted
             elif record.is_reclaimed:
--- a/briarknot/scaling/tests/test_spot_first.py
+++ b/briarknot/scaling/tests/test_spot_first.py
@@ -207,6 +207,18 @@
     assert policy.plan(snapshot, 2.75)
 
 
+def test_full_domains_get_no_workers_beyond_the_limit():
+    """The platform refuses an order for more workers than a domain may have."""
+    fleet = virtual_fleet.Fleet(rate=120, present=9)
+    fleet.run(5)
+    assert any(key[1] for _, key, _ in fleet.orders)
+    most = virtual_fleet.LIMITS.most
+    latest = {key: desired for _, key, desired in fleet.orders}
+    for domain in virtual_fleet.LIMITS.prices:
+        others = latest.get((domain, False), 9)
+        assert latest.get((domain, True), 0) + others <= most
+
+
 def test_baseline_orders_nothing():
     """Baseline of comparisons."""
     fleet = virtual_fleet.Fleet(rate=70, policy='keep_present')
