Keep paid workers through short stages, pauses and cut-offs

At least two workers can't be reclaimed instead of five: with six workers in all, five of them left nothing to save.

Nothing is released while a stage has fewer workers than the stage planner keeps, and the time in which demand counts as observed excludes idle time and pauses of the process. A new leader waits for a complete list although orders are stored. Workers that disappear without notice aren't ended by a lower order for 30 s, and released spot workers no longer look like a reclaim.

--- a/briarknot/planning/_stage_snapshot.py
+++ b/briarknot/planning/_stage_snapshot.py
@@ -39,11 +39,14 @@
     :param engines: engines that accept requests.
     :param slots: requests that an engine runs concurrently.
     :param kv_tokens: KV cache of an engine, in tokens.
+    :param is_scaled: whether workers are ordered and released while the service runs,
+        without regard to their stage.
     """
 
     engines: tuple[StagedEngine, ...]
     slots: int
     kv_tokens: int
+    is_scaled: bool = False
 
     def list_stage(self, stage: _Stage) -> tuple[StagedEngine, ...]:
         """Lists the engines that perform a stage."""
--- a/briarknot/planning/_stages.py
+++ b/briarknot/planning/_stages.py
@@ -113,6 +113,8 @@
         decodes = snapshot.list_stage(_Stage.DECODE)
         if not (prefills or decodes) or not snapshot.slots:
             return _stage_snapshot.NoStageChange('there are no engines')
+        if not (prefills or snapshot.is_scaled):
+            return _stage_snapshot.NoStageChange('there is no prefill worker')
         self._record(snapshot, prefills, now)
         if not decodes:
             return self._replace_decodes(prefills, now)
@@ -239,12 +241,14 @@
     wait_s: float,
 ) -> _stage_snapshot.StageChange | _stage_snapshot.NoStageChange:
     streams = sum(one.streams for one in snapshot.engines)
-    needed = max(
-        snapshot.count_needed_decode_workers(streams, _MIN_USE_FOR_DECODE),
-        _count_safe_decode_workers(snapshot),
-    )
-    is_lacking = _lacks_decode(snapshot, decodes)
+    needed = snapshot.count_needed_decode_workers(streams, _MIN_USE_FOR_DECODE)
+    if snapshot.is_scaled:
+        needed = max(needed, _count_safe_decode_workers(snapshot))
+    else:
+        # Without orders for workers, their stages are the operator's choice.
+        needed = min(needed, len(decodes) + 1)
     missing = needed - len(decodes)
+    is_lacking = _lacks_decode(snapshot, decodes)
     if missing <= 0 or not (is_lacking or wait_s <= _MAX_SPARE_WAIT_S):
         return _stage_snapshot.NoStageChange('no change is needed')
     if len(prefills) < 2:
@@ -270,7 +274,12 @@
     snapshot: _stage_snapshot.StageSnapshot,
     decodes: tuple[_stage_snapshot.StagedEngine, ...],
 ) -> bool:
-    """Returns whether streams have no room, or lose it with a single engine."""
+    """Returns whether streams have no room, or lose it with a single engine.
+
+    Where workers are released without regard to their stage, this happens at any load.
+    """
+    if not snapshot.is_scaled:
+        return False
     is_single = len(decodes) == 1 and _count_safe_decode_workers(snapshot) > 1
     streams = sum(one.streams for one in snapshot.engines)
     full = snapshot.count_needed_decode_workers(streams, 1)
--- a/briarknot/scaling/_allocation.py
+++ b/briarknot/scaling/_allocation.py
@@ -5,14 +5,14 @@
 
 import attrs
 
-from briarknot import planning
 from briarknot.scaling import _need, _snapshot
 
 #: Share of the lasting need that workers carry which can't be reclaimed, so that a
 #: reclaim in several domains leaves capacity for the most urgent requests.
 _SAFE_SHARE = 0.25
-#: Prefill workers beside the least decode workers that can't be reclaimed.
-_SAFE_PREFILL_WORKERS = 2
+#: One for each stage, so that some requests are answered after a reclaim of all domains.
+#: With five of six workers in all, nothing could be saved.
+_MIN_SAFE_WORKERS = 2
 
 #: Domain and whether its workers are spot workers.
 Key = tuple[str, bool]
@@ -113,11 +113,7 @@
     :param room: workers that a group may have where no further ones are available.
     """
     counts = _Counts(snapshot.limits, room)
-    safe = max(
-        math.ceil(need.lasting * _SAFE_SHARE),
-        planning.count_least_decode_workers(snapshot.demand.versions)
-        + _SAFE_PREFILL_WORKERS,
-    )
+    safe = max(math.ceil(need.lasting * _SAFE_SHARE), _MIN_SAFE_WORKERS)
     counts.add(min(safe, need.total), is_spot=False)
     missing = counts.add(max(0, need.total - safe), is_spot=True)
     counts.fill_domains()
--- a/briarknot/scaling/_groups.py
+++ b/briarknot/scaling/_groups.py
@@ -16,6 +16,9 @@
 #: Time after an order for more workers in which a group isn't reduced; demand moves
 #: in waves of about 11 s.
 _KEEP_S = 15.0
+#: Time for which workers that were listed and disappeared without notice may still serve
+#: in a domain that is cut off from the store: three times the usual outage of 10 s.
+_LOST_S = 30.0
 #: Period of an order that the group doesn't show yet: acquiring a grant and writing
 #: the row of the orders take some hundred milliseconds.
 _REPEAT_S = 1.0
@@ -36,6 +39,9 @@
     desired: int = 0
     is_reclaimed: bool = False
     _has_order: bool = False
+    _is_emptied: bool = False
+    _is_delivered: bool = False
+    _complete_s: float = float('-inf')
     _is_coming: bool = False
     _short_since_s: float | None = None
     _blocked_until_s: float = float('-inf')
@@ -78,14 +84,44 @@
             if self._proposed is None:
                 # Ordered by an earlier leader at an unknown time.
                 self._raised_s = now
+        # Workers that leave after an order for none don't concern a later order.
+        self._is_emptied = not group.serving and (
+            self._is_emptied or not self.desired
+        )
         self.is_reclaimed = (
             group.is_spot
             and group.is_leaving
             and not group.serving
-            and self.desired > 0
+            and not self._is_emptied
+        )
+        if group.serving >= self.desired:
+            self._complete_s = now
+        is_lost = (
+            self._is_delivered
+            and self.desired <= before
+            and now - self._complete_s < _LOST_S
         )
+        self._is_delivered = group.serving >= self.desired or is_lost
         self._update_shortage(group, before, boot_s, now)
 
+    @property
+    def least_order(self) -> int:
+        """Number below which an order for more would end workers.
+
+        Workers that disappeared without notice may still serve.
+        """
+        return self.desired if self._is_delivered else self.kept
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all workers are listed, so that an order for fewer ends no others."""
+        return self.serving >= self.desired
+
+    @property
+    def is_undelivered(self) -> bool:
+        """Whether the latest order was never fulfilled, and is given up."""
+        return not self._is_delivered and self.expected < self.desired
+
     def can_grow(self, now: float) -> bool:
         """Returns whether further workers can be ordered.
 
@@ -140,6 +176,8 @@
             self._block(group.unavailable_until_s)
         elif now < self._blocked_until_s:
             self._is_coming = False
+            # Otherwise the group would be blocked again before it gets an order.
+            self._short_since_s = now
         elif now - since_s > boot_s + _LISTING_S:
             self._is_coming = False
             self._block(now + _BLOCK_S)
@@ -223,7 +261,7 @@
         return {
             key: max(wanted.get(key, 0), record.serving)
             for key, record in self._records.items()
-            if record.expected < record.desired
+            if record.is_undelivered
             and record.desired > max(wanted.get(key, 0), record.serving)
             and record.can_shrink(now)
         }
@@ -250,6 +288,7 @@
                     for key in left
                     if left[key] > wanted.get(key, 0)
                     and self._records[key].can_shrink(now)
+                    and self._records[key].is_complete
                     and self._can_spare(key[0], left)
                 ),
                 default=None,
--- a/briarknot/scaling/_need.py
+++ b/briarknot/scaling/_need.py
@@ -23,6 +23,9 @@
 _URGENT_S = 1.0
 #: Time that samples must span: a single one of 8 busy workers on average had 10.
 _MIN_WINDOW_S = 0.5
+#: Time between samples after which the earlier ones say nothing about the present
+#: load: the process was suspended, or was not the leader.
+_MAX_GAP_S = 2.0
 #: Window of the queues, longer than a single prompt of 20,000 tokens (0.4 s).
 _QUEUE_S = 0.75
 #: Workers beyond the load, in square roots of the load: a fifth to a quarter of the
@@ -97,22 +100,35 @@
     _samples: collections.deque[_Sample] = attrs.field(
         factory=collections.deque
     )
-    _first_s: float | None = None
+    _observed_s: float = 0
+    _latest_s: float = float('inf')
     _opened_s: float = float('inf')
 
     def add(self, demand: _snapshot.Demand, now: float) -> None:
-        """Adds the load at one moment; moments before any load are left out.
+        """Adds the load at one moment.
+
+        Moments without load are left out until demand has been observed: a single
+        early request is no demand.
 
         :param demand: the load.
         :param now: monotonic time in seconds.
         """
+        if now - self._latest_s > _MAX_GAP_S:
+            self._samples.clear()
+            self._observed_s = 0
+            self._opened_s = now
+            self._latest_s = now
+        passed_s = max(0, now - self._latest_s)
+        self._latest_s = now
         self._opened_s = min(self._opened_s, now)
-        if not self._samples and not (
-            demand.busy_prefill or demand.busy_decode_share
-        ):
-            return
-        if self._first_s is None:
-            self._first_s = now
+        is_loaded = demand.busy_prefill or demand.busy_decode_share
+        if is_loaded or self._observed_s >= _MIN_OBSERVED_S:
+            self._observed_s += passed_s
+            self._append(demand, now)
+        while self._samples and self._samples[0].time_s <= now - _PERIOD_S:
+            self._samples.popleft()
+
+    def _append(self, demand: _snapshot.Demand, now: float) -> None:
         self._samples.append(
             _Sample(
                 time_s=now,
@@ -122,8 +138,6 @@
                 decode=demand.busy_decode_share * demand.decode_workers,
             )
         )
-        while self._samples[0].time_s <= now - _PERIOD_S:
-            self._samples.popleft()
 
     def compute_need(self, snapshot: _snapshot.Snapshot, now: float) -> Need:
         """Returns the workers that the demand needs.
@@ -132,8 +146,6 @@
         :param now: monotonic time in seconds.
         """
         least = planning.count_least_decode_workers(snapshot.demand.versions)
-        first_s = now if self._first_s is None else self._first_s
-        observed_s = now - first_s
         mean = self._compute_offered(now, _PERIOD_S)
         lasting = _CREST * mean
         peak = max(lasting, self._compute_offered(now, _SHORT_S))
@@ -155,7 +167,7 @@
         full_decode = max(least, math.ceil(decode / _DECODE_USE))
         total = _sum_stages(max(usual, hurried) + extra, full_decode)
         kept = total
-        if observed_s < _PERIOD_S:
+        if self._observed_s < _PERIOD_S:
             most = _count_with_reserve(_CREST_OVER_TROUGH * mean)
             kept = max(total, _sum_stages(most, full_decode))
         return Need(
@@ -165,14 +177,9 @@
             short_term=_sum_stages(
                 hurried, max(least, math.ceil(decode / _SHORT_TERM_DECODE_USE))
             ),
-            is_observed=observed_s >= _MIN_OBSERVED_S,
+            is_observed=self._observed_s >= _MIN_OBSERVED_S,
             is_quiet=queued_s <= _MIN_QUEUE_S
-            and now - self._opened_s >= _MIN_OPEN_S
-            # Without one of the stages, its work doesn't show.
-            and min(
-                snapshot.demand.prefill_workers, snapshot.demand.decode_workers
-            )
-            > 0,
+            and now - self._opened_s >= _MIN_OPEN_S,
             reason=(
                 f'{lasting:.1f} busy prefill workers at the crest,'
                 f' {peak:.1f} at the peak, {decode:.1f} decode workers in use,'
@@ -213,6 +220,24 @@
     return max(_MIN_QUEUE_S, _QUEUE_SHARE * (target_s or _DEFAULT_TARGET_S))
 
 
+def count_spare(demand: _snapshot.Demand) -> int:
+    """Returns the workers beyond the least number of the shorter stage.
+
+    :param demand: load of the engines.
+    :returns: a negative number if a stage is short.
+    """
+    engines = demand.prefill_workers + demand.decode_workers
+    least = min(
+        planning.count_least_decode_workers(demand.versions),
+        # The stage planner lets a small service have fewer.
+        math.ceil(_DECODE_SHARE * engines),
+    )
+    return min(
+        demand.decode_workers - least,
+        demand.prefill_workers - _MIN_PREFILL_WORKERS,
+    )
+
+
 def _count_with_reserve(load: float) -> int:
     workers = math.ceil(load + _RESERVE * math.sqrt(load))
     return max(_MIN_PREFILL_WORKERS, workers)
--- a/briarknot/scaling/_spot_first.py
+++ b/briarknot/scaling/_spot_first.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from briarknot import planning
 from briarknot.scaling import _allocation, _groups, _need, _policies, _snapshot
 
 #: Share of the workers that are left before demand has been observed. Caches are
@@ -50,6 +49,7 @@
     _released_s: float = float('-inf')
     _listed: int = 0
     _listed_s: float = float('-inf')
+    _is_settled: bool = False
 
     def plan(
         self, snapshot: _snapshot.Snapshot, now: float
@@ -84,19 +84,26 @@
     def _is_list_complete(
         self, snapshot: _snapshot.Snapshot, now: float
     ) -> bool:
-        """Returns whether the list of workers has all that are present."""
+        """Returns whether the list of workers has all that are present.
+
+        A process that becomes the leader may just have started, so that stored orders
+        don't make its list complete.
+        """
         listed = sum(one.serving for one in snapshot.groups)
         if listed > self._listed:
             self._listed = listed
             self._listed_s = now
-        is_settled = now - self._listed_s >= _LIST_SETTLE_S
-        return listed > 0 and (is_settled or self._records.has_orders)
+        is_stable = now - self._listed_s >= _LIST_SETTLE_S
+        self._is_settled = self._is_settled or (listed > 0 and is_stable)
+        return listed > 0 and self._is_settled
 
     def _compute_need(
         self, snapshot: _snapshot.Snapshot, now: float
     ) -> _need.Need:
         need = self._window.compute_need(snapshot, now)
         if need.is_observed:
+            # After a pause of this process, the present number counts instead.
+            self._floor = 0
             return need
         present = self._records.count_expected()
         if not self._records.has_orders:
@@ -122,7 +129,7 @@
             room = most - self._records.get((domain, not is_spot)).desired
             wanted = max(0, min(target.counts.get(record.key, 0), room))
             if wanted > record.expected and record.can_grow(now):
-                raised[record.key] = wanted
+                raised[record.key] = max(wanted, record.least_order)
             elif record.is_reclaimed:
                 ended[record.key] = wanted
         raised |= ended | self._records.list_undelivered(target.counts, now)
@@ -141,14 +148,11 @@
         surplus = self._records.count_kept() - max(
             one.kept for one in self._targets
         )
-        # The platform may choose decode workers only.
-        spare_decodes = (
-            demand.decode_workers
-            - planning.count_least_decode_workers(demand.versions)
-        )
-        limit = min(
-            int(_RELEASE_SHARE * self._records.count_kept()), spare_decodes
-        )
+        # The platform may choose workers of one stage only.
+        spare = _need.count_spare(demand)
+        if spare < 0:
+            return {}
+        limit = min(int(_RELEASE_SHARE * self._records.count_kept()), spare)
         count = min(surplus, max(1, limit))
         if count <= 0 or now - self._released_s < _RELEASE_PAUSE_S:
             return {}
