--- a/benchmarks/_paid_workers.py
+++ b/benchmarks/_paid_workers.py
@@ -49,7 +49,7 @@
     :param name: name in the table.
     :param rate: prompts per second.
     :param present: workers of each domain at the start.
-    :param play: lets the pattern happen.
+    :param play: runs the pattern.
     """
 
     name: str
--- a/briarknot/planning/_stages.py
+++ b/briarknot/planning/_stages.py
@@ -173,8 +173,8 @@
             return _stage_snapshot.NoStageChange(
                 'the load is not known for long enough'
             )
-        is_pressed = wait_s >= _MIN_WAIT_S or not prefills
-        if is_pressed and not _lacks_decode(snapshot, decodes):
+        has_queues = wait_s >= _MIN_WAIT_S or not prefills
+        if has_queues and not _lacks_decode(snapshot, decodes):
             return self._add_prefill(snapshot, decodes, wait_s)
         return _add_decode(snapshot, prefills, decodes, wait_s)
 
--- a/briarknot/scaling/_need.py
+++ b/briarknot/scaling/_need.py
@@ -161,11 +161,11 @@
             / max(1, snapshot.limits.boot_s)
         )
         usual = _count_with_reserve(lasting)
-        hurried = max(
+        momentary = max(
             _MIN_PREFILL_WORKERS, math.ceil(peak * _SHORT_TERM_RESERVE)
         )
         full_decode = max(least, math.ceil(decode / _DECODE_USE))
-        total = _sum_stages(max(usual, hurried) + extra, full_decode)
+        total = _sum_stages(max(usual, momentary) + extra, full_decode)
         kept = total
         if self._observed_s < _PERIOD_S:
             most = _count_with_reserve(_CREST_OVER_TROUGH * mean)
@@ -175,7 +175,8 @@
             kept=kept,
             lasting=_sum_stages(usual, full_decode),
             short_term=_sum_stages(
-                hurried, max(least, math.ceil(decode / _SHORT_TERM_DECODE_USE))
+                momentary,
+                max(least, math.ceil(decode / _SHORT_TERM_DECODE_USE)),
             ),
             is_observed=self._observed_s >= _MIN_OBSERVED_S,
             is_quiet=queued_s <= _MIN_QUEUE_S
--- a/briarknot/scaling/_spot_first.py
+++ b/briarknot/scaling/_spot_first.py
@@ -22,6 +22,9 @@
 #: An order that counts an incomplete list would end the workers that are missing in
 #: it; workers renew their rows about every second.
 _LIST_SETTLE_S = 1.0
+#: Time after which a new leader takes an empty list for the loss of all workers that
+#: were ordered. Workers renew their rows within about 2 s after the store was restored.
+_EMPTY_LIST_S = 10.0
 
 
 @attrs.frozen
@@ -48,7 +51,7 @@
     _floor: int = 0
     _released_s: float = float('-inf')
     _listed: int = 0
-    _listed_s: float = float('-inf')
+    _listed_s: float = float('inf')
     _is_settled: bool = False
 
     def plan(
@@ -93,9 +96,14 @@
         if listed > self._listed:
             self._listed = listed
             self._listed_s = now
-        is_stable = now - self._listed_s >= _LIST_SETTLE_S
-        self._is_settled = self._is_settled or (listed > 0 and is_stable)
-        return listed > 0 and self._is_settled
+        self._listed_s = min(self._listed_s, now)
+        stable_s = now - self._listed_s
+        if listed:
+            is_complete = stable_s >= _LIST_SETTLE_S
+        else:
+            is_complete = self._records.has_orders and stable_s >= _EMPTY_LIST_S
+        self._is_settled = self._is_settled or is_complete
+        return self._is_settled
 
     def _compute_need(
         self, snapshot: _snapshot.Snapshot, now: float
--- a/briarknot/scaling/tests/test_faults.py
+++ b/briarknot/scaling/tests/test_faults.py
@@ -224,3 +224,22 @@
         sizes.append((len(policy._targets), len(policy._window._samples)))
     assert sizes[0] == sizes[1]
     assert max(sizes[1]) <= math.ceil(15 / _PERIOD_S) + 1
+
+
+@pytest.mark.parametrize('is_new_leader', [True, False])
+def test_loss_of_all_workers_is_repaired(is_new_leader):
+    """Nothing was ordered for an empty list, so that it stayed empty."""
+    policy = make_policy()
+    if not is_new_leader:
+        present = make_snapshot(make_present(1, ordered=1))
+        play(policy, present, -20, 20)
+    empty = make_snapshot(make_present(0, ordered=1), scaling.Demand())
+    early = play(policy, empty, 0, 5)
+    assert all(is_spot for _, (_, is_spot), _ in early)
+    orders = play(policy, empty, 5, 20)
+    assert sum({key: desired for _, key, desired in orders}.values()) >= 5
+
+
+def test_empty_list_without_orders_orders_nothing():
+    """Workers are present at the start, and an order for fewer would end them."""
+    assert not play(make_policy(), make_snapshot({}), 0, 60)
