--- a/briarknot/scaling/_groups.py
+++ b/briarknot/scaling/_groups.py
@@ -13,6 +13,9 @@
 #: Time after a reclaim, or after workers that didn't come, in which a group gets no
 #: orders: spot workers are unavailable for about 10 s.
 _BLOCK_S = 10.0
+#: Time after an order without a response in which its workers count as coming: twice an
+#: outage of the platform of 10 s. A single domain may stay silent for longer.
+_UNANSWERED_S = 20.0
 #: Time after an order for more workers in which a group isn't reduced; demand moves
 #: in waves of about 11 s.
 _KEEP_S = 15.0
@@ -168,7 +171,10 @@
             return
         since_s = self._short_since_s
         is_new = since_s is None or self.desired > before
-        if since_s is None or is_new or not group.is_accepted:
+        is_unanswered = (
+            not group.is_accepted and now - self._raised_s < _UNANSWERED_S
+        )
+        if since_s is None or is_new or is_unanswered:
             since_s = now
         self._short_since_s = since_s
         if now < group.unavailable_until_s:
--- a/briarknot/scaling/_snapshot.py
+++ b/briarknot/scaling/_snapshot.py
@@ -40,7 +40,8 @@
     :param unavailable_until_s: monotonic time before which no further workers
         can be ordered: :data:`UNAVAILABLE_S` after a rejection.
     :param is_accepted: False while the latest order has no response. Its workers
-        count as coming, because other orders would get no response either.
+        count as coming for some time, because other orders would get no response
+        either.
     """
 
     domain: str
--- a/briarknot/scaling/tests/test_faults.py
+++ b/briarknot/scaling/tests/test_faults.py
@@ -243,3 +243,18 @@
 def test_empty_list_without_orders_orders_nothing():
     """Workers are present at the start, and an order for fewer would end them."""
     assert not play(make_policy(), make_snapshot({}), 0, 60)
+
+
+def test_domain_without_responses_is_replaced():
+    """Workers of an order without a response counted as coming for ever."""
+    policy = make_policy()
+    groups = make_present(2, ordered=2) | {
+        (domain, True): {'serving': 2, 'ordered': 2} for domain in _DOMAINS
+    }
+    groups['b', True] = {'serving': 0, 'ordered': 6, 'is_accepted': False}
+    snapshot = make_snapshot(groups)
+    before = play(policy, snapshot, 0, 10)
+    after = play(policy, snapshot, 10, 30)
+    raised = {(key, desired) for _, key, desired in after}
+    raised -= {(key, desired) for _, key, desired in before}
+    assert any(key[0] != 'b' and desired > 2 for key, desired in raised)
