--- a/briarknot/planning/__init__.py
+++ b/briarknot/planning/__init__.py
@@ -19,14 +19,17 @@
         'RoleChange',
         'Snapshot',
     ),
-    '_stages': (
-        'STAGE_PLANNERS',
+    '_stage_snapshot': (
         'NoStageChange',
         'StageChange',
-        'StagePlanner',
         'StageSnapshot',
         'StagedEngine',
     ),
+    '_stages': (
+        'STAGE_PLANNERS',
+        'StagePlanner',
+        'count_least_decode_workers',
+    ),
 }
 __all__ = lazy.list_names(_MODULES)
 __getattr__ = lazy.make_getattr(__name__, _MODULES)
--- a/briarknot/schema/_generated/settings.py
+++ b/briarknot/schema/_generated/settings.py
@@ -36,6 +36,15 @@
     ON_TIME_FIRST = 'onTimeFirst'
 
 
+class CacheListing(enum.StrEnum):
+    """When gateways read the lists of cached prompt parts from engines."""
+
+    #: Never.
+    OFF = 'off'
+    #: Once after a start at which no other gateway knows the caches.
+    AT_START = 'atStart'
+
+
 @attrs.frozen(kw_only=True)
 class Tracing:
     """Export of spans."""
@@ -520,6 +529,10 @@
         doc='Choice among engines of nearly equal cost.',
         default=LoadSpreading.NEAR_CHEAPEST,
     )
+    cache_listing: CacheListing = _fields.make_field(
+        doc="When the engines' lists of cached prompt parts are read.",
+        default=CacheListing.OFF,
+    )
     prompt_order: PromptOrder = _fields.make_field(
         doc='Order in which engines admit prompts of one rank.',
         default=PromptOrder.BY_RANK,
