--- a/briarknot/gateway/_hopeless.py
+++ b/briarknot/gateway/_hopeless.py
@@ -3,6 +3,7 @@
 Their prompts would lengthen the queues of others for nothing.
 """
 
+import math
 import time
 
 from briarknot import schema, serving
@@ -28,14 +29,24 @@
     :param request: the request.
     :param placement: placement of its prompt.
     """
+    return placement.expected_s > compute_max_expected_s(context, request)
+
+
+def compute_max_expected_s(
+    context: _context.Context, request: _requests.Request
+) -> float:
+    """Returns the expected time of the first event from which a client leaves.
+
+    :param context: state of the process.
+    :param request: the request.
+    """
     max_silence_s = request.route.max_silence_s
+    if not max_silence_s:
+        return math.inf
     waited_s: float = 0
     if context.settings.prompt_order == _Order.ON_TIME_FIRST:
         waited_s = time.monotonic() - request.call.received_s
-    if not max_silence_s:
-        return False
-    first_event_s = waited_s + placement.expected_s
-    return first_event_s > max_silence_s * _HOPELESS_SHARE
+    return max_silence_s * _HOPELESS_SHARE - waited_s
 
 
 def is_hopeless_elsewhere(
@@ -54,11 +65,19 @@
     """
     if context.settings.prompt_order != _Order.ON_TIME_FIRST:
         return False
-    if request.may_have_run or request.call.continues_stream:
+    if is_resumed(request):
         return False
     return is_hopeless(context, request, placement)
 
 
+def is_resumed(request: _requests.Request) -> bool:
+    """Returns whether the stream of a request may have begun.
+
+    :param request: the request.
+    """
+    return request.may_have_run or request.call.continues_stream
+
+
 def refuse(
     context: _context.Context,
     request: _requests.Request,
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import math
 import time
 import typing
 
@@ -102,12 +103,13 @@
         return
     started_s = time.monotonic()
     context.prompt_load.add(placement, request.call.prompt, started_s)
-    context.prompt_load.account_shares.record(
-        _get_share_group(request),
-        request.call.account,
-        placement.work,
-        started_s,
-    )
+    if placement.is_level_reported:
+        context.prompt_load.account_shares.record(
+            _get_share_group(request),
+            request.call.account,
+            placement.work,
+            started_s,
+        )
     try:
         yield counted
     finally:
@@ -216,7 +218,9 @@
             is_above_share=context.prompt_load.account_shares.is_above(
                 _get_share_group(request), request.call.account, now
             ),
+            is_resumed=_hopeless.is_resumed(request),
         ),
+        max_expected_s=_compute_max_expected_s(context, request),
     )
     context.prompt_load.caches.set_engine_limits(request.service.engine)
     policy = serving.PLACEMENT_POLICIES.get(
@@ -225,6 +229,19 @@
     return policy(view, prompt, now)
 
 
+def _compute_max_expected_s(
+    context: _context.Context, request: _requests.Request
+) -> float:
+    """Returns the time for which the client waits for its first event.
+
+    With the order by rank, placement does not depend on it.
+    """
+    is_by_rank = context.settings.prompt_order == _Order.BY_RANK
+    if is_by_rank or _hopeless.is_resumed(request):
+        return math.inf
+    return _hopeless.compute_max_expected_s(context, request)
+
+
 def _get_share_group(request: _requests.Request) -> tuple[str, int]:
     """Returns the service and rank within which accounts have shares."""
     return request.service.name, request.route.rank
--- a/briarknot/serving/_placement_view.py
+++ b/briarknot/serving/_placement_view.py
@@ -1,5 +1,6 @@
 """Input of the policies that choose the engine that prefills a prompt."""
 
+import math
 import random
 import typing
 
@@ -33,6 +34,8 @@
     :param turn_waits_s: time until another request may be sent to a worker, by
         the ids of the workers that have a limit.
     :param levels: levels that the prompt may have.
+    :param max_expected_s: expected time from which its client will leave; workers
+        that take longer are chosen only if all do.
     """
 
     load: _prompt_load.PromptLoad
@@ -47,6 +50,7 @@
     processes: int = 1
     turn_waits_s: typing.Mapping[str, float] = attrs.field(factory=dict)
     levels: _prompt_order.Levels = _prompt_order.Levels()
+    max_expected_s: float = math.inf
 
 
 # Frozen classes take twice as long to make, and there is one for each engine.
--- a/briarknot/serving/_prompt_order.py
+++ b/briarknot/serving/_prompt_order.py
@@ -44,9 +44,12 @@
 
     :param rank: rank of its route.
     :param is_above_share: whether its account is above its share of the work.
+    :param is_resumed: whether its stream may have begun.
     """
 
-    def __call__(self, rank: int, *, is_above_share: bool) -> Levels: ...
+    def __call__(
+        self, rank: int, *, is_above_share: bool, is_resumed: bool = False
+    ) -> Levels: ...
 
 
 PROMPT_ORDERS: registry.Registry[PromptOrder] = registry.Registry(
@@ -55,11 +58,14 @@
 
 
 @PROMPT_ORDERS.register('by_rank')
-def order_by_rank(rank: int, *, is_above_share: bool) -> Levels:
+def order_by_rank(
+    rank: int, *, is_above_share: bool, is_resumed: bool = False
+) -> Levels:
     """Has engines admit the prompts of a rank in the order of their arrival.
 
     :param rank: rank of the route.
     :param is_above_share: whether its account is above its share; unused.
+    :param is_resumed: whether its stream may have begun; unused.
 
     >>> order_by_rank(2, is_above_share=True)
     Levels(on_time=6, late=6, are_reported=False, share_delay=0)
@@ -69,12 +75,17 @@
 
 
 @PROMPT_ORDERS.register('on_time_first')
-def order_on_time_first(rank: int, *, is_above_share: bool) -> Levels:
+def order_on_time_first(
+    rank: int, *, is_above_share: bool, is_resumed: bool = False
+) -> Levels:
     """Has engines admit late prompts after the other ones of their rank.
 
     :param rank: rank of the route.
     :param is_above_share: whether its account is above its share; its prompts come
         one level later, and late ones of it two.
+    :param is_resumed: whether its stream may have begun. Its target is that of the
+        first event, and its client waits for the next one, so that it has the
+        first level of its rank.
 
     >>> order_on_time_first(2, is_above_share=False)
     Levels(on_time=6, late=7, are_reported=True, share_delay=0)
@@ -82,6 +93,8 @@
     Levels(on_time=7, late=8, are_reported=True, share_delay=1)
     """
     first = get_first_level(rank)
+    if is_resumed:
+        return Levels(first, first, are_reported=True)
     on_time = min(_LAST_LEVEL, first + is_above_share)
     late = min(_LAST_LEVEL, on_time + 1)
     return Levels(on_time, late, are_reported=True, share_delay=on_time - first)
@@ -98,7 +111,9 @@
 def count_ahead(work: schema.messages.WorkerWork, level: int) -> int:
     """Returns the work that an engine admits before another prompt, in tokens.
 
-    Work without a level counts as work before it.
+    Work without a level counts as work before it. The work by level may exceed the
+    sum where messages of different age are subtracted; work at the level of the
+    prompt and at earlier ones counts in any case.
 
     :param work: work at the engine.
     :param level: level of the prompt.
@@ -106,6 +121,12 @@
     >>> work = schema.messages.WorkerWork(tokens=9, level_tokens=(1, 2, 4))
     >>> [count_ahead(work, level) for level in range(4)]
     [3, 5, 9, 9]
+    >>> count_ahead(attrs.evolve(work, tokens=5), 1)
+    3
     """
-    later = work.level_tokens[level + 1 :]
-    return max(0, work.tokens - sum(later)) if later else work.tokens
+    levels = work.level_tokens
+    later = levels[level + 1 :]
+    if not later:
+        return work.tokens
+    known = min(work.tokens, sum(levels[: level + 1]))
+    return max(known, work.tokens - sum(later))
--- a/briarknot/serving/tests/test_prompt_order.py
+++ b/briarknot/serving/tests/test_prompt_order.py
@@ -98,3 +98,42 @@
     assert not shares.is_above(group, 'c', now=5)
     shares.record(group, 'a', 5, now=5)
     assert not shares.is_above(group, 'a', now=6)
+
+
+def test_resumed_streams_keep_the_first_level():
+    """A broken stream waited behind prompts of its rank, and its client left."""
+    levels = _prompt_order.order_on_time_first(
+        1, is_above_share=True, is_resumed=True
+    )
+    view = attrs.evolve(make_view(3, target_s=-5), levels=levels)
+    policy = serving.PLACEMENT_POLICIES.get('predicted')
+    assert policy(view, choices.make_prompt('k'), 0).level == 3
+
+
+def test_levels_above_the_sum_hide_no_work_ahead():
+    """A prompt would be expected at once behind a queue of its level."""
+    work = schema.messages.WorkerWork(tokens=30, level_tokens=(20, 0, 40))
+    assert _prompt_order.count_ahead(work, 0) == 20
+    assert _prompt_order.count_ahead(work, 9) == 30
+
+
+def test_free_engine_is_chosen_before_the_client_leaves():
+    """A request was refused for the queue of cache holders beside a free one."""
+    workers = choices.make_workers('a', 'a', 'a', 'a', stage=_Stage.PREFILL)
+    view = choices.make_view(workers, target_s=0.01)
+    parts = (
+        schema.serving.PromptPart(id='k', tokens=12_000),
+        schema.serving.PromptPart(id='own', tokens=400),
+    )
+    prompt = serving.Prompt(parts=parts, tokens=12_400, output_tokens=200)
+    for worker in workers[:3]:
+        view.load.caches.record_prompt(worker.id, prompt, 0)
+        view.load.work.add(worker.id, tokens=_QUEUE * 2, level=3)
+    levels = _prompt_order.order_on_time_first(1, is_above_share=False)
+    view = attrs.evolve(view, levels=levels)
+    policy = serving.PLACEMENT_POLICIES.get('predicted')
+    assert policy(view, prompt, 0).expected_s > 3
+    in_time = attrs.evolve(view, max_expected_s=3)
+    placement = policy(in_time, prompt, 0)
+    assert placement.prefill_worker == workers[3]
+    assert placement.expected_s < 1
