Keep refusals and pipelined bodies of clients

A client that writes its whole body before it reads lost a refusal, as its connection was reset after 0.5 s. The rest is now dropped until it ends, is quiet for 1 s, or 10 s have passed; such connections are the first to be closed where there are too many. Bytes of a pipelined body no longer count as a header section, which closed the connection of the request that ran.

--- a/briarknot/platform/_client_limits.py
+++ b/briarknot/platform/_client_limits.py
@@ -132,6 +132,23 @@
         else:
             self._relieve(now)
 
+    def record_ahead(
+        self, client: _client_states.Client, size: int, now: float
+    ) -> None:
+        """Counts bytes of a further request that was sent ahead.
+
+        Its header section is complete, and the connection isn't read beyond a part
+        of its body.
+
+        :param client: the client.
+        :param size: received bytes.
+        :param now: monotonic time.
+        """
+        self._charge(client, size - client.head_bytes * _HEAD_FACTOR)
+        client.head_bytes = 0
+        client.ahead_bytes += size
+        self._relieve(now)
+
     def start_request(
         self, client: _client_states.Client, length: int, now: float
     ) -> None:
@@ -141,8 +158,10 @@
         :param length: length of the body; 0 where it is not known.
         :param now: monotonic time.
         """
-        self._charge(client, -client.head_bytes * _HEAD_FACTOR)
+        counted = client.head_bytes * _HEAD_FACTOR + client.ahead_bytes
+        self._charge(client, -counted)
         client.head_bytes = 0
+        client.ahead_bytes = 0
         client.length = length
         client.received = 0
         client.start_phase(_client_states.Phase.BODY, now)
@@ -175,7 +194,8 @@
         if client not in self._clients:
             return
         self._end_oversized(client)
-        kept = _CONNECTION_BYTES + client.head_bytes * _HEAD_FACTOR
+        kept = client.head_bytes * _HEAD_FACTOR + client.ahead_bytes
+        kept += _CONNECTION_BYTES
         self._charge(client, kept - client.held_bytes)
         client.response_bytes = 0
         client.has_tiny_chunks = False
@@ -267,6 +287,8 @@
         }
         late = []
         for client in self._clients:
+            if client.is_dropped:
+                continue
             max_s, limit = times.get(
                 client.phase, (0, _client_states.Limit.IDLE_TIME)
             )
@@ -300,8 +322,9 @@
         :param client: the client.
         :param limit: why.
         """
-        if client.evicted_by is not None:
+        if client.evicted_by is not None and not client.is_dropped:
             return
+        client.is_dropped = False
         self._log.record(client, limit, self._held_bytes, len(self._clients))
         # What it holds is about to be freed.
         self._charge(client, -client.held_bytes)
@@ -346,6 +369,7 @@
         return max(
             victims,
             key=lambda one: (
+                one.is_dropped,
                 not one.has_almost_arrived,
                 self._counts[one.address],
                 now - one.progress_s,
--- a/briarknot/platform/_client_states.py
+++ b/briarknot/platform/_client_states.py
@@ -55,6 +55,8 @@
     :param unsent_bytes: written bytes that the client had not acknowledged.
     :param count_unsent: counts them.
     :param evicted_by: why it was refused or closed.
+    :param is_dropped: whether its request was refused, and the rest is dropped.
+    :param ahead_bytes: bytes that it sent ahead of the response to its request.
     """
 
     address: str
@@ -72,6 +74,8 @@
     unsent_bytes: int = 0
     count_unsent: typing.Callable[[], int] | None = None
     evicted_by: Limit | None = None
+    is_dropped: bool = False
+    ahead_bytes: int = 0
 
     @property
     def is_receiving(self) -> bool:
@@ -124,6 +128,8 @@
         :param now: monotonic time.
         :param max_idle_s: time after which it may be closed between requests.
         """
+        if self.is_dropped:
+            return True
         if self.evicted_by is not None:
             return False
         if self.phase is Phase.IDLE:
--- a/briarknot/platform/_connections.py
+++ b/briarknot/platform/_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import sys
 import time
 import typing
 
@@ -59,6 +60,8 @@
         self.is_refused = False
         self._body: streams.StreamReader | None = None
         self._is_discarding = False
+        self._dropped = asyncio.Event()
+        self._missing = 0
         self._is_chunked = False
         self._received = 0
         self._lines = 0
@@ -89,19 +92,23 @@
         """Counts and parses received bytes."""
         client = self.client
         if self._is_discarding or client is None:
+            self._missing -= len(data)
+            self._dropped.set()
             return
         phase = client.phase
         is_body = phase is _client_states.Phase.BODY
         if is_body and self._body is None and self.is_evicted:
             return
-        super().data_received(data)
+        received = self.parse(data)
         if phase <= _client_states.Phase.HEAD and self._messages:
             self._start_request(data)
         elif is_body:
             self._count_chunks(data)
-        elif data:
+        elif received is _http_server.Received.HEAD and data:
             # Also the start of the next request, before the response to this one.
             self.limits.record_head(client, len(data), time.monotonic())
+        else:
+            self.limits.record_ahead(client, len(data), time.monotonic())
 
     def start_body(self, body: streams.StreamReader) -> None:
         """Lets the body be refused while it is read.
@@ -136,10 +143,40 @@
         if self.client is not None:
             self.client.is_unread = False
 
-    def discard_input(self) -> None:
-        """Drops all further input, so that it costs nothing."""
+    async def drop_input(
+        self, missing: int, quiet_s: float, max_s: float
+    ) -> None:
+        """Drops all further input without parsing it, after a refusal.
+
+        A connection that is closed while its client writes is reset, and the client
+        may lose the refusal.
+
+        :param missing: bytes that the client has yet to send; 0 if not known.
+        :param quiet_s: time without input after which the client has ended.
+        :param max_s: longest time.
+        """
         self._is_discarding = True
+        self._missing = missing or sys.maxsize
+        if self.client is not None:
+            self.client.is_dropped = True
         self.resume_reading(resume_parser=False)
+        try:
+            async with asyncio.timeout(max_s):
+                await self._wait_for_end(quiet_s)
+        except TimeoutError:
+            return
+
+    async def _wait_for_end(self, quiet_s: float) -> None:
+        while self._missing > 0:
+            self._dropped.clear()
+            async with asyncio.timeout(quiet_s):
+                await self._dropped.wait()
+
+    async def shutdown(self, *options: typing.Any) -> None:
+        """Closes the connection after its open request, as the process ends."""
+        self._missing = 0
+        self._dropped.set()
+        await super().shutdown(*options)
 
     def end_request(self) -> None:
         """Releases what the request held, after its response."""
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -36,9 +36,12 @@
 _READ_AHEAD_BYTES = 32 << 10
 #: Period of closing connections that are over a time limit, in seconds.
 _CHECK_PERIOD_S = 0.5
-#: Time for which a client can read a refusal while the rest of its request is
-#: dropped, in seconds.
-_DROP_S = 0.5
+#: After a refusal, the rest of the request is dropped until nothing arrives for
+#: the first time, and at most for the second, in seconds. Clients that write whole
+#: bodies before they read need 3 Mbit/s for 4 MB; dropped connections are the first
+#: to be closed where there are too many.
+_DROP_QUIET_S = 1.0
+_DROP_MAX_S = 10.0
 #: Status of refusals with Retry-After; it promises that the request has not
 #: run.
 _SERVICE_UNAVAILABLE = 503
@@ -193,8 +196,12 @@
             self._end_request(connection)
         if connection.is_refused:
             # Parsing the rest could cost more than serving it.
-            connection.discard_input()
-            await asyncio.sleep(_DROP_S)
+            missing = (
+                request.content_length or 0
+            ) - request.content.total_bytes
+            await connection.drop_input(
+                max(0, missing), _DROP_QUIET_S, _DROP_MAX_S
+            )
             request.content.feed_eof()
         return responder.result
 
