Bound connections, header sections and bodies of entry and console

Callers' connections at an entry process and operators' at a console have the bounds of the gateway's connections: their number, incomplete header sections, idle time. The console receives at most 16 KB of a body before a sign-in, and counts the bodies of operators together.

--- a/briarknot/console/__main__.py
+++ b/briarknot/console/__main__.py
@@ -15,7 +15,12 @@
         client = platform.make_client(
             session, node.platform_url, node.platform_timeout_s
         )
-        await process.listen(_app.make_app(settings, client), settings.port)
+        runner = platform.make_limited_runner(
+            _app.make_app(settings, client),
+            settings.connections,
+            settings.memory_mb,
+        )
+        await process.listen_with(runner, settings.port)
         process.set_ready()
         await process.stopping.wait()
         process.set_ready('stopping')
--- a/briarknot/console/_api.py
+++ b/briarknot/console/_api.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from briarknot import config, platform, schema
-from briarknot.console import _context
+from briarknot.console import _context, _sessions
 
 #: Prefix of the paths that require a bearer token instead of a session.
 PREFIX = '/api/'
@@ -76,14 +76,23 @@
 
         :raises aiohttp.web.HTTPUnauthorized: where the token is not known.
         """
-        header = request.headers.get('Authorization', '')
-        token = header.removeprefix(_SCHEME)
-        operator = self._context.sessions.find_operator(token)
-        if not operator or token == header:
+        operator = find_operator(request, self._context.sessions)
+        if not operator:
             raise web.HTTPUnauthorized(headers={'WWW-Authenticate': 'Bearer'})
         return operator
 
 
+def find_operator(request: web.Request, sessions: _sessions.Sessions) -> str:
+    """Returns the operator of the bearer token; empty where it isn't known.
+
+    :param request: the request.
+    :param sessions: sessions of the operators.
+    """
+    header = request.headers.get('Authorization', '')
+    token = header.removeprefix(_SCHEME)
+    return '' if token == header else sessions.find_operator(token)
+
+
 _OK = web.HTTPOk.status_code
 _BAD_REQUEST = web.HTTPBadRequest.status_code
 _NOT_FOUND = web.HTTPNotFound.status_code
--- a/briarknot/console/_app.py
+++ b/briarknot/console/_app.py
@@ -10,6 +10,7 @@
 from briarknot import platform, schema, telemetry
 from briarknot.console import (
     _api,
+    _bodies,
     _context,
     _form_view,
     _sessions,
@@ -17,9 +18,6 @@
     _text_view,
 )
 
-# A document with 16,000 accounts takes about 4 MB, and form encoding adds half
-# of that.
-_MAX_BODY_BYTES = 32 << 20
 _PUBLIC_PATHS = frozenset(('/sign-in', '/style.css'))
 _HEADERS = (
     (
@@ -43,6 +41,7 @@
     """Sign-in, sign-out, and the session check of each request."""
 
     _context: _context.Context
+    _bodies: _bodies.Bodies
     _stylesheet: bytes
 
     def add_routes(self, app: web.Application) -> None:
@@ -65,19 +64,35 @@
         :raises aiohttp.web.HTTPForbidden: where the CSRF token is wrong.
         """
         if request.path.startswith(_api.PREFIX):
-            return await handler(request)
+            return await self._check_call(request, handler)
         sessions = self._context.sessions
         cookie = request.cookies.get(_context.COOKIE, '')
         session = sessions.decode_cookie(cookie) or sessions.make_session()
         _context.set_session(request, session)
         if not session.operator and request.path not in _PUBLIC_PATHS:
             raise web.HTTPSeeOther('/sign-in')
-        if request.method == 'POST':
-            form = await request.post()
-            token = str(form.get('csrf_token', ''))
-            if not sessions.check_csrf_token(session, token):
-                raise web.HTTPForbidden(text='The form is no longer valid.')
-        return await handler(request)
+        is_known = bool(session.operator)
+        async with self._bodies.receive(request, is_known=is_known):
+            if request.method == 'POST':
+                await self._check_form(request, session)
+            return await handler(request)
+
+    async def _check_call(
+        self, request: web.Request, handler: _Handler
+    ) -> web.StreamResponse:
+        """Receives the body of a call of the API from a known operator."""
+        if not _api.find_operator(request, self._context.sessions):
+            return await handler(request)
+        async with self._bodies.receive(request, is_known=True):
+            return await handler(request)
+
+    async def _check_form(
+        self, request: web.Request, session: _sessions.Session
+    ) -> None:
+        form = await request.post()
+        token = str(form.get('csrf_token', ''))
+        if not self._context.sessions.check_csrf_token(session, token):
+            raise web.HTTPForbidden(text='The form is no longer valid.')
 
     async def _show(self, request: web.Request) -> web.Response:
         return self._render(request, '')
@@ -151,7 +166,7 @@
     context = _context.make_context(settings, client)
     package = importlib.resources.files(__package__)
     style = (package / 'templates' / 'style.css').read_bytes()
-    sign_in = _SignIn(context, style)
+    sign_in = _SignIn(context, _bodies.make_bodies(settings), style)
 
     @web.middleware
     async def check(
@@ -159,7 +174,9 @@
     ) -> web.StreamResponse:
         return await sign_in.check(request, handler)
 
-    app = web.Application(middlewares=(check,), client_max_size=_MAX_BODY_BYTES)
+    app = web.Application(
+        middlewares=(check,), client_max_size=_bodies.MAX_BODY_BYTES
+    )
     app.on_response_prepare.append(_add_headers)
     views = (
         sign_in,
--- a/briarknot/entry/_serve.py
+++ b/briarknot/entry/_serve.py
@@ -110,12 +110,14 @@
     _forward_api.make_forward_api(context).add_routes(peer_app)
     await process.listen(peer_app, settings.peer_port)
     limit = settings.limits.header_bytes
-    await process.listen(
+    runner = platform.make_limited_runner(
         caller_api.make_app(),
-        settings.caller_port,
+        settings.connections,
+        settings.limits.memory_mb,
         max_line_size=limit,
         max_field_size=limit,
     )
+    await process.listen_with(runner, settings.caller_port)
 
 
 def _start_tasks(
--- a/briarknot/platform/__init__.py
+++ b/briarknot/platform/__init__.py
@@ -4,6 +4,7 @@
 workers, and the decoding of the operators' manifest and workers' entries.
 """
 
+from briarknot.platform._app_connections import make_limited_runner
 from briarknot.platform._client import Client, make_client
 from briarknot.platform._client_limits import ClientLimits, make_client_limits
 from briarknot.platform._client_states import Limit, Phase
@@ -89,6 +90,7 @@
     'make_duties',
     'make_engine_orders',
     'make_ingress',
+    'make_limited_runner',
     'make_operation',
     'make_order_session',
     'make_store_session',
--- a/briarknot/platform/_connections.py
+++ b/briarknot/platform/_connections.py
@@ -220,14 +220,27 @@
         if phase is _client_states.Phase.BODY:
             if self._body is not None:
                 self._body.set_exception(Evicted(limit))
-            return
-        refusal = _HEAD_REFUSALS.get(limit)
-        if refusal is None or phase is not _client_states.Phase.HEAD:
+        elif phase is _client_states.Phase.HEAD:
+            self._is_discarding = True
+            refuse_head(self, limit)
+        else:
             transport.abort()
-            return
-        self._is_discarding = True
-        transport.write(refusal + _HEAD_REFUSAL_END)
-        self.force_close()
+
+
+def refuse_head(
+    connection: _http_server.Connection, limit: _client_states.Limit
+) -> None:
+    """Refuses an incomplete header section, and closes its connection.
+
+    :param connection: the connection.
+    :param limit: the limit that was exceeded.
+    """
+    refusal = _HEAD_REFUSALS.get(limit)
+    if refusal is None:
+        connection.transport.abort()
+        return
+    connection.transport.write(refusal + _HEAD_REFUSAL_END)
+    connection.force_close()
 
 
 class Server(web.Server):
--- a/briarknot/platform/_ingress.py
+++ b/briarknot/platform/_ingress.py
@@ -17,6 +17,7 @@
     _connections,
     _current_client,
     _headers,
+    _late_clients,
     _responder,
     _unanswered,
 )
@@ -34,8 +35,6 @@
 #: Bytes of a body that are received ahead of its reading. A sixteenth of it bounds
 #: the number of chunks that are parsed at once.
 _READ_AHEAD_BYTES = 32 << 10
-#: Period of closing connections that are over a time limit, in seconds.
-_CHECK_PERIOD_S = 0.5
 #: After a refusal, the rest of the request is dropped until nothing arrives for
 #: the first time, and at most for the second, in seconds. Clients that write whole
 #: bodies before they read need 3 Mbit/s for 4 MB; dropped connections are the first
@@ -107,7 +106,10 @@
         await self._listen(check, self._settings.readiness_address, None)
         await self._listen(front, self._settings.front_address, self._listener)
         self._checks = asyncio.create_task(
-            program.run_background_task('client_limits', self._close_late)
+            program.run_background_task(
+                'client_limits',
+                _late_clients.LateClients(self._limits).close_late,
+            )
         )
 
     async def _listen(
@@ -125,23 +127,6 @@
         self._runners.append(runner)
         self._sites.append(site)
 
-    async def _close_late(self) -> None:
-        """Closes connections that are over a time limit.
-
-        After a suspension, received data is read before time limits apply.
-        """
-        checked_s = time.monotonic()
-        while True:
-            await asyncio.sleep(_CHECK_PERIOD_S)
-            now = time.monotonic()
-            is_late = now - checked_s > 2 * _CHECK_PERIOD_S
-            checked_s = now
-            if is_late or self._limits.is_empty:
-                continue
-            self._limits.charge_unread(now)
-            for client, limit in self._limits.list_late(now):
-                self._limits.evict(client, limit)
-
     def set_closing(self) -> None:
         """Closes connections after their current request."""
         self._closing = True
--- a/briarknot/program/_process.py
+++ b/briarknot/program/_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import socket
 
 import attrs
 import prometheus_client
@@ -9,6 +10,9 @@
 
 from briarknot import schema, telemetry
 
+#: Connections that are accepted before surplus ones are closed.
+_ACCEPTED_AT_ONCE = 32
+_BACKLOG = 1024
 _OK = 200
 _UNAVAILABLE = 503
 #: Time from the close of the ports to that of their connections, in seconds: a
@@ -65,25 +69,36 @@
         app.router.add_get('/metrics', self._answer_metrics)
         await self.listen(app, self._node.admin_port)
 
-    async def listen(
-        self, app: web.Application, port: int, **options: int
-    ) -> web.AppRunner:
+    async def listen(self, app: web.Application, port: int) -> web.AppRunner:
         """Serves an application on a port until :meth:`close`.
 
         :param app: the application.
         :param port: port on the node's listen address.
-        :param options: options of ``web.AppRunner``.
         """
         # The handler must end when its caller disconnects, so that the
         # endpoint's stream is cancelled too.
-        runner = web.AppRunner(
-            app, access_log=None, handler_cancellation=True, **options
-        )
+        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        await self.listen_with(runner, port)
+        return runner
+
+    async def listen_with(self, runner: web.AppRunner, port: int) -> None:
+        """Serves the application of a runner on a port until :meth:`close`.
+
+        :param runner: the runner.
+        :param port: port on the node's listen address.
+        """
         await runner.setup()
-        site = web.TCPSite(runner, self._node.listen, port, backlog=1024)
+        host = self._node.listen
+        is_v6 = ':' in host
+        listener = socket.create_server(
+            (host, port),
+            family=socket.AF_INET6 if is_v6 else socket.AF_INET,
+        )
+        site = web.SockSite(runner, listener, backlog=_ACCEPTED_AT_ONCE)
         await site.start()
+        # Sets only the queue of the kernel.
+        listener.listen(_BACKLOG)
         self._runners.append(runner)
-        return runner
 
     async def close(self) -> None:
         """Closes all ports, the admin port last.
--- a/briarknot/schema/_generated/settings.py
+++ b/briarknot/schema/_generated/settings.py
@@ -172,6 +172,41 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class Connections:
+    """Limits of connections of callers or operators."""
+
+    __schema__ = 'settings'
+
+    max_descriptors: int = _fields.make_field(
+        doc='File descriptors that the process may open; 0 for the limit that the system sets. Connections get 45 of 100.',
+        maximum=4294967295,
+        minimum=0,
+        default=0,
+    )
+    header_section_bytes: int = _fields.make_field(
+        doc='Largest header section; twice as much is refused with 431.',
+        maximum=4294967295,
+        minimum=1024.0,
+        unit='bytes',
+        default=65536,
+    )
+    header_timeout_s: float = _fields.make_field(
+        doc='Longest time to send a header section; twice as long is refused with 408.',
+        maximum=3600.0,
+        minimum=0.1,
+        unit='s',
+        default=30.0,
+    )
+    idle_s: float = _fields.make_field(
+        doc='Time after which an idle connection may be closed where there are too many; it is closed after twice as long.',
+        maximum=86400.0,
+        minimum=0.1,
+        unit='s',
+        default=120.0,
+    )
+
+
 @attrs.frozen(kw_only=True)
 class Timing:
     """Periods and time limits."""
@@ -274,6 +309,10 @@
     timing: Timing = _fields.make_field(
         doc='Periods and time limits.', default=attrs.Factory(lambda: Timing())
     )
+    connections: Connections = _fields.make_field(
+        doc="Limits of callers' connections.",
+        default=attrs.Factory(lambda: Connections()),
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -371,6 +410,24 @@
     operators: tuple[Operator, ...] = _fields.make_field(
         doc='Operators who may sign in.', required=True, default=()
     )
+    connections: Connections = _fields.make_field(
+        doc="Limits of operators' connections.",
+        default=attrs.Factory(lambda: Connections()),
+    )
+    memory_mb: int = _fields.make_field(
+        doc='Memory of the host. An eighth of it holds bodies of operators; one body always has room.',
+        maximum=4294967295,
+        minimum=64.0,
+        unit='MB',
+        default=256,
+    )
+    body_timeout_s: float = _fields.make_field(
+        doc='Longest time to send a body.',
+        maximum=3600.0,
+        minimum=0.1,
+        unit='s',
+        default=60.0,
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -40,6 +40,7 @@
   peerPort @2 :UInt16 $A.required $A.doc("Port for the system's own processes.");
   limits @3 :Limits $A.doc("Limits of callers' input.");
   timing @4 :Timing $A.doc("Periods and time limits.");
+  connections @5 :Connections $A.doc("Limits of callers' connections.");
 }
 
 struct Limits $A.doc("Limits of callers' input.") {
@@ -52,6 +53,13 @@
   bodyIdleS @6 :Float64 = 15 $A.unit("s") $A.minimum(0.1) $A.maximum(600) $A.doc("Longest time between two parts of a body.");
 }
 
+struct Connections $A.doc("Limits of connections of callers or operators.") {
+  maxDescriptors @0 :UInt32 $A.doc("File descriptors that the process may open; 0 for the limit that the system sets. Connections get 45 of 100.");
+  headerSectionBytes @1 :UInt32 = 65536 $A.unit("bytes") $A.minimum(1024) $A.doc("Largest header section; twice as much is refused with 431.");
+  headerTimeoutS @2 :Float64 = 30 $A.unit("s") $A.minimum(0.1) $A.maximum(3600) $A.doc("Longest time to send a header section; twice as long is refused with 408.");
+  idleS @3 :Float64 = 120 $A.unit("s") $A.minimum(0.1) $A.maximum(86400) $A.doc("Time after which an idle connection may be closed where there are too many; it is closed after twice as long.");
+}
+
 struct Timing $A.doc("Periods and time limits.") {
   documentPollS @0 :Float64 = 1 $A.unit("s") $A.minimum(0.02) $A.maximum(2) $A.doc("Polling period of the document's row.");
   loadPollS @1 :Float64 = 0.5 $A.unit("s") $A.minimum(0.02) $A.maximum(30) $A.doc("Polling period of load reports.");
@@ -78,6 +86,9 @@
   node @0 :Node $A.required $A.doc("Identity and shared connections.");
   port @1 :UInt16 $A.required $A.doc("Port for operators.");
   operators @2 :List(Operator) $A.required $A.doc("Operators who may sign in.");
+  connections @3 :Connections $A.doc("Limits of operators' connections.");
+  memoryMb @4 :UInt32 = 256 $A.unit("MB") $A.minimum(64) $A.doc("Memory of the host. An eighth of it holds bodies of operators; one body always has room.");
+  bodyTimeoutS @5 :Float64 = 60 $A.unit("s") $A.minimum(0.1) $A.maximum(3600) $A.doc("Longest time to send a body.");
 }
 
 struct Operator $A.doc("An operator.") {
--- a/briarknot/tests/test_console.py
+++ b/briarknot/tests/test_console.py
@@ -309,3 +309,14 @@
         output = console.read_output()
         assert 'token-of' not in output
         assert 'secret' not in output
+
+
+async def test_large_bodies_need_a_token(rig):
+    """Anyone could fill the memory of a console without a token."""
+    form = {'token': 'x' * (1 << 20)}
+    url = f'{rig.consoles[0].url}/sign-in'
+    async with aiohttp.ClientSession() as session:
+        async with session.post(url, data=form) as response:
+            assert response.status == 413
+    status, _ = await rig.call('PUT', '/api/document', 'no', data=form)
+    assert status == 401
