--- a/briarknot/ctl/_program.py
+++ b/briarknot/ctl/_program.py
@@ -11,6 +11,7 @@
 import briarknot
 from briarknot import config, httpclient, platform, program, schema
 from briarknot.ctl import _commands, _report
+from briarknot.ctl import _config_commands as _registered_configs
 from briarknot.ctl import _document_commands as _registered_documents
 from briarknot.ctl import _fleet_commands as _registered_fleet
 from briarknot.ctl import _journal_commands as _registered_journal
@@ -19,6 +20,7 @@
 
 #: Modules whose import registers their commands.
 COMMAND_MODULES = (
+    _registered_configs,
     _registered_documents,
     _registered_fleet,
     _registered_journal,
@@ -39,7 +41,7 @@
         'Exit codes: 0 done; 2 bad settings or arguments; 3 findings; '
         '4 another operator committed first; 5 platform unavailable, nothing '
         'changed; 6 platform unavailable, may be in force; 7 not found; '
-        '8 the wait timed out.'
+        '8 the wait timed out. check-config: 1 warnings; 2 errors.'
     ),
 )
 @attrs.frozen
--- a/briarknot/ctl/_report.py
+++ b/briarknot/ctl/_report.py
@@ -35,7 +35,7 @@
     :param parts: texts and tables for terminal output.
     """
 
-    code: ExitCode
+    code: enum.IntEnum
     tree: typing.Any
     parts: tuple[rich.console.RenderableType, ...] = ()
 
--- a/briarknot/platform/__init__.py
+++ b/briarknot/platform/__init__.py
@@ -8,6 +8,13 @@
 from briarknot.platform._client import Client, make_client
 from briarknot.platform._client_limits import ClientLimits, make_client_limits
 from briarknot.platform._client_states import Limit, Phase
+from briarknot.platform._config_changes import compare_configs
+from briarknot.platform._config_reading import check_config
+from briarknot.platform._config_registry import (
+    CONFIG_CHECKS,
+    ConfigFinding,
+    Severity,
+)
 from briarknot.platform._decoding import (
     MANIFEST_KEY,
     MANIFEST_TABLE,
@@ -54,12 +61,14 @@
 )
 
 __all__ = (
+    'CONFIG_CHECKS',
     'MANIFEST_KEY',
     'MANIFEST_TABLE',
     'WORKERS_TABLE',
     'Client',
     'ClientLimits',
     'Committed',
+    'ConfigFinding',
     'Conflict',
     'Duties',
     'EngineOrders',
@@ -77,12 +86,15 @@
     'Phase',
     'Responder',
     'Row',
+    'Severity',
     'StageOrder',
     'Taken',
     'Unavailable',
     'Unreported',
     'UsageReport',
     'WorkerCalls',
+    'check_config',
+    'compare_configs',
     'decode_manifest',
     'decode_worker',
     'make_client',
