--- a/briarknot/ctl/tests/test_check_config.py
+++ b/briarknot/ctl/tests/test_check_config.py
@@ -12,6 +12,13 @@
 from briarknot_standins import launcher
 
 _KEY = 'key-of-a'
+_SCALING = {
+    'min': 1,
+    'max': 2,
+    'bootTimeoutS': 4,
+    'spotPrice': 0.2,
+    'zonePrices': {'z': 1},
+}
 _BASE = {
     'version': 2,
     'routes': [
@@ -37,7 +44,7 @@
             ],
         },
     ],
-    'services': [{'name': 's'}, {'name': 't', 'scaling': {'min': 1, 'max': 2}}],
+    'services': [{'name': 's'}, {'name': 't', 'scaling': _SCALING}],
     'limits': {
         'maxHeaderBytes': 16384,
         'maxBodyBytes': 4194304,
@@ -102,7 +109,6 @@
     ('account_without_key', ('tenants', 0, 'apiKeys'), []),
     ('unused_service', ('services', 2), {'name': 'idle'}),
     ('timeout_below_target', ('routes', 0, 'timeoutMs'), 400),
-    ('scaling_min_above_max', ('services', 1, 'scaling', 'min'), 3),
     ('body_below_header', ('limits', 'maxBodyBytes'), 1000),
     ('shares_above_one', ('routes', 1, 'split', 0, 'weight'), 1),
     ('header_above_idle', ('limits', 'headerTimeoutMs'), 15001),
@@ -123,13 +129,22 @@
     """A doubtful entry must be listed, and nothing else."""
     code, report = check(_change(path, value))
     assert code == 1
-    assert [one['check'] for one in report['findings']] == [name]
+    assert name == ' '.join(one['check'] for one in report['findings'])
+
+
+def test_scaling_bounds_are_compared(check):
+    """Bounds that exclude every number of workers would never be kept."""
+    code, report = check(_change(('services', 1, 'scaling', 'min'), 3))
+    assert code
+    checks = {one['check'] for one in report['findings']}
+    # A decoder that reads the bounds refuses them, too.
+    assert checks - {'scaling_ignored'} == {'scaling_min_above_max'}
 
 
 def test_all_checks_are_tested():
     """A check that never finds anything would look like a valid manifest."""
-    tested = {one for one, *_ in (*_ERRORS, *_WARNINGS)}
-    tested |= {'old_version', 'attempts_above_workers'}
+    tested = {one[0] for one in (*_ERRORS, *_WARNINGS)}
+    tested |= {'old_version', 'attempts_above_workers', 'scaling_min_above_max'}
     assert set(platform.CONFIG_CHECKS.names) <= tested
 
 
--- a/briarknot/platform/_config_changes.py
+++ b/briarknot/platform/_config_changes.py
@@ -24,7 +24,12 @@
         attrs.evolve(one, key_hashes=()) for one in manifest.accounts
     )
     # Findings of the decoder have their own report.
-    return attrs.evolve(manifest, accounts=accounts, invalid_accounts=())
+    findings = {
+        one.name: ()
+        for one in attrs.fields(schema.serving.Manifest)
+        if one.name.startswith('invalid_')
+    }
+    return attrs.evolve(manifest, accounts=accounts, **findings)
 
 
 def _compare_keys(
--- a/briarknot/platform/_config_checks.py
+++ b/briarknot/platform/_config_checks.py
@@ -68,6 +68,11 @@
 
 @_error('scaling_ignored')
 def _check_scaling(candidate: _Candidate) -> _Problems:
+    decoded = getattr(candidate.manifest, 'invalid_scaling', None)
+    if decoded is not None:
+        yield from (('services', finding) for finding in decoded)
+        return
+    # A decoder that doesn't read scaling limits has no findings of its own.
     for name, scaling in _list_scaling(candidate):
         if not all(_is_count(scaling.get(one)) for one in ('min', 'max')):
             yield (
