Fix faults of client limits and check-config found in review

- A gateway loaded the modules of check-config and of the bounded applications at each start; they are loaded when they are first used.
- LimitedRunner replaced private methods of aiohttp's runner; it overrides public ones.
- A process without a limit of file descriptors (-1) closed each connection.
- A header line within a raised limit of the parser was refused with 431.
- A body that was refused while the process ended delayed it by up to 10 s.
- check-config ended in a traceback for a store with a wrong port, doubted an idle time-out of 0, which stands for none, and had a copy of the decoder's rules for scaling limits.

--- a/briarknot/ctl/_config_commands.py
+++ b/briarknot/ctl/_config_commands.py
@@ -6,6 +6,7 @@
 import pathlib
 import sys
 import typing
+import urllib.parse
 
 import attrs
 import cappa
@@ -131,8 +132,13 @@
 
 
 async def _read_store(address: str) -> _InForce | platform.Unavailable:
+    url = f'http://{address}'
+    try:
+        urllib.parse.urlsplit(url).port  # noqa: B018
+    except ValueError as error:
+        return platform.Unavailable(str(error))
     async with platform.make_store_session(_TIMEOUT_S) as session:
-        client = platform.make_client(session, f'http://{address}', _TIMEOUT_S)
+        client = platform.make_client(session, url, _TIMEOUT_S)
         row = await client.read_row(
             platform.MANIFEST_TABLE, platform.MANIFEST_KEY
         )
--- a/briarknot/gateway/tests/test_imports.py
+++ b/briarknot/gateway/tests/test_imports.py
@@ -11,6 +11,11 @@
     'briarknot.authority._transports',
     'briarknot.document._fleet_checks',
     'briarknot.planning._planners',
+    'briarknot.platform._app_connections',
+    'briarknot.platform._config_changes',
+    'briarknot.platform._config_checks',
+    'briarknot.platform._config_reading',
+    'briarknot.platform._config_registry',
 )
 
 
--- a/briarknot/platform/__init__.py
+++ b/briarknot/platform/__init__.py
@@ -4,17 +4,10 @@
 workers, and the decoding of the operators' manifest and workers' entries.
 """
 
-from briarknot.platform._app_connections import make_limited_runner
+from briarknot import lazy
 from briarknot.platform._client import Client, make_client
 from briarknot.platform._client_limits import ClientLimits, make_client_limits
 from briarknot.platform._client_states import Limit, Phase
-from briarknot.platform._config_changes import compare_configs
-from briarknot.platform._config_reading import check_config
-from briarknot.platform._config_registry import (
-    CONFIG_CHECKS,
-    ConfigFinding,
-    Severity,
-)
 from briarknot.platform._decoding import (
     MANIFEST_KEY,
     MANIFEST_TABLE,
@@ -60,15 +53,21 @@
     make_worker_calls,
 )
 
+#: A gateway needs none of these names, and starts without their modules.
+_MODULES = {
+    '_app_connections': ('make_limited_runner',),
+    '_config_changes': ('compare_configs',),
+    '_config_reading': ('check_config',),
+    '_config_registry': ('CONFIG_CHECKS', 'ConfigFinding', 'Severity'),
+}
 __all__ = (
-    'CONFIG_CHECKS',
+    *lazy.list_names(_MODULES),
     'MANIFEST_KEY',
     'MANIFEST_TABLE',
     'WORKERS_TABLE',
     'Client',
     'ClientLimits',
     'Committed',
-    'ConfigFinding',
     'Conflict',
     'Duties',
     'EngineOrders',
@@ -86,15 +85,12 @@
     'Phase',
     'Responder',
     'Row',
-    'Severity',
     'StageOrder',
     'Taken',
     'Unavailable',
     'Unreported',
     'UsageReport',
     'WorkerCalls',
-    'check_config',
-    'compare_configs',
     'decode_manifest',
     'decode_worker',
     'make_client',
@@ -102,10 +98,10 @@
     'make_duties',
     'make_engine_orders',
     'make_ingress',
-    'make_limited_runner',
     'make_operation',
     'make_order_session',
     'make_store_session',
     'make_worker_calls',
     'read_manifest_version',
 )
+__getattr__ = lazy.make_getattr(__name__, _MODULES)
--- a/briarknot/platform/_app_connections.py
+++ b/briarknot/platform/_app_connections.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import functools
 import resource
 import time
 import typing
@@ -22,6 +23,9 @@
 #: Part of the memory whose share holds header sections and connections; the rest is
 #: for bodies.
 _MEMORY_DIVISOR = 2
+#: File descriptors of a process for which the system sets no limit; the value is
+#: Linux's default for the largest limit (fs.nr_open).
+_MANY_DESCRIPTORS = 1 << 20
 
 
 class Connection(_http_server.Connection):
@@ -95,29 +99,6 @@
             self.transport.abort()
 
 
-class _Server(web.Server):
-    """Makes the connections of an application."""
-
-    def __init__(
-        self,
-        server: web.Server,
-        limits: _client_limits.ClientLimits,
-        options: dict[str, typing.Any],
-    ) -> None:
-        super().__init__(
-            server.request_handler,
-            request_factory=server.request_factory,
-            # The request ends when its caller disconnects.
-            handler_cancellation=True,
-        )
-        self._limits = limits
-        self._options = options
-
-    def __call__(self) -> Connection:
-        """Makes a connection."""
-        return Connection(self, self._limits, loop=self._loop, **self._options)
-
-
 class LimitedRunner(web.AppRunner):
     """Runs an application whose connections are bounded.
 
@@ -134,25 +115,41 @@
         limits: _client_limits.ClientLimits,
         **options: typing.Any,
     ) -> None:
-        super().__init__(app)
+        # The request ends when its caller disconnects.
+        super().__init__(app, handler_cancellation=True)
         self._limits = limits
         self._options = {'access_log': None, **options}
         self._checks: asyncio.Task[None] | None = None
 
-    async def _make_server(self) -> web.Server:
-        server = await super()._make_server()
+    @property
+    def server(self) -> typing.Callable[[], Connection] | None:
+        """Makes a connection; its requests go to the application's server."""
+        server = super().server
+        if server is None:
+            return None
+        return functools.partial(
+            Connection,
+            server,
+            self._limits,
+            loop=asyncio.get_running_loop(),
+            **self._options,
+        )
+
+    async def setup(self) -> None:
+        """Starts the application and the check of time limits."""
+        await super().setup()
         self._checks = asyncio.create_task(
             program.run_background_task(
                 'client_limits',
                 _late_clients.LateClients(self._limits).close_late,
             )
         )
-        return _Server(server, self._limits, self._options)
 
-    async def _cleanup_server(self) -> None:
+    async def cleanup(self) -> None:
+        """Closes all connections, and ends the application."""
         if self._checks is not None:
             self._checks.cancel()
-        await super()._cleanup_server()
+        await super().cleanup()
 
 
 def make_limited_runner(
@@ -169,14 +166,19 @@
     :param options: options of a connection.
     """
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        soft_limit = _MANY_DESCRIPTORS
     client_limits = schema.serving.ClientLimits(
-        header_bytes=settings.header_section_bytes,
+        # A line that the parser accepts must fit the section.
+        header_bytes=max(
+            settings.header_section_bytes, options.get('max_line_size', 0)
+        ),
         header_timeout_s=settings.header_timeout_s,
         idle_timeout_s=settings.idle_s,
     )
     limits = _client_limits.make_client_limits(
         memory_mb // _MEMORY_DIVISOR,
-        settings.max_descriptors or max(1, soft_limit),
+        settings.max_descriptors or soft_limit,
         lambda: client_limits,
     )
     return LimitedRunner(app, limits, **options)
--- a/briarknot/platform/_config_checks.py
+++ b/briarknot/platform/_config_checks.py
@@ -68,17 +68,9 @@
 
 @_error('scaling_ignored')
 def _check_scaling(candidate: _Candidate) -> _Problems:
-    decoded = getattr(candidate.manifest, 'invalid_scaling', None)
-    if decoded is not None:
-        yield from (('services', finding) for finding in decoded)
-        return
-    # A decoder that doesn't read scaling limits has no findings of its own.
-    for name, scaling in _list_scaling(candidate):
-        if not all(_is_count(scaling.get(one)) for one in ('min', 'max')):
-            yield (
-                f'services[{name}].scaling',
-                'min and max are no whole numbers from 0',
-            )
+    # A decoder that doesn't read scaling limits has no findings.
+    for finding in getattr(candidate.manifest, 'invalid_scaling', ()):
+        yield 'services', finding
 
 
 @_warning('shadowed_route')
@@ -181,7 +173,8 @@
 @_warning('header_above_idle')
 def _check_times(candidate: _Candidate) -> _Problems:
     limits = candidate.manifest.limits
-    if limits.header_timeout_s > limits.idle_timeout_s:
+    # 0 stands for no time-out.
+    if 0 < limits.idle_timeout_s < limits.header_timeout_s:
         yield (
             'limits',
             f'the header time-out of {limits.header_timeout_s} s is above the '
--- a/briarknot/platform/_connections.py
+++ b/briarknot/platform/_connections.py
@@ -65,6 +65,7 @@
         self._is_discarding = False
         self._dropped = asyncio.Event()
         self._missing = 0
+        self._is_ending = False
         self._is_chunked = False
         self._received = 0
         self._lines = 0
@@ -170,14 +171,14 @@
             return
 
     async def _wait_for_end(self, quiet_s: float) -> None:
-        while self._missing > 0:
+        while self._missing > 0 and not self._is_ending:
             self._dropped.clear()
             async with asyncio.timeout(quiet_s):
                 await self._dropped.wait()
 
     async def shutdown(self, *options: typing.Any) -> None:
         """Closes the connection after its open request, as the process ends."""
-        self._missing = 0
+        self._is_ending = True
         self._dropped.set()
         await super().shutdown(*options)
 
