--- a/briarknot/platform/_app_connections.py
+++ b/briarknot/platform/_app_connections.py
@@ -76,6 +76,23 @@
         finally:
             self._end_request()
 
+    async def shutdown(self, *options: typing.Any) -> None:
+        """Closes the connection after its open request, as the process ends.
+
+        The library receives no more then, and would wait for the rest of a body
+        until its time limit of 60 s.
+        """
+        body = self._last_body
+        is_running = (
+            self._client is not None
+            and self._client.phase is _client_states.Phase.RUN
+        )
+        if is_running and body is not None and not body.is_eof():
+            body.set_exception(
+                web.HTTPServiceUnavailable(headers={'Retry-After': '1'})
+            )
+        await super().shutdown(*options)
+
     def _start_request(self) -> None:
         now = time.monotonic()
         self._limits.start_request(self._client, 0, now)
--- a/briarknot/platform/tests/test_app_connections.py
+++ b/briarknot/platform/tests/test_app_connections.py
@@ -49,6 +49,7 @@
             stack.callback(writer.close)
             return reader, writer
 
+        open_connection.end_process = process.close
         async with asyncio.timeout(20):
             yield open_connection
 
@@ -122,3 +123,12 @@
     reader, writer = await connect()
     writer.write(_REQUEST + b'\r\n')
     assert await reader.readuntil(b'0.')
+
+
+async def test_end_of_the_process_does_not_wait_for_bodies(connect):
+    """A body that never ended delayed the end of the process by 60 s."""
+    reader, writer = await connect()
+    writer.write(_REQUEST + b'Content-Length: 5\r\n\r\nhe')
+    await asyncio.sleep(0.1)
+    await connect.end_process()
+    assert (await reader.read()).startswith(b'HTTP/1.1 503')
