--- a/briarknot/platform/_connections.py
+++ b/briarknot/platform/_connections.py
@@ -269,4 +269,9 @@
 
     def __call__(self) -> Connection:
         """Makes a connection."""
-        return Connection(self, self._limits, loop=self._loop, **self._options)
+        return Connection(
+            self,
+            self._limits,
+            loop=asyncio.get_running_loop(),
+            **self._options,
+        )
