--- a/briarknot/platform/__init__.py
+++ b/briarknot/platform/__init__.py
@@ -4,6 +4,7 @@
 workers, and the decoding of the operators' manifest and workers' entries.
 """
 
+from briarknot import lazy
 from briarknot.platform._cache_lists import (
     CacheContents,
     CacheLists,
@@ -57,7 +58,15 @@
     make_worker_calls,
 )
 
+#: A gateway needs none of these names, and starts without their modules.
+_MODULES = {
+    '_app_connections': ('make_limited_runner',),
+    '_config_changes': ('compare_configs',),
+    '_config_reading': ('check_config',),
+    '_config_registry': ('CONFIG_CHECKS', 'ConfigFinding', 'Severity'),
+}
 __all__ = (
+    *lazy.list_names(_MODULES),
     'MANIFEST_KEY',
     'MANIFEST_TABLE',
     'WORKERS_TABLE',
@@ -103,3 +112,4 @@
     'make_worker_calls',
     'read_manifest_version',
 )
+__getattr__ = lazy.make_getattr(__name__, _MODULES)
