--- a/briarknot/gateway/tests/test_accounts.py
+++ b/briarknot/gateway/tests/test_accounts.py
@@ -271,7 +271,7 @@
 
 
 async def test_unknown_key_waits_for_a_manifest_that_adds_it():
-    """A request whose key came a moment before the manifest was lost."""
+    """A request with a new key failed if the manifest arrived a moment later."""
     reply = _support.make_reply(200, 'x', _support.SEAL.strip())
     async with open_gateway(reply) as (gateway, _):
         put_accounts(gateway, make_entry(keys=('other',)))
--- a/briarknot/gateway/tests/test_usage.py
+++ b/briarknot/gateway/tests/test_usage.py
@@ -13,7 +13,7 @@
 
 @pytest.fixture(autouse=True)
 def account(monkeypatch):
-    """Gives all requests an account, whatever their headers are."""
+    """Assigns an account to all requests, also to those without a key."""
     fixed = property(lambda _: 'x', lambda *_: None)
     monkeypatch.setattr(serving.Call, 'account', fixed)
 
--- a/briarknot/platform/_values.py
+++ b/briarknot/platform/_values.py
@@ -51,7 +51,7 @@
     :param key: key.
     :param value: plain tree of the new row.
     :param expected_version: required version of the row; None inserts only.
-    :param is_removal: whether the row is removed, whatever its version is.
+    :param is_removal: whether the row is removed, at any version.
     """
 
     table: str
--- a/briarknot/usage/tests/test_counts.py
+++ b/briarknot/usage/tests/test_counts.py
@@ -155,7 +155,7 @@
 
 
 def test_silent_receivers_are_passed_over():
-    """Counts went to a killed process until the list of hosts changed."""
+    """A killed receiver got all counts until the list of hosts changed."""
     receivers = usage.Receivers()
     hosts = ('a', 'b', 'c')
     for tenth in range(20):
