--- a/briarknot/platform/__init__.py
+++ b/briarknot/platform/__init__.py
@@ -21,6 +21,9 @@
     NotTaken,
     Taken,
     UsageReport,
+    WorkerOrder,
+    WorkerOrderOutcome,
+    WorkerOrderResult,
     make_duties,
 )
 from briarknot.platform._engine_orders import (
@@ -82,6 +85,9 @@
     'Unreported',
     'UsageReport',
     'WorkerCalls',
+    'WorkerOrder',
+    'WorkerOrderOutcome',
+    'WorkerOrderResult',
     'decode_manifest',
     'decode_worker',
     'make_client',
--- a/briarknot/platform/_decoding.py
+++ b/briarknot/platform/_decoding.py
@@ -26,6 +26,8 @@
 }
 #: Errors that a tree of an unexpected shape raises.
 _SHAPE_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
+#: Workers of a service in a failure domain; larger limits are mistakes.
+_MAX_WORKERS = 100_000
 #: Larger figures name no worker; they would not fit messages and connections.
 _MAX_SLOTS = 1_000_000
 _MAX_PORT = 65535
@@ -70,6 +72,7 @@
             accounts=decoded.accounts,
             has_accounts='tenants' in tree,
             invalid_accounts=decoded.findings,
+            invalid_scaling=_list_scaling_findings(tree['services']),
         )
     except _SHAPE_ERRORS as error:
         return Malformed(f'{type(error).__name__}: {error}')
@@ -110,6 +113,8 @@
             / _MS_PER_S,
             born_ms=_check_range(tree.get('born', 0), 0, _MAX_TIME_MS),
             version=_check_text(tree['version']) if 'version' in tree else '',
+            is_spot=tree.get('spot') is True,
+            leaves_s=_decode_leaves_s(tree),
         )
     except _SHAPE_ERRORS as error:
         return Malformed(f'{type(error).__name__}: {error}')
@@ -158,14 +163,77 @@
 
 def _decode_service(tree: dict[str, typing.Any]) -> schema.serving.Service:
     engine = tree.get('engine')
+    scaling = _decode_scaling(tree)
     return schema.serving.Service(
         name=tree['name'],
         max_connections=tree.get('maxConnections', 0),
         has_engines=engine is not None,
         engine=_decode_engine(engine or {}),
+        has_scaling=bool(scaling),
+        scaling=scaling or schema.serving.ScalingLimits(),
     )
 
 
+def _list_scaling_findings(
+    services: list[dict[str, typing.Any]],
+) -> tuple[str, ...]:
+    """Lists what is wrong with scaling limits; services without any are left out."""
+    found = ((one['name'], _decode_scaling(one)) for one in services)
+    return tuple(
+        f'service {name}: {scaling.reason}'
+        for name, scaling in found
+        if isinstance(scaling, Malformed)
+    )
+
+
+def _decode_scaling(
+    service: dict[str, typing.Any],
+) -> schema.serving.ScalingLimits | Malformed | None:
+    """Decodes scaling limits, without which the service can still be used.
+
+    :param service: entry of the service.
+    :returns: the limits; None where it has none.
+    """
+    if 'scaling' not in service:
+        return None
+    tree = service['scaling']
+    try:
+        most = _check_range(tree['max'], 1, _MAX_WORKERS)
+        return schema.serving.ScalingLimits(
+            least=_check_range(tree['min'], 0, most),
+            most=most,
+            boot_s=float(_check_number(tree['bootTimeoutS'], float, int)),
+            spot_price=float(_check_number(tree['spotPrice'], float, int)),
+            prices=_decode_prices(tree['zonePrices']),
+        )
+    except _SHAPE_ERRORS as error:
+        return Malformed(f'{type(error).__name__}: {error}')
+
+
+def _decode_prices(
+    tree: dict[str, typing.Any],
+) -> tuple[schema.serving.DomainPrice, ...]:
+    return tuple(
+        schema.serving.DomainPrice(
+            domain=_check_text(domain),
+            price=float(_check_number(price, float, int)),
+        )
+        for domain, price in tree.items()
+    )
+
+
+def _decode_leaves_s(tree: dict[str, typing.Any]) -> float:
+    """Returns the time until a leaving worker ends; 0 where none can be read.
+
+    A worker must not be lost from the list for this field.
+    """
+    try:
+        leaves_ms = _check_number(tree.get('leaves_ms', 0), float, int)
+    except _SHAPE_ERRORS:
+        return 0
+    return leaves_ms / _MS_PER_S if _STATES[tree['state']] else 0
+
+
 def _decode_engine(tree: dict[str, typing.Any]) -> schema.serving.EngineLimits:
     return schema.serving.EngineLimits(
         slots=tree.get('slots', 0),
--- a/briarknot/platform/_duties.py
+++ b/briarknot/platform/_duties.py
@@ -1,5 +1,7 @@
 """Calls of the platform's duties, which one process of the fleet carries out."""
 
+import enum
+
 import aiohttp
 import attrs
 import orjson
@@ -10,6 +12,8 @@
 #: Longest call. It ends 2 s after the authority that lasts 3 s at the latest.
 _TIMEOUT_S = 2.0
 _OK = 200
+_BAD_REQUEST = 400
+_CONFLICT = 409
 _TOO_MANY_REQUESTS = 429
 _SERVER_ERROR = 500
 
@@ -43,9 +47,49 @@
     is_final: bool = False
 
 
+@attrs.frozen
+class WorkerOrder:
+    """Desired number of workers of one kind in a failure domain.
+
+    :param service: service that they belong to.
+    :param domain: the failure domain.
+    :param is_spot: whether they are spot workers.
+    :param desired: the number.
+    """
+
+    service: str
+    domain: str
+    is_spot: bool
+    desired: int
+
+
+class WorkerOrderResult(enum.Enum):
+    """What is known of a worker order after a call."""
+
+    ACCEPTED = 'accepted'
+    #: None are available there at the moment.
+    UNAVAILABLE = 'unavailable'
+    #: The same order would be rejected again.
+    REJECTED = 'rejected'
+    #: It may have been accepted.
+    UNKNOWN = 'unknown'
+
+
+@attrs.frozen
+class WorkerOrderOutcome:
+    """Outcome of one call that orders workers.
+
+    :param result: what is known of the order.
+    :param reason: status, or why there is none.
+    """
+
+    result: WorkerOrderResult
+    reason: str
+
+
 @attrs.define(eq=False)
 class Duties:
-    """Reports to the platform; no method raises on an outage."""
+    """Calls the platform; no method raises on an outage."""
 
     _session: aiohttp.ClientSession
     _host: str
@@ -62,6 +106,44 @@
         body = orjson.dumps(
             {'windowIndex': report.window, 'counts': report.counts}
         )
+        status = await self._send(f'http://{address}/usage', body, fence)
+        if isinstance(status, str):
+            return NotTaken(status)
+        return _decode_status(status)
+
+    async def order_workers(
+        self, address: str, order: WorkerOrder, fence: int
+    ) -> WorkerOrderOutcome:
+        """Sends a worker order once.
+
+        :param address: IP number and port of the platform.
+        :param order: the order.
+        :param fence: fencing number of the authority to order.
+        """
+        tree = {
+            'service': order.service,
+            'zone': order.domain,
+            'desired': order.desired,
+        }
+        if order.is_spot:
+            tree['spot'] = True
+        status = await self._send(
+            f'http://{address}/scale', orjson.dumps(tree), fence
+        )
+        if isinstance(status, str):
+            return WorkerOrderOutcome(WorkerOrderResult.UNKNOWN, status)
+        return WorkerOrderOutcome(
+            _decode_order_status(status), f'status {status}'
+        )
+
+    async def _send(self, url: str, body: bytes, fence: int) -> int | str:
+        """Sends a call; its body is not read, so that it may be endless.
+
+        :param url: URL of the call.
+        :param body: JSON text.
+        :param fence: fencing number.
+        :returns: the status, or why there is none.
+        """
         headers = {
             'Duty-Holder': self._host,
             'Fencing-Token': str(fence),
@@ -69,15 +151,15 @@
         }
         try:
             async with self._session.post(
-                f'http://{address}/usage',
+                url,
                 data=body,
                 headers=headers,
                 timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
                 allow_redirects=False,
             ) as response:
-                return _decode_status(response.status)
+                return response.status
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            return NotTaken(f'{type(error).__name__}: {error}')
+            return f'{type(error).__name__}: {error}'
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -91,6 +173,17 @@
     return NotTaken(f'status {status}', is_final=not is_repeated)
 
 
+def _decode_order_status(status: int) -> WorkerOrderResult:
+    if status == _OK:
+        return WorkerOrderResult.ACCEPTED
+    if status == _CONFLICT:
+        return WorkerOrderResult.UNAVAILABLE
+    is_client_error = _BAD_REQUEST <= status < _SERVER_ERROR
+    if is_client_error and status != _TOO_MANY_REQUESTS:
+        return WorkerOrderResult.REJECTED
+    return WorkerOrderResult.UNKNOWN
+
+
 def make_duties(host: str) -> Duties:
     """Makes the client of the duties; a running event loop is needed.
 
--- a/briarknot/platform/_sessions.py
+++ b/briarknot/platform/_sessions.py
@@ -136,8 +136,12 @@
 
 
 def make_limited_connector() -> aiohttp.TCPConnector:
-    """Makes a connector without kept connections; a running loop is needed."""
-    return _LimitedConnector(force_close=True)
+    """Makes a connector without kept connections; a running loop is needed.
+
+    Bytes that are not acknowledged soon are dropped, also after the call has timed
+    out: a call that arrives later would carry an outdated fencing number.
+    """
+    return _LimitedConnector(force_close=True, socket_factory=_make_socket)
 
 
 async def read_limited(
--- a/briarknot/schema/_generated/records.py
+++ b/briarknot/schema/_generated/records.py
@@ -594,3 +594,47 @@
         minimum=0,
         default=0,
     )
+
+
+@attrs.frozen(kw_only=True)
+class OrderedWorkers:
+    """Latest order for the workers of one kind in one failure domain."""
+
+    __schema__ = 'records'
+
+    domain: str = _fields.make_field(doc='The failure domain.', default='')
+    is_spot: bool = _fields.make_field(
+        doc='Whether they are spot workers.', default=False
+    )
+    desired: int = _fields.make_field(
+        doc='Desired number of workers.',
+        maximum=4294967295,
+        minimum=0,
+        default=0,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class ScalingRow:
+    """Row with the latest worker orders of a service. It is written before they are sent."""
+
+    __schema__ = 'records'
+
+    era: int = _fields.make_field(
+        doc='Era of the store in which it was written; the orders of an earlier one are ignored.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    holder: str = _fields.make_field(
+        doc='Host of the process that wrote it.', default=''
+    )
+    fence: int = _fields.make_field(
+        doc='Fencing number of its grant.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
+    orders: tuple[OrderedWorkers, ...] = _fields.make_field(
+        doc='The orders.', default=()
+    )
--- a/briarknot/schema/_generated/serving.py
+++ b/briarknot/schema/_generated/serving.py
@@ -133,6 +133,52 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class DomainPrice:
+    """Price of a paid worker in a failure domain."""
+
+    __schema__ = 'serving'
+
+    domain: str = _fields.make_field(doc='The failure domain.', default='')
+    price: float = _fields.make_field(
+        doc="Price of one second of a worker that can't be reclaimed.",
+        default=0.0,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class ScalingLimits:
+    """Limits within which the workers of a service are ordered."""
+
+    __schema__ = 'serving'
+
+    least: int = _fields.make_field(
+        doc='Workers of both kinds that a failure domain keeps.',
+        maximum=4294967295,
+        minimum=0,
+        default=0,
+    )
+    most: int = _fields.make_field(
+        doc='Workers of both kinds that a failure domain may have.',
+        maximum=4294967295,
+        minimum=0,
+        default=0,
+    )
+    boot_s: float = _fields.make_field(
+        doc='Longest time from an order until the worker serves.',
+        unit='s',
+        default=0.0,
+    )
+    spot_price: float = _fields.make_field(
+        doc='Price of a spot worker relative to others of its failure domain.',
+        default=0.0,
+    )
+    prices: tuple[DomainPrice, ...] = _fields.make_field(
+        doc='Prices by failure domain; workers can be ordered in these.',
+        default=(),
+    )
+
+
 @attrs.frozen(kw_only=True)
 class Service:
     """Interchangeable workers."""
@@ -153,6 +199,13 @@
         doc='Limits of its engines.',
         default=attrs.Factory(lambda: EngineLimits()),
     )
+    has_scaling: bool = _fields.make_field(
+        doc='Whether its workers are ordered.', default=False
+    )
+    scaling: ScalingLimits = _fields.make_field(
+        doc='Limits of the orders.',
+        default=attrs.Factory(lambda: ScalingLimits()),
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -237,6 +290,9 @@
         doc='What is wrong with entries of accounts, without their keys.',
         default=(),
     )
+    invalid_scaling: tuple[str, ...] = _fields.make_field(
+        doc='What is wrong with scaling limits that are ignored.', default=()
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -281,6 +337,14 @@
         doc='Version of its software; empty if it states none. A stream continues only at the version at which it began.',
         default='',
     )
+    is_spot: bool = _fields.make_field(
+        doc='Whether it may be reclaimed, and costs less.', default=False
+    )
+    leaves_s: float = _fields.make_field(
+        doc='Time until it ends, as its entry states; 0 if it states none.',
+        unit='s',
+        default=0.0,
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/schema/_generated/settings.py
+++ b/briarknot/schema/_generated/settings.py
@@ -491,11 +491,11 @@
         default=1024,
     )
     duty_address: str = _fields.make_field(
-        doc='IP number and port at which the platform takes the reports of duties; empty for none.',
+        doc='IP number and port at which the platform takes usage reports and worker orders; empty for none.',
         default='',
     )
     duties: tuple[str, ...] = _fields.make_field(
-        doc='Duties of the fleet; usage_report reports the requests of client accounts, others are ignored.',
+        doc='Duties of the fleet; usage_report reports the requests of client accounts, autoscale orders paid workers, others are ignored.',
         default=(),
     )
     usage_window_s: float = _fields.make_field(
--- a/briarknot/schema/definitions/records.capnp
+++ b/briarknot/schema/definitions/records.capnp
@@ -186,3 +186,16 @@
   holder @2 :Text $A.doc("Host of the process that wrote it.");
   fence @3 :UInt64 $A.doc("Fencing number of its grant.");
 }
+
+struct OrderedWorkers $A.doc("Latest order for the workers of one kind in one failure domain.") {
+  domain @0 :Text $A.doc("The failure domain.");
+  isSpot @1 :Bool $A.doc("Whether they are spot workers.");
+  desired @2 :UInt32 $A.doc("Desired number of workers.");
+}
+
+struct ScalingRow $A.doc("Row with the latest worker orders of a service. It is written before they are sent.") {
+  era @0 :UInt64 $A.doc("Era of the store in which it was written; the orders of an earlier one are ignored.");
+  holder @1 :Text $A.doc("Host of the process that wrote it.");
+  fence @2 :UInt64 $A.doc("Fencing number of its grant.");
+  orders @3 :List(OrderedWorkers) $A.doc("The orders.");
+}
--- a/briarknot/schema/definitions/serving.capnp
+++ b/briarknot/schema/definitions/serving.capnp
@@ -44,11 +44,26 @@
   switchS @5 :Float64 $A.unit("s") $A.doc("Duration of a stage change after the running work has ended.");
 }
 
+struct DomainPrice $A.doc("Price of a paid worker in a failure domain.") {
+  domain @0 :Text $A.doc("The failure domain.");
+  price @1 :Float64 $A.doc("Price of one second of a worker that can't be reclaimed.");
+}
+
+struct ScalingLimits $A.doc("Limits within which the workers of a service are ordered.") {
+  least @0 :UInt32 $A.doc("Workers of both kinds that a failure domain keeps.");
+  most @1 :UInt32 $A.doc("Workers of both kinds that a failure domain may have.");
+  bootS @2 :Float64 $A.unit("s") $A.doc("Longest time from an order until the worker serves.");
+  spotPrice @3 :Float64 $A.doc("Price of a spot worker relative to others of its failure domain.");
+  prices @4 :List(DomainPrice) $A.doc("Prices by failure domain; workers can be ordered in these.");
+}
+
 struct Service $A.doc("Interchangeable workers.") {
   name @0 :Text $A.doc("Name of the service.");
   maxConnections @1 :UInt32 $A.doc("Connections that a worker accepts from all hosts.");
   hasEngines @2 :Bool $A.doc("Whether its workers are model engines.");
   engine @3 :EngineLimits $A.doc("Limits of its engines.");
+  hasScaling @4 :Bool $A.doc("Whether its workers are ordered.");
+  scaling @5 :ScalingLimits $A.doc("Limits of the orders.");
 }
 
 struct ClientLimits $A.doc("Limits on what a client may send.") {
@@ -73,6 +88,7 @@
   accounts @4 :List(Account) $A.doc("Client accounts that can be used.");
   hasAccounts @5 :Bool $A.doc("Whether requests need a key, even if no account can be used.");
   invalidAccounts @6 :List(Text) $A.doc("What is wrong with entries of accounts, without their keys.");
+  invalidScaling @7 :List(Text) $A.doc("What is wrong with scaling limits that are ignored.");
 }
 
 struct Worker $A.doc("A worker as it last registered itself.") {
@@ -86,6 +102,8 @@
   coldS @7 :Float64 $A.unit("s") $A.doc("Time for which it remains slow after its start.");
   bornMs @8 :UInt64 $A.unit("ms") $A.doc("Unix time of its start; distinguishes a restart under the same id.");
   version @9 :Text $A.doc("Version of its software; empty if it states none. A stream continues only at the version at which it began.");
+  isSpot @10 :Bool $A.doc("Whether it may be reclaimed, and costs less.");
+  leavesS @11 :Float64 $A.unit("s") $A.doc("Time until it ends, as its entry states; 0 if it states none.");
 }
 
 struct PromptPart $A.doc("A part of a prompt that requests may share.") {
--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -116,8 +116,8 @@
   retryWindowS @13 :Float64 = 10 $A.unit("s") $A.doc("Window of the two limits above.");
   memoryMb @14 :UInt32 = 256 $A.unit("MB") $A.doc("Memory of the host; 0 for 256. A quarter of it holds what clients send and don't read.");
   maxDescriptors @15 :UInt32 = 1024 $A.doc("File descriptors that the process may open; 0 for 1,024. Clients get 45 of 100.");
-  dutyAddress @16 :Text $A.doc("IP number and port at which the platform takes the reports of duties; empty for none.");
-  duties @17 :List(Text) $A.doc("Duties of the fleet; usage_report reports the requests of client accounts, others are ignored.");
+  dutyAddress @16 :Text $A.doc("IP number and port at which the platform takes usage reports and worker orders; empty for none.");
+  duties @17 :List(Text) $A.doc("Duties of the fleet; usage_report reports the requests of client accounts, autoscale orders paid workers, others are ignored.");
   usageWindowS @18 :Float64 = 5 $A.unit("s") $A.minimum(0.1) $A.doc("Window of usage reports.");
   usageLateS @19 :Float64 = 10 $A.unit("s") $A.minimum(0.1) $A.doc("Time after the end of its window at which a usage report is due.");
   loadSpreading @20 :LoadSpreading = nearCheapest $A.doc("Choice among engines of nearly equal cost.");
