--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -105,6 +105,7 @@
     :param stop: shortens the time limits of requests when the process stops.
     :param accounts: client accounts of the manifest.
     :param manifest_status: whether the manifest is known to be the newest.
+    :param configuration_changed: notified when a manifest or settings are in force.
     :param background_tasks: tasks that outlive the request that started them.
     """
 
@@ -148,6 +149,7 @@
     manifest_status: _manifest_status.ManifestStatus = attrs.field(
         factory=_manifest_status.ManifestStatus
     )
+    configuration_changed: program.Signal = attrs.field(factory=program.Signal)
     background_tasks: set[typing.Any] = attrs.field(factory=set)
     _groups: _host_groups.HostGroups | None = None
 
--- a/briarknot/gateway/_crashes.py
+++ b/briarknot/gateway/_crashes.py
@@ -1,6 +1,7 @@
 """Keeps requests that make workers crash away from the workers."""
 
 import hashlib
+import math
 import time
 
 import prometheus_client
@@ -170,6 +171,10 @@
         on_trial=request.trial_keys,
         reason=failure.reason,
     )
+    ends = context.fleet.ends
+    if not math.isinf(ends.get_remaining_s(worker, broken_s)):
+        # A worker that ends as its entry states has not crashed.
+        return has_ended
     if has_ended:
         request.trial_keys = ()
         context.quarantine.record_crash(
--- a/briarknot/gateway/_gateway.py
+++ b/briarknot/gateway/_gateway.py
@@ -26,6 +26,7 @@
     _usage_reports,
     _usage_sync,
     _version_sync,
+    _worker_orders,
 )
 
 #: Time limit of one call to the store, in seconds. The store answers in 4 ms
@@ -97,6 +98,10 @@
             self._context, self._client
         )
 
+        worker_orders = _worker_orders.make_worker_orders(
+            self._context, self._client
+        )
+
         async def follow_store() -> None:
             # What is quarantined, and the versions that began streams, are
             # known before the manifest makes it ready.
@@ -124,6 +129,7 @@
                 ('stages', stage_orders.run),
                 ('usage', usage_sync.run),
                 ('usage_reports', usage_reports.run),
+                ('worker_orders', worker_orders.run),
                 ('settings', self._watch_settings),
                 ('log', self._flush_lines),
             )
@@ -133,6 +139,7 @@
         for task in tasks:
             task.cancel()
         await usage_reports.close()
+        await worker_orders.close()
         await metrics.cleanup()
 
     async def _stop(self, ingress: platform.Ingress) -> None:
@@ -200,6 +207,7 @@
             parsed.value.retry_extra,
             parsed.value.retry_window_s,
         )
+        self._context.configuration_changed.notify()
         telemetry.log_event('settings_reloaded', cause=cause)
 
 
--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -253,6 +253,11 @@
     source = progress.source
     if source is None:
         return None
+    ends = context.fleet.ends
+    if ends.get_remaining_s(source.worker, time.monotonic()) <= 0:
+        # Its worker has ended, and the cache with it.
+        progress.source = None
+        return None
     workers = _prefill.list_unblocked(
         context, request, _Stage.DECODE, request.tried
     )
--- a/briarknot/gateway/_generation_attempts.py
+++ b/briarknot/gateway/_generation_attempts.py
@@ -43,7 +43,7 @@
         remaining_s=request.remaining_s(time.monotonic()),
         rank=request.route.rank,
         source=source,
-        last_event=relay.resume_after,
+        last_event=relay.hold(),
         cache_holder=placement.cache_holder if placement else None,
     )
     with contextlib.ExitStack() as stack:
@@ -62,6 +62,7 @@
             )
             counted.is_prefilled = not isinstance(exchange, serving.Failed)
         if isinstance(exchange, serving.Failed):
+            relay.release()
             await _crashes.record_broken_start(
                 context, request, worker, exchange
             )
@@ -73,6 +74,7 @@
                 reason='the worker has started again since it was listed',
             )
             opened.record.record_failure(failure.kind, time.monotonic())
+            relay.release()
             return failure
         return _stream_moves.Run(opened, exchange, source, stack.pop_all())
 
@@ -119,7 +121,8 @@
     """
     with run.stack:
         failure = await _relay(context, request, run, relay, move)
-    if failure is not None and relay.is_starting:
+    is_moved = move.is_leaving and move.is_accepted
+    if failure is not None and relay.is_starting and not is_moved:
         await _crashes.record_broken_start(
             context, request, run.worker, failure
         )
--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -13,6 +13,8 @@
     _context,
     _peers,
     _store_readers,
+    _update_dates,
+    _worker_changes,
 )
 
 #: Longest wait for a changed manifest. A dead connection is detected after this
@@ -22,9 +24,6 @@
 #: Period of reading the workers. A leaving worker must receive no requests
 #: after a configured time of at least three seconds.
 _WORKERS_PERIOD_S = 0.8
-#: Time for which each update repeats a change of a worker, because datagrams
-#: may be lost.
-_CHANGE_REPEAT_S = 2.5
 #: Time since the last confirmation of the manifest after which a process sends
 #: no updates: one wait for a change, and a slow call to the store.
 _MAX_MANIFEST_AGE_S = 1.6
@@ -32,18 +31,6 @@
 _RETRY_S = 0.4
 
 
-@attrs.frozen
-class _Change:
-    """Change of a worker that is sent to other processes.
-
-    :param seen_s: monotonic time at which it was seen.
-    :param worker: the worker; None where it was removed.
-    """
-
-    seen_s: float
-    worker: schema.serving.Worker | None
-
-
 @attrs.frozen(order=True)
 class _Position:
     """Moment in the history of the store.
@@ -63,15 +50,14 @@
     _context: _context.Context
     _client: platform.Client
     _peers: _peers.Peers
+    _changes: _worker_changes.WorkerChanges
     _is_store_unavailable: bool = False
-    _malformed: set[str] = attrs.field(factory=set)
     _manifest_era: int = 0
     _is_stored_in_force: bool = False
     _list_era: int = 0
     _list_position: _Position = _Position()
     _list_store_s: float = 0
     _manifest_confirmed_s: float = float('-inf')
-    _changes: dict[str, _Change] = attrs.field(factory=dict)
 
     async def sync_manifest(self) -> None:
         """Keeps the operators' manifest up to date."""
@@ -100,7 +86,7 @@
             is_recovered = self._record_recovery()
             self._list_position = _Position(page.era, page.version)
             self._list_store_s = page.store_s
-            self._apply_workers(
+            self._changes.apply_rows(
                 page.rows, started_s, after_outage=is_restored or is_recovered
             )
             self._confirm_versions(read_s)
@@ -136,7 +122,7 @@
             return False
         status = self._context.manifest_status
         status.record_version(update.manifest_version)
-        dated_s = _date_update(self._client, update)
+        dated_s = _update_dates.date_update(self._client, update)
         status.record_answer(dated_s)
         if update.manifest_version > self._context.fleet.version:
             return False
@@ -197,7 +183,7 @@
         self._client.record_era(position.era)
         self._record_era(position.era, time.monotonic())
         if not is_same:
-            self._apply_update(update)
+            self._changes.apply_update(update)
         if update.workers_digest != fleet.workers_digest:
             return False
         self._list_position = position
@@ -250,14 +236,8 @@
         age_s = _clock.read_clock() - self._manifest_confirmed_s
         if age_s > _MAX_MANIFEST_AGE_S:
             return
-        now = time.monotonic()
-        self._changes = {
-            worker_id: change
-            for worker_id, change in self._changes.items()
-            if now - change.seen_s < _CHANGE_REPEAT_S
-        }
-        workers = [change.worker for change in self._changes.values()]
         fleet = self._context.fleet
+        changed, gone = self._changes.list_recent(time.monotonic())
         self._peers.broadcast(
             schema.messages.FleetUpdate(
                 host=self._context.settings.host,
@@ -267,12 +247,8 @@
                 store_era=self._list_position.era,
                 list_store_s=self._list_store_s,
                 manifest_store_s=self._find_manifest_store_s(),
-                changed=tuple(one for one in workers if one is not None),
-                gone=tuple(
-                    worker_id
-                    for worker_id, change in self._changes.items()
-                    if change.worker is None
-                ),
+                changed=changed,
+                gone=gone,
             )
         )
 
@@ -302,7 +278,9 @@
             platform.MANIFEST_TABLE, version, _MANIFEST_WAIT_S
         )
         if isinstance(page, platform.Page) and page.era == self._manifest_era:
-            dated_s = _date_feed(self._client, page, read_s)
+            dated_s = _update_dates.date_feed(
+                self._client, page, read_s, _MANIFEST_WAIT_S
+            )
             self._manifest_confirmed_s = dated_s
             self._apply_manifest(page.rows, started_s)
             status.record_answer(dated_s)
@@ -362,6 +340,7 @@
                 continue
             if fleet.apply_manifest(manifest):
                 _accounts.apply_manifest(self._context, manifest)
+                self._context.configuration_changed.notify()
                 telemetry.log_event(
                     'manifest_in_force',
                     manifest_version=manifest.version,
@@ -371,80 +350,6 @@
                 self._context.notify_if_ready()
             self._is_stored_in_force = manifest.version == fleet.version
 
-    def _apply_workers(
-        self,
-        rows: tuple[platform.Row, ...],
-        started_s: float,
-        *,
-        after_outage: bool,
-    ) -> None:
-        workers = []
-        for row in rows:
-            worker = platform.decode_worker(row.key, row.value)
-            if not isinstance(worker, platform.Malformed):
-                workers.append(worker)
-            elif row.key not in self._malformed:
-                self._malformed.add(row.key)
-                telemetry.log_event(
-                    'worker_entry_malformed',
-                    worker=row.key,
-                    reason=worker.reason,
-                )
-        fleet = self._context.fleet
-        before = {one.id: one for one in fleet.workers}
-        removed = fleet.apply_workers(
-            tuple(workers),
-            started_s,
-            after_outage=after_outage,
-        )
-        self._record_changes(before, removed)
-
-    def _apply_update(self, update: schema.messages.FleetUpdate) -> None:
-        fleet = self._context.fleet
-        before = {one.id: one for one in fleet.workers}
-        removed = fleet.apply_changes(
-            update.changed, update.gone, time.monotonic()
-        )
-        self._record_changes(before, removed)
-
-    def _record_changes(
-        self,
-        before: dict[str, schema.serving.Worker],
-        removed: tuple[str, ...],
-    ) -> None:
-        """Records and logs changed workers, and drops their outdated state.
-
-        :param before: workers before the change.
-        :param removed: ids of workers that were removed.
-        """
-        context = self._context
-        context.notify_if_ready()
-        now = time.monotonic()
-        for worker_id in removed:
-            context.worker_records.remove(worker_id)
-            context.permits.remove_worker(before[worker_id])
-            context.prompt_load.remove_worker(worker_id)
-            self._changes[worker_id] = _Change(now, None)
-            telemetry.log_event('worker_removed', worker=worker_id)
-        for worker in context.fleet.workers:
-            old = before.get(worker.id)
-            if old is not None and _is_restarted(old, worker):
-                context.origins.forget_restarted(worker.id, _clock.read_clock())
-            if old is not None and old.born_ms != worker.born_ms:
-                # A restarted worker has lost its prompts and its KV cache.
-                context.prompt_load.remove_worker(worker.id)
-            if old is None or _is_changed(old, worker):
-                self._changes[worker.id] = _Change(now, worker)
-                telemetry.log_event(
-                    'worker_changed',
-                    worker=worker.id,
-                    service=worker.service,
-                    domain=worker.domain,
-                    stage=worker.stage.value,
-                    version=worker.version,
-                    draining=worker.draining,
-                )
-
     def _record_outage(self, reason: str) -> None:
         if not self._is_store_unavailable:
             telemetry.log_event('store_unavailable', reason=reason)
@@ -462,63 +367,6 @@
         return was_unavailable
 
 
-def _date_update(
-    client: platform.Client, update: schema.messages.FleetUpdate
-) -> float:
-    """Returns the time at which the list of an update was read, or an earlier one.
-
-    :param client: client of the store.
-    :param update: the update.
-    :returns: the time; minus infinity where the clocks can't be compared.
-    """
-    if update.store_era != client.era or not update.list_store_s:
-        return -math.inf
-    dated_s = client.convert_store_time(update.list_store_s)
-    return min(dated_s, _clock.read_clock())
-
-
-def _date_feed(
-    client: platform.Client, page: platform.Page, read_s: float
-) -> float:
-    """Returns the time as of which a page of the feed is complete.
-
-    A process that was suspended reads it late, so its arrival says nothing.
-
-    :param client: client of the store.
-    :param page: the page.
-    :param read_s: time before the feed was requested.
-    """
-    now = _clock.read_clock()
-    if page.store_s and page.era == client.era:
-        dated_s = client.convert_store_time(page.store_s)
-        return max(read_s, min(dated_s, now))
-    if page.rows:
-        return read_s
-    return min(read_s + _MANIFEST_WAIT_S, now)
-
-
-def _is_restarted(
-    old: schema.serving.Worker, new: schema.serving.Worker
-) -> bool:
-    return (old.born_ms, old.version) != (new.born_ms, new.version)
-
-
-def _is_changed(old: object, new: object) -> bool:
-    return (
-        old.draining,
-        old.stage,
-        old.address,
-        old.born_ms,
-        old.version,
-    ) != (
-        new.draining,
-        new.stage,
-        new.address,
-        new.born_ms,
-        new.version,
-    )
-
-
 def make_store_sync(
     context: _context.Context,
     client: platform.Client,
@@ -530,4 +378,5 @@
     :param client: client of the store.
     :param peers: sends the updates.
     """
-    return StoreSync(context, client, peers)
+    changes = _worker_changes.make_worker_changes(context)
+    return StoreSync(context, client, peers, changes)
--- a/briarknot/gateway/_stream.py
+++ b/briarknot/gateway/_stream.py
@@ -60,6 +60,7 @@
     _is_open: bool = False
     _run_started_s: float = 0
     _is_sound: bool = False
+    _is_held: bool = False
 
     @property
     def is_starting(self) -> bool:
@@ -79,6 +80,21 @@
         """Whether the client has got a part of the answer."""
         return self._is_open
 
+    def hold(self) -> str:
+        """Stops forwarding events of a leaving worker, as the rest is being sent.
+
+        Another worker sends what follows the latest event; both would send the
+        next ones.
+
+        :returns: the latest event that the client has.
+        """
+        self._is_held = True
+        return self.resume_after
+
+    def release(self) -> None:
+        """Forwards events again, as the rest was not accepted."""
+        self._is_held = False
+
     async def run(
         self,
         exchange: platform.Exchange,
@@ -94,6 +110,7 @@
         self._progress_s = time.monotonic()
         self._run_started_s = math.inf
         self._is_sound = False
+        self._is_held = False
         timer = _read_timer.make_read_timer(_SILENCE_CHECK_S)
         try:
             return await self._forward_all(exchange, move, timer)
@@ -141,18 +158,23 @@
         timer: _read_timer.ReadTimer,
     ) -> bytes | serving.Failed:
         while not self._is_stalled(time.monotonic()):
+            move.start_if_leaving()
             try:
                 chunk = await timer.wait_for(exchange.read_some())
             except TimeoutError:
                 move.start_if_silent()
                 continue
+            if move.is_leaving and self._is_held:
+                await move.settle()
             if move.is_accepted:
+                cause = 'leaving' if move.is_leaving else 'silent'
                 return serving.Failed(
                     kind=serving.FailureKind.UNREACHABLE,
-                    reason='silent, and another worker has accepted the rest',
+                    reason=f'{cause}, and another worker has accepted the rest',
                 )
             if not isinstance(chunk, serving.Failed):
                 move.record_bytes()
+                self._is_held = self._is_held and move.is_leaving
             return chunk
         return serving.Failed(
             kind=serving.FailureKind.TIMED_OUT,
--- a/briarknot/gateway/_stream_moves.py
+++ b/briarknot/gateway/_stream_moves.py
@@ -1,7 +1,8 @@
-"""Moves the stream of a silent worker once another one has accepted it."""
+"""Moves the stream of a silent or leaving worker once another one accepts it."""
 
 import asyncio
 import contextlib
+import math
 import time
 import typing
 
@@ -13,6 +14,12 @@
 #: Sends that moving a stream takes: its prompt is prefilled again, and its rest
 #: is generated at another worker.
 _SENDS_OF_A_MOVE = 2
+#: Time before the end of a leaving worker at which its streams are moved. A reclaim
+#: leaves 2 to 2.8 s, of which reading the entry takes up to 1 s; streams of workers
+#: that leave later may be complete before.
+_LEAVING_S = 3.0
+#: Time after which a move away from a leaving worker is tried again.
+_RETRY_S = 0.5
 
 
 @attrs.define(eq=False)
@@ -44,11 +51,12 @@
 
 @attrs.define(eq=False)
 class Move:
-    """Opens the rest of a stream at another worker while its own is silent.
+    """Opens the rest of a stream at another worker while its own is silent or leaves.
 
     A sound worker may be silent for a second or so and go on. Its run is given
     up only when another worker has accepted the rest. Where it goes on before,
-    the other one's run is cancelled.
+    the other one's run is cancelled. A leaving worker goes on, and its events count
+    until the rest is sent to the other one.
     """
 
     _context: _context.Context
@@ -56,6 +64,8 @@
     _run: Run
     _open_rest: OpenRest
     _task: asyncio.Task[Run | None] | None = None
+    _is_leaving: bool = False
+    _retry_at_s: float = -math.inf
 
     @property
     def is_accepted(self) -> bool:
@@ -65,22 +75,48 @@
             return False
         return task.exception() is None and task.result() is not None
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the rest is being opened because the worker leaves."""
+        return self._is_leaving and self._task is not None
+
     def start_if_silent(self) -> None:
         """Starts to open the rest where the worker is silent on all streams."""
         now = time.monotonic()
         record = self._run.opened.record
-        is_moving = self._task is not None and not self._task.done()
-        if is_moving or not record.is_silent(now) or not self._reserve(now):
+        is_silent = record.is_silent(now)
+        if self._is_moving or not is_silent or not self._reserve(now):
             return
         record.record_silence(now)
-        self._log('stream_moving')
+        self._is_leaving = False
+        self._log('stream_moving', reason='silent')
         self._task = asyncio.create_task(self._open())
 
+    def start_if_leaving(self) -> None:
+        """Starts to open the rest where the worker ends soon, as its entry states."""
+        now = time.monotonic()
+        ends = self._context.fleet.ends
+        remaining_s = ends.get_remaining_s(self._run.worker, now)
+        if remaining_s > _LEAVING_S or self._is_moving:
+            return
+        if now < self._retry_at_s or not self._reserve(now):
+            return
+        self._retry_at_s = now + _RETRY_S
+        self._is_leaving = True
+        remaining_s = round(remaining_s, 2)
+        self._log('stream_moving', reason='leaving', remaining_s=remaining_s)
+        self._task = asyncio.create_task(self._open())
+
+    async def settle(self) -> None:
+        """Waits until another worker has accepted the rest, or none does."""
+        if self._task is not None:
+            await asyncio.wait((self._task,))
+
     def record_bytes(self) -> None:
         """Records that the worker has sent bytes, and cancels the move."""
         record = self._run.opened.record
         record.record_bytes(time.monotonic())
-        if self._task is None or self._task.done():
+        if self._task is None or not self._is_moving or self._is_leaving:
             return
         record.record_recovery()
         self._task.cancel()
@@ -106,6 +142,11 @@
             if rest is not None:
                 rest.stack.close()
 
+    @property
+    def _is_moving(self) -> bool:
+        """Whether the rest is being opened."""
+        return self._task is not None and not self._task.done()
+
     async def _open(self) -> Run | None:
         rest = await self._open_rest()
         if rest is None:
--- a/briarknot/program/_signals.py
+++ b/briarknot/program/_signals.py
@@ -16,10 +16,10 @@
         self._event.set()
         self._event = asyncio.Event()
 
-    async def wait(self, timeout_s: float) -> bool:
+    async def wait(self, timeout_s: float | None = None) -> bool:
         """Waits for the next notification.
 
-        :param timeout_s: longest wait in seconds.
+        :param timeout_s: longest wait in seconds; None for no limit.
         :returns: whether there was one.
         """
         try:
--- a/briarknot/serving/_fleet.py
+++ b/briarknot/serving/_fleet.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from briarknot import schema
-from briarknot.serving import _worker_starts
+from briarknot.serving import _worker_ends, _worker_starts
 
 #: Live workers that are missing from the list after an outage of the store
 #: register again within this time: the platform guarantees about two seconds.
@@ -27,8 +27,14 @@
 
 @attrs.define(eq=False)
 class Fleet:
-    """Manifest in force and known workers."""
+    """Manifest in force and known workers.
 
+    :param ends: times at which leaving workers end.
+    """
+
+    ends: _worker_ends.WorkerEnds = attrs.field(
+        factory=_worker_ends.WorkerEnds, kw_only=True
+    )
     _manifest: schema.serving.Manifest | None = None
     _workers: dict[str, schema.serving.Worker] = attrs.field(factory=dict)
     _confirmed_s: float = float('-inf')
@@ -70,11 +76,7 @@
 
         Processes with the same list compute the same digest.
         """
-        descriptions = sorted(
-            f'{one.id} {one.service} {one.address} {one.draining}'
-            f' {one.stage} {one.born_ms} {one.version}'
-            for one in self._workers.values()
-        )
+        descriptions = sorted(map(_describe, self._workers.values()))
         return xxhash.xxh64_intdigest(repr(descriptions).encode())
 
     def confirm_workers(self, now: float) -> None:
@@ -128,7 +130,7 @@
         :returns: ids of removed workers.
         """
         listed = {
-            worker.id: self._mark_leaving(worker)
+            worker.id: self._mark_leaving(worker, now)
             for worker in workers
             if not self._is_resurrected(worker, now)
         }
@@ -161,7 +163,7 @@
         """
         self._workers.update(
             {
-                worker.id: self._mark_leaving(worker)
+                worker.id: self._mark_leaving(worker, now)
                 for worker in changed
                 if not self._is_resurrected(worker, now)
             }
@@ -305,7 +307,7 @@
         return removed_s is not None and removed_s < self._restored_s
 
     def _mark_leaving(
-        self, worker: schema.serving.Worker
+        self, worker: schema.serving.Worker, now: float
     ) -> schema.serving.Worker:
         """Returns a worker as leaving if it has been before.
 
@@ -313,6 +315,7 @@
         entry that says so comes from a copy of the store.
         """
         start = _worker_starts.name_start(worker)
+        self.ends.record(worker, now)
         if worker.draining:
             self._leaving[start] = None
             if len(self._leaving) > _MAX_STARTS:
@@ -333,6 +336,21 @@
         return now - self._missing_since_s[worker.id] < _REREGISTRATION_S
 
 
+def _describe(worker: schema.serving.Worker) -> str:
+    """Describes a worker for the digest.
+
+    Kinds of worker that earlier versions don't know are added only where they
+    apply, so that both compute the same digest for all others.
+    """
+    text = (
+        f'{worker.id} {worker.service} {worker.address} {worker.draining}'
+        f' {worker.stage} {worker.born_ms} {worker.version}'
+    )
+    if worker.is_spot or worker.leaves_s:
+        return f'{text} {worker.is_spot} {bool(worker.leaves_s)}'
+    return text
+
+
 def make_fleet() -> Fleet:
     """Makes a fleet without a manifest or workers.
 
