--- a/briarknot/gateway/_scaling_snapshot.py
+++ b/briarknot/gateway/_scaling_snapshot.py
@@ -106,7 +106,7 @@
         for worker in context.fleet.workers
         if worker.service == service
     )
-    keys = listed.keys() | state.ordered.keys() | state.unavailable_until_s
+    keys = set(listed).union(state.ordered, state.unavailable_until_s)
     return tuple(
         scaling.Group(
             domain=domain,
