--- a/briarknot/gateway/_scaling_snapshot.py
+++ b/briarknot/gateway/_scaling_snapshot.py
@@ -13,12 +13,27 @@
 _Service = schema.serving.Service
 
 
+@attrs.frozen
+class PlannedOrder:
+    """An order of a policy that has not been stored.
+
+    :param desired: desired number of workers.
+    :param reason: figures behind it.
+    :param planned_s: monotonic time at which it was planned.
+    """
+
+    desired: int
+    reason: str
+    planned_s: float
+
+
 @attrs.define(eq=False)
 class OrderState:
     """What is known of the orders for a service.
 
     :param ordered: latest desired numbers that were sent or are stored.
     :param stored: desired numbers in the row of the service.
+    :param planned: orders that have not been stored.
     :param accepted: latest desired numbers that the platform has accepted.
     :param unconfirmed: groups for whose latest number there was no answer.
     :param unavailable_until_s: monotonic times before which groups get no further
@@ -28,6 +43,7 @@
 
     ordered: _scaling_rows.Numbers = attrs.field(factory=dict)
     stored: _scaling_rows.Numbers = attrs.field(factory=dict)
+    planned: dict[_scaling_rows.Group, PlannedOrder] = attrs.field(factory=dict)
     accepted: _scaling_rows.Numbers = attrs.field(factory=dict)
     unconfirmed: set[_scaling_rows.Group] = attrs.field(factory=set)
     unavailable_until_s: dict[_scaling_rows.Group, float] = attrs.field(
@@ -117,6 +133,7 @@
             unavailable_until_s=state.unavailable_until_s.get(
                 (domain, is_spot), -math.inf
             ),
+            is_accepted=(domain, is_spot) not in state.unconfirmed,
         )
         for domain, is_spot in sorted(keys)
     )
--- a/briarknot/gateway/_store_sync.py
+++ b/briarknot/gateway/_store_sync.py
@@ -340,6 +340,7 @@
                 continue
             if fleet.apply_manifest(manifest):
                 _accounts.apply_manifest(self._context, manifest)
+                _log_invalid_scaling(manifest)
                 self._context.configuration_changed.notify()
                 telemetry.log_event(
                     'manifest_in_force',
@@ -367,6 +368,15 @@
         return was_unavailable
 
 
+def _log_invalid_scaling(manifest: schema.serving.Manifest) -> None:
+    for finding in manifest.invalid_scaling:
+        telemetry.log_event(
+            'scaling_limits_invalid',
+            manifest_version=manifest.version,
+            reason=finding[:500],
+        )
+
+
 def make_store_sync(
     context: _context.Context,
     client: platform.Client,
--- a/briarknot/gateway/_worker_orders.py
+++ b/briarknot/gateway/_worker_orders.py
@@ -36,6 +36,9 @@
 #: Time from a grant to one of another process. Calls end 5 s after a grant at the
 #: latest: its 3 s and the time limit of a call.
 _OTHER_HOLDER_S = 6.5
+#: Time for which a planned order waits for its grant. A policy proposes it again
+#: after this time if it is still wanted.
+_HOLD_S = 1.0
 #: Pause after an attempt that the store did not allow.
 _RETRY_S = 1.0
 
@@ -132,6 +135,7 @@
                 self._log_planned(one)
                 state = self._states[one.order.service]
                 state.ordered[one.group] = one.order.desired
+                state.planned.pop(one.group, None)
                 self._sending.start(one.order, state, grant)
 
     async def _load(self) -> bool:
@@ -174,25 +178,22 @@
             state = self._states.setdefault(
                 name, _scaling_snapshot.OrderState()
             )
+            self._plan(service, state)
             now = time.monotonic()
-            planned = {
-                (one.domain, one.is_spot): (one.desired, one.reason)
-                for one in self._plan(service, state)
+            numbers = {
+                group: (one.desired, one.reason)
+                for group, one in state.planned.items()
             }
-            repeated = {
+            numbers |= {
                 group: (state.ordered[group], 'not known to be accepted')
-                for group in sorted(state.unconfirmed - planned.keys())
+                for group in sorted(state.unconfirmed - numbers.keys())
                 if state.unavailable_until_s.get(group, now) <= now
             }
             due.extend(
                 _Due(platform.WorkerOrder(name, *group, desired), reason)
-                for group, (desired, reason) in {**planned, **repeated}.items()
+                for group, (desired, reason) in numbers.items()
                 if not self._sending.is_waiting(name, group)
                 and state.rejected_until_s.get(group, now) <= now
-                and (
-                    group in state.unconfirmed
-                    or state.ordered.get(group) != desired
-                )
             )
         return due
 
@@ -200,15 +201,27 @@
         self,
         service: schema.serving.Service,
         state: _scaling_snapshot.OrderState,
-    ) -> tuple['scaling.WorkerOrder', ...]:
+    ) -> None:
+        """Adds what the policy plans to the planned orders of a service."""
         policy = self._policies.get(service.name)
         if policy is None:
             policy = scaling.SCALING_POLICIES.get(_POLICY)()
             self._policies[service.name] = policy
+        now = time.monotonic()
         snapshot = _scaling_snapshot.make_snapshot(
             self._context, service, state
         )
-        return policy.plan(snapshot, time.monotonic())
+        for order in policy.plan(snapshot, now):
+            group = (order.domain, order.is_spot)
+            state.planned[group] = _scaling_snapshot.PlannedOrder(
+                order.desired, order.reason, now
+            )
+        state.planned = {
+            group: one
+            for group, one in state.planned.items()
+            if now - one.planned_s < _HOLD_S
+            and state.ordered.get(group) != one.desired
+        }
 
     async def _get_grant(self) -> authority.OrderGrant | None:
         """Returns a valid grant under which the known orders are the latest."""
--- a/briarknot/gateway/tests/_order_support.py
+++ b/briarknot/gateway/tests/_order_support.py
@@ -6,11 +6,10 @@
 
 import attrs
 
-from briarknot import platform, schema
+from briarknot import platform, scaling, schema
 from briarknot.authority import _order_grants
 from briarknot.gateway import (
     _context,
-    _scaling_snapshot,
     _store_readers,
     _worker_order_sending,
     _worker_orders,
@@ -141,18 +140,20 @@
         """The first of the store readers."""
         return next(one for one in self.nodes if one.is_first)
 
-    def plan(self, orders, service, state):
+    def get(self, name):
+        """Returns what makes a policy, as the registry does."""
+        return lambda: self
+
+    def plan(self, snapshot, now):
         """Plans the wanted numbers."""
-        snapshot = _scaling_snapshot.make_snapshot(
-            orders._context, service, state
-        )
         self.groups = {
             (one.domain, one.is_spot): one for one in snapshot.groups
         }
         return [
-            _Planned(*group, desired)
+            _make_order(group, desired)
             for group, desired in self.wanted.items()
-            if group not in self.groups or self.groups[group].ordered != desired
+            if group not in self.groups
+            or self._is_wanted(self.groups[group], desired, now)
         ]
 
     async def wait_for_calls(self, count=1):
@@ -163,19 +164,19 @@
         )
         return [one.desired for one in self.server.calls[known:]]
 
+    def _is_wanted(self, group, desired, now):
+        return group.ordered != desired and group.unavailable_until_s < now
+
     async def read_row(self):
         """Returns the stored orders."""
         return await self.store.read_row('scaling', 's')
 
 
-@attrs.frozen
-class _Planned:
-    """An order of the policy."""
-
-    domain: str
-    is_spot: bool
-    desired: int
-    reason: str = ''
+def _make_order(group, desired):
+    domain, is_spot = group
+    return scaling.WorkerOrder(
+        domain=domain, is_spot=is_spot, desired=desired, reason='wanted'
+    )
 
 
 def make_node(store, address, host, **changes):
@@ -215,11 +216,7 @@
     address = f'127.0.0.1:{listener.sockets[0].getsockname()[1]}'
     async with stores.open_store() as store:
         fleet = Fleet(store, server)
-        monkeypatch.setattr(
-            _worker_orders.WorkerOrders,
-            '_plan',
-            lambda orders, service, state: fleet.plan(orders, service, state),
-        )
+        monkeypatch.setattr(scaling, 'SCALING_POLICIES', fleet)
         fleet.nodes = [
             make_node(store, address, host, **changes) for host in hosts
         ]
--- a/briarknot/gateway/tests/test_imports.py
+++ b/briarknot/gateway/tests/test_imports.py
@@ -11,6 +11,7 @@
     'briarknot.authority._transports',
     'briarknot.document._fleet_checks',
     'briarknot.planning._planners',
+    'briarknot.scaling._snapshot',
 )
 
 
