--- a/briarknot/gateway/tests/_order_support.py
+++ b/briarknot/gateway/tests/_order_support.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import time
 
 import attrs
 
@@ -45,6 +46,7 @@
     body: dict
     holder: str
     fence: int
+    arrived_s: float = attrs.field(factory=time.monotonic)
 
     @property
     def desired(self):
--- a/briarknot/gateway/tests/test_early_leaving.py
+++ b/briarknot/gateway/tests/test_early_leaving.py
@@ -60,8 +60,10 @@
 
 async def open_and_leave(route, other):
     """Runs a stream at a worker that leaves, and returns its data."""
+    # Events arrive while the prompt is prefilled again.
+    slow = attrs.evolve(_support.HANDLE, delay_s=0.25)
     prefill, leaving = generation.make_workers(
-        [_support.HANDLE, _support.HANDLE], [make_slow(2, 20)]
+        [_support.HANDLE, slow, slow, slow], [make_slow(2, 20)]
     )
     async with _support.open_gateway(route, prefill, leaving, other) as gateway:
         record = _support.get_worker_record(gateway.context, other)
--- a/briarknot/gateway/tests/test_worker_orders.py
+++ b/briarknot/gateway/tests/test_worker_orders.py
@@ -1,6 +1,7 @@
 """Tests worker orders with failures, against the stand-in store."""
 
 import asyncio
+import itertools
 import time
 
 import attrs
@@ -153,13 +154,28 @@
         fleet.wanted = {_SPOT: 4}
         await asyncio.sleep(2.5)
         holders = [one.holder for one in fleet.server.calls]
-    changes = sum(
-        one != other for one, other in zip(holders, holders[1:], strict=False)
-    )
+    changes = sum(one != other for one, other in itertools.pairwise(holders))
     # A grant of another process is given 0.9 s after the last at the earliest.
     assert changes <= 2
 
 
+async def test_fence_changes_when_no_earlier_call_can_arrive(monkeypatch):
+    """A call that was delayed on its way arrived after one with a later number."""
+    async with support.open_fleet(monkeypatch, 'a1') as fleet:
+        monkeypatch.setattr(_worker_order_sending, '_LATE_ARRIVAL_S', 0.3)
+        fleet.server.replies.extend(500 for _ in range(1000))
+        fleet.wanted = {_SPOT: 4}
+        await stores.wait_until(
+            lambda: len({one.fence for one in fleet.server.calls}) > 2, 8
+        )
+        pauses_ms = [
+            1000 * (later.arrived_s - one.arrived_s)
+            for one, later in itertools.pairwise(fleet.server.calls)
+            if one.fence != later.fence
+        ]
+    assert min(pauses_ms) > 280
+
+
 async def test_nothing_is_ordered_without_the_store(monkeypatch):
     """A process that is cut off ordered while another one held the grant."""
     async with support.open_fleet(monkeypatch, 'a1') as fleet:
