--- a/briarknot/gateway/tests/_order_support.py
+++ b/briarknot/gateway/tests/_order_support.py
@@ -23,7 +23,16 @@
 _SERVICE = schema.serving.Service(
     name='s',
     has_scaling=True,
-    scaling=schema.serving.ScalingLimits(most=9),
+    scaling=schema.serving.ScalingLimits(
+        least=1,
+        most=9,
+        boot_s=4,
+        spot_price=0.2,
+        prices=tuple(
+            schema.serving.DomainPrice(domain=domain, price=1)
+            for domain in 'ab'
+        ),
+    ),
 )
 _SHORT_TIMES = (
     (_worker_orders, '_PERIOD_S', 0.02),
@@ -206,10 +215,13 @@
 
 
 @contextlib.asynccontextmanager
-async def open_fleet(monkeypatch, *hosts, are_known=True, **changes):
+async def open_fleet(
+    monkeypatch, *hosts, are_known=True, has_script=True, **changes
+):
     """Runs processes, each in a failure domain of its own.
 
     :param are_known: whether they know each other.
+    :param has_script: whether the test plans in place of the policy.
     """
     for module, name, seconds in _SHORT_TIMES:
         monkeypatch.setattr(module, name, seconds)
@@ -218,7 +230,8 @@
     address = f'127.0.0.1:{listener.sockets[0].getsockname()[1]}'
     async with stores.open_store() as store:
         fleet = Fleet(store, server)
-        monkeypatch.setattr(scaling, 'SCALING_POLICIES', fleet)
+        if has_script:
+            monkeypatch.setattr(scaling, 'SCALING_POLICIES', fleet)
         fleet.nodes = [
             make_node(store, address, host, **changes) for host in hosts
         ]
--- a/briarknot/gateway/tests/test_worker_orders.py
+++ b/briarknot/gateway/tests/test_worker_orders.py
@@ -193,6 +193,7 @@
     async with support.open_fleet(monkeypatch, 'a1') as fleet:
         fleet.wanted = {_SPOT: 4, ('a', False): 3}
         await fleet.wait_for_calls(2)
+        await stores.wait_until(lambda: _SPOT in fleet.groups)
         await fleet.store._post('/copy', {})
         await fleet.store._post('/restore', {})
         fleet.wanted = {('a', False): 3}
@@ -232,3 +233,11 @@
         )
         node.context.configuration_changed.notify()
         await stores.wait_until(lambda: steps)
+
+
+async def test_policy_in_use_orders_spot_workers(monkeypatch):
+    """The policy got figures that it could not use, and the task ended."""
+    async with support.open_fleet(monkeypatch, 'a1', has_script=False) as fleet:
+        await stores.wait_until(
+            lambda: any('spot' in one.body for one in fleet.server.calls), 8
+        )
