--- a/briarknot/gateway/tests/test_manifest_status.py
+++ b/briarknot/gateway/tests/test_manifest_status.py
@@ -13,6 +13,7 @@
     _context,
     _manifest_status,
     _store_sync,
+    _update_dates,
 )
 from briarknot.gateway.tests import test_restored_store as restores
 from briarknot.gateway.tests import test_store_sync as stores
@@ -225,7 +226,9 @@
     """A suspended leader would confirm the manifest of before to all."""
     monkeypatch.setattr(_clock, 'read_clock', lambda: 130)
     page = platform.Page(rows, 1, store_s=page_s, era=1)
-    dated_s = _store_sync._date_feed(_Client(), page, 100)
+    dated_s = _update_dates.date_feed(
+        _Client(), page, 100, _store_sync._MANIFEST_WAIT_S
+    )
     assert 130 - dated_s == pytest.approx(age_s)
 
 
