Fix worker orders and stream moves found faulty in a review

Orders: - A planned release survived a reload of the rows, and could end workers that another process had ordered since. - A release that waited for its grant was sent after more workers were needed. - A slow store counted as a suspension, and restarted the policy. - The row of a service that gets limits later was overwritten without being read. - A different number followed a call without a response after 0.5 s, while that call could still arrive and undo it. - A negative stored number was sent. - A grant whose write met a restored store could have the number of a lost one.

Streams of leaving workers: - A stream ran at two workers for as long as the other one took to accept it. - An accepted rest was opened again, and its run lost, while the client read slowly. - The rest could repeat the events that were sent as the stream opened. - A move without retries was tried again with each event.

--- a/briarknot/authority/_order_grants.py
+++ b/briarknot/authority/_order_grants.py
@@ -102,8 +102,12 @@
             row.version if row else None,
         )
     )
-    if not isinstance(result, platform.Committed):
-        return NotGranted(f'the write was not confirmed: {result!r}')
+    # After a restore, the copy may lack a grant with the same number.
+    is_restored = client.era != granted.store_era
+    if is_restored or not isinstance(result, platform.Committed):
+        return NotGranted(
+            f'the write was not confirmed: {result!r}, era {client.era}'
+        )
     telemetry.log_event('orders_granted', scope=name, fence=granted.fence)
     return OrderGrant(holder, granted.fence, started_s + _VALID_S)
 
--- a/briarknot/authority/tests/test_order_grants.py
+++ b/briarknot/authority/tests/test_order_grants.py
@@ -31,6 +31,21 @@
     assert all(grant.is_valid for grant in grants)
 
 
+async def test_restore_before_the_write_prevents_the_grant(monkeypatch):
+    """A number was given out that a grant missing in the copy had, too."""
+    async with open_client() as (client, _, _):
+        assert await authority.acquire_grant(client, 'lm', 'g1')
+        commit = platform.Client.commit
+
+        async def restore(client, *operations):
+            client.record_era(client.era + 1)
+            return await commit(client, *operations)
+
+        monkeypatch.setattr(platform.Client, 'commit', restore)
+        refused = await authority.acquire_grant(client, 'lm', 'g1')
+        assert isinstance(refused, authority.NotGranted)
+
+
 async def test_orders_of_two_processes_never_alternate(monkeypatch):
     """Two leaders gave opposite orders to one engine within a lease."""
     async with open_client() as (client, _, _):
--- a/briarknot/gateway/_scaling_rows.py
+++ b/briarknot/gateway/_scaling_rows.py
@@ -104,7 +104,10 @@
 
 def _decode_row(row: platform.Row) -> _Row | None:
     try:
-        return schema.from_plain(_Row, row.value)
+        decoded = schema.from_plain(_Row, row.value)
+        if any(one.desired < 0 for one in decoded.orders):
+            raise ValueError('a desired number is negative')
+        return decoded
     except (AttributeError, TypeError, ValueError) as error:
         telemetry.log_event(
             'scaling_row_malformed', service=row.key, reason=str(error)
--- a/briarknot/gateway/_scaling_snapshot.py
+++ b/briarknot/gateway/_scaling_snapshot.py
@@ -53,6 +53,32 @@
         factory=dict
     )
 
+    def drop_outdated(
+        self,
+        snapshot: 'scaling.Snapshot',
+        orders: tuple['scaling.WorkerOrder', ...],
+    ) -> None:
+        """Drops waiting releases when more workers are needed than before.
+
+        :param snapshot: the workers as they are now.
+        :param orders: orders that are planned now.
+        """
+        expected = {
+            (one.domain, one.is_spot): (
+                one.serving if one.ordered is None else one.ordered
+            )
+            for one in snapshot.groups
+        }
+        if any(
+            one.desired > expected.get((one.domain, one.is_spot), 0)
+            for one in orders
+        ):
+            self.planned = {
+                group: one
+                for group, one in self.planned.items()
+                if one.desired >= expected.get(group, 0)
+            }
+
     def revert(self, group: _scaling_rows.Group) -> None:
         """Restores the number before an order that the platform has not taken.
 
--- a/briarknot/gateway/_stream.py
+++ b/briarknot/gateway/_stream.py
@@ -1,5 +1,6 @@
 """Relays the events of one or more runs as one stream."""
 
+import asyncio
 import math
 import time
 import typing
@@ -23,6 +24,10 @@
 #: Time for which a client leaves events unread after which its worker is not blamed
 #: for a broken stream; workers cut off what stays unread for some seconds.
 _UNREAD_S = 1.0
+#: Time for which a leaving worker may run a stream whose rest is being sent to
+#: another worker: a stream may run at two workers for 0.4 s, of which its end takes
+#: the way to another region.
+_MAX_OVERLAP_S = 0.3
 #: Longest event; an event holds a few tokens.
 _MAX_EVENT_BYTES = 1 << 20
 
@@ -61,6 +66,9 @@
     _run_started_s: float = 0
     _is_sound: bool = False
     _is_held: bool = False
+    _exchange: platform.Exchange | None = None
+    _move: _stream_moves.Move | None = None
+    _overlap_timer: asyncio.TimerHandle | None = None
 
     @property
     def is_starting(self) -> bool:
@@ -89,11 +97,17 @@
         :returns: the latest event that the client has.
         """
         self._is_held = True
+        self._stop_overlap_timer()
+        if self._exchange and self._move and self._move.is_leaving:
+            self._overlap_timer = asyncio.get_running_loop().call_later(
+                _MAX_OVERLAP_S, self._exchange.close
+            )
         return self.resume_after
 
     def release(self) -> None:
         """Forwards events again, as the rest was not accepted."""
         self._is_held = False
+        self._stop_overlap_timer()
 
     async def run(
         self,
@@ -111,11 +125,24 @@
         self._run_started_s = math.inf
         self._is_sound = False
         self._is_held = False
+        self._exchange = exchange
+        self._move = move
         timer = _read_timer.make_read_timer(_SILENCE_CHECK_S)
         try:
             return await self._forward_all(exchange, move, timer)
         finally:
             timer.close()
+            self._end_run()
+
+    def _end_run(self) -> None:
+        self._exchange = None
+        self._move = None
+        self._stop_overlap_timer()
+
+    def _stop_overlap_timer(self) -> None:
+        if self._overlap_timer is not None:
+            self._overlap_timer.cancel()
+            self._overlap_timer = None
 
     async def _forward_all(
         self,
@@ -197,6 +224,8 @@
     async def _forward(
         self, exchange: platform.Exchange, events: bytes, *, is_end: bool
     ) -> bool:
+        # Another worker may be asked for the rest while the client is waited for.
+        self.resume_after = _get_last_id(events) or self.resume_after
         if not self._is_open and (events or is_end):
             self._is_open = True
             if not await self.responder.start_stream(exchange.answer):
@@ -225,7 +254,6 @@
             self.on_begin()
         self._latest_s = now
         self._progress_s = now
-        self.resume_after = _get_last_id(events) or self.resume_after
 
 
 def _split_events(data: bytes) -> tuple[bytes, bytes]:
--- a/briarknot/gateway/_stream_moves.py
+++ b/briarknot/gateway/_stream_moves.py
@@ -85,7 +85,9 @@
         now = time.monotonic()
         record = self._run.opened.record
         is_silent = record.is_silent(now)
-        if self._is_moving or not is_silent or not self._reserve(now):
+        if self._is_moving or self.is_accepted or not is_silent:
+            return
+        if not self._reserve(now):
             return
         record.record_silence(now)
         self._is_leaving = False
@@ -97,11 +99,13 @@
         now = time.monotonic()
         ends = self._context.fleet.ends
         remaining_s = ends.get_remaining_s(self._run.worker, now)
-        if remaining_s > _LEAVING_S or self._is_moving:
-            return
-        if now < self._retry_at_s or not self._reserve(now):
+        # A rest that is accepted while the client reads slowly is still to be taken.
+        is_begun = self._is_moving or self.is_accepted
+        if remaining_s > _LEAVING_S or is_begun or now < self._retry_at_s:
             return
         self._retry_at_s = now + _RETRY_S
+        if not self._reserve(now):
+            return
         self._is_leaving = True
         remaining_s = round(remaining_s, 2)
         self._log('stream_moving', reason='leaving', remaining_s=remaining_s)
--- a/briarknot/gateway/_worker_order_sending.py
+++ b/briarknot/gateway/_worker_order_sending.py
@@ -28,6 +28,31 @@
 _Result = platform.WorkerOrderResult
 
 
+@attrs.frozen
+class _Unanswered:
+    """The latest call for a group, if it is not known whether it was accepted.
+
+    :param desired: its number.
+    :param ended_s: monotonic time of its end.
+    :param has_status: whether there was a response.
+    """
+
+    desired: int
+    ended_s: float
+    has_status: bool
+
+    def get_pause_s(self, desired: int) -> float:
+        """Returns the time from its end to the next call for the group.
+
+        A call without a response may arrive late, and would undo another number.
+
+        :param desired: number of the next call.
+        """
+        if self.has_status or desired == self.desired:
+            return _RESEND_S
+        return _LATE_ARRIVAL_S
+
+
 @attrs.define(eq=False)
 class WorkerOrderSending:
     """Orders whose calls run."""
@@ -37,8 +62,8 @@
     _tasks: dict[tuple[str, _scaling_rows.Group], asyncio.Task[None]] = (
         attrs.field(factory=dict)
     )
-    _unanswered_s: dict[tuple[str, _scaling_rows.Group], float] = attrs.field(
-        factory=dict
+    _unanswered: dict[tuple[str, _scaling_rows.Group], _Unanswered] = (
+        attrs.field(factory=dict)
     )
     _latest_unanswered_s: float = -math.inf
 
@@ -53,15 +78,22 @@
         quiet_s = time.monotonic() - self._latest_unanswered_s
         return not self._tasks and quiet_s >= _LATE_ARRIVAL_S
 
-    def is_waiting(self, service: str, group: _scaling_rows.Group) -> bool:
-        """Returns whether a group gets no order now.
+    def is_waiting(
+        self, service: str, group: _scaling_rows.Group, desired: int
+    ) -> bool:
+        """Returns whether an order may not be sent yet.
 
         :param service: name of the service.
         :param group: the group.
+        :param desired: number of the order.
         """
         key = (service, group)
-        resend_s = self._unanswered_s.get(key, -math.inf) + _RESEND_S
-        return key in self._tasks or time.monotonic() < resend_s
+        if key in self._tasks:
+            return True
+        last = self._unanswered.get(key)
+        if last is None:
+            return False
+        return time.monotonic() < last.ended_s + last.get_pause_s(desired)
 
     def start(
         self,
@@ -108,12 +140,14 @@
         group = (order.domain, order.is_spot)
         now = time.monotonic()
         _ORDERS.labels(outcome.result.value).inc()
-        self._unanswered_s.pop((order.service, group), None)
+        self._unanswered.pop((order.service, group), None)
         if outcome.result == _Result.ACCEPTED:
             state.accepted[group] = order.desired
             state.unconfirmed.discard(group)
         elif outcome.result == _Result.UNKNOWN:
-            self._unanswered_s[order.service, group] = now
+            self._unanswered[order.service, group] = _Unanswered(
+                order.desired, now, has_status=outcome.has_status
+            )
             self._latest_unanswered_s = now
         else:
             state.revert(group)
--- a/briarknot/gateway/_worker_orders.py
+++ b/briarknot/gateway/_worker_orders.py
@@ -30,6 +30,9 @@
 #: Delay of a wake-up from which on this process was suspended, so that its view of
 #: the load is outdated.
 _MAX_DELAY_S = 0.75
+#: Duration of a step from which on this process was suspended: a step makes at most
+#: five calls to the store of 1 s each. A slow store alone must not restart planning.
+_MAX_STEP_S = 5.5
 #: Time for which a process is the first reader before it plans. A process that has
 #: just started doesn't know the others, and reads the rows in vain.
 _SETTLE_S = 1.0
@@ -73,7 +76,6 @@
     _grant: authority.OrderGrant | None = None
     _era: int = 0
     _is_loaded: bool = False
-    _checked_s: float = -math.inf
     _first_since_s: float = math.inf
     _retry_at_s: float = -math.inf
     _refused: str = ''
@@ -88,22 +90,24 @@
                 continue
             is_idle = math.isinf(self._first_since_s)
             period_s = _IDLE_PERIOD_S if is_idle else _PERIOD_S
+            started_s = _clock.read_clock()
             await asyncio.sleep(period_s)
-            if self._is_first(period_s):
+            slept_s = _clock.read_clock() - started_s
+            if self._is_first(is_current=slept_s < period_s + _MAX_DELAY_S):
                 await self._step()
+                if _clock.read_clock() - started_s - slept_s > _MAX_STEP_S:
+                    self._forget()
 
     async def close(self) -> None:
         """Ends the calls, and closes the connections."""
         await self._sending.close()
 
-    def _is_first(self, period_s: float) -> bool:
+    def _is_first(self, *, is_current: bool) -> bool:
         """Returns whether this process is to plan now.
 
-        :param period_s: time for which it slept.
+        :param is_current: whether it was not suspended since it last checked.
         """
         now = _clock.read_clock()
-        is_current = now - self._checked_s < period_s + _MAX_DELAY_S
-        self._checked_s = now
         context = self._context
         is_first = _store_readers.get_reader_rank(context) == 0
         if not (is_current and is_first and context.is_ready):
@@ -121,8 +125,11 @@
 
     async def _step(self) -> None:
         """Plans once, and sends what is due."""
-        if self._rows.era != self._era:
-            # The stored orders are those of a copy.
+        services = _scaling_snapshot.list_services(self._context)
+        is_known = all(one.name in self._states for one in services)
+        if self._rows.era != self._era or not is_known:
+            # The stored orders are those of a copy, or of a service whose limits
+            # have been unusable so far.
             self._is_loaded = False
         if not self._is_loaded and not await self._load():
             return
@@ -155,8 +162,13 @@
                 self._context, service.name
             )
             known = self._states.get(service.name)
+            known = known or _scaling_snapshot.OrderState()
+            # Orders planned from other numbers may end workers that were ordered
+            # since.
+            planned = known.planned if known.ordered == numbers else {}
             self._states[service.name] = attrs.evolve(
-                known or _scaling_snapshot.OrderState(),
+                known,
+                planned=planned,
                 ordered={**numbers},
                 stored=numbers,
                 accepted={},
@@ -175,9 +187,7 @@
         due = []
         for service in _scaling_snapshot.list_services(self._context):
             name = service.name
-            state = self._states.setdefault(
-                name, _scaling_snapshot.OrderState()
-            )
+            state = self._states[name]
             self._plan(service, state)
             now = time.monotonic()
             numbers = {
@@ -192,7 +202,7 @@
             due.extend(
                 _Due(platform.WorkerOrder(name, *group, desired), reason)
                 for group, (desired, reason) in numbers.items()
-                if not self._sending.is_waiting(name, group)
+                if not self._sending.is_waiting(name, group, desired)
                 and state.rejected_until_s.get(group, now) <= now
             )
         return due
@@ -211,7 +221,9 @@
         snapshot = _scaling_snapshot.make_snapshot(
             self._context, service, state
         )
-        for order in policy.plan(snapshot, now):
+        orders = policy.plan(snapshot, now)
+        state.drop_outdated(snapshot, orders)
+        for order in orders:
             group = (order.domain, order.is_spot)
             state.planned[group] = _scaling_snapshot.PlannedOrder(
                 order.desired, order.reason, now
--- a/briarknot/gateway/tests/test_early_leaving.py
+++ b/briarknot/gateway/tests/test_early_leaving.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import time
+from unittest import mock
 
 import attrs
 import pytest
 
-from briarknot import schema
-from briarknot.gateway import _worker_changes
+from briarknot import platform, schema
+from briarknot.gateway import _stream, _stream_moves, _worker_changes
 from briarknot.gateway.tests import _support
 from briarknot.gateway.tests import test_crashing_parts as crashing
 from briarknot.gateway.tests import test_generation as generation
@@ -91,6 +92,93 @@
     assert other.requests
 
 
+@attrs.define(eq=False)
+class _Slow(_Resuming):
+    """Accepts the rest late, and records when it was asked for it."""
+
+    asked_s: float = 0
+
+    async def _take_reply(self, head, reader):
+        self.asked_s = time.monotonic()
+        return await super()._take_reply(head, reader)
+
+
+async def test_stream_does_not_run_at_two_workers_for_long(monkeypatch):
+    """The leaving worker went on for as long as the other one took to accept."""
+    other = _Slow([_support.Reply('', delay_s=0.9)], 'decode')
+    closed_s = []
+    close = platform.Exchange.close
+
+    def record(exchange):
+        if other.asked_s:
+            closed_s.append(time.monotonic())
+        close(exchange)
+
+    monkeypatch.setattr(platform.Exchange, 'close', record)
+    data = await open_and_leave(generation.make_stream_route(), other)
+    assert data == [f'e{number}' for number in range(1, 20)]
+    # The first one that is closed is that of the leaving worker.
+    overlap_ms = 1000 * (closed_s[0] - other.asked_s)
+    assert overlap_ms < 400
+
+
+async def test_accepted_rest_is_not_opened_again():
+    """A client read slowly, and the accepted run went on with nobody to read it."""
+    opened = []
+
+    async def open_rest():
+        opened.append(mock.MagicMock())
+        return opened[-1]
+
+    context, run = mock.MagicMock(), mock.MagicMock()
+    context.fleet.ends.get_remaining_s.return_value = 2
+    request = mock.MagicMock()
+    move = _stream_moves.make_move(context, request, run, open_rest)
+    with mock.patch.object(_stream_moves, '_RETRY_S', 0):
+        with mock.patch.object(move.__class__, '_reserve', return_value=True):
+            move.start_if_leaving()
+            await move.settle()
+            move.start_if_leaving()
+            move.start_if_silent()
+    assert move.is_accepted
+    assert len(opened) == 1
+
+
+async def test_move_without_retries_is_not_tried_with_each_event():
+    """Each event of each stream compared all workers while no retry was left."""
+    context = mock.MagicMock()
+    context.fleet.ends.get_remaining_s.return_value = 2
+    move = _stream_moves.make_move(
+        context, mock.MagicMock(), mock.MagicMock(), None
+    )
+    with mock.patch.object(
+        move.__class__, '_reserve', return_value=False
+    ) as reserve:
+        move.start_if_leaving()
+        move.start_if_leaving()
+    assert reserve.call_count == 1
+
+
+async def test_rest_follows_an_event_that_waits_for_the_client():
+    """The rest began before the events that were sent as the stream opened."""
+    held = []
+    responder = mock.AsyncMock()
+    relay = _stream.make_relay(responder, '')
+
+    async def open_stream(_):
+        held.append(relay.hold())
+        return True
+
+    responder.start_stream = open_stream
+    exchange = mock.MagicMock()
+    exchange.read_some = mock.AsyncMock(
+        side_effect=[b'id: 3\ndata: x\n\n', b'']
+    )
+    move = mock.MagicMock(is_leaving=False, is_accepted=False)
+    assert await relay.run(exchange, move) is None
+    assert held == ['3']
+
+
 async def test_stream_that_may_not_be_resumed_stays():
     """A stream was moved although its route allows one run only."""
     route = generation.make_stream_route(resumable=False)
--- a/briarknot/gateway/tests/test_worker_orders.py
+++ b/briarknot/gateway/tests/test_worker_orders.py
@@ -7,8 +7,13 @@
 import attrs
 import pytest
 
-from briarknot import schema
-from briarknot.gateway import _scaling_rows, _worker_order_sending
+from briarknot import scaling, schema
+from briarknot.gateway import (
+    _scaling_rows,
+    _scaling_snapshot,
+    _worker_order_sending,
+    _worker_orders,
+)
 from briarknot.gateway.tests import _order_support as support
 from briarknot.gateway.tests import _usage_support
 from briarknot.gateway.tests import test_store_sync as stores
@@ -67,6 +72,20 @@
     assert row['orders'][0]['desired'] == 7
 
 
+async def test_newer_plan_waits_for_a_call_that_may_arrive_late(monkeypatch):
+    """The outdated number was in force, as its call arrived after the newer one."""
+    async with support.open_fleet(monkeypatch, 'a1') as fleet:
+        monkeypatch.setattr(_worker_order_sending, '_LATE_ARRIVAL_S', 0.3)
+        monkeypatch.setattr(_worker_order_sending, '_RESEND_S', 9)
+        fleet.server.replies.append(_usage_support.LOST)
+        fleet.wanted = {_SPOT: 4}
+        await fleet.wait_for_calls()
+        fleet.wanted = {_SPOT: 7}
+        assert await fleet.wait_for_calls() == [7]
+        first, later = fleet.server.calls
+    assert 1000 * (later.arrived_s - first.arrived_s) > 280
+
+
 async def test_unavailable_workers_are_reported_to_the_policy(monkeypatch):
     """The policy waited for workers that the platform had not taken an order for."""
     async with support.open_fleet(monkeypatch, 'a1') as fleet:
@@ -176,6 +195,129 @@
     assert min(pauses_ms) > 280
 
 
+async def test_release_planned_before_a_reload_is_dropped(monkeypatch):
+    """A release by one worker ended those that another process had ordered since."""
+    monkeypatch.setattr(
+        support.Fleet,
+        '_is_wanted',
+        lambda _, group, desired, now: group.ordered == 4 and desired < 4,
+    )
+    async with support.open_fleet(monkeypatch, 'a1') as fleet:
+        fleet.wanted = {_SPOT: 4}
+        await fleet.wait_for_calls()
+        orders = fleet.nodes[0].orders
+        await stores.wait_until(lambda: not orders._grant.is_valid)
+        grant = await fleet.store.read_row('grants', 'scaling')
+        fence = grant['fence'] + 1
+        row = await fleet.read_row()
+        row['orders'][0]['desired'] = 9
+        await fleet.store.put('scaling', 's', {**row, 'fence': fence})
+        await fleet.store.put('grants', 'scaling', {**grant, 'fence': fence})
+        fleet.wanted = {_SPOT: 3}
+        # The stored order may not have been sent.
+        assert await fleet.wait_for_calls() == [9]
+        await asyncio.sleep(0.3)
+    assert [one.desired for one in fleet.server.calls] == [4, 9]
+
+
+def test_waiting_release_is_dropped_when_more_workers_are_needed():
+    """A release that waited for its grant was sent while workers were reclaimed."""
+    group = scaling.Group(
+        domain='a',
+        is_spot=False,
+        serving=3,
+        ordered=3,
+        is_leaving=False,
+        unavailable_until_s=0,
+    )
+    state = _scaling_snapshot.OrderState()
+    limits = scaling.ScalingLimits(
+        least=1, most=9, boot_s=4, spot_price=0.2, prices={'a': 1}
+    )
+    snapshot = scaling.Snapshot(
+        limits=limits, groups=(group,), demand=scaling.Demand(), target_s=0
+    )
+    for desired, is_kept in ((2, False), (5, True)):
+        waiting = _scaling_snapshot.PlannedOrder(desired, '', 0)
+        state.planned = {('a', False): waiting}
+        state.drop_outdated(snapshot, ())
+        assert state.planned
+        more = scaling.WorkerOrder(
+            domain='b', is_spot=True, desired=1, reason=''
+        )
+        state.drop_outdated(snapshot, (more,))
+        assert bool(state.planned) == is_kept
+
+
+async def test_slow_store_does_not_restart_planning(monkeypatch):
+    """The policy forgot its windows of demand with each order."""
+    store = _scaling_rows.ScalingRows.store
+    policies = []
+
+    async def delay(rows, numbers, grant):
+        # The orders are stored late, as by four slow calls.
+        await asyncio.sleep(0.25)
+        return await store(rows, numbers, grant)
+
+    monkeypatch.setattr(_scaling_rows.ScalingRows, 'store', delay)
+    monkeypatch.setattr(_worker_orders, '_MAX_DELAY_S', 0.2)
+    async with support.open_fleet(monkeypatch, 'a1') as fleet:
+        monkeypatch.setattr(
+            support.Fleet,
+            'get',
+            lambda fleet, name: lambda: policies.append(name) or fleet,
+        )
+        for desired in (4, 5, 6):
+            fleet.wanted = {_SPOT: desired}
+            await fleet.wait_for_calls()
+    assert len(policies) == 1
+
+
+async def test_suspended_process_plans_anew(monkeypatch):
+    """A process that had been suspended planned by the load of before."""
+    policies = []
+    monkeypatch.setattr(
+        support.Fleet,
+        'get',
+        lambda fleet, name: lambda: policies.append(name) or fleet,
+    )
+    async with support.open_fleet(monkeypatch, 'a1'):
+        await stores.wait_until(lambda: policies)
+        monkeypatch.setattr(_worker_orders, '_MAX_DELAY_S', 0.2)
+        time.sleep(0.4)  # noqa: ASYNC251 (it stands for a suspension)
+        await stores.wait_until(lambda: len(policies) > 1)
+
+
+async def test_orders_of_a_service_that_gets_limits_later_are_read(monkeypatch):
+    """Its stored orders were overwritten by the first new one."""
+    other = attrs.evolve(support._SERVICE, name='t')
+    async with support.open_fleet(monkeypatch, 'a1') as fleet:
+        await stores.wait_until(lambda: fleet.groups)
+        orders = [{'domain': 'b', 'is_spot': True, 'desired': 2}]
+        await fleet.store.put('scaling', 't', {'era': 1, 'orders': orders})
+        fleet.nodes[0].context.fleet.apply_manifest(
+            schema.serving.Manifest(
+                version=2, services=(support._SERVICE, other)
+            )
+        )
+        await fleet.wait_for_calls()
+    assert fleet.server.calls[0].body == {
+        'service': 't',
+        'zone': 'b',
+        'desired': 2,
+        'spot': True,
+    }
+
+
+async def test_malformed_row_is_ignored(monkeypatch):
+    """A negative number was sent, or the task ended at each start."""
+    async with support.open_fleet(monkeypatch, 'a1') as fleet:
+        orders = [{'domain': 'b', 'is_spot': True, 'desired': -2}]
+        await fleet.store.put('scaling', 's', {'era': 1, 'orders': orders})
+        fleet.wanted = {_SPOT: 4}
+        assert await fleet.wait_for_calls() == [4]
+
+
 async def test_nothing_is_ordered_without_the_store(monkeypatch):
     """A process that is cut off ordered while another one held the grant."""
     async with support.open_fleet(monkeypatch, 'a1') as fleet:
@@ -217,7 +359,9 @@
             )
             await asyncio.sleep(0.1)
         monkeypatch.setattr(
-            type(node.orders), '_is_first', lambda *_: steps.append(1)
+            type(node.orders),
+            '_is_first',
+            lambda _, **options: steps.append(options),
         )
         fleet.wanted = {_SPOT: 4}
         before = await fleet.store.read_stats()
--- a/briarknot/platform/_duties.py
+++ b/briarknot/platform/_duties.py
@@ -81,10 +81,13 @@
 
     :param result: what is known of the order.
     :param reason: status, or why there is none.
+    :param has_status: whether there was a response, so that the call can't arrive
+        later.
     """
 
     result: WorkerOrderResult
     reason: str
+    has_status: bool = True
 
 
 @attrs.define(eq=False)
@@ -131,7 +134,9 @@
             f'http://{address}/scale', orjson.dumps(tree), fence
         )
         if isinstance(status, str):
-            return WorkerOrderOutcome(WorkerOrderResult.UNKNOWN, status)
+            return WorkerOrderOutcome(
+                WorkerOrderResult.UNKNOWN, status, has_status=False
+            )
         return WorkerOrderOutcome(
             _decode_order_status(status), f'status {status}'
         )
