--- a/briarknot/ctl/tests/test_check_config.py
+++ b/briarknot/ctl/tests/test_check_config.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import copy
-import types
 
 import aiohttp
 import orjson
@@ -132,25 +131,12 @@
     assert name == ' '.join(one['check'] for one in report['findings'])
 
 
-def test_scaling_bounds_are_compared(check):
-    """Bounds that exclude every number of workers would never be kept."""
-    code, report = check(_change(('services', 1, 'scaling', 'min'), 3))
-    assert code
-    checks = {one['check'] for one in report['findings']}
-    # A decoder that reads the bounds refuses them, too.
-    assert checks - {'scaling_ignored'} == {'scaling_min_above_max'}
-
-
-def test_scaling_limits_are_judged_by_the_decoder():
-    """A second copy of the decoder's rules differed from what gateways do."""
-    run = platform.CONFIG_CHECKS.get('scaling_ignored').run
-    manifest = types.SimpleNamespace(invalid_scaling=('service t: no min',))
-    found = run(types.SimpleNamespace(manifest=manifest))
-    assert list(found) == [('services', 'service t: no min')]
-    text = orjson.dumps(_change(('services', 1, 'scaling', 'min'), 'one'))
-    decoded = platform.check_config(text)
-    listed = getattr(decoded.manifest, 'invalid_scaling', ())
-    assert [one.text for one in decoded.findings] == list(listed)
+@pytest.mark.parametrize('least', [3, 'one'])
+def test_scaling_limits_are_judged_by_the_decoder(check, least):
+    """Scaling limits that gateways ignore looked valid."""
+    code, report = check(_change(('services', 1, 'scaling', 'min'), least))
+    assert code == 2
+    assert [one['check'] for one in report['findings']] == ['scaling_ignored']
 
 
 def test_limits_of_zero_stand_for_none(check):
@@ -161,8 +147,7 @@
 def test_all_checks_are_tested():
     """A check that never finds anything would look like a valid manifest."""
     tested = {one[0] for one in (*_ERRORS, *_WARNINGS)}
-    tested |= {'old_version', 'attempts_above_workers', 'scaling_min_above_max'}
-    tested.add('scaling_ignored')
+    tested |= {'old_version', 'attempts_above_workers', 'scaling_ignored'}
     assert set(platform.CONFIG_CHECKS.names) <= tested
 
 
--- a/briarknot/gateway/_stage_orders.py
+++ b/briarknot/gateway/_stage_orders.py
@@ -109,6 +109,7 @@
             engines=tuple(engines),
             slots=service.engine.slots,
             kv_tokens=service.engine.kv_tokens,
+            is_scaled=service.has_scaling,
         )
 
     async def _change(
--- a/briarknot/gateway/tests/test_imports.py
+++ b/briarknot/gateway/tests/test_imports.py
@@ -16,6 +16,7 @@
     'briarknot.platform._config_checks',
     'briarknot.platform._config_reading',
     'briarknot.platform._config_registry',
+    'briarknot.scaling._snapshot',
 )
 
 
--- a/briarknot/platform/__init__.py
+++ b/briarknot/platform/__init__.py
@@ -27,6 +27,9 @@
     NotTaken,
     Taken,
     UsageReport,
+    WorkerOrder,
+    WorkerOrderOutcome,
+    WorkerOrderResult,
     make_duties,
 )
 from briarknot.platform._engine_orders import (
@@ -98,6 +101,9 @@
     'Unreported',
     'UsageReport',
     'WorkerCalls',
+    'WorkerOrder',
+    'WorkerOrderOutcome',
+    'WorkerOrderResult',
     'decode_manifest',
     'decode_worker',
     'make_cache_lists',
--- a/briarknot/platform/_config_checks.py
+++ b/briarknot/platform/_config_checks.py
@@ -6,7 +6,6 @@
 import collections
 import collections.abc
 import functools
-import typing
 
 from briarknot import schema
 from briarknot.platform import _config_registry
@@ -68,8 +67,7 @@
 
 @_error('scaling_ignored')
 def _check_scaling(candidate: _Candidate) -> _Problems:
-    # A decoder that doesn't read scaling limits has no findings.
-    for finding in getattr(candidate.manifest, 'invalid_scaling', ()):
+    for finding in candidate.manifest.invalid_scaling:
         yield 'services', finding
 
 
@@ -140,17 +138,6 @@
             )
 
 
-@_warning('scaling_min_above_max')
-def _check_scaling_bounds(candidate: _Candidate) -> _Problems:
-    for name, scaling in _list_scaling(candidate):
-        least, most = scaling.get('min'), scaling.get('max')
-        if _is_count(least) and _is_count(most) and least > most:
-            yield (
-                f'services[{name}].scaling',
-                f'min is {least}, max is {most}',
-            )
-
-
 @_warning('body_below_header')
 def _check_sizes(candidate: _Candidate) -> _Problems:
     limits = candidate.manifest.limits
@@ -190,18 +177,5 @@
             yield _name_route(route), 'it is resumable, but no generation'
 
 
-def _list_scaling(
-    candidate: _Candidate,
-) -> collections.abc.Iterator[tuple[str, dict[str, typing.Any]]]:
-    for entry in candidate.tree['services']:
-        scaling = entry.get('scaling')
-        if scaling is not None:
-            yield entry['name'], scaling if isinstance(scaling, dict) else {}
-
-
-def _is_count(value: typing.Any) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
-
-
 def _name_route(route: schema.serving.Route) -> str:
     return f'routes[{route.name}]'
