--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -117,6 +117,7 @@
     :param manifest_status: whether the manifest is known to be the newest.
     :param hosts_known: set when the list of gateway processes was read.
     :param cache_listing: reads of the lists of engines' caches after the start.
+    :param configuration_changed: notified when a manifest or settings are in force.
     :param background_tasks: tasks that outlive the request that started them.
     """
 
@@ -166,6 +167,7 @@
     cache_listing: cache_lists.CacheListing = attrs.field(
         factory=_make_cache_listing
     )
+    configuration_changed: program.Signal = attrs.field(factory=program.Signal)
     background_tasks: set[typing.Any] = attrs.field(factory=set)
     _groups: _host_groups.HostGroups | None = None
 
--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -50,6 +50,7 @@
   peerPort @2 :UInt16 $A.required $A.doc("Port for the system's own processes.");
   limits @3 :Limits $A.doc("Limits of callers' input.");
   timing @4 :Timing $A.doc("Periods and time limits.");
+  connections @5 :Connections $A.doc("Limits of callers' connections.");
 }
 
 struct Limits $A.doc("Limits of callers' input.") {
@@ -62,6 +63,13 @@
   bodyIdleS @6 :Float64 = 15 $A.unit("s") $A.minimum(0.1) $A.maximum(600) $A.doc("Longest time between two parts of a body.");
 }
 
+struct Connections $A.doc("Limits of connections of callers or operators.") {
+  maxDescriptors @0 :UInt32 $A.doc("File descriptors that the process may open; 0 for the limit that the system sets. Connections get 45 of 100.");
+  headerSectionBytes @1 :UInt32 = 65536 $A.unit("bytes") $A.minimum(1024) $A.doc("Largest header section; twice as much is refused with 431.");
+  headerTimeoutS @2 :Float64 = 30 $A.unit("s") $A.minimum(0.1) $A.maximum(3600) $A.doc("Longest time to send a header section; twice as long is refused with 408.");
+  idleS @3 :Float64 = 120 $A.unit("s") $A.minimum(0.1) $A.maximum(86400) $A.doc("Time after which an idle connection may be closed where there are too many; it is closed after twice as long.");
+}
+
 struct Timing $A.doc("Periods and time limits.") {
   documentPollS @0 :Float64 = 1 $A.unit("s") $A.minimum(0.02) $A.maximum(2) $A.doc("Polling period of the document's row.");
   loadPollS @1 :Float64 = 0.5 $A.unit("s") $A.minimum(0.02) $A.maximum(30) $A.doc("Polling period of load reports.");
@@ -88,6 +96,9 @@
   node @0 :Node $A.required $A.doc("Identity and shared connections.");
   port @1 :UInt16 $A.required $A.doc("Port for operators.");
   operators @2 :List(Operator) $A.required $A.doc("Operators who may sign in.");
+  connections @3 :Connections $A.doc("Limits of operators' connections.");
+  memoryMb @4 :UInt32 = 256 $A.unit("MB") $A.minimum(64) $A.doc("Memory of the host. An eighth of it holds bodies of operators; one body always has room.");
+  bodyTimeoutS @5 :Float64 = 60 $A.unit("s") $A.minimum(0.1) $A.maximum(3600) $A.doc("Longest time to send a body.");
 }
 
 struct Operator $A.doc("An operator.") {
@@ -126,8 +137,8 @@
   retryWindowS @13 :Float64 = 10 $A.unit("s") $A.doc("Window of the two limits above.");
   memoryMb @14 :UInt32 = 256 $A.unit("MB") $A.doc("Memory of the host; 0 for 256. A quarter of it holds what clients send and don't read.");
   maxDescriptors @15 :UInt32 = 1024 $A.doc("File descriptors that the process may open; 0 for 1,024. Clients get 45 of 100.");
-  dutyAddress @16 :Text $A.doc("IP number and port at which the platform takes the reports of duties; empty for none.");
-  duties @17 :List(Text) $A.doc("Duties of the fleet; usage_report reports the requests of client accounts, others are ignored.");
+  dutyAddress @16 :Text $A.doc("IP number and port at which the platform takes usage reports and worker orders; empty for none.");
+  duties @17 :List(Text) $A.doc("Duties of the fleet; usage_report reports the requests of client accounts, autoscale orders paid workers, others are ignored.");
   usageWindowS @18 :Float64 = 5 $A.unit("s") $A.minimum(0.1) $A.doc("Window of usage reports.");
   usageLateS @19 :Float64 = 10 $A.unit("s") $A.minimum(0.1) $A.doc("Time after the end of its window at which a usage report is due.");
   loadSpreading @20 :LoadSpreading = nearCheapest $A.doc("Choice among engines of nearly equal cost.");
