--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import math
 import time
 import typing
 
@@ -13,6 +14,7 @@
     _attempts,
     _context,
     _crashes,
+    _hopeless,
     _requests,
     _send_permits,
     _stream_versions,
@@ -20,10 +22,15 @@
 
 _Stage = schema.serving.Stage
 _Spreading = schema.settings.LoadSpreading
+_Order = schema.settings.PromptOrder
 _PLACEMENT_POLICIES = {
     _Spreading.NEAR_CHEAPEST: 'predicted',
     _Spreading.WATER_FILLING: 'predicted_filled',
 }
+_PROMPT_ORDERS = {
+    _Order.BY_RANK: 'by_rank',
+    _Order.ON_TIME_FIRST: 'on_time_first',
+}
 #: Attempts to prefill a prompt. After a rejection another worker is tried
 #: while the retry budget allows.
 _MAX_PREFILLS = 3
@@ -51,6 +58,11 @@
         )
         if placement is None:
             return None, None
+        if tried and _hopeless.is_hopeless_elsewhere(
+            context, request, placement
+        ):
+            request.hopeless = placement
+            return None, None
         _log_placement(context, request, placement)
         if placement.is_colocated:
             return None, placement
@@ -91,6 +103,13 @@
         return
     started_s = time.monotonic()
     context.prompt_load.add(placement, request.call.prompt, started_s)
+    if placement.is_level_reported:
+        context.prompt_load.account_shares.record(
+            _get_share_group(request),
+            request.call.account,
+            placement.work,
+            started_s,
+        )
     try:
         yield counted
     finally:
@@ -137,7 +156,7 @@
     dispatch = serving.Dispatch(
         worker=placement.prefill_worker,
         remaining_s=request.remaining_s(time.monotonic()),
-        rank=request.route.rank,
+        level=placement.level,
         cache_holder=placement.cache_holder,
     )
     with _attempts.open_attempt(
@@ -179,6 +198,9 @@
     now = time.monotonic()
     prefills = list_unblocked(context, request, _Stage.PREFILL, tried)
     decodes = list_unblocked(context, request, _Stage.DECODE, tried)
+    order = serving.PROMPT_ORDERS.get(
+        _PROMPT_ORDERS[context.settings.prompt_order]
+    )
     view = serving.PlacementView(
         load=context.prompt_load,
         worker_records=context.worker_records,
@@ -191,6 +213,14 @@
         random_source=context.random_source,
         processes=1 + len(context.peer_hosts),
         turn_waits_s=_send_permits.list_waits_s(context, request),
+        levels=order(
+            request.route.rank,
+            is_above_share=context.prompt_load.account_shares.is_above(
+                _get_share_group(request), request.call.account, now
+            ),
+            is_resumed=_hopeless.is_resumed(request),
+        ),
+        max_expected_s=_compute_max_expected_s(context, request),
     )
     context.prompt_load.caches.set_engine_limits(request.service.engine)
     policy = serving.PLACEMENT_POLICIES.get(
@@ -199,6 +229,24 @@
     return policy(view, prompt, now)
 
 
+def _compute_max_expected_s(
+    context: _context.Context, request: _requests.Request
+) -> float:
+    """Returns the time for which the client waits for its first event.
+
+    With the order by rank, placement does not depend on it.
+    """
+    is_by_rank = context.settings.prompt_order == _Order.BY_RANK
+    if is_by_rank or _hopeless.is_resumed(request):
+        return math.inf
+    return _hopeless.compute_max_expected_s(context, request)
+
+
+def _get_share_group(request: _requests.Request) -> tuple[str, int]:
+    """Returns the service and rank within which accounts have shares."""
+    return request.service.name, request.route.rank
+
+
 def _choose_other(
     context: _context.Context,
     request: _requests.Request,
@@ -222,6 +270,7 @@
         expected_s=round(placement.expected_s, 4),
         uncached_tokens=placement.uncached,
         fetched_tokens=placement.fetched_tokens,
+        level=placement.level,
         cache_holder=(
             placement.cache_holder.id if placement.cache_holder else ''
         ),
