--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -10,7 +10,6 @@
     _context,
     _crashes,
     _generation_attempts,
-    _hopeless,
     _prefill,
     _requests,
     _send_permits,
@@ -28,6 +27,12 @@
 #: Attempts to send one generation. After a rejection another worker is tried
 #: while the retry budget allows.
 _MAX_SENDS = 4
+#: A request is refused if its first event is expected after the time for which
+#: clients wait by this factor; expected times scatter.
+_HOPELESS_SHARE = 1.2
+#: Earliest return of a refused client, as a share of the time until the queues
+#: are expected to be short.
+_MIN_RETURN_SHARE = 0.5
 
 
 @attrs.define(eq=False)
@@ -127,18 +132,29 @@
 def _refuse_hopeless(
     context: _context.Context, request: _requests.Request
 ) -> bool:
-    """Refuses a request before its first attempt if its client will leave.
+    """Refuses a request whose client will leave before its first event.
+
+    Its prompt would lengthen the queues of others for nothing.
 
     :param context: state of the process.
-    :param request: the request.
+    :param request: the request, before its first attempt.
     :returns: whether it was refused.
     """
+    max_silence_s = request.route.max_silence_s
     placement = _prefill.choose_placement(context, request, [])
-    if placement is None:
+    if not placement or not max_silence_s:
         return False
-    if not _hopeless.is_hopeless(context, request, placement):
+    if placement.expected_s <= max_silence_s * _HOPELESS_SHARE:
         return False
-    _hopeless.refuse(context, request, placement)
+    # Returns are spread over the time in which the queues become short.
+    wait_s = placement.expected_s - max_silence_s / 2
+    request.refuse(
+        _requests.UNAVAILABLE,
+        'target_unreachable',
+        wait_s * context.random_source.uniform(_MIN_RETURN_SHARE, 1),
+        expected_s=round(placement.expected_s, 3),
+        max_silence_s=max_silence_s,
+    )
     return True
 
 
@@ -196,9 +212,7 @@
         )
         progress.source = source
         source = _get_usable_source(context, request, progress)
-        if request.hopeless is not None or _send_permits.lacks_turn(
-            context, request, source or colocated
-        ):
+        if _send_permits.lacks_turn(context, request, source or colocated):
             return None
     progress.quarantined = await _crashes.wait_for_trial(
         context, request, _Stage.DECODE
@@ -339,23 +353,6 @@
             'endpoint_failed',
             reason=last.reason if last else '',
         )
-    else:
-        _refuse_unrun(context, request, last)
-
-
-def _refuse_unrun(
-    context: _context.Context,
-    request: _requests.Request,
-    last: serving.Failed | None,
-) -> None:
-    """Refuses a request that no worker has run.
-
-    :param context: state of the process.
-    :param request: the request.
-    :param last: failure of the last attempt; None where there was none.
-    """
-    if request.hopeless is not None:
-        _hopeless.refuse(context, request, request.hopeless)
     elif last is not None:
         request.refuse(
             _requests.UNAVAILABLE,
--- a/briarknot/gateway/_generation_attempts.py
+++ b/briarknot/gateway/_generation_attempts.py
@@ -41,7 +41,7 @@
     dispatch = serving.Dispatch(
         worker=worker,
         remaining_s=request.remaining_s(time.monotonic()),
-        level=_choose_level(request, placement),
+        rank=request.route.rank,
         source=source,
         last_event=relay.hold(),
         cache_holder=placement.cache_holder if placement else None,
@@ -79,21 +79,6 @@
         return _stream_moves.Run(opened, exchange, source, stack.pop_all())
 
 
-def _choose_level(
-    request: _requests.Request, placement: serving.Placement | None
-) -> int:
-    """Returns the level of a generation at its worker.
-
-    One whose prompt is prefilled already goes before those that wait for that.
-
-    :param request: the request.
-    :param placement: where its prompt is prefilled; None where it already is.
-    """
-    if placement is None:
-        return serving.get_first_level(request.route.rank)
-    return placement.level
-
-
 async def _is_other_version(
     context: _context.Context,
     request: _requests.Request,
--- a/briarknot/gateway/_plain.py
+++ b/briarknot/gateway/_plain.py
@@ -166,9 +166,7 @@
     uses_full_time = is_last or not idempotent
     timeout_s = 0 if uses_full_time else remaining_s * _FIRST_ATTEMPT_SHARE
     dispatch = serving.Dispatch(
-        worker=worker,
-        remaining_s=remaining_s,
-        level=serving.get_first_level(request.route.rank),
+        worker=worker, remaining_s=remaining_s, rank=request.route.rank
     )
     with _attempts.open_attempt(context, request, worker) as attempt:
         window = _usage.begin_plain(context, request)
--- a/briarknot/gateway/_prefill.py
+++ b/briarknot/gateway/_prefill.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import functools
-import math
 import time
 import typing
 
@@ -14,7 +13,6 @@
     _attempts,
     _context,
     _crashes,
-    _hopeless,
     _requests,
     _send_permits,
     _stream_versions,
@@ -22,15 +20,10 @@
 
 _Stage = schema.serving.Stage
 _Spreading = schema.settings.LoadSpreading
-_Order = schema.settings.PromptOrder
 _PLACEMENT_POLICIES = {
     _Spreading.NEAR_CHEAPEST: 'predicted',
     _Spreading.WATER_FILLING: 'predicted_filled',
 }
-_PROMPT_ORDERS = {
-    _Order.BY_RANK: 'by_rank',
-    _Order.ON_TIME_FIRST: 'on_time_first',
-}
 #: Attempts to prefill a prompt. After a rejection another worker is tried
 #: while the retry budget allows.
 _MAX_PREFILLS = 3
@@ -58,11 +51,6 @@
         )
         if placement is None:
             return None, None
-        if tried and _hopeless.is_hopeless_elsewhere(
-            context, request, placement
-        ):
-            request.hopeless = placement
-            return None, None
         _log_placement(context, request, placement)
         if placement.is_colocated:
             return None, placement
@@ -103,13 +91,6 @@
         return
     started_s = time.monotonic()
     context.prompt_load.add(placement, request.call.prompt, started_s)
-    if placement.is_level_reported:
-        context.prompt_load.account_shares.record(
-            _get_share_group(request),
-            request.call.account,
-            placement.work,
-            started_s,
-        )
     try:
         yield counted
     finally:
@@ -156,7 +137,7 @@
     dispatch = serving.Dispatch(
         worker=placement.prefill_worker,
         remaining_s=request.remaining_s(time.monotonic()),
-        level=placement.level,
+        rank=request.route.rank,
         cache_holder=placement.cache_holder,
     )
     with _attempts.open_attempt(
@@ -198,9 +179,6 @@
     now = time.monotonic()
     prefills = list_unblocked(context, request, _Stage.PREFILL, tried)
     decodes = list_unblocked(context, request, _Stage.DECODE, tried)
-    order = serving.PROMPT_ORDERS.get(
-        _PROMPT_ORDERS[context.settings.prompt_order]
-    )
     view = serving.PlacementView(
         load=context.prompt_load,
         worker_records=context.worker_records,
@@ -213,14 +191,6 @@
         random_source=context.random_source,
         processes=1 + len(context.peer_hosts),
         turn_waits_s=_send_permits.list_waits_s(context, request),
-        levels=order(
-            request.route.rank,
-            is_above_share=context.prompt_load.account_shares.is_above(
-                _get_share_group(request), request.call.account, now
-            ),
-            is_resumed=_hopeless.is_resumed(request),
-        ),
-        max_expected_s=_compute_max_expected_s(context, request),
     )
     context.prompt_load.caches.set_engine_limits(request.service.engine)
     policy = serving.PLACEMENT_POLICIES.get(
@@ -229,24 +199,6 @@
     return policy(view, prompt, now)
 
 
-def _compute_max_expected_s(
-    context: _context.Context, request: _requests.Request
-) -> float:
-    """Returns the time for which the client waits for its first event.
-
-    With the order by rank, placement does not depend on it.
-    """
-    is_by_rank = context.settings.prompt_order == _Order.BY_RANK
-    if is_by_rank or _hopeless.is_resumed(request):
-        return math.inf
-    return _hopeless.compute_max_expected_s(context, request)
-
-
-def _get_share_group(request: _requests.Request) -> tuple[str, int]:
-    """Returns the service and rank within which accounts have shares."""
-    return request.service.name, request.route.rank
-
-
 def _choose_other(
     context: _context.Context,
     request: _requests.Request,
@@ -270,7 +222,6 @@
         expected_s=round(placement.expected_s, 4),
         uncached_tokens=placement.uncached,
         fetched_tokens=placement.fetched_tokens,
-        level=placement.level,
         cache_holder=(
             placement.cache_holder.id if placement.cache_holder else ''
         ),
--- a/briarknot/gateway/_requests.py
+++ b/briarknot/gateway/_requests.py
@@ -50,8 +50,6 @@
     :param has_prefill: whether a worker has prefilled its prompt.
     :param is_admitted: whether it may be prefilled although all workers that can
         run it have limits.
-    :param hopeless: placement of a prompt that was given up, as its client will
-        leave before its first event.
     :param tried: decode workers that a generation was sent to.
     :param version: software version of the workers that may send its events; None
         until its first event.
@@ -72,7 +70,6 @@
     reserved_sends: int = 0
     has_prefill: bool = False
     is_admitted: bool = False
-    hopeless: serving.Placement | None = None
     tried: list[str] = attrs.field(factory=list)
     version: str | None = None
     keys: tuple[str, ...] = ()
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -34,6 +34,10 @@
 #: Time without being read after which a worker is not blamed for a broken answer;
 #: workers cut off what stays unread for some seconds.
 _UNREAD_S = 1.0
+#: Urgency levels of a worker for each rank of a route; prompts that another
+#: worker needs come first within their rank.
+_URGENCIES_PER_RANK = 3
+_LEAST_URGENT = 9
 #: Time limit of checking whether a worker's process has ended, in seconds: the
 #: same as that of opening a connection for a request.
 _CHECK_TIMEOUT_S = 0.5
@@ -382,6 +386,7 @@
     call: serving.Call, dispatch: serving.Dispatch
 ) -> list[serving.Header]:
     headers = _list_client_headers(call)
+    urgency = min(_LEAST_URGENT, dispatch.rank * _URGENCIES_PER_RANK)
     remaining_ms = max(1, int(dispatch.remaining_s * _MS_PER_S))
     headers.extend(
         (
@@ -392,7 +397,7 @@
     if call.account:
         headers.append((_headers.ACCOUNT, call.account))
     if call.prompt is not None:
-        headers.append((_headers.URGENCY, str(dispatch.level)))
+        headers.append((_headers.URGENCY, str(urgency)))
     if dispatch.last_event:
         headers.append((_headers.LAST_EVENT, dispatch.last_event))
     if dispatch.cache_holder is not None:
--- a/briarknot/schema/_codec.py
+++ b/briarknot/schema/_codec.py
@@ -87,13 +87,7 @@
     """
     if typing.get_origin(kind) is tuple:
         build_element = _make_builder(typing.get_args(kind)[0])
-        # Most lists of work by level are empty; without a loop over them, a struct
-        # of a fleet sum takes 10.7 instead of 11.6 us to decode.
-        return lambda reader: (
-            tuple([build_element(item) for item in reader])
-            if len(reader)
-            else ()
-        )
+        return lambda reader: tuple([build_element(item) for item in reader])
     if attrs.has(kind):
         builders = tuple(
             (
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -315,11 +315,6 @@
         unit='tokens',
         default=0,
     )
-    level_tokens: tuple[int, ...] = _fields.make_field(
-        doc='Share of tokens by level of urgency, from 0, without trailing zeros; the rest of tokens has no level.',
-        unit='tokens',
-        default=(),
-    )
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/schema/_generated/settings.py
+++ b/briarknot/schema/_generated/settings.py
@@ -27,15 +27,6 @@
     WATER_FILLING = 'waterFilling'
 
 
-class PromptOrder(enum.StrEnum):
-    """Order in which engines admit prompts of one rank."""
-
-    #: In order of arrival.
-    BY_RANK = 'byRank'
-    #: Those that can still be on time first.
-    ON_TIME_FIRST = 'onTimeFirst'
-
-
 class CacheListing(enum.StrEnum):
     """When gateways read the lists of cached prompt parts from engines."""
 
@@ -590,7 +581,3 @@
         doc="When the engines' lists of cached prompt parts are read.",
         default=CacheListing.OFF,
     )
-    prompt_order: PromptOrder = _fields.make_field(
-        doc='Order in which engines admit prompts of one rank.',
-        default=PromptOrder.BY_RANK,
-    )
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -142,7 +142,6 @@
   tokens @1 :UInt32 $A.unit("tokens") $A.doc("Prompt tokens that are still to be prefilled, weighted higher after a long context.");
   streams @2 :UInt32 $A.doc("Running generations.");
   streamTokens @3 :UInt32 $A.unit("tokens") $A.doc("KV cache that they occupy when they are complete.");
-  levelTokens @4 :List(UInt32) $A.unit("tokens") $A.doc("Share of tokens by level of urgency, from 0, without trailing zeros; the rest of tokens has no level.");
 }
 
 struct CachedPart $A.doc("A shared part of prompts that an engine has prefilled or fetched.") {
--- a/briarknot/schema/definitions/settings.capnp
+++ b/briarknot/schema/definitions/settings.capnp
@@ -13,11 +13,6 @@
   waterFilling @1 $A.doc("By chance among the engines that are expected to be the cheapest once the requests of other gateways have filled the lowest load.");
 }
 
-enum PromptOrder $A.doc("Order in which engines admit prompts of one rank.") {
-  byRank @0 $A.doc("In order of arrival.");
-  onTimeFirst @1 $A.doc("Those that can still be on time first.");
-}
-
 enum CacheListing $A.doc("When gateways read the lists of cached prompt parts from engines.") {
   off @0 $A.doc("Never.");
   atStart @1 $A.doc("Once after a start at which no other gateway knows the caches.");
@@ -143,5 +138,4 @@
   usageLateS @19 :Float64 = 10 $A.unit("s") $A.minimum(0.1) $A.doc("Time after the end of its window at which a usage report is due.");
   loadSpreading @20 :LoadSpreading = nearCheapest $A.doc("Choice among engines of nearly equal cost.");
   cacheListing @21 :CacheListing = off $A.doc("When the engines' lists of cached prompt parts are read.");
-  promptOrder @22 :PromptOrder = byRank $A.doc("Order in which engines admit prompts of one rank.");
 }
--- a/briarknot/schema/tests/test_earlier_versions.py
+++ b/briarknot/schema/tests/test_earlier_versions.py
@@ -54,9 +54,6 @@
                 for attribute in attrs.fields(kind)
             },
         )
-    if kind is int and info is None:
-        # All lists of numbers hold UInt32.
-        return st.integers(0, 2**32 - 1)
     if kind is int:
         return st.integers(int(info.minimum), int(info.maximum))
     if kind in _SCALARS:
--- a/briarknot/serving/__init__.py
+++ b/briarknot/serving/__init__.py
@@ -7,6 +7,7 @@
 from briarknot.serving._accounts import AccountDirectory
 from briarknot.serving._backpressure import Backpressure
 from briarknot.serving._calls import (
+    NOT_RUN_KINDS,
     Answer,
     Call,
     Dispatch,
@@ -38,10 +39,6 @@
     PromptLoad,
     make_prompt_load,
 )
-from briarknot.serving._prompt_order import (
-    PROMPT_ORDERS,
-    get_first_level,
-)
 from briarknot.serving._quarantine_results import (
     Clear,
     OnTrial,
@@ -60,6 +57,7 @@
 from briarknot.serving._topology import Distance, Topology
 from briarknot.serving._work_sums import WorkSums, make_work_sums
 from briarknot.serving._worker_limits import (
+    WorkerLimits,
     make_worker_limits,
 )
 from briarknot.serving._worker_records import (
@@ -71,9 +69,9 @@
 
 __all__ = (
     'DECODE_POLICIES',
+    'NOT_RUN_KINDS',
     'PLACEMENT_POLICIES',
     'PLAIN_POLICIES',
-    'PROMPT_ORDERS',
     'AccountDirectory',
     'Answer',
     'Backpressure',
@@ -105,10 +103,10 @@
     'Suspected',
     'Topology',
     'WorkSums',
+    'WorkerLimits',
     'WorkerRecord',
     'WorkerRecords',
     'choose_destination',
-    'get_first_level',
     'make_crash_quarantine',
     'make_fleet',
     'make_prompt_load',
--- a/briarknot/serving/_calls.py
+++ b/briarknot/serving/_calls.py
@@ -128,7 +128,7 @@
 
     :param worker: worker that the request is sent to.
     :param remaining_s: seconds until the answer must be complete.
-    :param level: level of a prompt; the worker admits lower ones first.
+    :param rank: rank of the route.
     :param source: KV cache that the worker fetches first.
     :param last_event: id of the event after which the stream resumes.
     :param cache_holder: worker from whose cache this one fetches the parts of
@@ -137,7 +137,7 @@
 
     worker: schema.serving.Worker
     remaining_s: float
-    level: int
+    rank: int
     source: KvSource | None = None
     last_event: str = ''
     cache_holder: schema.serving.Worker | None = None
--- a/briarknot/serving/_engine_work.py
+++ b/briarknot/serving/_engine_work.py
@@ -134,7 +134,6 @@
         tokens: int = 0,
         streams: int = 0,
         stream_tokens: int = 0,
-        level: int | None = None,
     ) -> None:
         """Adds work of this process; negative numbers remove work.
 
@@ -146,7 +145,6 @@
             tokens.
         :param streams: generations.
         :param stream_tokens: KV cache of the generations, in tokens.
-        :param level: level of the prompts; None where it is not reported.
         """
         before = self._local.get(worker_id, WorkerWork(worker=worker_id))
         change = WorkerWork(
@@ -154,7 +152,6 @@
             tokens=tokens,
             streams=streams,
             stream_tokens=stream_tokens,
-            level_tokens=_work_parts.make_level_tokens(level, tokens),
         )
         after = _work_parts.add_work(before, change)
         if after.tokens or after.streams:
--- a/briarknot/serving/_placement.py
+++ b/briarknot/serving/_placement.py
@@ -111,7 +111,7 @@
     now: float,
 ) -> _placement_view.Engine:
     queues_s = [
-        one.ahead / _prefill_time.get_prefill_speed(one.worker.stage)
+        one.queued / _prefill_time.get_prefill_speed(one.worker.stage)
         for one in options
     ]
     cheapest = options[costs_s.index(min(costs_s))]
@@ -177,35 +177,11 @@
         return None
     costs = model.compute_costs(options, first_id)
     cheapest = options[costs.index(min(costs))]
-    # All processes must have a new part computed by the same worker.
-    chosen = cheapest
-    if cheapest.worker.id != first_id:
-        chosen = choose(view, model, options, costs, now)
-    placement = model.make_placement(chosen, first_id)
-    if placement.expected_s <= view.max_expected_s:
-        return placement
-    return _choose_fastest(model, options, first_id, placement)
-
-
-def _choose_fastest(
-    model: _placement_costs.PlacementCosts,
-    options: _Engines,
-    first_id: str | None,
-    cheapest: _Placement,
-) -> _Placement:
-    """Returns the fastest placement, as the client won't wait for the cheapest.
-
-    The cost of recomputed parts grows with the mean queue, so that the cheapest
-    worker may be one with a long queue although another one is free.
-
-    :param model: costs of the candidates.
-    :param options: the candidates.
-    :param first_id: id of the worker that computes the shared parts for the first
-        time; None for none.
-    :param cheapest: the placement that would be chosen otherwise.
-    """
-    placements = [model.make_placement(one, first_id) for one in options]
-    return min((cheapest, *placements), key=lambda one: one.expected_s)
+    if cheapest.worker.id == first_id:
+        # All processes must have a new part computed by the same worker.
+        return model.make_placement(cheapest, first_id)
+    chosen = choose(view, model, options, costs, now)
+    return model.make_placement(chosen, first_id)
 
 
 def _list_candidates(
@@ -230,12 +206,12 @@
         for rank, worker in enumerate(ranked)
         if rank < _PREFERRED_WORKERS or worker.id in cache_holders
     }
-    least = min(one.ahead for one in engines)
+    least = min(one.queued for one in engines)
     distances = view.topology.list_distances(
         view.topology.domain, (one.worker.domain for one in engines)
     )
     least_queued = min(
-        (one for one in engines if one.ahead == least),
+        (one for one in engines if one.queued == least),
         key=lambda one: distances[one.worker.domain],
     )
     chosen.setdefault(least_queued.worker.id, least_queued)
--- a/briarknot/serving/_placement_costs.py
+++ b/briarknot/serving/_placement_costs.py
@@ -44,9 +44,6 @@
 #: Cost of a first token that is certainly late. It is high enough that a shared
 #: part of usual length is recomputed to be in time.
 _LATE_COST_S = 1.0
-#: Cost in seconds per second of prefill of a late prompt: those that could be on
-#: time wait for it while it runs.
-_DELAY_FACTOR = 1.0
 #: Cost of having to use a decode worker without free slots while others are idle, as
 #: only some fit the KV cache.
 _CROWDING_COST_S = 0.5
@@ -136,13 +133,7 @@
             first time; None for none.
         """
         terms = self._get_terms(engine)
-        prefill_s, expected_s = self._estimate(engine, terms, engine.ahead)
-        levels = self._view.levels
-        is_late = levels.are_reported and self._is_late(expected_s, terms)
-        if is_late:
-            prefill_s, expected_s = self._estimate(
-                engine, terms, engine.ahead_late
-            )
+        prefill_s, expected_s = self._estimate(engine, terms)
         is_first = engine.worker.id == first_id
         return _prompt_load.Placement(
             prefill_worker=engine.worker,
@@ -154,9 +145,6 @@
             overhead_s=terms.overhead_s,
             cache_holder=terms.source,
             fetched_tokens=terms.fetched,
-            level=levels.choose(is_late=is_late, has_queue=engine.queued > 0),
-            is_late=is_late,
-            is_level_reported=levels.are_reported,
         )
 
     def _get_terms(self, engine: _placement_view.Engine) -> _Terms:
@@ -168,28 +156,19 @@
             self._terms[key] = terms
         return terms
 
-    def _is_late(self, expected_s: float, terms: _Terms) -> bool:
-        """Returns whether a prompt gets the level of late ones.
-
-        :param expected_s: time until it is prefilled at the level of others.
-        :param terms: figures of the worker.
-        """
-        return expected_s + terms.kv_transfer_s > self._view.target_s
-
     def _estimate(
-        self, engine: _placement_view.Engine, terms: _Terms, ahead: int
+        self, engine: _placement_view.Engine, terms: _Terms
     ) -> tuple[float, float]:
         """Estimates how long a prompt takes at a worker.
 
         :param engine: the worker.
         :param terms: figures that it shares with others.
-        :param ahead: work that is prefilled before it, in tokens.
         :returns: time of the prefill and of the queue before it at a worker of
             the usual speed, and time until the prompt is prefilled, in seconds.
         """
         view = self._view
         worker = engine.worker
-        prefill_s = (terms.work + ahead) / terms.speed
+        prefill_s = (terms.work + engine.queued) / terms.speed
         ratio = engine.record.get_work_time_ratio(self._now, prefill_s)
         expected_s = (
             terms.overhead_s
@@ -211,10 +190,7 @@
         """
         view = self._view
         terms = self._get_terms(engine)
-        _, expected_s = self._estimate(engine, terms, engine.ahead)
-        is_late = view.levels.are_reported and self._is_late(expected_s, terms)
-        if is_late:
-            _, expected_s = self._estimate(engine, terms, engine.ahead_late)
+        _, expected_s = self._estimate(engine, terms)
         cost_s = expected_s + engine.record.failure_rate
         if not is_first:
             cost_s += terms.recompute_cost_s
@@ -238,8 +214,6 @@
                 in_time *= 1 - late_after
                 streams = engine.streams
                 cost_s += _LATE_COST_S * streams * (late_after - late_before)
-        if is_late:
-            cost_s += _DELAY_FACTOR * terms.work / terms.speed
         return cost_s + _LATE_COST_S * (1 - in_time)
 
     def _compute_gap_probability(
--- a/briarknot/serving/_placement_view.py
+++ b/briarknot/serving/_placement_view.py
@@ -1,6 +1,5 @@
 """Input of the policies that choose the engine that prefills a prompt."""
 
-import math
 import random
 import typing
 
@@ -11,7 +10,6 @@
     _calls,
     _plain_choice,
     _prompt_load,
-    _prompt_order,
     _topology,
     _worker_records,
 )
@@ -33,9 +31,6 @@
     :param processes: processes that choose on the same stale snapshot.
     :param turn_waits_s: time until another request may be sent to a worker, by
         the ids of the workers that have a limit.
-    :param levels: levels that the prompt may have.
-    :param max_expected_s: expected time from which its client will leave; workers
-        that take longer are chosen only if all do.
     """
 
     load: _prompt_load.PromptLoad
@@ -49,8 +44,6 @@
     random_source: random.Random = attrs.field(factory=random.Random)
     processes: int = 1
     turn_waits_s: typing.Mapping[str, float] = attrs.field(factory=dict)
-    levels: _prompt_order.Levels = _prompt_order.Levels()
-    max_expected_s: float = math.inf
 
 
 # Frozen classes take twice as long to make, and there is one for each engine.
@@ -64,10 +57,6 @@
     :param streams: generations of all processes there.
     :param cached: estimated tokens of the prompt in its cache.
     :param fetchable: those of them that other engines can fetch now.
-    :param ahead: queued work that it prefills before the prompt if that can be on
-        time, in tokens.
-    :param ahead_late: queued work that it prefills before the prompt if that is
-        late; unused where work is not reported by level.
     """
 
     worker: schema.serving.Worker
@@ -76,8 +65,6 @@
     streams: int
     cached: int
     fetchable: int
-    ahead: int
-    ahead_late: int = 0
 
 
 Engines = tuple[Engine, ...]
@@ -101,8 +88,7 @@
     counts = view.load.caches.count_each(
         [one.id for one in workers], prompt, now
     )
-    totals = [get_total(one.id, now) for one in workers]
-    engines = tuple(
+    return tuple(
         Engine(
             worker,
             get_record(worker.id),
@@ -110,15 +96,11 @@
             total.streams,
             cached,
             fetchable,
-            total.tokens,
         )
         for worker, (cached, fetchable), total in zip(
-            workers, counts, totals, strict=True
+            workers,
+            counts,
+            [get_total(one.id, now) for one in workers],
+            strict=True,
         )
     )
-    levels = view.levels
-    if levels.are_reported:
-        for engine, total in zip(engines, totals, strict=True):
-            engine.ahead = _prompt_order.count_ahead(total, levels.on_time)
-            engine.ahead_late = _prompt_order.count_ahead(total, levels.late)
-    return engines
--- a/briarknot/serving/_prompt_load.py
+++ b/briarknot/serving/_prompt_load.py
@@ -4,7 +4,6 @@
 
 from briarknot import schema
 from briarknot.serving import (
-    _account_shares,
     _calls,
     _engine_caches,
     _engine_work,
@@ -39,9 +38,6 @@
     :param cache_holder: worker from whose cache it fetches the shared parts;
         None for no fetch.
     :param fetched_tokens: estimated tokens that it fetches.
-    :param level: its level at the worker, which admits lower ones first.
-    :param is_late: whether it is at the level of late prompts.
-    :param is_level_reported: whether its work is reported with its level.
     """
 
     prefill_worker: schema.serving.Worker
@@ -53,14 +49,6 @@
     overhead_s: float = 0
     cache_holder: schema.serving.Worker | None = None
     fetched_tokens: int = 0
-    level: int = 0
-    is_late: bool = False
-    is_level_reported: bool = False
-
-    @property
-    def reported_level(self) -> int | None:
-        """Level with which its work is reported; None for none."""
-        return self.level if self.is_level_reported else None
 
     @property
     def is_colocated(self) -> bool:
@@ -78,7 +66,6 @@
     :param ranks: orders of the engines by hash of a shared part.
     :param sent_work: prefill work that this process sends, in tokens.
     :param sent_streams: generations that this process sends.
-    :param account_shares: shares of accounts in the work that this process sends.
     """
 
     work: _engine_work.EngineWork = attrs.field(
@@ -99,9 +86,6 @@
     sent_streams: _send_rates.SendRates = attrs.field(
         factory=_send_rates.SendRates
     )
-    account_shares: _account_shares.AccountShares = attrs.field(
-        factory=_account_shares.AccountShares
-    )
     _slowdowns: dict[str, float] = attrs.field(factory=dict)
 
     def add(
@@ -114,9 +98,7 @@
         :param now: monotonic time in seconds.
         """
         worker = placement.prefill_worker
-        self.work.add(
-            worker.id, tokens=placement.work, level=placement.reported_level
-        )
+        self.work.add(worker.id, tokens=placement.work)
         self.sent_work.record(
             worker.service, worker.version, placement.work, now
         )
@@ -141,14 +123,10 @@
             ignored.
         """
         worker_id = placement.prefill_worker.id
-        self.work.add(
-            worker_id, tokens=-placement.work, level=placement.reported_level
-        )
+        self.work.add(worker_id, tokens=-placement.work)
         if not is_prefilled:
             self.caches.drop_pending_prompt(worker_id, prompt, now)
-        # Prompts that arrive later go before a late one and make it wait.
-        is_typical = is_prefilled and not placement.is_late
-        if not is_typical or placement.prefill_s < _MIN_PREFILL_S:
+        if not is_prefilled or placement.prefill_s < _MIN_PREFILL_S:
             return
         ratio = (seconds - placement.overhead_s) / placement.prefill_s
         target = min(_MAX_SLOWDOWN, max(_MIN_SLOWDOWN, ratio))
--- a/briarknot/serving/_work_parts.py
+++ b/briarknot/serving/_work_parts.py
@@ -1,7 +1,6 @@
 """Work at engines as messages carry it, and sums of it."""
 
 import collections.abc
-import itertools
 import typing
 
 import attrs
@@ -76,7 +75,6 @@
     tokens: int = 0
     streams: int = 0
     stream_tokens: int = 0
-    level_tokens: tuple[int, ...] = ()
     parts: int = 0
 
 
@@ -121,7 +119,6 @@
                 tokens=total.tokens,
                 streams=total.streams,
                 stream_tokens=total.stream_tokens,
-                level_tokens=total.level_tokens,
             )
             self._values[worker_id] = value
         return value
@@ -154,11 +151,6 @@
         total.tokens += after.tokens - before.tokens
         total.streams += after.streams - before.streams
         total.stream_tokens += after.stream_tokens - before.stream_tokens
-        if after.level_tokens != before.level_tokens:
-            total.level_tokens = _subtract_levels(
-                _add_levels(total.level_tokens, after.level_tokens),
-                before.level_tokens,
-            )
         self._values.pop(worker_id, None)
         return total
 
@@ -174,7 +166,6 @@
         tokens=max(0, first.tokens + second.tokens),
         streams=max(0, first.streams + second.streams),
         stream_tokens=max(0, first.stream_tokens + second.stream_tokens),
-        level_tokens=_add_levels(first.level_tokens, second.level_tokens),
     )
 
 
@@ -189,40 +180,4 @@
         tokens=max(0, first.tokens - second.tokens),
         streams=max(0, first.streams - second.streams),
         stream_tokens=max(0, first.stream_tokens - second.stream_tokens),
-        level_tokens=_subtract_levels(first.level_tokens, second.level_tokens),
-    )
-
-
-def make_level_tokens(level: int | None, tokens: int) -> tuple[int, ...]:
-    """Makes the work by level of one prompt; empty for a prompt without one.
-
-    :param level: level of the prompt; None for none.
-    :param tokens: its work; negative to remove it.
-    """
-    return () if level is None else (*(0,) * level, tokens)
-
-
-def _add_levels(
-    first: tuple[int, ...], second: tuple[int, ...]
-) -> tuple[int, ...]:
-    if not second:
-        return first
-    return _trim_levels(
-        map(sum, itertools.zip_longest(first, second, fillvalue=0))
     )
-
-
-def _subtract_levels(
-    first: tuple[int, ...], second: tuple[int, ...]
-) -> tuple[int, ...]:
-    if not second:
-        return first
-    return _add_levels(first, tuple([-tokens for tokens in second]))
-
-
-def _trim_levels(levels: typing.Iterable[int]) -> tuple[int, ...]:
-    """Returns work by level that is not negative, without trailing zeros."""
-    trimmed = [max(0, tokens) for tokens in levels]
-    while trimmed and not trimmed[-1]:
-        trimmed.pop()
-    return tuple(trimmed)
--- a/briarknot/serving/tests/test_work_parts.py
+++ b/briarknot/serving/tests/test_work_parts.py
@@ -13,29 +13,18 @@
 _WorkerWork = schema.messages.WorkerWork
 _WORK = st.dictionaries(
     st.sampled_from(('w0', 'w1', 'w2')),
-    st.tuples(*(st.integers(0, 9) for _ in range(5))),
+    st.tuples(*(st.integers(0, 9) for _ in range(3))),
 )
 _CHANGES = st.lists(
     st.dictionaries(st.sampled_from('abc'), _WORK), min_size=1, max_size=8
 )
 
 
-def make_levels(first=0, third=0):
-    """Makes work of two levels, without trailing zeros."""
-    if third:
-        return (first, 0, third)
-    return (first,) if first else ()
-
-
 def make_work(numbers):
     """Makes work by worker id."""
     return {
         worker: _WorkerWork(
-            worker=worker,
-            tokens=one[0],
-            streams=one[1],
-            stream_tokens=one[2],
-            level_tokens=make_levels(*one[3:]),
+            worker=worker, tokens=one[0], streams=one[1], stream_tokens=one[2]
         )
         for worker, one in numbers.items()
     }
@@ -96,10 +85,7 @@
         now += wait_s
         if host == 'local':
             for worker, one in numbers.items():
-                level = one[3] if one[4] else None
-                relay.work.add(
-                    worker, tokens=one[0] - 4, streams=one[1], level=level
-                )
+                relay.work.add(worker, tokens=one[0] - 4, streams=one[1])
         elif host == 'b1':
             relay.sums.apply_domain_work(
                 schema.messages.DomainWork(
