Resolve defaults of nested settings in the test of stored samples

The field 'connections' is the first struct that was added to stored settings; its default is a factory, which the test compared with the value itself.

--- a/briarknot/tests/test_stored_samples.py
+++ b/briarknot/tests/test_stored_samples.py
@@ -55,11 +55,18 @@
         if field.name in sample:
             plain[field.name] = _drop_added_fields(inner, sample[field.name])
         else:
-            assert inner == field.default
+            assert inner == _read_default(field)
             del plain[field.name]
     return plain
 
 
+def _read_default(field):
+    """Returns the default of a field; that of a nested struct is a factory."""
+    if isinstance(field.default, attrs.Factory):
+        return field.default.factory()
+    return field.default
+
+
 def _find_kind(name):
     return next(
         getattr(module, name)
