--- a/review/lib-2/worker.py
+++ b/review/lib-2/worker.py
@@ -9,10 +9,12 @@
 import base64
 import json
 import pathlib
+import socket
 import sys
 import time
 
 HEARTBEAT_S = 1.2
+PART_BYTES = 32 << 10
 
 
 class Worker:
@@ -30,6 +32,8 @@
         self.events = config.get('events', 30)
         self.event_s = config.get('event_s', 0.06)
         self.work_s = config.get('work_s', 0.02)
+        #: Bytes of a body that it reads in a second; 0 for no bound.
+        self.read_per_s = config.get('read_per_s', 0)
         self.log_path = pathlib.Path(config['log'])
         self.born_ms = int(time.time() * 1000)
         self.sequence = 0
@@ -97,7 +101,7 @@
             name, _, value = line.partition(':')
             headers[name.strip().lower()] = value.strip()
         length = int(headers.get('content-length', 0))
-        body = await reader.readexactly(length)
+        body = await self.read_body(reader, length)
         request_id = headers.get('request-id', '')
         if not request_id or headers.get('expect-instance', self.id) != self.id:
             status = '421 Misdirected' if request_id else '400 Bad'
@@ -114,6 +118,19 @@
             await self.answer(writer, request_id, body)
         return True
 
+    async def read_body(self, reader, length):
+        """Reads a body, as slowly as its configuration says."""
+        if not self.read_per_s:
+            return await reader.readexactly(length)
+        body = b''
+        while len(body) < length:
+            part = await reader.read(min(PART_BYTES, length - len(body)))
+            if not part:
+                raise asyncio.IncompleteReadError(body, length)
+            body += part
+            await asyncio.sleep(len(part) / self.read_per_s)
+        return body
+
     async def answer(self, writer, request_id, body):
         await asyncio.sleep(self.work_s)
         text = f'{self.id} answers {request_id}'.encode()
@@ -148,7 +165,12 @@
 
 async def main():
     worker = Worker(json.loads(sys.argv[1]))
-    server = await asyncio.start_server(worker.serve, '127.0.0.1', worker.port)
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if worker.read_per_s:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2 * PART_BYTES)
+    listener.bind(('127.0.0.1', worker.port))
+    server = await asyncio.start_server(worker.serve, sock=listener)
     await worker.register()
     worker.log('start', born_ms=worker.born_ms)
     async with server:
