--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 DEPS = ROOT / 'target' / 'deps'
@@ -325,6 +326,8 @@
     :param folder: folder of the case.
     :param play: coroutine function; it returns whether the rule held.
     """
+    # Ends the processes of the case also where its run is cut short.
+    signal.signal(signal.SIGTERM, _stop)
     fleet = Fleet(folder)
     result = NOT_RUN
     try:
@@ -332,7 +335,13 @@
         result = HELD if held else BROKEN
     except CannotRun as error:
         fleet.note(f'the case could not run: {error}')
-        print(f'could not run: {error}', file=sys.stderr)
+    except Exception:
+        # A fault of the script says nothing about the rule.
+        fleet.note(f'the script failed: {traceback.format_exc()}')
     finally:
         fleet.close()
     sys.exit(result)
+
+
+def _stop(number, frame):
+    sys.exit(NOT_RUN)
