Log how many processes answered where a stream began

The log line gave the reason "2 versions may have begun it", whether the processes that keep the origin had not received it, did not answer, or were lost.

The question moves to a module of its own, _origin_keepers, which returns the number of processes that were asked and that answered; stream_taken_up has both. An answer reaches the waiting request as the message that arrived, so that its sender is known.

Two tests compared the delivered value, which was a sentinel where the process had no origin. They compare the answer now: its sender, and that it states no origin.

--- a/briarknot/gateway/_stream_versions.py
+++ b/briarknot/gateway/_stream_versions.py
@@ -5,19 +5,13 @@
 import prometheus_client
 
 from briarknot import schema, telemetry, versions
-from briarknot.gateway import _clock, _context, _requests
+from briarknot.gateway import _clock, _context, _origin_keepers, _requests
 
 _TAKEN_UP = prometheus_client.Counter(
     'briarknot_gateway_streams_taken_up',
     'Streams that clients took up again, by what decided on their version.',
     ('decided_by',),
 )
-#: Longest wait for the processes that know a stream. The round trip to another
-#: region takes 0.06 s.
-_ANSWER_TIMEOUT_S = 0.25
-#: Pause before they are asked once more: the origin of a stream may be on its way.
-_REPEAT_S = 0.1
-_ROUNDS = 2
 #: Longest wait for a list of workers that confirms the versions in use, and the period
 #: of checking for it. Clients abandon a stream after two seconds without an event.
 _MAX_CONFIRM_S = 0.8
@@ -43,9 +37,12 @@
     decided_by = 'own record' if origin else 'versions in use'
     chosen = versions.choose_version(possible, origin)
     is_open = origin is None and not _has_single_versions(context, request)
+    answers = {}
     if is_open and call.resumes:
         decided_by = 'other processes'
-        origin = await _ask_keepers(context, call.resumes)
+        found = await _origin_keepers.ask(context, call.resumes)
+        origin = found.origin
+        answers = {'asked': found.asked, 'answered': found.answered}
         possible = await _wait_for_possible(context, request, origin)
         chosen = versions.choose_version(possible, origin)
         if origin is None:
@@ -59,6 +56,7 @@
         last_event=call.last_event,
         version=chosen if is_known else '',
         decided_by=decided_by if is_known else chosen.reason,
+        **answers,
     )
     if not is_known:
         request.refuse(
@@ -119,7 +117,8 @@
     :param context: state of the process.
     """
     for origin in context.origins.take_unsent(_clock.read_clock()):
-        context.send_message(origin, _choose_keepers(context, origin.stream))
+        keepers = _origin_keepers.choose_others(context, origin.stream)
+        context.send_message(origin, keepers)
 
 
 def list_fitting(
@@ -240,60 +239,3 @@
     service = context.fleet.find_service(origin.service)
     if service is not None and origin.service in destinations:
         request.service = service
-
-
-def _choose_keepers(context: _context.Context, stream: str) -> tuple[str, ...]:
-    """Chooses the other processes that know a stream."""
-    local = context.settings.host
-    keepers = versions.choose_keepers(stream, {local, *context.peer_hosts})
-    return tuple(host for host in keepers if host != local)
-
-
-async def _ask_keepers(
-    context: _context.Context, stream: str
-) -> schema.messages.StreamOrigin | None:
-    for number in range(_ROUNDS):
-        if number:
-            await asyncio.sleep(_REPEAT_S)
-        origin = await _ask_once(context, stream)
-        if origin is not None:
-            return origin
-    return context.origins.find(stream, _clock.read_clock())
-
-
-async def _ask_once(
-    context: _context.Context, stream: str
-) -> schema.messages.StreamOrigin | None:
-    """Asks the processes that may know a stream, and takes the first answer."""
-    tasks = [
-        asyncio.ensure_future(_ask(context, stream, host))
-        for host in _choose_keepers(context, stream)
-    ]
-    try:
-        for answered in asyncio.as_completed(tasks):
-            origin = await answered
-            if isinstance(origin, schema.messages.StreamOrigin):
-                return origin
-    finally:
-        for task in tasks:
-            task.cancel()
-    return None
-
-
-async def _ask(
-    context: _context.Context, stream: str, host: str
-) -> schema.messages.StreamOrigin | versions.UnknownOrigin | None:
-    settings = context.settings
-    number = context.origin_answers.open()
-    context.send_message(
-        schema.messages.OriginRequest(
-            host=settings.host,
-            domain=settings.domain,
-            address=settings.address,
-            port=settings.peer_port,
-            number=number,
-            stream=stream,
-        ),
-        (host,),
-    )
-    return await context.origin_answers.wait(number, _ANSWER_TIMEOUT_S)
--- a/briarknot/gateway/_version_sync.py
+++ b/briarknot/gateway/_version_sync.py
@@ -210,11 +210,7 @@
     :param message: the answer.
     :param now: monotonic time in seconds.
     """
-    answer: schema.messages.StreamOrigin | versions.UnknownOrigin
-    answer = message.origin
-    if not message.is_known:
-        answer = versions.UnknownOrigin(f'{message.host} has no origin')
-    peers.context.origin_answers.deliver(message.number, answer)
+    peers.context.origin_answers.deliver(message.number, message)
 
 
 def make_version_sync(
--- a/briarknot/gateway/tests/test_version_sync.py
+++ b/briarknot/gateway/tests/test_version_sync.py
@@ -527,9 +527,10 @@
             lambda: keeper.origins.find('q1', _clock.read_clock())
         )
         answer = await ask_origin(asker, keeper, 'q1')
-        assert attrs.evolve(answer, age_ms=0) == origin
+        assert answer.is_known
+        assert attrs.evolve(answer.origin, age_ms=0) == origin
         answer = await ask_origin(asker, keeper, 'q2')
-        assert isinstance(answer, versions.UnknownOrigin)
+        assert (answer.host, answer.is_known) == (keeper.settings.host, False)
 
 
 async def test_keeper_answers_a_process_that_it_did_not_know():
@@ -538,7 +539,7 @@
         asker, keeper = contexts
         keeper.peer_hosts = {}
         answer = await ask_origin(asker, keeper, 'q1')
-        assert isinstance(answer, versions.UnknownOrigin)
+        assert (answer.host, answer.is_known) == (keeper.settings.host, False)
 
 
 async def test_restarted_worker_is_not_the_origin_of_recent_streams():
