Let streams of a lost gateway go on beside a newer version

Cause: a process that is certain of one version sends no origins. When it is lost in that state, others know more versions than it did, and took each of them for one that may have begun the stream.

Evidence: on the code before, g1 logged for each of 30 streams "2 versions may have begun it", asked 3, answered 2: the frozen gateway did not answer, and the others had no origin. So the origins were not sent; they were neither lost nor asked for at the wrong place.

Change: the first event of a stream of a newer version is forwarded only once two of its keepers have confirmed its origin. A process that gets too few confirmations ends the run, doesn't blame the worker, and begins only streams of the version before for 2 s. Origins in doubt after a restart are kept as such, so that their absence is no evidence.

Why it works: two copies and three statements of four overlap, so that one statement would be an origin.

--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -298,7 +298,10 @@
     request: _requests.Request,
     last: serving.Failed,
 ) -> bool:
-    if _stream_versions.has_none_left(context, request):
+    is_unconfirmed = last.kind == serving.FailureKind.UNCONFIRMED
+    if is_unconfirmed or _stream_versions.has_none_left(context, request):
+        # Some of the others may know a stream that did not begin: the client's
+        # next attempt has another id.
         return False
     return request.has_time() and (last.not_run or request.can_resume())
 
--- a/briarknot/gateway/_generation_attempts.py
+++ b/briarknot/gateway/_generation_attempts.py
@@ -170,14 +170,16 @@
     return None
 
 
-def _begin(
+async def _begin(
     context: _context.Context,
     request: _requests.Request,
     worker: schema.serving.Worker,
-) -> None:
+) -> serving.Failed | None:
     """Records a stream, before its first event is forwarded."""
-    _stream_versions.record_begin(context, request, worker)
-    _usage.begin_stream(context, request)
+    failure = await _stream_versions.begin(context, request, worker)
+    if failure is None:
+        _usage.begin_stream(context, request)
+    return failure
 
 
 async def _forward_answer(
--- a/briarknot/gateway/_stream.py
+++ b/briarknot/gateway/_stream.py
@@ -32,6 +32,12 @@
 _MAX_EVENT_BYTES = 1 << 20
 
 
+#: Called before the first event of a stream.
+OnBegin = typing.Callable[
+    [], typing.Coroutine[typing.Any, typing.Any, serving.Failed | None]
+]
+
+
 def _ignore() -> None:
     """Does nothing, where nobody follows the events of a run."""
 
@@ -48,7 +54,8 @@
     :param first_event_s: monotonic time of the first event.
     :param longest_gap_s: longest pause between events in seconds.
     :param unread_s: time that the latest events waited for the client to read.
-    :param on_begin: called before the first event is forwarded.
+    :param on_begin: awaited before the first event is forwarded; a failure that it
+        returns ends the run.
     :param on_sound: called when a run goes on after its start.
     """
 
@@ -57,7 +64,7 @@
     first_event_s: float = 0
     longest_gap_s: float = 0
     unread_s: float = 0
-    on_begin: typing.Callable[[], None] = _ignore
+    on_begin: OnBegin | None = None
     on_sound: typing.Callable[[], None] = _ignore
     _max_silence_s: float = 0
     _latest_s: float = 0
@@ -174,6 +181,10 @@
                 break
             if is_end:
                 events += partial_event
+            if events and self.on_begin and not self.first_event_s:
+                failure = await self.on_begin()
+            if failure is not None:
+                break
             if not await self._forward(exchange, events, is_end=is_end):
                 break
         return failure
@@ -251,7 +262,6 @@
             self.longest_gap_s = max(self.longest_gap_s, now - self._latest_s)
         else:
             self.first_event_s = now
-            self.on_begin()
         self._latest_s = now
         self._progress_s = now
 
--- a/briarknot/gateway/_stream_versions.py
+++ b/briarknot/gateway/_stream_versions.py
@@ -4,7 +4,7 @@
 
 import prometheus_client
 
-from briarknot import schema, telemetry, versions
+from briarknot import schema, serving, telemetry, versions
 from briarknot.gateway import _clock, _context, _origin_keepers, _requests
 
 _TAKEN_UP = prometheus_client.Counter(
@@ -12,6 +12,10 @@
     'Streams that clients took up again, by what decided on their version.',
     ('decided_by',),
 )
+_UNCONFIRMED = prometheus_client.Counter(
+    'briarknot_gateway_unconfirmed_streams',
+    'Streams that did not begin, as too few other processes knew their origin.',
+)
 #: Longest wait for a list of workers that confirms the versions in use, and the period
 #: of checking for it. Clients abandon a stream after two seconds without an event.
 _MAX_CONFIRM_S = 0.8
@@ -40,13 +44,17 @@
     answers = {}
     if is_open and call.resumes:
         decided_by = 'other processes'
-        found = await _origin_keepers.ask(context, call.resumes)
+        found = await _origin_keepers.ask(
+            context, call.resumes, request.service.name
+        )
         origin = found.origin
         answers = {'asked': found.asked, 'answered': found.answered}
-        possible = await _wait_for_possible(context, request, origin)
-        chosen = versions.choose_version(possible, origin)
-        if origin is None:
+        if origin is None and found.sole is None:
             decided_by = 'versions in use'
+            possible = await _wait_for_possible(context, request)
+        elif origin is None:
+            decided_by = 'witnesses'
+        chosen = versions.choose_version(possible, origin, found.sole)
     is_known = not isinstance(chosen, versions.UnknownOrigin)
     _TAKEN_UP.labels(decided_by if is_known else 'nothing').inc()
     telemetry.log_event(
@@ -79,27 +87,68 @@
     return is_served
 
 
-def record_begin(
+async def begin(
     context: _context.Context,
     request: _requests.Request,
     worker: schema.serving.Worker,
-) -> None:
+) -> serving.Failed | None:
     """Records the version of a stream, before its first event is forwarded.
 
     Others are informed unless it is certain that only one version is in use; they
-    are informed later if that changes while the stream goes on.
+    are informed later if that changes while the stream goes on. Where they might
+    take the stream for one of the version before, they confirm its origin first.
 
     :param context: state of the process.
     :param request: the request.
     :param worker: worker that sent the event.
+    :returns: None where the event may be forwarded.
     """
-    request.version = worker.version
     if not request.route.resumable:
-        return
-    context.origins.record(_get_stream(request), worker, _clock.read_clock())
+        request.version = worker.version
+        return None
+    now = _clock.read_clock()
+    stream = _get_stream(request)
+    context.origins.record(stream, worker, now)
+    needs_others = (
+        request.version is None
+        and context.software_versions.needs_known_origin(
+            worker.service, worker.version, now
+        )
+    )
+    if needs_others and not await _confirm(context, stream, worker):
+        return serving.Failed(
+            kind=serving.FailureKind.UNCONFIRMED,
+            reason='too few other processes know where the stream began',
+        )
+    request.version = worker.version
     possible = _list_possible(context, request)
     if not isinstance(possible, frozenset) or len(possible) > 1:
         send_origins(context)
+    return None
+
+
+async def _confirm(
+    context: _context.Context, stream: str, worker: schema.serving.Worker
+) -> bool:
+    """Has others confirm the origin of a stream, and returns whether they have."""
+    origin = context.origins.find(stream, _clock.read_clock())
+    if origin is None:
+        # Its id is too long to be sent; others don't take it for known either.
+        return True
+    if await _origin_keepers.confirm(context, origin):
+        context.origins.complete(stream)
+        return True
+    now = _clock.read_clock()
+    context.origins.record_unconfirmed(now)
+    _UNCONFIRMED.inc()
+    telemetry.log_event(
+        'stream_origin_unconfirmed',
+        stream=stream,
+        worker=worker.id,
+        version=worker.version,
+        version_before=context.software_versions.find_sole(worker.service, now),
+    )
+    return False
 
 
 def record_end(context: _context.Context, request: _requests.Request) -> None:
@@ -127,7 +176,8 @@
     """Lists the workers at whose versions a stream may begin, or go on.
 
     Where the service has no worker of an admitted version, those of versions that
-    all processes know begin streams.
+    all processes know begin streams. While too few processes confirm origins, only
+    those versions do whose origins none of them needs to know.
 
     :param context: state of the process.
     :param request: the request.
@@ -142,10 +192,17 @@
     if is_single or not names:
         # There is no other version, or no list of workers has been read yet.
         return workers
-    admitted = known.list_admitted(service, _clock.read_clock())
+    now = _clock.read_clock()
+    admitted = known.list_admitted(service, now)
     usable = context.fleet.list_usable(service, schema.serving.Stage.DECODE)
     if not any(one.version in admitted for one in usable):
-        admitted = known.list_visible(service, _clock.read_clock())
+        admitted = known.list_visible(service, now)
+    if context.origins.is_isolated(now):
+        admitted = frozenset(
+            name
+            for name in admitted
+            if not known.needs_known_origin(service, name, now)
+        )
     return tuple(one for one in workers if one.version in admitted)
 
 
@@ -207,11 +264,9 @@
 
 
 async def _wait_for_possible(
-    context: _context.Context,
-    request: _requests.Request,
-    origin: schema.messages.StreamOrigin | None,
+    context: _context.Context, request: _requests.Request
 ) -> frozenset[str] | versions.Uncertain:
-    """Waits until the versions in use are certain, unless the origin is known.
+    """Waits until the versions in use are certain.
 
     After the loss of the process that reads the list of workers for all, another
     one does so within about a second.
@@ -220,7 +275,7 @@
     while True:
         possible = _list_possible(context, request)
         is_certain = not isinstance(possible, versions.Uncertain)
-        if is_certain or origin or _clock.read_clock() >= end_s:
+        if is_certain or _clock.read_clock() >= end_s:
             return possible
         await asyncio.sleep(_CONFIRM_CHECK_S)
 
--- a/briarknot/gateway/_version_sync.py
+++ b/briarknot/gateway/_version_sync.py
@@ -16,6 +16,7 @@
     _clock,
     _context,
     _gossip,
+    _origin_keepers,
     _peers,
     _stream_versions,
     _version_row,
@@ -169,11 +170,21 @@
 ) -> None:
     """Records the origin of a stream that another process began.
 
-    :param peers: has the state of the process.
+    :param peers: confirms it, if the other process waits for that.
     :param message: the origin.
     :param now: monotonic time in seconds.
     """
-    peers.context.origins.merge(message, _clock.read_clock())
+    context = peers.context
+    context.origins.merge(message, _clock.read_clock())
+    if message.number:
+        peers.send(
+            schema.messages.OriginAnswer(
+                host=context.settings.host,
+                number=message.number,
+                is_known=True,
+            ),
+            (message.host,),
+        )
 
 
 @_peers.HANDLERS.register('OriginRequest')
@@ -189,12 +200,15 @@
     peers.record_host(message)
     context = peers.context
     origin = context.origins.find(message.stream, _clock.read_clock())
+    sole = _origin_keepers.testify(context, message.stream, message.service)
     peers.send(
         schema.messages.OriginAnswer(
             host=context.settings.host,
             number=message.number,
             is_known=origin is not None,
             origin=origin or schema.messages.StreamOrigin(),
+            is_witness=sole is not None,
+            sole_version=sole or '',
         ),
         (message.host,),
     )
--- a/briarknot/gateway/_worker_changes.py
+++ b/briarknot/gateway/_worker_changes.py
@@ -137,6 +137,8 @@
             old = before.get(worker.id)
             if old is not None and _is_restarted(old, worker):
                 context.origins.forget_restarted(worker.id, _clock.read_clock())
+                if old.version != worker.version:
+                    context.software_versions.forget_sole(worker.service)
             if old is not None and old.born_ms != worker.born_ms:
                 # A restarted worker has lost its prompts and its KV cache.
                 context.prompt_load.remove_worker(worker.id)
--- a/briarknot/gateway/tests/test_stream_versions.py
+++ b/briarknot/gateway/tests/test_stream_versions.py
@@ -43,6 +43,23 @@
     context.versions_changed.notify()
 
 
+def lose_messages(context, host):
+    """Loses what a gateway sends to a host, or to all with an empty one."""
+    send = context.send_message
+
+    def send_to_others(message, hosts):
+        send(message, tuple(one for one in hosts if host and one != host))
+
+    context.send_message = send_to_others
+
+
+def cut_off(cut, *others):
+    """Loses all messages on streams between a gateway and others."""
+    lose_messages(cut.context, '')
+    for gateway in others:
+        lose_messages(gateway.context, cut.context.settings.host)
+
+
 async def test_broken_stream_does_not_go_on_at_another_version():
     """A gateway sent the rest of a stream to a worker of any version."""
     broken = make_decode([_BROKEN], 'v1')
@@ -183,6 +200,69 @@
     assert not other.requests
 
 
+async def test_stream_of_a_frozen_gateway_goes_on_beside_a_newer_version():
+    """All its streams were refused: it could not send their origins any more."""
+    broken = make_decode([_BROKEN], 'v1')
+    same = make_decode([_REST], 'v1')
+    other = make_decode([_REST], 'v2')
+    route = generations.make_stream_route(max_attempts=1)
+    workers = (broken, same, other)
+    async with _support.open_gateways(route, *workers, count=3) as gateways:
+        for gateway in gateways:
+            apply_list(gateway, broken, same)
+        set_order(gateways[0], broken, same)
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await gateways[0].send()
+        cut_off(*gateways)
+        for gateway in gateways[1:]:
+            apply_list(gateway, *workers)
+        set_order(gateways[1], other, same, broken)
+        status, _, body = await gateways[1].send(headers=_TAKE_UP)
+    assert (status, generations.read_data(body)) == (200, ['z'])
+    assert not other.requests
+
+
+async def test_stream_of_a_newer_version_begins_once_others_know_it():
+    """Others took it for one of the version before, and joined the two."""
+    old = make_decode([_support.make_stream('x')], 'v1')
+    new = make_decode([_support.make_stream('y')], 'v2')
+    route = generations.make_stream_route(max_attempts=1)
+    async with _support.open_gateways(route, old, new, count=3) as gateways:
+        for gateway in gateways:
+            apply_list(gateway, old)
+            apply_list(gateway, old, new)
+            known = gateway.context.software_versions
+            known.record_stored(known.list_keys(), _clock.read_clock() - 9)
+        set_order(gateways[0], new, old)
+        status, _, _ = await gateways[0].send()
+        now = _clock.read_clock()
+        keepers = [one.context.origins.find('q1', now) for one in gateways]
+    assert status == 200
+    assert [one.version for one in keepers if one] == ['v2', 'v2', 'v2']
+
+
+async def test_cut_off_gateway_begins_streams_of_the_version_before():
+    """It began streams that nobody else knew, which were joined elsewhere."""
+    old = make_decode([_support.make_stream('x')], 'v1')
+    new = make_decode([_support.make_stream('y')], 'v2')
+    route = generations.make_stream_route(max_attempts=1)
+    async with _support.open_gateways(route, old, new, count=3) as gateways:
+        gateway = gateways[0]
+        apply_list(gateway, old)
+        apply_list(gateway, old, new)
+        known = gateway.context.software_versions
+        known.record_stored(known.list_keys(), _clock.read_clock() - 9)
+        cut_off(*gateways)
+        set_order(gateway, new, old)
+        first, _, _ = await gateway.send()
+        status, _, body = await gateway.send(headers={'Request-Id': 'q2'})
+        record = _support.get_worker_record(gateway.context, new)
+    assert first == 502
+    assert (status, generations.read_data(body)) == (200, ['x'])
+    # The worker has done nothing wrong.
+    assert record.failure_rate == 0
+
+
 async def test_other_service_of_a_route_does_not_take_up_a_stream():
     """A stream went on at the service that was drawn for its rest."""
     begun = make_decode([_REST], 'v1')
--- a/briarknot/schema/_generated/messages.py
+++ b/briarknot/schema/_generated/messages.py
@@ -724,6 +724,15 @@
         unit='ms',
         default=0,
     )
+    host: str = _fields.make_field(
+        doc='Host of the process that sends it.', default=''
+    )
+    number: int = _fields.make_field(
+        doc='Number of the message; an answer confirms it. 0 where none is wanted.',
+        maximum=18446744073709551615,
+        minimum=0,
+        default=0,
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -754,11 +763,14 @@
     stream: str = _fields.make_field(
         doc="Id of the client's attempt that got the first event.", default=''
     )
+    service: str = _fields.make_field(
+        doc='Service at which the stream is to go on.', default=''
+    )
 
 
 @attrs.frozen(kw_only=True)
 class OriginAnswer:
-    """Answers a request for the origin of a stream."""
+    """Answers a request for the origin of a stream, or confirms one."""
 
     __schema__ = 'messages'
 
@@ -777,6 +789,14 @@
     origin: StreamOrigin = _fields.make_field(
         doc='The origin.', default=attrs.Factory(lambda: StreamOrigin())
     )
+    is_witness: bool = _fields.make_field(
+        doc='Whether the process would know a stream that began at another version than the next one.',
+        default=False,
+    )
+    sole_version: str = _fields.make_field(
+        doc='Version of the service that must have begun the stream.',
+        default='',
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/briarknot/schema/definitions/messages.capnp
+++ b/briarknot/schema/definitions/messages.capnp
@@ -257,6 +257,8 @@
   version @2 :Text $A.doc("Version of its software.");
   worker @3 :Text $A.doc("Id of the worker.");
   ageMs @4 :UInt32 $A.unit("ms") $A.doc("Time since the first event of that worker.");
+  host @5 :Text $A.doc("Host of the process that sends it.");
+  number @6 :UInt64 $A.doc("Number of the message; an answer confirms it. 0 where none is wanted.");
 }
 
 struct OriginRequest $A.doc("Asks for the origin of a stream that a client takes up again.") {
@@ -266,13 +268,16 @@
   port @3 :UInt16 $A.doc("Port on which the process receives messages.");
   number @4 :UInt64 $A.doc("Number of the message; the answer repeats it.");
   stream @5 :Text $A.doc("Id of the client's attempt that got the first event.");
+  service @6 :Text $A.doc("Service at which the stream is to go on.");
 }
 
-struct OriginAnswer $A.doc("Answers a request for the origin of a stream.") {
+struct OriginAnswer $A.doc("Answers a request for the origin of a stream, or confirms one.") {
   host @0 :Text $A.doc("Host of the process that answers.");
   number @1 :UInt64 $A.doc("Number of the request.");
   isKnown @2 :Bool $A.doc("Whether the process knows the origin.");
   origin @3 :StreamOrigin $A.doc("The origin.");
+  isWitness @4 :Bool $A.doc("Whether the process would know a stream that began at another version than the next one.");
+  soleVersion @5 :Text $A.doc("Version of the service that must have begun the stream.");
 }
 
 struct UsageCount $A.doc("Requests of a client account that began to run in a window.") {
--- a/briarknot/serving/_calls.py
+++ b/briarknot/serving/_calls.py
@@ -162,6 +162,9 @@
     FOREIGN = 'foreign answer'
     #: There was no answer within the time limit of the attempt.
     TIMED_OUT = 'timed out'
+    #: Too few other processes know the origin of the stream, so that it was not
+    #: forwarded; the worker is not to blame.
+    UNCONFIRMED = 'origin not confirmed'
 
 
 #: Failures after which the worker has not run the request and never will.
--- a/briarknot/serving/_worker_records.py
+++ b/briarknot/serving/_worker_records.py
@@ -158,7 +158,10 @@
         :param kind: how the attempt failed.
         :param now: monotonic time in seconds.
         """
-        if kind == _calls.FailureKind.REJECTED:
+        if kind in {
+            _calls.FailureKind.REJECTED,
+            _calls.FailureKind.UNCONFIRMED,
+        }:
             return
         self._add_result(1.0)
         if kind == _calls.FailureKind.WRONG_WORKER:
--- a/briarknot/versions/__init__.py
+++ b/briarknot/versions/__init__.py
@@ -10,7 +10,9 @@
     StreamOrigins,
     UnknownOrigin,
     choose_keepers,
+    choose_sole,
     choose_version,
+    count_confirmations,
     make_stream_origins,
 )
 
@@ -21,7 +23,9 @@
     'Uncertain',
     'UnknownOrigin',
     'choose_keepers',
+    'choose_sole',
     'choose_version',
+    'count_confirmations',
     'make_software_versions',
     'make_stream_origins',
 )
--- a/briarknot/versions/_software_versions.py
+++ b/briarknot/versions/_software_versions.py
@@ -9,12 +9,14 @@
 was suspended must not take its list of workers for recent.
 """
 
+import collections
 import math
 import typing
 
 import attrs
 
 from briarknot import schema, sentinels
+from briarknot.versions import _sole_versions
 
 #: Time after which no client takes up a stream again: the longest time limit of
 #: requests without a deadline.
@@ -26,8 +28,12 @@
 #: knows it, or its list is older than ``MAX_LIST_AGE_S``; the difference covers a
 #: write to the store whose answer is late.
 ADMISSION_S = 2.2
+#: Time without a worker after which all processes that follow the list have seen that
+#: a version has none.
+_UNUSABLE_S = 2 * ADMISSION_S
 _MS_PER_S = 1000
 _UNKNOWN_MS = -1
+_STAGES_OF_STREAMS = frozenset((schema.serving.Stage.DECODE,))
 
 VersionRecord = schema.records.VersionRecord
 Key = tuple[str, str]
@@ -53,11 +59,14 @@
         one.
     :param stored_s: time since which the store has it; infinite if it is not
         known to.
+    :param usable_s: latest time at which a worker of it that takes new streams was
+        listed.
     """
 
     listed_s: float = -math.inf
     learned_s: float = math.inf
     stored_s: float = math.inf
+    usable_s: float = -math.inf
 
     def record_listed(self, listed_s: float, now: float) -> None:
         """Records a time at which a worker was listed, or an earlier one.
@@ -75,9 +84,13 @@
 
     _versions: dict[Key, _Version] = attrs.field(factory=dict)
     _list_s: float = -math.inf
+    _followed_s: float = math.inf
     _known_since_s: float = math.inf
     _loaded_s: float = -math.inf
     _is_loaded: bool = False
+    _soles: _sole_versions.SoleVersions = attrs.field(
+        factory=lambda: _sole_versions.make_sole_versions(MAX_STREAM_S)
+    )
 
     @property
     def is_loaded(self) -> bool:
@@ -105,6 +118,10 @@
         """
         if read_s <= self._list_s:
             return False
+        if read_s - self._list_s > ADMISSION_S:
+            # A version may have had no worker for a while.
+            self._followed_s = read_s
+            self._soles.clear()
         if read_s - max(self._list_s, self._loaded_s) > ADMISSION_S:
             # Others may have used versions that this process never saw.
             self._known_since_s = read_s
@@ -112,11 +129,14 @@
         known = len(self._versions)
         for worker in workers:
             if worker.stage != schema.serving.Stage.NONE:
-                version = self._get((worker.service, worker.version))
-                version.record_listed(read_s, now)
+                key = (worker.service, worker.version)
+                version = self._record_listed(key, read_s, now)
+                if not worker.draining and worker.stage in _STAGES_OF_STREAMS:
+                    version.usable_s = read_s
         is_new = len(self._versions) > known
         self._list_s = read_s
         self._drop_old(read_s)
+        self._record_soles(now)
         return is_new
 
     def load(
@@ -140,8 +160,7 @@
         :param read_s: time at which it was read from the store, or earlier.
         """
         for one in records:
-            version = self._get((one.service, one.version))
-            version.record_listed(now, now)
+            version = self._record_listed((one.service, one.version), now, now)
             stored_s = min(now, _to_stored_s(one, written_s))
             version.stored_s = min(version.stored_s, stored_s)
         self._known_since_s = min(self._known_since_s, known_since_s)
@@ -162,8 +181,8 @@
             listed_s = now - one.listed_age_ms / _MS_PER_S
             if now - listed_s > MAX_STREAM_S:
                 continue
-            version = self._get((one.service, one.version))
-            version.record_listed(listed_s, now)
+            key = (one.service, one.version)
+            version = self._record_listed(key, listed_s, now)
             version.stored_s = min(version.stored_s, _to_stored_s(one, now))
         return len(self._versions) > known
 
@@ -277,8 +296,78 @@
         self._drop_old(now)
         return frozenset(name for one, name in self._versions if one == service)
 
-    def _get(self, key: Key) -> _Version:
-        return self._versions.setdefault(key, _Version())
+    def find_sole(self, service: str, now: float) -> str | None:
+        """Returns the version that must have begun streams without an origin.
+
+        :param service: name of the service.
+        :param now: the time.
+        :returns: its name; None where there is none.
+        """
+        if now - self._list_s > ADMISSION_S:
+            return None
+        return self._soles.find(service, now)
+
+    def forget_sole(self, service: str) -> None:
+        """Records that a worker has started again with another version.
+
+        It may have begun streams as one of the version before.
+
+        :param service: its service.
+        """
+        self._soles.forget(service)
+
+    def needs_known_origin(
+        self, service: str, version: str, now: float
+    ) -> bool:
+        """Returns whether others must know the origin of a stream that begins.
+
+        Otherwise they might take the stream for one of the version before. They
+        don't where that has no worker that takes new streams, or where several
+        versions have been known for long.
+
+        :param service: name of the service.
+        :param version: version of the worker that begins it.
+        :param now: the time.
+        """
+        if self.find_sole(service, now) == version:
+            return False
+        known = {
+            name: one
+            for (one_service, name), one in self._versions.items()
+            if one_service == service
+        }
+        if not self._is_loaded or version not in known:
+            return True
+        others = [one for name, one in known.items() if name != version]
+        unusable_s = self._list_s - max(
+            (self._followed_s, *(one.usable_s for one in others))
+        )
+        if not others or unusable_s > _UNUSABLE_S:
+            return False
+        several_s = now - sorted(one.learned_s for one in known.values())[1]
+        return several_s <= MAX_STREAM_S + self._soles.drop_slack_s
+
+    def _record_listed(self, key: Key, listed_s: float, now: float) -> _Version:
+        """Records that a worker of a version was listed."""
+        version = self._versions.setdefault(key, _Version())
+        version.record_listed(listed_s, now)
+        self._soles.record_listed(*key, listed_s, now)
+        return version
+
+    def _record_soles(self, now: float) -> None:
+        """Records the services that certainly have one version."""
+        if now - self._list_s > MAX_LIST_AGE_S:
+            return
+        if now - self._known_since_s < MAX_STREAM_S:
+            return
+        counts = collections.Counter(service for service, _ in self._versions)
+        for (service, name), version in self._versions.items():
+            if counts[service] == 1:
+                self._soles.record(
+                    service, name, self._list_s, version.listed_s
+                )
+            elif version.usable_s < self._list_s:
+                self._soles.forget_version(service, name)
 
     def _drop_old(self, now: float) -> None:
         for key, version in tuple(self._versions.items()):
--- a/briarknot/versions/_stream_origins.py
+++ b/briarknot/versions/_stream_origins.py
@@ -1,11 +1,15 @@
 """Workers that began streams, and the versions at which streams go on.
 
 While several versions of the software may be in use, a process sends the origins of
-its streams to a few others, also those of streams that began before. These are chosen by a hash of the stream's id, so
-that any process that gets the rest of the stream knows which ones to ask.
+its streams to a few others, also those of streams that began before. These are chosen
+by a hash of the stream's id, so that any process that gets the rest of the stream knows
+which ones to ask. A stream of a version that was not there before begins only once
+most of them know it: a few of them that don't know a stream are then witnesses that
+the version before began it.
 """
 
 import collections
+import math
 import typing
 
 import attrs
@@ -20,6 +24,9 @@
 #: again may have begun after that start: the list of workers arrives late.
 _MAX_LIST_DELAY_S = 3.0
 _MAX_ORIGINS = 20_000
+#: Time for which a process begins no streams whose origins others must know, after
+#: too few of them have confirmed one.
+_ISOLATION_S = 2.0
 #: Longest id of a stream; origins are sent in datagrams.
 _MAX_ID_LENGTH = 200
 _MS_PER_S = 1000
@@ -42,13 +49,13 @@
     """Origin of a stream.
 
     :param service: service that began it.
-    :param version: version of its worker.
+    :param version: version of its worker; None where it is in doubt.
     :param worker: id of its worker.
     :param begun_s: time of its first event.
     """
 
     service: str
-    version: str
+    version: str | None
     worker: str
     begun_s: float
 
@@ -61,6 +68,8 @@
         factory=collections.OrderedDict
     )
     _unsent: dict[str, None] = attrs.field(factory=dict)
+    _dropped_s: float = -math.inf
+    _unconfirmed_s: float = -math.inf
 
     def record(
         self, stream: str, worker: schema.serving.Worker, now: float
@@ -121,7 +130,7 @@
         """
         self._drop_old(now)
         origin = self._origins.get(stream)
-        if origin is None:
+        if origin is None or origin.version is None:
             return None
         return StreamOrigin(
             stream=stream,
@@ -131,8 +140,33 @@
             age_ms=max(0, int((now - origin.begun_s) * _MS_PER_S)),
         )
 
+    def is_witness(self, stream: str, now: float) -> bool:
+        """Returns whether a stream began without that its origin was sent.
+
+        :param stream: id of the client's attempt that got the first event.
+        :param now: the time.
+        :returns: False also where an origin may have been dropped, or is in doubt.
+        """
+        has_dropped = now - self._dropped_s <= _software_versions.MAX_STREAM_S
+        is_known = not stream or stream in self._origins
+        return not (is_known or has_dropped or len(stream) > _MAX_ID_LENGTH)
+
+    def record_unconfirmed(self, now: float) -> None:
+        """Records that too few processes have confirmed an origin.
+
+        :param now: the time.
+        """
+        self._unconfirmed_s = now
+
+    def is_isolated(self, now: float) -> bool:
+        """Returns whether too few processes may know the origin of a stream.
+
+        :param now: the time.
+        """
+        return now - self._unconfirmed_s < _ISOLATION_S
+
     def forget_restarted(self, worker_id: str, now: float) -> None:
-        """Forgets streams that a worker may have begun at its new version.
+        """Forgets the versions of streams that a worker may have begun at a new one.
 
         :param worker_id: a worker that has started again under its id.
         :param now: the time at which the new start is known.
@@ -140,7 +174,7 @@
         for stream, origin in tuple(self._origins.items()):
             is_recent = now - origin.begun_s <= _MAX_LIST_DELAY_S
             if origin.worker == worker_id and is_recent:
-                del self._origins[stream]
+                self._origins[stream] = attrs.evolve(origin, version=None)
                 self._unsent.pop(stream, None)
 
     def _add(self, stream: str, origin: _Origin) -> None:
@@ -148,6 +182,7 @@
         self._origins.move_to_end(stream)
         self._drop_old(origin.begun_s)
         if len(self._origins) > _MAX_ORIGINS:
+            self._dropped_s = origin.begun_s
             self._pop_oldest()
 
     def _drop_old(self, now: float) -> None:
@@ -173,18 +208,54 @@
     return serving.rank_names(stream, hosts)[:_KEEPERS]
 
 
+def count_confirmations(hosts: int) -> int:
+    """Counts the other keepers that must know a stream before it begins.
+
+    :param hosts: number of all processes.
+    """
+    return min(hosts, _KEEPERS) // 2
+
+
+def choose_sole(
+    testimonies: typing.Iterable[str | None], hosts: int
+) -> str | None:
+    """Chooses the version that the keepers of a stream agree on.
+
+    There must be so many witnesses that one of them would know the stream if it had
+    begun at any other version.
+
+    :param testimonies: the version that each keeper states; None where it is no
+        witness.
+    :param hosts: number of all processes.
+    :returns: the version; None where there are too few witnesses.
+    """
+    keepers = min(hosts, _KEEPERS)
+    copies = count_confirmations(hosts)
+    if hosts <= _KEEPERS:
+        # The process that begins a stream is a keeper of it too.
+        copies += 1
+    stated = [version for version in testimonies if version is not None]
+    if len(stated) <= keepers - copies or len(set(stated)) != 1:
+        return None
+    return stated[0]
+
+
 def choose_version(
     possible: frozenset[str] | _software_versions.Uncertain,
     origin: StreamOrigin | None,
+    sole: str | None = None,
 ) -> str | UnknownOrigin:
     """Chooses the version at which a stream goes on.
 
     :param possible: versions that may have begun it.
     :param origin: its origin; None if it is not known.
+    :param sole: version that its keepers agree on; None where they don't.
     :returns: the version; a sentinel where it may not go on.
     """
     if origin is not None:
         return origin.version
+    if sole is not None:
+        return sole
     if isinstance(possible, _software_versions.Uncertain):
         return UnknownOrigin(possible.reason)
     if len(possible) == 1:
--- a/briarknot/versions/tests/_fleet_simulation.py
+++ b/briarknot/versions/tests/_fleet_simulation.py
@@ -24,12 +24,13 @@
 _MAX_RANK = 4
 _CALL_TIMEOUT_S = 1.0
 _ANSWER_S = 0.25
+#: Time after which an origin is sent once more, and until it counts as unconfirmed.
+_CONFIRM_S = 0.15
 #: A gateway counts as in touch this long after its last disturbance.
 _IN_TOUCH_S = 4.0
 _TRIES = 3
 #: Share of the streams whose connection breaks.
 _BROKEN_SHARE = 0.6
-_GIVE_UP_S = 1.0
 #: Time for which clients try to connect to any gateway.
 _RETRY_S = 2.0
 _MS_PER_S = 1000
@@ -150,6 +151,7 @@
     :param believed: version that the gateway believed.
     :param began_s: time for which its worker had run when it began.
     :param gateway: the gateway that forwards it.
+    :param take_ups: outcomes of its take-ups at gateways in touch.
     """
 
     id: str
@@ -160,6 +162,7 @@
     began_s: float = 0
     gateway: Gateway | None = None
     tries: int = 0
+    take_ups: list[bool] = attrs.field(factory=list)
 
 
 @attrs.define
@@ -173,6 +176,8 @@
     :param taken_up: outcomes of take-ups at gateways in touch.
     :param records: messages with records of versions.
     :param origins: messages with origins, and questions about them.
+    :param confirmations: messages that confirm origins.
+    :param unconfirmed: streams whose origin too few gateways confirmed.
     """
 
     wrong: list = attrs.field(factory=list)
@@ -182,6 +187,8 @@
     refusals: list[tuple[float, str]] = attrs.field(factory=list)
     records: int = 0
     origins: int = 0
+    confirmations: int = 0
+    unconfirmed: int = 0
 
 
 @attrs.define(eq=False)
@@ -191,6 +198,7 @@
     :param running: what runs under the id of each worker.
     :param loss: share of the messages that are lost.
     :param is_naming: whether clients name the attempt that they take up.
+    :param give_up_s: silence after which clients leave a stream.
     """
 
     source: random.Random
@@ -201,6 +209,7 @@
     streams: list[Stream] = attrs.field(factory=list)
     loss: float = 0
     is_naming: bool = True
+    give_up_s: float = 1.0
     now: float = 1000.0
     _leader: str = ''
     _events: list = attrs.field(factory=list)
@@ -247,17 +256,17 @@
                 self._break(stream)
 
     def suspend(self, host, seconds):
-        """Suspends a process; clients leave its streams after a second."""
+        """Suspends a process; clients leave its streams after some time."""
         gateway = self.gateways[host]
         if gateway.is_suspended or not gateway.is_up:
             return
         gateway.is_suspended = True
         gateway.disturbed_s = math.inf
         self.after(seconds, self._resume, gateway)
-        if seconds > _GIVE_UP_S:
+        if seconds > self.give_up_s:
             for stream in tuple(self.streams):
                 if stream.gateway is gateway:
-                    self.after(_GIVE_UP_S, self._break, stream)
+                    self.after(self.give_up_s, self._break, stream)
 
     def disturb(self, gateway, seconds, cut_from=(), slowness=1):
         """Cuts a gateway off, or makes it slow, for a time."""
@@ -376,10 +385,18 @@
                 stream.version = running.version
                 stream.believed = worker.version
                 stream.began_s = self._get_run_s(running)
-                self._forward(stream, gateway, worker)
-                self._count(self.counts.new, stream, gateway, is_served=True)
+                Beginning(self, gateway, stream, worker).start()
                 return
-        self._count(self.counts.new, stream, gateway, is_served=False)
+        self.count_new(stream, gateway, is_served=False)
+
+    def begin(self, stream, gateway, worker):
+        """Forwards the first event of a stream."""
+        self._forward(stream, gateway, worker)
+        self.count_new(stream, gateway, is_served=True)
+
+    def count_new(self, stream, gateway, *, is_served):
+        """Counts a new stream that begins, or is refused."""
+        self._count(self.counts.new, stream, gateway, is_served)
 
     def hand_over(self, stream, gateway):
         """Breaks a connection; the client takes the stream up at a gateway."""
@@ -433,6 +450,8 @@
             ready = [one for one in ready if one.version == stream.version]
         if self.is_in_touch(gateway) and len(ready) >= 2:
             outcomes.append(is_served)
+            if outcomes is self.counts.taken_up:
+                stream.take_ups.append(is_served)
 
     def _forward(self, stream, gateway, worker):
         """Forwards a stream, after its origin was sent where it is needed."""
@@ -440,7 +459,7 @@
         possible = gateway.software.list_possible(SERVICE, self.now)
         origin = gateway.origins.find(stream.resumes, self.now)
         if origin is not None and (not possible or len(possible) > 1):
-            self._send_origin(gateway, origin)
+            self.send_origin(gateway, origin, lambda keeper: None)
         stream.gateway = gateway
         self.streams.append(stream)
         left_s = stream.end_s - self.now
@@ -452,15 +471,19 @@
         else:
             self.streams.remove(stream)
 
-    def _send_origin(self, gateway, origin):
+    def send_origin(self, gateway, origin, then):
+        """Sends an origin to its keepers, and calls something at each of them."""
         for host in versions.choose_keepers(origin.stream, self.gateways):
             keeper = self.gateways[host]
             if keeper is not gateway:
                 self.counts.origins += 1
-                self.send(gateway, keeper, self._merge_origin, keeper, origin)
+                self.send(
+                    gateway, keeper, self._merge_origin, keeper, origin, then
+                )
 
-    def _merge_origin(self, keeper, origin):
+    def _merge_origin(self, keeper, origin, then):
         keeper.origins.merge(origin, self.now)
+        then(keeper)
 
     def _end(self, stream, tries):
         if stream in self.streams and stream.tries == tries:
@@ -493,7 +516,21 @@
         visible = software.list_visible(SERVICE, now)
         usable = self._list_usable(is_new=True)
         found = [one for one in usable if one.version in admitted]
-        return found or [one for one in usable if one.version in visible]
+        found = found or [one for one in usable if one.version in visible]
+        if not self.gateway.origins.is_isolated(now):
+            return found
+        return [
+            one
+            for one in found
+            if not software.needs_known_origin(SERVICE, one.version, now)
+        ]
+
+    def testify(self, stream_id):
+        """Returns the version that must have begun a stream, or None."""
+        now = self.fleet.now
+        if not self.gateway.origins.is_witness(stream_id, now):
+            return None
+        return self.gateway.software.find_sole(SERVICE, now)
 
     def list_for(self, version):
         """Lists workers of a version, in the order of trial."""
@@ -510,18 +547,24 @@
             then(version)
             return
         pending = [True]
+        testimonies = self._list_own_testimony(stream.resumes)
 
-        def answer(origin):
+        def answer(origin, testimony):
             if pending and (origin is not None):
                 pending.clear()
                 then(origin.version)
+            testimonies.append(testimony)
 
         def decide(is_late):
             """Decides by the list, which may be recent by now."""
             possible = self.gateway.software.list_possible(
                 SERVICE, self.fleet.now
             )
-            found = versions.choose_version(possible, None)
+            sole = None
+            if is_late:
+                hosts = len(self.fleet.gateways)
+                sole = versions.choose_sole(testimonies, hosts)
+            found = versions.choose_version(possible, None, sole)
             if pending and (found or is_late):
                 pending.clear()
                 then(found)
@@ -534,6 +577,13 @@
             _ANSWER_S, self.fleet.deliver, self.gateway, decide, True
         )
 
+    def _list_own_testimony(self, stream_id):
+        """Lists what the gateway states itself if it is a keeper."""
+        hosts = versions.choose_keepers(stream_id, self.fleet.gateways)
+        if self.gateway.host in hosts:
+            return [self.testify(stream_id)]
+        return []
+
     def _ask(self, stream_id, answer):
         fleet = self.fleet
         for host in versions.choose_keepers(stream_id, fleet.gateways):
@@ -543,7 +593,8 @@
 
             def find(one=keeper):
                 origin = one.origins.find(stream_id, fleet.now)
-                fleet.send(one, self.gateway, answer, origin)
+                testimony = Choice(fleet, one).testify(stream_id)
+                fleet.send(one, self.gateway, answer, origin, testimony)
 
             fleet.counts.origins += 1
             fleet.send(self.gateway, keeper, find)
@@ -558,6 +609,64 @@
         return self.fleet.source.sample(found, len(found))
 
 
+@attrs.define(eq=False)
+class Beginning:
+    """A stream that begins once enough other gateways know its origin.
+
+    :param confirmed: hosts of the gateways that know it.
+    """
+
+    fleet: Fleet
+    gateway: Gateway
+    stream: Stream
+    worker: schema.serving.Worker
+    confirmed: set[str] = attrs.field(factory=set)
+    is_decided: bool = False
+
+    def start(self):
+        """Begins the stream, or asks others to confirm its origin."""
+        now = self.fleet.now
+        origins = self.gateway.origins
+        origins.record(self.stream.resumes, self.worker, now)
+        is_needed = self.gateway.software.needs_known_origin(
+            SERVICE, self.worker.version, now
+        )
+        origin = origins.find(self.stream.resumes, now)
+        needed = versions.count_confirmations(len(self.fleet.gateways))
+        if not (is_needed and origin and needed):
+            self.fleet.begin(self.stream, self.gateway, self.worker)
+            return
+        self._send(origin)
+        deliver = self.fleet.deliver
+        self.fleet.after(_CONFIRM_S, deliver, self.gateway, self._send, origin)
+        self.fleet.after(2 * _CONFIRM_S, deliver, self.gateway, self._give_up)
+
+    def _send(self, origin):
+        if not self.is_decided:
+            self.fleet.send_origin(self.gateway, origin, self._answer)
+
+    def _answer(self, keeper):
+        self.fleet.counts.confirmations += 1
+        self.fleet.send(keeper, self.gateway, self._confirm, keeper.host)
+
+    def _confirm(self, host):
+        self.confirmed.add(host)
+        needed = versions.count_confirmations(len(self.fleet.gateways))
+        if not self.is_decided and len(self.confirmed) >= needed:
+            self.is_decided = True
+            self.gateway.origins.complete(self.stream.resumes)
+            self.fleet.begin(self.stream, self.gateway, self.worker)
+
+    def _give_up(self):
+        if self.is_decided:
+            return
+        self.is_decided = True
+        self.fleet.counts.unconfirmed += 1
+        now = self.fleet.now
+        self.gateway.origins.record_unconfirmed(now)
+        self.fleet.count_new(self.stream, self.gateway, is_served=False)
+
+
 @attrs.frozen
 class Exchange:
     """Exchange of a gateway with the store and the others."""
@@ -594,6 +703,8 @@
                 worker, draining=known.draining
             ):
                 self.gateway.origins.forget_restarted(worker.id, self.fleet.now)
+                if known.version != worker.version:
+                    self.gateway.software.forget_sole(SERVICE)
         self.gateway.workers = dict(workers)
         self.gateway.failed.clear()
         if self.gateway.software.record_list(
