Bound what answers without end cost a process

A faulty worker could send bytes that were no answer until its caller closed, and the caller kept what it had parsed of them: operators of similar systems lost processes, and with them the requests of other clients.

Cause: limits counted bytes of the wire for one connection. The parser makes up to 60 times as much of them, parses 256 KB at once before anything can be checked, and a dense body is read without a yield to other tasks. Only the gateway's sessions had limits at all.

Change: httpclient/_answer_limits.py bounds heads, informational responses, framing and what follows an answer, for all sessions; a connection receives 16 KB at once; informational responses are dropped as they are parsed; answers that are mostly framing are parsed in turns; parts of events above 32 KB share the memory of responses. Such bytes are a 'foreign answer' with the reason, counted, and held against their worker.

Why it works: nothing that is kept grows faster than what is counted, and what is parsed at once is small for each connection.

test_end_of_answers.py makes an exchange with the turns that it has now.

--- a/briarknot/authority/_transports.py
+++ b/briarknot/authority/_transports.py
@@ -121,7 +121,7 @@
         self, url: str, order: schema.endpoints.Order, may_send: MaySend
     ) -> Answer:
         """Sends an order once."""
-        connector = aiohttp.TCPConnector(
+        connector = httpclient.Connector(
             limit=1, socket_factory=self._make_socket
         )
         half_s = self.timeout_s / 2
--- a/briarknot/control/_serve.py
+++ b/briarknot/control/_serve.py
@@ -104,7 +104,7 @@
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(
             httpclient.make_session(
-                repeats_reads=True, connector=aiohttp.TCPConnector(limit=0)
+                repeats_reads=True, connector=httpclient.Connector(limit=0)
             )
         )
         client = platform.make_client(
--- a/briarknot/entry/_attempts.py
+++ b/briarknot/entry/_attempts.py
@@ -264,7 +264,10 @@
     :param timing: time limits.
     """
     return httpclient.make_session(
-        connector=httpclient.Connector(limit=0, force_close=True),
+        # Bodies are passed on as they arrive.
+        connector=httpclient.Connector(
+            max_answer_bytes=0, limit=0, force_close=True
+        ),
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=timing.connect_timeout_s
         ),
--- a/briarknot/gateway/_context.py
+++ b/briarknot/gateway/_context.py
@@ -36,6 +36,11 @@
     'Requests sent to workers by call and result.',
     ('call', 'result'),
 )
+BROKEN_ANSWERS = prometheus_client.Counter(
+    'briarknot_gateway_broken_answers',
+    'Answers of workers that were not complete after their head, by outcome.',
+    ('outcome',),
+)
 SECONDS = prometheus_client.Histogram(
     'briarknot_gateway_seconds',
     'Time from a request to its whole answer or to the first event.',
--- a/briarknot/gateway/_generation_attempts.py
+++ b/briarknot/gateway/_generation_attempts.py
@@ -148,6 +148,7 @@
         if request.has_time() and not relay.was_unread:
             # A worker ends a run whose time is over, or that is not read.
             opened.record.record_failure(failure.kind, time.monotonic())
+        _context.BROKEN_ANSWERS.labels(failure.kind.value).inc()
         telemetry.log_event(
             'stream_broken',
             request=request.call.id,
--- a/briarknot/gateway/_plain.py
+++ b/briarknot/gateway/_plain.py
@@ -192,6 +192,7 @@
         if isinstance(answer, serving.Failed):
             if not exchange.was_unread:
                 attempt.record.record_failure(answer.kind, time.monotonic())
+            _context.BROKEN_ANSWERS.labels(answer.kind.value).inc()
             telemetry.log_event(
                 'answer_broken',
                 request=request.call.id,
--- a/briarknot/gateway/_stream.py
+++ b/briarknot/gateway/_stream.py
@@ -30,6 +30,8 @@
 _MAX_OVERLAP_S = 0.3
 #: Longest event; an event holds a few tokens.
 _MAX_EVENT_BYTES = 1 << 20
+#: Part of an event from which on the memory for it is counted.
+_SMALL_EVENT_BYTES = 32 << 10
 
 
 #: Called before the first event of a stream.
@@ -173,6 +175,8 @@
                     reason=f'event longer than {_MAX_EVENT_BYTES} bytes',
                 )
                 break
+            if len(partial_event) > _SMALL_EVENT_BYTES:
+                await exchange.reserve(len(partial_event))
             if is_end and partial_event.strip():
                 failure = serving.Failed(
                     kind=serving.FailureKind.BROKEN,
--- a/briarknot/gateway/tests/_crowd.py
+++ b/briarknot/gateway/tests/_crowd.py
@@ -20,21 +20,42 @@
 #: Time that a crowd has for sending.
 _SEND_S = 10
 _KB = 1024
+_ROUTE = {
+    'name': 'r',
+    'host': HOST,
+    'pathPrefix': '/r/',
+    'kind': 'idempotent',
+    'timeoutMs': 60_000,
+    'targetLatencyMs': 1000,
+    'service': 'plain',
+    'maxAttempts': 2,
+}
+#: Routes of the worker whose answers a test sets, by the names of its services.
+_FAULTY_ROUTES = {
+    'faulty': {'kind': 'idempotent'},
+    'faulty-engine': {'kind': 'streaming', 'resumable': True},
+}
 _MANIFEST = {
     'version': 1,
     'routes': [
+        _ROUTE,
+        *(
+            _ROUTE
+            | {'name': name, 'pathPrefix': f'/{name}/', 'service': name}
+            | {'maxAttempts': 1}
+            | kind
+            for name, kind in _FAULTY_ROUTES.items()
+        ),
+    ],
+    'services': [
+        {'name': 'plain', 'maxConnections': 200},
+        {'name': 'faulty', 'maxConnections': 200},
         {
-            'name': 'r',
-            'host': HOST,
-            'pathPrefix': '/r/',
-            'kind': 'idempotent',
-            'timeoutMs': 60_000,
-            'targetLatencyMs': 1000,
-            'service': 'plain',
-            'maxAttempts': 2,
-        }
+            'name': 'faulty-engine',
+            'maxConnections': 200,
+            'engine': {'slots': 200, 'kvTokens': 400_000, 'handleTtlS': 5},
+        },
     ],
-    'services': [{'name': 'plain', 'maxConnections': 200}],
     'limits': {
         'maxHeaderBytes': 16384,
         'maxBodyBytes': MAX_BODY_BYTES,
@@ -49,6 +70,7 @@
     """A running gateway process with its own small limits."""
 
     process: launcher.Process
+    faulty: 'FaultyWorker'
     _crowd: list[socket.socket] = attrs.field(factory=list)
 
     async def send_crowd(self, count, data):
@@ -121,13 +143,39 @@
         """Closes the connections of the crowd."""
         for connection in self._crowd:
             connection.close()
+        self._crowd.clear()
+
 
+@attrs.define(eq=False)
+class FaultyWorker:
+    """A worker that sends an answer without end on each connection.
+
+    :param start: its first bytes.
+    :param block: bytes that it sends again and again until it is disconnected.
+    :param sent_bytes: bytes that it has sent.
+    """
 
-def make_head(method, size, *lines):
+    start: bytes = b''
+    block: bytes = b''
+    sent_bytes: int = 0
+
+    async def answer(self, reader, writer):
+        """Serves a connection."""
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(self.start)
+            while True:
+                writer.write(self.block)
+                self.sent_bytes += len(self.block)
+                await writer.drain()
+        writer.close()
+
+
+def make_head(method, size, *lines, route='r'):
     """Makes the header section of a request for a response of some size."""
     return '\r\n'.join(
         (
-            f'{method} /r/{size} HTTP/1.1',
+            f'{method} /{route}/{size} HTTP/1.1',
             f'Host: {HOST}',
             'Request-Id: q',
             *lines,
@@ -184,13 +232,22 @@
         worker_port = worker.sockets[0].getsockname()[1]
         store = await cluster.start('briarknot_standins.platform')
         await _write_manifest(store, limits)
-        # It keeps the worker above in the store.
-        await cluster.start(
-            'briarknot_standins.worker',
-            ['--address', f'{HOST}:{worker_port}', '--store', store.url]
-            + ['--service', 'plain', '--stage', 'none']
-            + ['--failure-share', '0', '--seed', '1'],
-        )
+        faulty = FaultyWorker()
+        faulty_server = await asyncio.start_server(faulty.answer, HOST)
+        stack.callback(faulty_server.close)
+        faulty_port = faulty_server.sockets[0].getsockname()[1]
+        # They keep the workers above in the store.
+        for service, address, stage in (
+            ('plain', worker_port, 'none'),
+            ('faulty', faulty_port, 'none'),
+            ('faulty-engine', faulty_port, 'decode'),
+        ):
+            await cluster.start(
+                'briarknot_standins.worker',
+                ['--address', f'{HOST}:{address}', '--store', store.url]
+                + ['--service', service, '--stage', stage]
+                + ['--failure-share', '0', '--seed', '1'],
+            )
         port, readiness_port, metrics_port = (
             cluster.choose_port() for _ in range(3)
         )
@@ -212,7 +269,7 @@
         process = await cluster.start(
             'briarknot.gateway', ['--settings', str(path)], port=port
         )
-        host = SmallHost(process)
+        host = SmallHost(process, faulty)
         stack.callback(host.close_crowd)
         await host.check()
         yield host
--- a/briarknot/gateway/tests/test_endless_answers.py
+++ b/briarknot/gateway/tests/test_endless_answers.py
@@ -14,6 +14,7 @@
 import pytest
 
 from briarknot import platform, schema
+from briarknot.gateway import _context
 from briarknot.gateway.tests import _support
 
 _Kind = schema.serving.RequestKind
@@ -120,6 +121,51 @@
     assert seconds < _MAX_SECONDS
 
 
+def count_foreign():
+    """Counts the answers that were none."""
+    attempts = next(iter(_context.ATTEMPTS.collect()))
+    broken = next(iter(_context.BROKEN_ANSWERS.collect()))
+    return sum(
+        sample.value
+        for sample in (*attempts.samples, *broken.samples)
+        if sample.name.endswith('_total')
+        and 'foreign answer' in sample.labels.values()
+    )
+
+
+@pytest.mark.parametrize('name', ['interim_answers', 'chunk_extension'])
+async def test_endless_answer_is_that_of_its_worker(name):
+    """It counted as a lost connection, and its request as one that had not run."""
+    worker = EndlessServer(*_ANSWERS[name])
+    route = _support.make_route(
+        _Kind.NON_IDEMPOTENT, max_attempts=3, timeout_s=_TIMEOUT_S
+    )
+    before = count_foreign()
+    async with _support.open_gateway(route, worker) as gateway:
+        status, _, _ = await gateway.send(headers={'Deadline-Ms': '20000'})
+        record = gateway.context.worker_records.get(worker.entry.id)
+    assert status == 502
+    assert count_foreign() == before + 1
+    assert record.failure_rate > 0
+
+
+async def test_worker_of_endless_answers_is_avoided():
+    """It kept getting as many requests as a sound one."""
+    faulty = EndlessServer(*_ANSWERS['interim_answers'])
+    replies = [
+        _support.make_reply(200, 'x', 'Server-Seal: s') for _ in range(20)
+    ]
+    sound = _support.ScriptedWorker(replies)
+    route = _support.make_route(
+        _Kind.IDEMPOTENT, max_attempts=2, timeout_s=_TIMEOUT_S
+    )
+    before = count_foreign()
+    async with _support.open_gateway(route, faulty, sound) as gateway:
+        for _ in range(20):
+            await gateway.send(headers={'Deadline-Ms': '20000'})
+    assert count_foreign() - before <= 5
+
+
 async def test_endless_event_of_a_stream_ends():
     """The start of an event was kept until its end, which never came."""
     prefill = _support.ScriptedWorker(
--- a/briarknot/httpclient/_sessions.py
+++ b/briarknot/httpclient/_sessions.py
@@ -5,7 +5,7 @@
 import aiohttp
 from aiohttp import hdrs
 
-from briarknot.httpclient import _responses
+from briarknot.httpclient import _connections, _responses
 
 
 class ConnectionLostError(aiohttp.ClientError):
@@ -64,7 +64,7 @@
     """
     options.setdefault('response_class', _responses.Response)
     if options.get('connector') is None:
-        options['connector'] = _responses.Connector()
+        options['connector'] = _connections.Connector()
     middlewares = (_send_once,)
     if repeats_reads:
         # The first one is the outermost.
--- a/briarknot/links/_hub.py
+++ b/briarknot/links/_hub.py
@@ -265,7 +265,7 @@
         if self._session is None:
             # aiohttp's default limit is 100 connections.
             self._session = httpclient.make_session(
-                connector=aiohttp.TCPConnector(limit=0)
+                connector=httpclient.Connector(limit=0)
             )
         return await self._session.ws_connect(
             url.rstrip('/') + _PATH,
--- a/briarknot/platform/_sessions.py
+++ b/briarknot/platform/_sessions.py
@@ -1,9 +1,9 @@
-"""HTTP sessions that detect silent connections and endless answers."""
+"""HTTP sessions that detect silent connections."""
 
 import socket
 
 import aiohttp
-from aiohttp import client_proto, http_exceptions
+from aiohttp import client_proto
 
 from briarknot import httpclient
 
@@ -22,11 +22,8 @@
 _KEEPALIVE_PROBES = 2
 _SKIPPED_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
 _MAX_LINE_BYTES = 65536
-#: Longest head of an answer, with all interim answers before it.
-_MAX_HEAD_BYTES = 256 << 10
-#: Longest answer with its framing. A sound answer, or a stream within its time
-#: limit, is far shorter.
-_MAX_ANSWER_BYTES = 64 << 20
+#: Bytes of a body that are read ahead; up to twice as many arrive.
+_READ_AHEAD_BYTES = 16 << 10
 
 
 def _make_socket(
@@ -51,60 +48,8 @@
     return made
 
 
-class _LimitedProtocol(httpclient.Protocol):
-    """A connection that closes when an answer does not end.
-
-    The parser bounds lines and headers, but neither interim answers nor the
-    framing of a chunked body, which may go on until the connection is closed.
-
-    It also ends a body that can't be parsed further: the base class reports
-    the error to the reader of the next head only, so that the reader of the
-    body would wait for nothing.
-    """
-
-    _received_bytes: int = 0
-    _limit_bytes: int = _MAX_HEAD_BYTES
-
-    def set_response_params(self, **parameters: object) -> None:
-        """Starts counting the bytes of the next answer."""
-        self.set_limit(_MAX_HEAD_BYTES)
-        super().set_response_params(**parameters)
-
-    def set_limit(self, limit_bytes: int) -> None:
-        """Sets the limit of the bytes that arrive from now on.
-
-        :param limit_bytes: the limit.
-        """
-        self._received_bytes = 0
-        self._limit_bytes = limit_bytes
-
-    def data_received(self, data: bytes) -> None:
-        """Counts and parses received bytes."""
-        self._received_bytes += len(data)
-        if self._received_bytes <= self._limit_bytes:
-            super().data_received(data)
-            self._report_error()
-            return
-        error = http_exceptions.BadHttpMessage(
-            f'answer longer than {self._limit_bytes} bytes'
-        )
-        if self._payload is not None:
-            self._payload.set_exception(aiohttp.ClientPayloadError(str(error)))
-        self.set_exception(error)
-        if self.transport is not None:
-            self.transport.abort()
-
-    def _report_error(self) -> None:
-        """Reports an error of the parser to the reader of the body."""
-        error = self.exception()
-        body = self._payload
-        if error is None or body is None or body.is_eof() or body.exception():
-            return
-        body.set_exception(aiohttp.ClientPayloadError(str(error)))
-
-
 class Response(httpclient.Response):
-    """A response whose connection can be closed, and that has a limit."""
+    """A response whose connection can be closed."""
 
     _used_protocol: client_proto.ResponseHandler | None = None
 
@@ -112,12 +57,22 @@
         self, connection: aiohttp.connector.Connection
     ) -> aiohttp.ClientResponse:
         """Waits for the head of the answer."""
-        protocol = connection.protocol
-        self._used_protocol = protocol
-        started = await super().start(connection)
-        if isinstance(protocol, _LimitedProtocol):
-            protocol.set_limit(_MAX_ANSWER_BYTES)
-        return started
+        self._used_protocol = connection.protocol
+        return await super().start(connection)
+
+    @property
+    def is_dense(self) -> bool:
+        """Whether most bytes of the answer frame its body."""
+        protocol = self._used_protocol
+        return isinstance(protocol, httpclient.Protocol) and protocol.is_dense
+
+    @property
+    def is_unsound(self) -> bool:
+        """Whether the bytes that arrived are no answer."""
+        protocol = self._used_protocol
+        return isinstance(protocol, httpclient.Protocol) and bool(
+            protocol.failure
+        )
 
     def close_connection(self) -> None:
         """Closes the connection, also if it has been returned to its pool.
@@ -129,19 +84,13 @@
             self._used_protocol.close()
 
 
-class _LimitedConnector(httpclient.Connector):
-    """Opens connections that close when an answer does not end."""
-
-    protocol_class = _LimitedProtocol
-
-
 def make_limited_connector() -> aiohttp.TCPConnector:
     """Makes a connector without kept connections; a running loop is needed.
 
     Bytes that are not acknowledged soon are dropped, also after the call has timed
     out: a call that arrives later would carry an outdated fencing number.
     """
-    return _LimitedConnector(force_close=True, socket_factory=_make_socket)
+    return httpclient.Connector(force_close=True, socket_factory=_make_socket)
 
 
 async def read_limited(
@@ -174,7 +123,7 @@
     """
     return httpclient.make_session(
         repeats_reads=True,
-        connector=_LimitedConnector(),
+        connector=httpclient.Connector(),
         response_class=Response,
         timeout=aiohttp.ClientTimeout(total=timeout_s or None),
     )
@@ -189,7 +138,7 @@
     :param force_close: whether each request has a connection of its own.
     """
     options = {} if force_close else {'keepalive_timeout': _IDLE_TIMEOUT_S}
-    connector = _LimitedConnector(
+    connector = httpclient.Connector(
         limit=0,
         limit_per_host=connections,
         force_close=force_close,
@@ -208,5 +157,5 @@
         ),
         max_line_size=_MAX_LINE_BYTES,
         max_field_size=_MAX_LINE_BYTES,
-        read_bufsize=_MAX_LINE_BYTES,
+        read_bufsize=_READ_AHEAD_BYTES,
     )
--- a/briarknot/platform/_worker_calls.py
+++ b/briarknot/platform/_worker_calls.py
@@ -12,6 +12,7 @@
 from briarknot import httpclient, schema, serving, telemetry
 from briarknot.platform import (
     _answer_headers,
+    _chunk_turns,
     _current_client,
     _headers,
     _sessions,
@@ -62,6 +63,7 @@
 
     _answer: serving.Answer
     _response: _sessions.Response
+    _turns: _chunk_turns.ChunkTurns
     _unread_s: float = 0
 
     @property
@@ -88,7 +90,7 @@
         parts = []
         size = 0
         length = self._response.content_length or 0
-        await self._reserve(min(length, _MAX_BODY_BYTES))
+        await self.reserve(min(length, _MAX_BODY_BYTES))
         while size <= _MAX_BODY_BYTES:
             part = await self.read_some()
             if isinstance(part, serving.Failed):
@@ -97,22 +99,39 @@
                 return b''.join(parts)
             parts.append(part)
             size += len(part)
-            await self._reserve(size)
+            await self.reserve(size)
         return serving.Failed(
             kind=serving.FailureKind.FOREIGN,
             reason=f'body longer than {_MAX_BODY_BYTES} bytes',
         )
 
     async def read_some(self) -> bytes | serving.Failed:
-        """Reads the available part of the body; empty at its regular end."""
+        """Reads the available part of the body; empty at its regular end.
+
+        Bodies of which most is framing are parsed in turns.
+        """
+        if self._response.is_dense:
+            await self._turns.take()
         try:
             part = await self._response.content.readany()
         except (aiohttp.ClientError, ConnectionError, OSError) as error:
-            return _make_failure(serving.FailureKind.BROKEN, error)
+            kind = serving.FailureKind.BROKEN
+            if self._response.is_unsound:
+                kind = serving.FailureKind.FOREIGN
+            return _make_failure(kind, error)
         if part or not self._ends_with_connection:
             return part
         return await self._check_end()
 
+    async def reserve(self, size: int) -> None:
+        """Waits until there is room for a part of the body.
+
+        :param size: bytes that are kept.
+        """
+        started_s = time.monotonic()
+        await _current_client.reserve_response(size)
+        self._unread_s += time.monotonic() - started_s
+
     def complete(self, body: bytes) -> serving.Answer:
         """Returns the answer with its body.
 
@@ -141,11 +160,6 @@
             and 'chunked' not in headers.get('Transfer-Encoding', '').lower()
         )
 
-    async def _reserve(self, size: int) -> None:
-        started_s = time.monotonic()
-        await _current_client.reserve_response(size)
-        self._unread_s += time.monotonic() - started_s
-
     async def _check_end(self) -> bytes | serving.Failed:
         # The parser mistakes a reset for the end of a body without a length.
         closed = self._response.closed_connection
@@ -168,6 +182,9 @@
 
     _reused: aiohttp.ClientSession
     _fresh: aiohttp.ClientSession
+    _turns: _chunk_turns.ChunkTurns = attrs.field(
+        factory=_chunk_turns.ChunkTurns
+    )
 
     async def run(
         self, call: serving.Call, dispatch: serving.Dispatch, *, fresh: bool
@@ -292,11 +309,13 @@
         # TimeoutError is a subclass of OSError.
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return _make_failure(_classify_error(error), error)
-        return _check_response(call, response)
+        return _check_response(call, response, self._turns)
 
 
 def _check_response(
-    call: serving.Call, response: _sessions.Response
+    call: serving.Call,
+    response: _sessions.Response,
+    turns: _chunk_turns.ChunkTurns,
 ) -> Exchange | serving.Failed:
     failure = _classify_failure(call, response)
     if failure is not None:
@@ -310,7 +329,7 @@
         load=_answer_headers.decode_load(response),
         backpressure=_answer_headers.decode_backpressure(response),
     )
-    return Exchange(answer, response)
+    return Exchange(answer, response, turns)
 
 
 def _classify_failure(
--- a/briarknot/platform/tests/test_end_of_answers.py
+++ b/briarknot/platform/tests/test_end_of_answers.py
@@ -5,7 +5,7 @@
 import attrs
 
 from briarknot import serving
-from briarknot.platform import _worker_calls
+from briarknot.platform import _chunk_turns, _worker_calls
 
 
 @attrs.define
@@ -23,6 +23,7 @@
 
     closed_connection: asyncio.Future
     status: int = 200
+    is_dense: bool = False
     headers: dict = attrs.field(factory=dict)
     content: _Content = attrs.field(factory=_Content)
 
@@ -31,7 +32,9 @@
     """The next wait was cancelled, which counted as the client's leaving."""
     closed = asyncio.get_running_loop().create_future()
     answer = serving.Answer(status=200, headers=())
-    exchange = _worker_calls.Exchange(answer, _Response(closed))
+    exchange = _worker_calls.Exchange(
+        answer, _Response(closed), _chunk_turns.ChunkTurns()
+    )
     try:
         async with asyncio.timeout(0.01):
             await exchange.read_some()
