Don't begin a stream that is moved while its origin is confirmed

Seen by reading, not in a run of the programs: while the first event of a stream of a newer version waits for others to confirm its origin, the stream may be asked for at another worker, as its own leaves. It has no event then, so that the other one sends the first event too, and the client would get it twice, or from two versions.

Cause: the commit that has others confirm origins waits between the read of an event and its recording, which had no wait between them before.

Change: a run whose rest was asked for during that wait ends as not confirmed, as does the move, and the request is not sent again under its id, which some processes may know.

Evidence: test_stream_that_is_moved_before_its_first_event_is_not_begun failed before (the event was forwarded, and the run went on until the test's time limit), and passes.

--- a/briarknot/gateway/_generation.py
+++ b/briarknot/gateway/_generation.py
@@ -108,6 +108,11 @@
             if failure is None:
                 _record_cache(context, request, run)
                 return True
+            if failure.kind == serving.FailureKind.UNCONFIRMED:
+                # Some of the others may know a stream that did not begin: the
+                # client's next attempt has another id.
+                progress.last = failure
+                return False
             run = await move.finish()
         finally:
             await move.close()
@@ -298,10 +303,7 @@
     request: _requests.Request,
     last: serving.Failed,
 ) -> bool:
-    is_unconfirmed = last.kind == serving.FailureKind.UNCONFIRMED
-    if is_unconfirmed or _stream_versions.has_none_left(context, request):
-        # Some of the others may know a stream that did not begin: the client's
-        # next attempt has another id.
+    if _stream_versions.has_none_left(context, request):
         return False
     return request.has_time() and (last.not_run or request.can_resume())
 
--- a/briarknot/gateway/_stream.py
+++ b/briarknot/gateway/_stream.py
@@ -186,13 +186,34 @@
             if is_end:
                 events += partial_event
             if events and self.on_begin and not self.first_event_s:
-                failure = await self.on_begin()
+                failure = await self._begin(self.on_begin, move)
             if failure is not None:
                 break
             if not await self._forward(exchange, events, is_end=is_end):
                 break
         return failure
 
+    async def _begin(
+        self, on_begin: OnBegin, move: _stream_moves.Move
+    ) -> serving.Failed | None:
+        """Waits until the first event may be forwarded.
+
+        :param on_begin: awaited first.
+        :param move: moves the stream of a leaving worker.
+        :returns: a failure also where another worker was asked for the stream from
+            its first event on meanwhile: one may have a version that others know,
+            and the other another one.
+        """
+        was_held = self._is_held
+        failure = await on_begin()
+        is_moved = move.is_accepted or (self._is_held and not was_held)
+        if failure is None and is_moved:
+            failure = serving.Failed(
+                kind=serving.FailureKind.UNCONFIRMED,
+                reason='the stream was moved before its first event',
+            )
+        return failure
+
     async def _read(
         self,
         exchange: platform.Exchange,
