Move what is known of one version into a module of its own

The record of one version, and its conversion to and from messages, go to _known_versions.py; whether a service certainly has one version is asked of list_possible in place of the same two conditions.

--- a/briarknot/versions/_software_versions.py
+++ b/briarknot/versions/_software_versions.py
@@ -16,7 +16,7 @@
 import attrs
 
 from briarknot import schema, sentinels
-from briarknot.versions import _sole_versions
+from briarknot.versions import _known_versions, _sole_versions
 
 #: Time after which no client takes up a stream again: the longest time limit of
 #: requests without a deadline.
@@ -32,9 +32,8 @@
 #: a version has none.
 _UNUSABLE_S = 2 * ADMISSION_S
 _MS_PER_S = 1000
-_UNKNOWN_MS = -1
-_STAGES_OF_STREAMS = frozenset((schema.serving.Stage.DECODE,))
 
+_DECODE = schema.serving.Stage.DECODE
 VersionRecord = schema.records.VersionRecord
 Key = tuple[str, str]
 
@@ -49,40 +48,13 @@
     reason: str
 
 
-@attrs.define(eq=False)
-class _Version:
-    """What is known of a version of a service.
-
-    :param listed_s: latest time at which a worker of it was listed, or an earlier
-        one.
-    :param learned_s: time at which this process learned that one was, or a later
-        one.
-    :param stored_s: time since which the store has it; infinite if it is not
-        known to.
-    :param usable_s: latest time at which a worker of it that takes new streams was
-        listed.
-    """
-
-    listed_s: float = -math.inf
-    learned_s: float = math.inf
-    stored_s: float = math.inf
-    usable_s: float = -math.inf
-
-    def record_listed(self, listed_s: float, now: float) -> None:
-        """Records a time at which a worker was listed, or an earlier one.
-
-        :param listed_s: the time.
-        :param now: time at which this process learns of it.
-        """
-        self.listed_s = max(self.listed_s, listed_s)
-        self.learned_s = min(self.learned_s, now)
-
-
 @attrs.define(eq=False)
 class SoftwareVersions:
     """Versions whose streams clients may still take up again."""
 
-    _versions: dict[Key, _Version] = attrs.field(factory=dict)
+    _versions: dict[Key, _known_versions.KnownVersion] = attrs.field(
+        factory=dict
+    )
     _list_s: float = -math.inf
     _followed_s: float = math.inf
     _known_since_s: float = math.inf
@@ -131,7 +103,7 @@
             if worker.stage != schema.serving.Stage.NONE:
                 key = (worker.service, worker.version)
                 version = self._record_listed(key, read_s, now)
-                if not worker.draining and worker.stage in _STAGES_OF_STREAMS:
+                if worker.stage == _DECODE and not worker.draining:
                     version.usable_s = read_s
         is_new = len(self._versions) > known
         self._list_s = read_s
@@ -161,7 +133,7 @@
         """
         for one in records:
             version = self._record_listed((one.service, one.version), now, now)
-            stored_s = min(now, _to_stored_s(one, written_s))
+            stored_s = min(now, _known_versions.read_stored_s(one, written_s))
             version.stored_s = min(version.stored_s, stored_s)
         self._known_since_s = min(self._known_since_s, known_since_s)
         self._loaded_s = read_s
@@ -183,7 +155,9 @@
                 continue
             key = (one.service, one.version)
             version = self._record_listed(key, listed_s, now)
-            version.stored_s = min(version.stored_s, _to_stored_s(one, now))
+            version.stored_s = min(
+                version.stored_s, _known_versions.read_stored_s(one, now)
+            )
         return len(self._versions) > known
 
     def record_stored(self, keys: typing.Iterable[Key], now: float) -> None:
@@ -222,16 +196,7 @@
         :param now: the time.
         """
         return tuple(
-            VersionRecord(
-                service=service,
-                version=name,
-                listed_age_ms=_to_ms(now - one.listed_s),
-                stored_age_ms=(
-                    _UNKNOWN_MS
-                    if math.isinf(one.stored_s)
-                    else _to_ms(now - one.stored_s)
-                ),
-            )
+            one.make_record(service, name, now)
             for (service, name), one in sorted(self._versions.items())
         )
 
@@ -347,18 +312,20 @@
         several_s = now - sorted(one.learned_s for one in known.values())[1]
         return several_s <= MAX_STREAM_S + self._soles.drop_slack_s
 
-    def _record_listed(self, key: Key, listed_s: float, now: float) -> _Version:
+    def _record_listed(
+        self, key: Key, listed_s: float, now: float
+    ) -> _known_versions.KnownVersion:
         """Records that a worker of a version was listed."""
-        version = self._versions.setdefault(key, _Version())
+        version = self._versions.setdefault(
+            key, _known_versions.make_known_version()
+        )
         version.record_listed(listed_s, now)
         self._soles.record_listed(*key, listed_s, now)
         return version
 
     def _record_soles(self, now: float) -> None:
         """Records the services that certainly have one version."""
-        if now - self._list_s > MAX_LIST_AGE_S:
-            return
-        if now - self._known_since_s < MAX_STREAM_S:
+        if isinstance(self.list_possible('', now), Uncertain):
             return
         counts = collections.Counter(service for service, _ in self._versions)
         for (service, name), version in self._versions.items():
@@ -375,16 +342,6 @@
                 del self._versions[key]
 
 
-def _to_stored_s(record: VersionRecord, written_s: float) -> float:
-    if record.stored_age_ms < 0:
-        return math.inf
-    return written_s - record.stored_age_ms / _MS_PER_S
-
-
-def _to_ms(seconds: float) -> int:
-    return max(0, int(seconds * _MS_PER_S))
-
-
 def make_software_versions() -> SoftwareVersions:
     """Makes the versions of a process that knows no worker.
 
