Ask for fewer confirmations, and longer, where processes are killed

Change: the process that begins a stream counts as one of the two keepers that know it, if it is one; an origin is sent four times in 0.6 s in place of twice in 0.3 s, by when a killed process is back; only a process that gets no confirmation at all leaves the newer version out.

Why it still holds: two of four keepers know the stream, and three of four statements decide.

--- a/briarknot/gateway/_origin_keepers.py
+++ b/briarknot/gateway/_origin_keepers.py
@@ -13,8 +13,10 @@
 #: Pause before they are asked once more: the origin of a stream may be on its way.
 _REPEAT_S = 0.1
 _ROUNDS = 2
-#: Longest wait for the confirmation of an origin before it is sent once more.
+#: Longest wait for the confirmation of an origin before it is sent once more, and the
+#: number of times. A process that was killed is back within about half a second.
 _CONFIRM_TIMEOUT_S = 0.15
+_CONFIRM_ROUNDS = 4
 _Answer = schema.messages.OriginAnswer
 
 
@@ -91,21 +93,27 @@
     :param origin: origin of a stream that begins.
     :returns: whether enough have confirmed it in time.
     """
-    needed = versions.count_confirmations(1 + len(context.peer_hosts))
+    hosts = {context.settings.host, *context.peer_hosts}
+    keepers = versions.choose_keepers(origin.stream, hosts)
+    is_keeper = context.settings.host in keepers
+    needed = versions.count_confirmations(len(hosts), is_keeper=is_keeper)
     if not needed:
         return True
     tasks = [
         asyncio.ensure_future(_confirm_host(context, origin, host))
         for host in choose_others(context, origin.stream)
     ]
+    confirmations = 0
     try:
         for confirmed in asyncio.as_completed(tasks):
-            needed -= await confirmed
-            if not needed:
+            confirmations += await confirmed
+            if confirmations >= needed:
                 return True
     finally:
         for task in tasks:
             task.cancel()
+    if not confirmations:
+        context.origins.record_isolation(_clock.read_clock())
     return False
 
 
@@ -176,7 +184,7 @@
     context: _context.Context, origin: schema.messages.StreamOrigin, host: str
 ) -> bool:
     message = attrs.evolve(origin, host=context.settings.host)
-    for _ in range(_ROUNDS):
+    for _ in range(_CONFIRM_ROUNDS):
         if await _request(context, message, host, _CONFIRM_TIMEOUT_S):
             return True
     return False
--- a/briarknot/gateway/_stream_versions.py
+++ b/briarknot/gateway/_stream_versions.py
@@ -139,7 +139,6 @@
         context.origins.complete(stream)
         return True
     now = _clock.read_clock()
-    context.origins.record_unconfirmed(now)
     _UNCONFIRMED.inc()
     telemetry.log_event(
         'stream_origin_unconfirmed',
@@ -176,7 +175,7 @@
     """Lists the workers at whose versions a stream may begin, or go on.
 
     Where the service has no worker of an admitted version, those of versions that
-    all processes know begin streams. While too few processes confirm origins, only
+    all processes know begin streams. While no other process confirms origins, only
     those versions do whose origins none of them needs to know.
 
     :param context: state of the process.
--- a/briarknot/versions/_stream_origins.py
+++ b/briarknot/versions/_stream_origins.py
@@ -25,7 +25,7 @@
 _MAX_LIST_DELAY_S = 3.0
 _MAX_ORIGINS = 20_000
 #: Time for which a process begins no streams whose origins others must know, after
-#: too few of them have confirmed one.
+#: none of them has confirmed one.
 _ISOLATION_S = 2.0
 #: Longest id of a stream; origins are sent in datagrams.
 _MAX_ID_LENGTH = 200
@@ -69,7 +69,7 @@
     )
     _unsent: dict[str, None] = attrs.field(factory=dict)
     _dropped_s: float = -math.inf
-    _unconfirmed_s: float = -math.inf
+    _isolated_s: float = -math.inf
 
     def record(
         self, stream: str, worker: schema.serving.Worker, now: float
@@ -151,19 +151,19 @@
         is_known = not stream or stream in self._origins
         return not (is_known or has_dropped or len(stream) > _MAX_ID_LENGTH)
 
-    def record_unconfirmed(self, now: float) -> None:
-        """Records that too few processes have confirmed an origin.
+    def record_isolation(self, now: float) -> None:
+        """Records that no other process has confirmed an origin.
 
         :param now: the time.
         """
-        self._unconfirmed_s = now
+        self._isolated_s = now
 
     def is_isolated(self, now: float) -> bool:
-        """Returns whether too few processes may know the origin of a stream.
+        """Returns whether this process may be cut off from all others.
 
         :param now: the time.
         """
-        return now - self._unconfirmed_s < _ISOLATION_S
+        return now - self._isolated_s < _ISOLATION_S
 
     def forget_restarted(self, worker_id: str, now: float) -> None:
         """Forgets the versions of streams that a worker may have begun at a new one.
@@ -208,12 +208,24 @@
     return serving.rank_names(stream, hosts)[:_KEEPERS]
 
 
-def count_confirmations(hosts: int) -> int:
+def count_confirmations(hosts: int, *, is_keeper: bool) -> int:
     """Counts the other keepers that must know a stream before it begins.
 
     :param hosts: number of all processes.
+    :param is_keeper: whether the process that begins it is a keeper of it.
     """
-    return min(hosts, _KEEPERS) // 2
+    copies = _count_copies(hosts)
+    return copies - 1 if is_keeper else copies
+
+
+def _count_copies(hosts: int) -> int:
+    """Counts the keepers that know a stream when it begins.
+
+    In a small fleet the process that begins it is always one of them.
+    """
+    if hosts <= _KEEPERS:
+        return hosts // 2 + 1
+    return _KEEPERS // 2
 
 
 def choose_sole(
@@ -229,13 +241,9 @@
     :param hosts: number of all processes.
     :returns: the version; None where there are too few witnesses.
     """
-    keepers = min(hosts, _KEEPERS)
-    copies = count_confirmations(hosts)
-    if hosts <= _KEEPERS:
-        # The process that begins a stream is a keeper of it too.
-        copies += 1
+    most_unknowing = min(hosts, _KEEPERS) - _count_copies(hosts)
     stated = [version for version in testimonies if version is not None]
-    if len(stated) <= keepers - copies or len(set(stated)) != 1:
+    if len(stated) <= most_unknowing or len(set(stated)) != 1:
         return None
     return stated[0]
 
