Wait for the first lost answers before more are set in a test

Cause: the test lets the platform lose two answers, starts two controllers, then sets the fault to three. Setting it replaces what is left. The second loss comes with a renewal 0.6 s after the first write, and the start of the second controller takes about as long; where it is faster, one loss is replaced, and only four of five ever happen.

Change: the test waits until both losses have happened. It asserts the same orders and epoch as before, and all five losses always happen.

--- a/briarknot/tests/test_authority.py
+++ b/briarknot/tests/test_authority.py
@@ -320,6 +320,8 @@
     platform = rig.running.platform
     await rig.running.set_faults(platform, lose_answers=2)
     await rig.start_controllers()
+    # Setting the faults again discards the losses that are still due.
+    await rig.wait(rig.has_lost_answers, 2)
     await rig.running.set_faults(platform, lose_answers=3)
     await rig.wait(rig.has_lost_answers, 5)
     await rig.change_role(schema.fleet.Role.DECODE)
